--- /dev/null
+++ b/Makefile
@@ -0,0 +1,92 @@
+BUILD ?= build
+CC := gcc
+CXX := g++
+PYTHON := /usr/bin/python3
+PACKAGES := gcc g++ make pkg-config libglib2.0-dev libzmq3-dev libsoup-3.0-dev libjson-glib-dev \
+	libprotobuf-c-dev libyaml-dev libargtable2-dev libgtest-dev python3 python3-yaml \
+	python3-pytest clang-format clang-tidy clang libclang-rt-14-dev valgrind
+PKGS := glib-2.0 gio-2.0 gio-unix-2.0 libzmq libsoup-3.0 json-glib-1.0 libprotobuf-c yaml-0.1
+comma := ,
+OPT ?= -O2 -g
+SAN := $(if $(SANITIZE),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+ifneq ($(SANITIZE),)
+BUILD := build-sanitize
+endif
+WARN := -Wall -Wextra -Werror -Wshadow
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null | sed 's/-I/-isystem /g')
+CPPFLAGS = -Iliblug $(PKG_CFLAGS) -D_GNU_SOURCE
+CFLAGS = -std=gnu11 $(OPT) $(WARN) -Wstrict-prototypes -Wmissing-prototypes $(SAN)
+CXXFLAGS = -std=gnu++17 $(OPT) $(WARN) $(SAN)
+LIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lm $(SAN)
+
+LIB_SRC := $(wildcard liblug/*/*.c)
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/liblug.a
+CLI_LIB_SRC := $(wildcard cli/cmd/*.c)
+CLI_LIB_OBJ := $(CLI_LIB_SRC:%.c=$(BUILD)/%.o)
+PROGRAMS := $(BUILD)/catkinlug-entryd $(BUILD)/catkinlug-agentd $(BUILD)/catkinlug
+STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/standin-%,$(wildcard tests/standin/*.c))
+UNIT_SRC := $(wildcard tests/unit/*.cc)
+UNIT_OBJ := $(UNIT_SRC:%.cc=$(BUILD)/%.o)
+UNIT := $(BUILD)/unit-tests
+FORMATTED := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard liblug/*/*.[ch] cli/*.[ch] cli/cmd/*.[ch] \
+	tests/standin/*.[ch] tests/unit/*.cc tests/unit/*.h tests/fuzz/*.c tests/bench/*.c))
+LINTED := $(filter %.c,$(filter-out tests/%,$(FORMATTED)))
+
+all: $(LIB) $(PROGRAMS) $(STANDINS) ## build the library, the programs and the stand-ins
+
+help: ## show the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | sort | expand -t 16
+
+deps: ## install what the build and the tests need, where it is missing
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -q && \
+	 DEBIAN_FRONTEND=noninteractive apt-get install -qy --no-install-recommends $(PACKAGES); }
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@ && ar rcs $@ $^
+
+$(BUILD)/%.pb-c.o: %.pb-c.c
+	@mkdir -p $(@D)
+	@$(CC) -std=gnu11 $(OPT) $(SAN) $(CPPFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) $(CPPFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	@$(CXX) $(CXXFLAGS) $(CPPFLAGS) -Itests/unit -MMD -c $< -o $@
+
+$(BUILD)/catkinlug: $(BUILD)/cli/catkinlug.o $(CLI_LIB_OBJ) $(LIB)
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(BUILD)/catkinlug-%: $(BUILD)/cli/%.o $(LIB)
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-%: $(BUILD)/tests/standin/%.o $(LIB)
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(UNIT): $(UNIT_OBJ) $(LIB)
+	@$(CXX) -o $@ $^ -lgtest -lgtest_main -lpthread $(LIBS)
+
+generate: ## generate the codec of the inner protocol again
+	cd liblug/wire && protoc-c --c_out=. inner.proto
+
+format: ## format the sources
+	@clang-format -i $(FORMATTED)
+
+lint: ## check format and lint
+	@clang-format --dry-run -Werror $(FORMATTED)
+	@printf '%s\n' $(LINTED) | xargs -P 8 -n 2 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 \
+	 $(CPPFLAGS) 2>/dev/null' sh
+
+check: deps ## install what is missing, build, run all tests
+	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD) OPT="$(OPT)" all $(UNIT)
+	@BUILD=$(BUILD) $(PYTHON) tests/rig/check.py
+
+clean: ## remove what was built
+	rm -rf build build-sanitize
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+.PHONY: all help deps generate format lint check clean
+.SECONDARY:
--- /dev/null
+++ b/liblug/colocate/reserve.c
@@ -0,0 +1,57 @@
+#include "colocate/reserve.h"
+
+/**
+ * lug_reserve_capacity - what batch tasks may use in all
+ * @reserve: reservations
+ */
+struct lug_resources lug_reserve_capacity(const struct lug_reserve *reserve)
+{
+	struct lug_resources capacity = reserve->total;
+
+	lug_resources_sub(&capacity, &reserve->service);
+	capacity.millicores = MAX(capacity.millicores, 0);
+	capacity.memory = MAX(capacity.memory, 0);
+	capacity.accelerators = MAX(capacity.accelerators, 0);
+	return capacity;
+}
+
+/**
+ * lug_reserve_room - what batch tasks may still use
+ * @reserve: reservations
+ */
+struct lug_resources lug_reserve_room(const struct lug_reserve *reserve)
+{
+	struct lug_resources room = lug_reserve_capacity(reserve);
+
+	lug_resources_sub(&room, &reserve->tasks);
+	return room;
+}
+
+/**
+ * lug_reserve_take - reserve for a task
+ * @reserve: reservations
+ * @size: size of the task
+ *
+ * Return: FALSE, with nothing reserved, when it does not fit.
+ */
+gboolean lug_reserve_take(struct lug_reserve *reserve, const struct lug_resources *size)
+{
+	struct lug_resources room = lug_reserve_room(reserve);
+
+	if (size->millicores < 0 || size->memory < 0 || size->accelerators < 0)
+		return FALSE;
+	if (!lug_resources_fit(size, &room))
+		return FALSE;
+	lug_resources_add(&reserve->tasks, size);
+	return TRUE;
+}
+
+/**
+ * lug_reserve_give - give a reservation back
+ * @reserve: reservations
+ * @size: size given to lug_reserve_take()
+ */
+void lug_reserve_give(struct lug_reserve *reserve, const struct lug_resources *size)
+{
+	lug_resources_sub(&reserve->tasks, size);
+}
--- /dev/null
+++ b/liblug/core/json.h
@@ -0,0 +1,23 @@
+#ifndef LUG_CORE_JSON_H
+#define LUG_CORE_JSON_H
+
+#include <json-glib/json-glib.h>
+
+#include "core/status.h"
+
+/*
+ * Short readers over json-glib for rows and HTTP bodies. A reader returns the
+ * fallback where the member is missing or of another type.
+ */
+
+JsonObject *lug_json_parse(const char *text, gssize len, struct lug_error *err);
+char *lug_json_text(JsonObject *obj);
+char *lug_json_pretty(JsonObject *obj);
+const char *lug_json_str(JsonObject *obj, const char *key, const char *fallback);
+gint64 lug_json_int(JsonObject *obj, const char *key, gint64 fallback);
+double lug_json_num(JsonObject *obj, const char *key, double fallback);
+gboolean lug_json_bool(JsonObject *obj, const char *key, gboolean fallback);
+JsonObject *lug_json_obj(JsonObject *obj, const char *key);
+JsonArray *lug_json_arr(JsonObject *obj, const char *key);
+
+#endif
--- /dev/null
+++ b/liblug/core/metrics.h
@@ -0,0 +1,105 @@
+#ifndef LUG_CORE_METRICS_H
+#define LUG_CORE_METRICS_H
+
+#include <glib.h>
+
+#define LUG_COUNTERS(X)                                                                   \
+	X(REQUESTS, "requests", "Requests received from callers or entries")              \
+	X(REQUESTS_OK, "requests_ok", "Requests answered whole")                          \
+	X(REQUESTS_NOT_RUN, "requests_not_run", "Requests answered as not run")           \
+	X(REQUESTS_UNKNOWN, "requests_unknown", "Requests whose outcome is unknown")      \
+	X(REQUESTS_SHED, "requests_shed", "Requests refused by admission")                \
+	X(REQUESTS_CUT, "requests_cut", "Requests cut by a stop of this process")         \
+	X(RETRIES, "retries", "Attempts after the first")                                 \
+	X(RETRIES_DENIED, "retries_denied", "Retries refused by the retry budget")        \
+	X(LATE_REPLIES, "late_replies", "Replies dropped because nobody waits")           \
+	X(CONTROL_TX, "control_tx_bytes", "Control bytes sent, without headers")          \
+	X(CONTROL_RX, "control_rx_bytes", "Control bytes received, without headers")      \
+	X(CONTROL_TX_MSGS, "control_tx_messages", "Control messages sent")                \
+	X(CONTROL_RX_MSGS, "control_rx_messages", "Control messages received")            \
+	X(CARRIED_TX, "carried_tx_bytes", "Request and reply bytes sent")                 \
+	X(CARRIED_RX, "carried_rx_bytes", "Request and reply bytes received")             \
+	X(MALFORMED, "malformed_messages", "Inner messages dropped as malformed")         \
+	X(REDIALS, "redials", "Silent connections replaced")                              \
+	X(STORE_READS, "store_reads", "Reads sent to the table service")                  \
+	X(STORE_WRITES, "store_writes", "Transactions sent to the table service")         \
+	X(STORE_ERRORS, "store_errors", "Table service calls without an answer")          \
+	X(STORE_CONFLICTS, "store_conflicts", "Transactions refused by a check")          \
+	X(STORE_READBACKS, "store_readbacks", "Unknown outcomes settled by reading back") \
+	X(STORE_BYTES, "store_bytes", "Body bytes to and from the table service")         \
+	X(TASKS_STARTED, "tasks_started", "Batch task attempts started")                  \
+	X(TASKS_FINISHED, "tasks_finished", "Batch task attempts finished")               \
+	X(TASKS_FAILED, "tasks_failed", "Batch task attempts that failed")                \
+	X(TASKS_EVICTED, "tasks_evicted", "Batch task attempts evicted")                  \
+	X(TASKS_LOST, "tasks_lost", "Batch task attempts lost with their worker")         \
+	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
+	X(TASKS_THROTTLED, "tasks_throttled", "Throttle changes sent to the worker")      \
+	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                   \
+	X(LEASES_LOST, "leases_lost", "Leases found held by another")                     \
+	X(TABLE_UPDATES, "table_updates", "Newer versions of the weights and limits")     \
+	X(DENIED, "denied", "Callers refused for want of a valid token")
+
+#define LUG_GAUGES(X)                                                                   \
+	X(TABLE_VERSION, "table_version", "Version of the weights and limits in force") \
+	X(INFLIGHT, "requests_in_flight", "Requests being served")                      \
+	X(QUEUED, "requests_queued", "Requests waiting for a slot")                     \
+	X(PEERS, "peers", "Live peers")                                                 \
+	X(TASKS_RUNNING, "tasks_running", "Batch tasks running")                        \
+	X(TASKS_PENDING, "tasks_pending", "Batch tasks waiting in owned queues")        \
+	X(QUEUES_OWNED, "queues_owned", "Queues owned by this process")                 \
+	X(STORE_UP, "store_up", "1 while the table service answers")                    \
+	X(DRAINING, "draining", "1 while leaving")
+
+#define LUG_HISTOGRAMS(X)                                                       \
+	X(REQUEST_US, "request_us", "Whole time of a request, microseconds")    \
+	X(BACKEND_US, "backend_us", "Time of the backend server, microseconds") \
+	X(QUEUE_US, "queue_us", "Wait for a slot, microseconds")                \
+	X(TXN_US, "txn_us", "Time of a transaction, microseconds")              \
+	X(TASK_WAIT_US, "task_wait_us", "Wait of a batch task for its start, microseconds")
+
+#define X(id, name, help) LUG_C_##id,
+enum lug_counter { LUG_COUNTERS(X) LUG_COUNTER_COUNT };
+#undef X
+#define X(id, name, help) LUG_G_##id,
+enum lug_gauge { LUG_GAUGES(X) LUG_GAUGE_COUNT };
+#undef X
+#define X(id, name, help) LUG_H_##id,
+enum lug_histogram_id { LUG_HISTOGRAMS(X) LUG_HISTOGRAM_COUNT };
+#undef X
+
+#define LUG_HIST_SUB_BITS 4
+#define LUG_HIST_BUCKETS (40 << LUG_HIST_SUB_BITS)
+
+/**
+ * struct lug_histogram - log-linear histogram with 1/16 relative resolution
+ * @count: number of samples
+ * @sum: sum of samples
+ * @buckets: samples by bucket
+ */
+struct lug_histogram {
+	guint64 count;
+	guint64 sum;
+	guint32 buckets[LUG_HIST_BUCKETS];
+};
+
+/**
+ * struct lug_metrics - counters, gauges and histograms of one process
+ */
+struct lug_metrics {
+	guint64 counters[LUG_COUNTER_COUNT];
+	gint64 gauges[LUG_GAUGE_COUNT];
+	struct lug_histogram histograms[LUG_HISTOGRAM_COUNT];
+};
+
+struct lug_metrics *lug_metrics_new(void);
+void lug_metrics_free(struct lug_metrics *metrics);
+void lug_metrics_print(const struct lug_metrics *metrics, GString *out);
+void lug_histogram_add(struct lug_histogram *hist, guint64 value);
+guint64 lug_histogram_quantile(const struct lug_histogram *hist, double quantile);
+
+#define lug_count(ctx, id, n) ((ctx)->metrics->counters[LUG_C_##id] += (guint64)(n))
+#define lug_gauge(ctx, id, n) ((ctx)->metrics->gauges[LUG_G_##id] = (gint64)(n))
+#define lug_observe(ctx, id, n) \
+	lug_histogram_add(&(ctx)->metrics->histograms[LUG_H_##id], (guint64)(n))
+
+#endif
--- /dev/null
+++ b/liblug/core/units.c
@@ -0,0 +1,92 @@
+#include "core/units.h"
+
+#include <errno.h>
+#include <math.h>
+#include <string.h>
+
+struct unit {
+	const char *suffix;
+	double factor;
+};
+
+static const struct unit durations[] = {
+	{"ms", 1}, {"s", 1000}, {"m", 60 * 1000}, {"h", 3600 * 1000}};
+static const struct unit sizes[] = {{"B", 1},
+				    {"KB", 1024.0},
+				    {"MB", 1024.0 * 1024},
+				    {"GB", 1024.0 * 1024 * 1024},
+				    {"TB", 1024.0 * 1024 * 1024 * 1024}};
+
+#define MAX_VALUE 9e15
+
+static gboolean parse_with_units(const char *text, const struct unit *units, gsize n, gint64 *out)
+{
+	char *end = NULL;
+	double value;
+
+	if (!text || !g_ascii_isdigit(*text))
+		return FALSE;
+	value = g_ascii_strtod(text, &end);
+	while (*end == ' ')
+		end++;
+	for (gsize i = 0; i < n; i++) {
+		if (strcmp(end, units[i].suffix))
+			continue;
+		value = round(value * units[i].factor);
+		if (value > MAX_VALUE)
+			return FALSE;
+		*out = (gint64)value;
+		return TRUE;
+	}
+	return FALSE;
+}
+
+/**
+ * lug_duration_parse - read a duration such as "250ms", "5s" or "2m"
+ * @text: text
+ * @out_ms: milliseconds
+ *
+ * Return: FALSE when @text is no duration; a bare number has no unit and is refused.
+ */
+gboolean lug_duration_parse(const char *text, gint64 *out_ms)
+{
+	return parse_with_units(text, durations, G_N_ELEMENTS(durations), out_ms);
+}
+
+/**
+ * lug_size_parse - read a size such as "512MB" or "60GB"
+ * @text: text
+ * @out_bytes: bytes
+ */
+gboolean lug_size_parse(const char *text, gint64 *out_bytes)
+{
+	return parse_with_units(text, sizes, G_N_ELEMENTS(sizes), out_bytes);
+}
+
+/**
+ * lug_cores_parse - read a number of cores such as "2" or "0.5"
+ * @text: text
+ * @out_millicores: thousandths of a core
+ */
+gboolean lug_cores_parse(const char *text, gint64 *out_millicores)
+{
+	static const struct unit cores[] = {{"", 1000}};
+
+	return parse_with_units(text, cores, 1, out_millicores);
+}
+
+/**
+ * lug_int_parse - read a non-negative whole number
+ * @text: text
+ * @out: number
+ */
+gboolean lug_int_parse(const char *text, gint64 *out)
+{
+	char *end = NULL;
+
+	if (!text || !g_ascii_isdigit(*text))
+		return FALSE;
+	errno = 0;
+	*out = g_ascii_strtoll(text, &end, 10);
+	return !errno && !*end;
+}
--- /dev/null
+++ b/liblug/daemon/api.c
@@ -0,0 +1,215 @@
+#include "daemon/entry_priv.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define BEARER "Bearer "
+
+static const struct {
+	const char *path;
+	lug_api_fn fn;
+} handlers[] = {
+	{"/service", lug_api_service},	 {"/jobs", lug_api_jobs},
+	{"/table", lug_api_table},	 {"/workers", lug_api_workers},
+	{"/services", lug_api_services}, {"/charges", lug_api_charges},
+	{"/status", lug_api_status},	 {"/timeline", lug_api_timeline},
+};
+
+/**
+ * lug_api_header - request header, NULL when missing
+ */
+const char *lug_api_header(const struct lug_api_call *call, const char *name)
+{
+	return soup_message_headers_get_one(soup_server_message_get_request_headers(call->msg),
+					    name);
+}
+
+/**
+ * lug_api_param - query parameter, NULL when missing
+ */
+const char *lug_api_param(const struct lug_api_call *call, const char *name)
+{
+	return call->query ? g_hash_table_lookup(call->query, name) : NULL;
+}
+
+/**
+ * lug_api_method - HTTP method
+ */
+const char *lug_api_method(const struct lug_api_call *call)
+{
+	return soup_server_message_get_method(call->msg);
+}
+
+/**
+ * lug_api_end - send the answer that was set
+ * @call: call, released
+ */
+void lug_api_end(struct lug_api_call *call)
+{
+	call->entry->calls--;
+	soup_server_message_unpause(call->msg);
+	g_object_unref(call->msg);
+	if (call->query)
+		g_hash_table_unref(call->query);
+	lug_arena_free(call->arena);
+}
+
+/**
+ * lug_api_fail - answer with an error
+ * @call: call, released
+ * @kind: kind of failure
+ * @remedy: what the caller can do
+ * @fmt: message
+ */
+void lug_api_fail(struct lug_api_call *call, enum lug_status kind, const char *remedy,
+		  const char *fmt, ...)
+{
+	struct lug_error err = {.kind = kind};
+	va_list ap;
+
+	va_start(ap, fmt);
+	g_vsnprintf(err.msg, sizeof(err.msg), fmt, ap);
+	va_end(ap);
+	g_strlcpy(err.remedy, remedy ? remedy : "", sizeof(err.remedy));
+	lug_answer_error(call->msg, &err);
+	lug_api_end(call);
+}
+
+/**
+ * lug_api_may - tell whether the caller may act for a team
+ * @call: call
+ * @team: team
+ */
+gboolean lug_api_may(struct lug_api_call *call, const char *team)
+{
+	return call->operator|| !g_strcmp0(call->team, team);
+}
+
+static gboolean same_secret(const char *a, const char *b)
+{
+	gsize len = strlen(a);
+	guint diff = len != strlen(b);
+
+	/* Takes the same time wherever the two differ. */
+	for (gsize i = 0; i < len && b[i]; i++)
+		diff |= (guint)(a[i] ^ b[i]);
+	return !diff;
+}
+
+static const struct lug_token *find_token(const struct lug_entry *entry, const char *header)
+{
+	GArray *tokens = entry->ctx->settings->tokens;
+
+	if (!header || !g_str_has_prefix(header, BEARER))
+		return NULL;
+	for (guint i = 0; i < tokens->len; i++) {
+		const struct lug_token *token = &g_array_index(tokens, struct lug_token, i);
+
+		if (same_secret(header + strlen(BEARER), token->secret))
+			return token;
+	}
+	return NULL;
+}
+
+static gboolean identify(struct lug_api_call *call)
+{
+	const struct lug_token *token =
+		find_token(call->entry, lug_api_header(call, "Authorization"));
+
+	if (!token) {
+		lug_count(call->entry->ctx, DENIED, 1);
+		soup_message_headers_replace(soup_server_message_get_response_headers(call->msg),
+					     "WWW-Authenticate", "Bearer");
+		lug_api_fail(call, LUG_DENIED,
+			     "send \"Authorization: Bearer TOKEN\" with a token of "
+			     "this deployment",
+			     "no valid token");
+		return FALSE;
+	}
+	call->operator= token->role == LUG_ROLE_OPERATOR;
+	call->team = call->operator? NULL : lug_arena_strdup(call->arena, token->team);
+	call->caller = token->team ? lug_arena_strdup(call->arena, token->team) : "operator";
+	return TRUE;
+}
+
+static const char *below(const char *path, const char *prefix)
+{
+	const char *rest = path + strlen(prefix);
+
+	return *rest == '/' ? rest + 1 : rest;
+}
+
+static void on_call(SoupServer *soup, SoupServerMessage *msg, const char *path, GHashTable *query,
+		    gpointer data)
+{
+	struct lug_entry *entry = data;
+	struct lug_arena *arena;
+	struct lug_api_call *call;
+
+	(void)soup;
+	if (soup_server_message_get_status(msg))
+		return;
+	arena = lug_arena_new();
+	call = lug_arena_alloc(arena, sizeof(*call));
+	call->arena = arena;
+	call->entry = entry;
+	call->msg = g_object_ref(msg);
+	call->query = query ? g_hash_table_ref(query) : NULL;
+	entry->calls++;
+	soup_server_message_pause(msg);
+	if (!identify(call))
+		return;
+	for (gsize i = 0; i < G_N_ELEMENTS(handlers); i++) {
+		gsize len = strlen(handlers[i].path);
+
+		if (strncmp(path, handlers[i].path, len) || (path[len] && path[len] != '/'))
+			continue;
+		call->path = lug_arena_strdup(arena, below(path, handlers[i].path));
+		handlers[i].fn(call);
+		return;
+	}
+	lug_api_fail(call, LUG_NOT_FOUND, "catkinlug-entryd(8) lists the paths", "no such path");
+}
+
+static void refuse_early(SoupServerMessage *msg, enum lug_status kind, guint http,
+			 const char *remedy, const char *text)
+{
+	struct lug_error err;
+
+	lug_fail(&err, kind, remedy, "%s", text);
+	lug_answer_error(msg, &err);
+	soup_server_message_set_status(msg, http, NULL);
+	soup_message_headers_replace(soup_server_message_get_response_headers(msg), "Connection",
+				     "close");
+}
+
+/* Runs before the body is read, so that a caller can't make the entry hold a large one. */
+static void on_headers(SoupServer *soup, SoupServerMessage *msg, const char *path,
+		       GHashTable *query, gpointer data)
+{
+	struct lug_entry *entry = data;
+	SoupMessageHeaders *headers = soup_server_message_get_request_headers(msg);
+	SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+
+	(void)soup;
+	(void)path;
+	(void)query;
+	if (encoding == SOUP_ENCODING_CHUNKED) {
+		refuse_early(msg, LUG_BAD_INPUT, 411, "send a Content-Length",
+			     "a body without a length is not accepted");
+		return;
+	}
+	if (soup_message_headers_get_content_length(headers) > entry->ctx->settings->body_bytes)
+		refuse_early(msg, LUG_TOO_LARGE, 413, "send a smaller body, or raise request.body",
+			     "the body is larger than request.body");
+}
+
+/**
+ * lug_api_add - serve callers, teams and operators
+ * @entry: entry with its HTTP server
+ */
+void lug_api_add(struct lug_entry *entry)
+{
+	soup_server_add_early_handler(entry->server->soup, NULL, on_headers, entry, NULL);
+	soup_server_add_handler(entry->server->soup, NULL, on_call, entry, NULL);
+}
--- /dev/null
+++ b/liblug/daemon/api_jobs.c
@@ -0,0 +1,446 @@
+#include "daemon/entry_priv.h"
+
+#include <string.h>
+
+#include "job/job.h"
+
+#define ACCEPT_US (5 * 1000 * 1000)
+#define LIST_ROWS 500
+#define CANCEL_TRIES 6
+
+struct job_call {
+	struct lug_api_call *api;
+	struct lug_entry *entry;
+	struct lug_job *job;
+	char *team;
+	char *id;
+	char *key;
+	guint tries;
+	JsonObject *out;
+	JsonArray *list;
+};
+
+static struct job_call *job_call_new(struct lug_api_call *api, const char *team, const char *id)
+{
+	struct job_call *call = g_new0(struct job_call, 1);
+
+	call->api = api;
+	call->entry = api->entry;
+	call->team = g_strdup(team);
+	call->id = g_strdup(id);
+	call->key = lug_job_row_key(team, id);
+	return call;
+}
+
+static void job_call_free(struct job_call *call)
+{
+	lug_job_free(call->job);
+	g_clear_pointer(&call->out, json_object_unref);
+	g_clear_pointer(&call->list, json_array_unref);
+	g_free(call->team);
+	g_free(call->id);
+	g_free(call->key);
+	g_free(call);
+}
+
+static void end_json(struct job_call *call, guint http, JsonObject *out)
+{
+	lug_answer_json(call->api->msg, http, out);
+	lug_api_end(call->api);
+	job_call_free(call);
+}
+
+static void end_error(struct job_call *call, const struct lug_error *err)
+{
+	lug_answer_error(call->api->msg, err);
+	lug_api_end(call->api);
+	job_call_free(call);
+}
+
+static void store_down(struct job_call *call)
+{
+	struct lug_error err;
+
+	lug_fail(&err, LUG_UNAVAILABLE, "try again after a second",
+		 "the table service does not answer; nothing was changed");
+	end_error(call, &err);
+}
+
+static void poke_owner(struct lug_entry *entry, const char *team)
+{
+	struct lug_agent *owner = lug_roster_owner(entry->roster, team);
+	Lug__Poke poke = LUG__POKE__INIT;
+	LUG_ENVELOPE(env, POKE, poke, &poke);
+
+	if (!owner)
+		return;
+	poke.queue = (char *)team;
+	lug_link_send(entry->link, &owner->route, &env);
+}
+
+/* Submission */
+
+static enum lug_status check_fit(const struct lug_entry *entry, const struct lug_job *job,
+				 struct lug_error *err)
+{
+	GPtrArray *agents = lug_roster_agents(entry->roster);
+	struct lug_resources best = {0};
+	guint places = 0;
+
+	for (guint i = 0; i < agents->len; i++) {
+		const struct lug_agent *agent = g_ptr_array_index(agents, i);
+
+		if (!lug_job_accepts(job, agent->region, agent->zone))
+			continue;
+		if (lug_resources_fit(&job->size, &agent->capacity))
+			return LUG_OK;
+		places++;
+		lug_resources_max(&best, &agent->capacity);
+	}
+	if (!agents->len)
+		return LUG_OK;
+	if (!places)
+		return lug_fail(err, LUG_OVER_LIMIT, "name regions and zones that have workers",
+				"no worker is in the regions and zones that the job accepts");
+	return lug_fail(err, LUG_OVER_LIMIT, "ask for at most what the largest worker has",
+			"a task would never fit: it declares %g cores, %" G_GINT64_FORMAT
+			" MB and %" G_GINT64_FORMAT " accelerators; the most that workers have "
+			"beside their service is %g cores, %" G_GINT64_FORMAT
+			" MB and %" G_GINT64_FORMAT " accelerators",
+			(double)job->size.millicores / 1000, job->size.memory >> 20,
+			job->size.accelerators, (double)best.millicores / 1000, best.memory >> 20,
+			best.accelerators);
+}
+
+static enum lug_status check_limit(const struct lug_entry *entry, const struct lug_job *job,
+				   struct lug_error *err)
+{
+	const struct lug_team *team = lug_limits_find(lug_sync_limits(entry->sync), job->team);
+
+	if (!team)
+		return lug_fail(err, LUG_BAD_INPUT, "catkinlug table show lists the teams",
+				"team %s is not in the table", job->team);
+	if (lug_resources_fit(&job->size, &team->limit))
+		return LUG_OK;
+	return lug_fail(err, LUG_OVER_LIMIT, "make the tasks smaller, or raise the team's limit",
+			"a task would never fit: team %s is limited to %g cores, %" G_GINT64_FORMAT
+			" MB and %" G_GINT64_FORMAT " accelerators",
+			team->name, (double)team->limit.millicores / 1000, team->limit.memory >> 20,
+			team->limit.accelerators);
+}
+
+static void answer_job(struct job_call *call, guint http, gboolean existing)
+{
+	JsonObject *out = json_object_new();
+
+	json_object_set_string_member(out, "id", call->id);
+	json_object_set_string_member(out, "team", call->team);
+	json_object_set_boolean_member(out, "existing", existing);
+	end_json(call, http, out);
+}
+
+static void on_submitted(void *data, enum lug_status status, gint64 version)
+{
+	struct job_call *call = data;
+	struct lug_error err;
+
+	(void)version;
+	switch (status) {
+	case LUG_OK:
+		lug_timeline_add(call->entry->ctx->timeline, LUG_EV_JOB_ACCEPTED, call->id,
+				 "team %s kind %s tasks %u", call->team, call->job->kind,
+				 call->job->count);
+		poke_owner(call->entry, call->team);
+		answer_job(call, 201, FALSE);
+		return;
+	case LUG_CONFLICT:
+		answer_job(call, 200, TRUE);
+		return;
+	case LUG_UNKNOWN:
+		lug_fail(&err, LUG_UNKNOWN, "submit it again with the same key, or ask for its id",
+			 "job %s may have been accepted", call->id);
+		end_error(call, &err);
+		return;
+	default:
+		store_down(call);
+	}
+}
+
+static void submit(struct lug_api_call *api)
+{
+	SoupMessageBody *in = soup_server_message_get_request_body(api->msg);
+	struct lug_entry *entry = api->entry;
+	struct lug_error err = {0};
+	JsonObject *body = lug_json_parse(in->data, (gssize)in->length, &err);
+	struct lug_job *job = body ? lug_job_from_request(body, &err) : NULL;
+	guint64 nonce = ((guint64)g_rand_int(entry->ctx->rng) << 32) | g_rand_int(entry->ctx->rng);
+	struct job_call *call;
+	struct lug_op *op;
+	JsonObject *row;
+
+	if (body)
+		json_object_unref(body);
+	if (job && !lug_api_may(api, job->team))
+		lug_fail(&err, LUG_DENIED, "use a token of that team",
+			 "the token may not submit for team %s", job->team);
+	if (!job || err.kind || check_limit(entry, job, &err) || check_fit(entry, job, &err)) {
+		lug_job_free(job);
+		lug_answer_error(api->msg, &err);
+		lug_api_end(api);
+		return;
+	}
+	lug_job_make_id(job, nonce);
+	job->submitted_ms = g_get_real_time() / 1000;
+	call = job_call_new(api, job->team, job->id);
+	call->job = job;
+	op = lug_op_new(on_submitted, call);
+	op->deadline_us = lug_now_us() + ACCEPT_US;
+	row = lug_job_to_json(job);
+	lug_txn_check(&op->txn, "job", call->key, 0);
+	lug_txn_check(&op->txn, "jobdone", call->key, 0);
+	lug_txn_put(&op->txn, "job", call->key, row);
+	json_object_unref(row);
+	lug_lane_submit(entry->lane, op, lug_now_us());
+}
+
+/* Status */
+
+static void on_tasks(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		     gboolean more)
+{
+	struct job_call *call = data;
+	static const char *const states[] = {"pending", "running", "done", "failed", "cancelled"};
+	gint64 count = lug_json_int(call->out, "count", 0);
+	gint64 counts[G_N_ELEMENTS(states)] = {0};
+	JsonObject *tasks = json_object_new();
+	gint64 seen = 0;
+
+	(void)more;
+	for (guint i = 0; status == LUG_OK && i < n_rows; i++)
+		for (gsize s = 0; s < G_N_ELEMENTS(states); s++)
+			if (!strcmp(lug_json_str(rows[i].data, "state", ""), states[s])) {
+				counts[s]++;
+				seen++;
+			}
+	counts[0] += MAX(count - seen, 0);
+	for (gsize s = 0; s < G_N_ELEMENTS(states); s++)
+		json_object_set_int_member(tasks, states[s], counts[s]);
+	json_object_set_object_member(call->out, "tasks", tasks);
+	json_object_set_string_member(call->out, "state",
+				      lug_json_bool(call->out, "cancelled", FALSE) ? "cancelling"
+				      : counts[0] == count			   ? "queued"
+										   : "running");
+	end_json(call, 200, g_steal_pointer(&call->out));
+}
+
+static void not_found(struct job_call *call)
+{
+	struct lug_error err;
+
+	lug_fail(&err, LUG_NOT_FOUND, "catkinlug job list shows the jobs", "team %s has no job %s",
+		 call->team, call->id);
+	end_error(call, &err);
+}
+
+static void on_done_row(void *data, enum lug_status status, const struct lug_row *rows,
+			guint n_rows, gboolean more)
+{
+	struct job_call *call = data;
+
+	(void)more;
+	if (status != LUG_OK)
+		store_down(call);
+	else if (!n_rows || strcmp(rows[0].key, call->key) != 0)
+		not_found(call);
+	else
+		end_json(call, 200, json_object_ref(rows[0].data));
+}
+
+static void on_job_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more)
+{
+	struct job_call *call = data;
+	char *prefix;
+
+	(void)more;
+	if (status != LUG_OK) {
+		store_down(call);
+		return;
+	}
+	if (!n_rows || strcmp(rows[0].key, call->key) != 0) {
+		lug_store_scan(call->entry->store, "jobdone", call->key, NULL, 1, on_done_row,
+			       call);
+		return;
+	}
+	call->out = json_object_ref(rows[0].data);
+	prefix = g_strconcat(call->key, "/", NULL);
+	lug_store_scan(call->entry->store, "task", prefix, NULL, LUG_JOB_TASKS_MAX, on_tasks, call);
+	g_free(prefix);
+}
+
+/* List */
+
+static void add_rows(struct job_call *call, const struct lug_row *rows, guint n_rows,
+		     const char *state)
+{
+	for (guint i = 0; i < n_rows; i++) {
+		JsonObject *item = json_object_ref(rows[i].data);
+
+		if (!json_object_has_member(item, "state"))
+			json_object_set_string_member(item, "state", state);
+		json_object_remove_member(item, "payload");
+		json_array_add_object_element(call->list, item);
+	}
+}
+
+static void on_list_done(void *data, enum lug_status status, const struct lug_row *rows,
+			 guint n_rows, gboolean more)
+{
+	struct job_call *call = data;
+	JsonObject *out;
+
+	if (status != LUG_OK) {
+		store_down(call);
+		return;
+	}
+	add_rows(call, rows, n_rows, "done");
+	out = json_object_new();
+	json_object_set_array_member(out, "jobs", g_steal_pointer(&call->list));
+	json_object_set_boolean_member(out, "more", more);
+	end_json(call, 200, out);
+}
+
+static char *list_prefix(const struct job_call *call)
+{
+	return *call->team ? g_strconcat(call->team, "/", NULL) : g_strdup("");
+}
+
+static void on_list(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		    gboolean more)
+{
+	struct job_call *call = data;
+	char *prefix;
+
+	(void)more;
+	if (status != LUG_OK) {
+		store_down(call);
+		return;
+	}
+	add_rows(call, rows, n_rows, "open");
+	prefix = list_prefix(call);
+	lug_store_scan(call->entry->store, "jobdone", prefix, NULL, LIST_ROWS, on_list_done, call);
+	g_free(prefix);
+}
+
+static void list(struct lug_api_call *api, const char *team)
+{
+	struct job_call *call = job_call_new(api, team ? team : "", "");
+	char *prefix = list_prefix(call);
+
+	call->list = json_array_new();
+	lug_store_scan(api->entry->store, "job", prefix, NULL, LIST_ROWS, on_list, call);
+	g_free(prefix);
+}
+
+/* Cancellation */
+
+static void start_cancel(struct job_call *call);
+
+static void on_cancelled(void *data, enum lug_status status, gint64 version)
+{
+	struct job_call *call = data;
+	struct lug_error err;
+
+	(void)version;
+	if (status == LUG_OK) {
+		poke_owner(call->entry, call->team);
+		call->out = json_object_new();
+		json_object_set_string_member(call->out, "id", call->id);
+		json_object_set_string_member(call->out, "state", "cancelling");
+		end_json(call, 202, g_steal_pointer(&call->out));
+		return;
+	}
+	if (status == LUG_CONFLICT && call->tries++ < CANCEL_TRIES) {
+		start_cancel(call);
+		return;
+	}
+	if (status == LUG_UNKNOWN) {
+		lug_fail(&err, LUG_UNKNOWN, "cancel it again", "job %s may have been cancelled",
+			 call->id);
+		end_error(call, &err);
+		return;
+	}
+	store_down(call);
+}
+
+static void on_cancel_row(void *data, enum lug_status status, const struct lug_row *rows,
+			  guint n_rows, gboolean more)
+{
+	struct job_call *call = data;
+	struct lug_op *op;
+
+	(void)more;
+	if (status != LUG_OK) {
+		store_down(call);
+		return;
+	}
+	if (!n_rows || strcmp(rows[0].key, call->key) != 0) {
+		lug_store_scan(call->entry->store, "jobdone", call->key, NULL, 1, on_done_row,
+			       call);
+		return;
+	}
+	op = lug_op_new(on_cancelled, call);
+	op->deadline_us = lug_now_us() + ACCEPT_US;
+	json_object_set_boolean_member(rows[0].data, "cancelled", TRUE);
+	lug_txn_check(&op->txn, "job", call->key, rows[0].version);
+	lug_txn_put(&op->txn, "job", call->key, rows[0].data);
+	lug_lane_submit(call->entry->lane, op, lug_now_us());
+}
+
+static void start_cancel(struct job_call *call)
+{
+	lug_store_scan(call->entry->store, "job", call->key, NULL, 1, on_cancel_row, call);
+}
+
+static gboolean id_valid(const char *id)
+{
+	return strlen(id) <= LUG_JOB_ID_MAX && strspn(id, "0123456789abcdef") == strlen(id);
+}
+
+/**
+ * lug_api_jobs - serve /jobs and /jobs/ID
+ * @api: call
+ */
+void lug_api_jobs(struct lug_api_call *api)
+{
+	const char *method = lug_api_method(api);
+	const char *team = api->operator? lug_api_param(api, "team") : api->team;
+
+	if (!*api->path && !strcmp(method, "POST")) {
+		submit(api);
+		return;
+	}
+	if (!*api->path && !strcmp(method, "GET")) {
+		list(api, team);
+		return;
+	}
+	if (!*api->path || !id_valid(api->path)) {
+		lug_api_fail(api, LUG_BAD_INPUT,
+			     "use POST /jobs, GET /jobs, GET or DELETE /jobs/ID",
+			     "the method or id is not accepted");
+		return;
+	}
+	if (!team) {
+		lug_api_fail(api, LUG_BAD_INPUT, "operators add ?team=NAME", "no team is named");
+		return;
+	}
+	if (!strcmp(method, "GET")) {
+		struct job_call *call = job_call_new(api, team, api->path);
+
+		lug_store_scan(api->entry->store, "job", call->key, NULL, 1, on_job_row, call);
+	} else if (!strcmp(method, "DELETE")) {
+		start_cancel(job_call_new(api, team, api->path));
+	} else {
+		lug_api_fail(api, LUG_BAD_INPUT, "use GET or DELETE", "the method is not accepted");
+	}
+}
--- /dev/null
+++ b/liblug/daemon/api_service.c
@@ -0,0 +1,358 @@
+#include "daemon/entry_priv.h"
+
+#include <string.h>
+
+#include "core/units.h"
+
+#define KEY_HEADER "Idempotency-Key"
+#define KEY_MAX 128
+#define TIMEOUT_HEADER "X-Timeout-Ms"
+#define TIMEOUT_MAX_MS (10 * 60 * 1000)
+#define KEPT_BODY_BYTES (16 * 1024)
+
+/*
+ * A request to a service. With an Idempotency-Key the key's row is claimed in the
+ * table before the request is routed, so that no second entry or agent can run it.
+ */
+struct service_call {
+	struct lug_api_call *api;
+	struct lug_entry *entry;
+	char *row_key;
+	gboolean answered;
+	guint timer;
+	gint64 key_version;
+	gint64 deadline_us;
+	char *service;
+	char *method;
+	char *path;
+	char *team;
+	char *content_type;
+	GBytes *body;
+};
+
+static void service_free(struct service_call *call)
+{
+	if (call->timer)
+		g_source_remove(call->timer);
+	g_free(call->row_key);
+	g_free(call->service);
+	g_free(call->method);
+	g_free(call->path);
+	g_free(call->team);
+	g_free(call->content_type);
+	g_clear_pointer(&call->body, g_bytes_unref);
+	g_free(call);
+}
+
+static gboolean method_idempotent(const char *method)
+{
+	static const char *const safe[] = {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", NULL};
+
+	return g_strv_contains(safe, method);
+}
+
+static void set_body(SoupServerMessage *msg, guint http, const char *type, const void *body,
+		     gsize len)
+{
+	soup_server_message_set_status(msg, http, NULL);
+	soup_server_message_set_response(msg, type && *type ? type : "application/octet-stream",
+					 SOUP_MEMORY_COPY, body, len);
+}
+
+static void set_headers(SoupServerMessage *msg, guint64 id, guint attempts)
+{
+	SoupMessageHeaders *headers = soup_server_message_get_response_headers(msg);
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "%" G_GINT64_MODIFIER "x", id);
+	soup_message_headers_replace(headers, "X-Request-Id", text);
+	g_snprintf(text, sizeof(text), "%u", attempts);
+	soup_message_headers_replace(headers, "X-Attempts", text);
+}
+
+static void answer(struct service_call *call, const struct lug_request_result *result)
+{
+	struct lug_api_call *api = call->api;
+
+	call->answered = TRUE;
+	set_headers(api->msg, result->id, result->attempts);
+	if (result->status == LUG_OK) {
+		set_body(api->msg, result->http, result->content_type, result->body, result->len);
+		lug_api_end(api);
+	} else if (result->status == LUG_NOT_RUN) {
+		lug_api_fail(api, LUG_NOT_RUN, "send it again after a second",
+			     "the request was not run: %s", result->detail ? result->detail : "");
+	} else {
+		lug_api_fail(api, LUG_UNKNOWN,
+			     "ask the service whether it took effect, or use an Idempotency-Key",
+			     "the request may have run: %s", result->detail ? result->detail : "");
+	}
+	call->api = NULL;
+}
+
+static void put_outcome(struct service_call *call, const struct lug_request_result *result)
+{
+	struct lug_op *op = lug_op_new(NULL, NULL);
+	JsonObject *row;
+
+	lug_txn_check(&op->txn, "key", call->row_key, call->key_version);
+	if (result->status == LUG_NOT_RUN) {
+		lug_txn_delete(&op->txn, "key", call->row_key);
+		lug_lane_submit(call->entry->lane, op, lug_now_us());
+		return;
+	}
+	row = json_object_new();
+	json_object_set_string_member(row, "state", lug_status_name(result->status));
+	json_object_set_int_member(row, "http", result->http);
+	json_object_set_string_member(row, "type",
+				      result->content_type ? result->content_type : "");
+	if (result->status == LUG_OK && result->len <= KEPT_BODY_BYTES) {
+		char *body = g_base64_encode(result->body, result->len);
+
+		json_object_set_string_member(row, "body", body);
+		g_free(body);
+	}
+	json_object_set_int_member(row, "at_ms", g_get_real_time() / 1000);
+	lug_txn_put(&op->txn, "key", call->row_key, row);
+	json_object_unref(row);
+	lug_lane_submit(call->entry->lane, op, lug_now_us());
+}
+
+static void on_result(void *data, const struct lug_request_result *result)
+{
+	struct service_call *call = data;
+
+	if (call->row_key)
+		put_outcome(call, result);
+	answer(call, result);
+	service_free(call);
+}
+
+static void route(struct service_call *call, gint64 now_us)
+{
+	const char *flag = lug_api_header(call->api, "Idempotent");
+	struct lug_request_spec spec = {
+		.service = call->service,
+		.team = call->team,
+		.method = call->method,
+		.path = call->path,
+		.content_type = call->content_type,
+		.timeout_ms = MAX((call->deadline_us - now_us) / 1000, 1),
+		.idempotent = !call->row_key &&
+			      (method_idempotent(call->method) || (flag && !strcmp(flag, "true"))),
+	};
+
+	spec.body = g_bytes_get_data(call->body, &spec.len);
+	lug_router_submit(call->entry->router, &spec, on_result, call, now_us);
+}
+
+static void replay(struct service_call *call, JsonObject *row)
+{
+	struct lug_api_call *api = call->api;
+	const char *body = lug_json_str(row, "body", NULL);
+	guchar *bytes;
+	gsize len = 0;
+
+	if (strcmp(lug_json_str(row, "state", ""), "ok") != 0 || !body) {
+		lug_api_fail(api, LUG_CONFLICT, "use a new key for a new request",
+			     "the key's request has been taken already: %s",
+			     lug_json_str(row, "state", ""));
+		return;
+	}
+	bytes = g_base64_decode(body, &len);
+	soup_message_headers_replace(soup_server_message_get_response_headers(api->msg),
+				     "Idempotent-Replay", "true");
+	set_body(api->msg, (guint)lug_json_int(row, "http", 200), lug_json_str(row, "type", ""),
+		 bytes, len);
+	g_free(bytes);
+	lug_api_end(api);
+}
+
+static void on_key_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more)
+{
+	struct service_call *call = data;
+
+	(void)more;
+	if (call->answered) {
+		service_free(call);
+		return;
+	}
+	if (status == LUG_OK && n_rows && !strcmp(rows[0].key, call->row_key))
+		replay(call, rows[0].data);
+	else
+		lug_api_fail(call->api, LUG_NOT_RUN, "send it again with the same key",
+			     "the key's row can't be read now");
+	service_free(call);
+}
+
+static void unclaim(struct service_call *call)
+{
+	struct lug_op *op = lug_op_new(NULL, NULL);
+
+	lug_txn_check(&op->txn, "key", call->row_key, call->key_version);
+	lug_txn_delete(&op->txn, "key", call->row_key);
+	lug_lane_submit(call->entry->lane, op, lug_now_us());
+}
+
+static void on_claimed(void *data, enum lug_status status, gint64 version)
+{
+	struct service_call *call = data;
+	struct lug_entry *entry = call->entry;
+
+	call->key_version = version;
+	if (call->answered) {
+		/* The caller was told "not run"; the key must be free again. */
+		if (status == LUG_OK && version)
+			unclaim(call);
+		service_free(call);
+		return;
+	}
+	if (call->timer) {
+		g_source_remove(call->timer);
+		call->timer = 0;
+	}
+	if (status == LUG_OK && version) {
+		route(call, lug_now_us());
+	} else if (status == LUG_CONFLICT) {
+		lug_store_scan(entry->store, "key", call->row_key, NULL, 1, on_key_row, call);
+	} else {
+		lug_api_fail(call->api, LUG_NOT_RUN, "send it again with the same key",
+			     "the request was not run: its key can't be claimed now");
+		service_free(call);
+	}
+}
+
+static gboolean on_claim_late(gpointer data)
+{
+	struct service_call *call = data;
+
+	call->timer = 0;
+	call->answered = TRUE;
+	lug_api_fail(call->api, LUG_NOT_RUN, "send it again with the same key",
+		     "the request was not run: the table service does not answer");
+	call->api = NULL;
+	return G_SOURCE_REMOVE;
+}
+
+static void claim_key(struct service_call *call, gint64 now_us)
+{
+	struct lug_op *op = lug_op_new(on_claimed, call);
+	JsonObject *row = json_object_new();
+
+	json_object_set_string_member(row, "state", "claimed");
+	json_object_set_string_member(row, "entry", call->entry->ctx->settings->name);
+	json_object_set_int_member(row, "at_ms", g_get_real_time() / 1000);
+	lug_txn_check(&op->txn, "key", call->row_key, 0);
+	lug_txn_put(&op->txn, "key", call->row_key, row);
+	json_object_unref(row);
+	call->timer = g_timeout_add((guint)MAX((call->deadline_us - now_us) / 1000, 1),
+				    on_claim_late, call);
+	lug_lane_submit(call->entry->lane, op, now_us);
+}
+
+static gboolean service_known(const struct lug_entry *entry, const char *service)
+{
+	GPtrArray *agents = lug_roster_agents(entry->roster);
+
+	for (guint i = 0; i < agents->len; i++)
+		if (!strcmp(((struct lug_agent *)g_ptr_array_index(agents, i))->service, service))
+			return TRUE;
+	return FALSE;
+}
+
+static const char *raw_rest(struct lug_api_call *api)
+{
+	GUri *uri = soup_server_message_get_uri(api->msg);
+	const char *slash = strchr(api->path, '/');
+	const char *query = g_uri_get_query(uri);
+	char *rest = g_uri_escape_string(slash ? slash : "/", "/", FALSE);
+	const char *out =
+		lug_arena_printf(api->arena, "%s%s%s", rest, query ? "?" : "", query ? query : "");
+
+	g_free(rest);
+	return out;
+}
+
+static gboolean read_timeout(struct lug_api_call *api, gint64 *out_ms)
+{
+	const char *text = lug_api_header(api, TIMEOUT_HEADER);
+
+	*out_ms = api->entry->ctx->settings->request_timeout_ms;
+	if (!text)
+		return TRUE;
+	return lug_int_parse(text, out_ms) && *out_ms >= 1 && *out_ms <= TIMEOUT_MAX_MS;
+}
+
+static gboolean check(struct lug_api_call *api, const char *team, const char *service,
+		      const char *key)
+{
+	if (!team || !lug_limits_find(lug_sync_limits(api->entry->sync), team)) {
+		lug_api_fail(api, LUG_DENIED,
+			     "name a team of the table of weights and limits; "
+			     "operators send X-Team",
+			     "team %.40s is not in the table", team ? team : "(none)");
+		return FALSE;
+	}
+	if (!service_known(api->entry, service)) {
+		lug_api_fail(api, LUG_NOT_FOUND, "catkinlug service list shows the services",
+			     "no backend server serves %.60s", service);
+		return FALSE;
+	}
+	if (key && (!*key || strlen(key) > KEY_MAX)) {
+		lug_api_fail(api, LUG_BAD_INPUT, "give 1 to 128 bytes",
+			     KEY_HEADER ": not accepted");
+		return FALSE;
+	}
+	return TRUE;
+}
+
+static struct service_call *service_new(struct lug_api_call *api, const char *team,
+					const char *service)
+{
+	struct service_call *call = g_new0(struct service_call, 1);
+	SoupMessageBody *body = soup_server_message_get_request_body(api->msg);
+
+	call->api = api;
+	call->entry = api->entry;
+	call->service = g_strdup(service);
+	call->team = g_strdup(team);
+	call->method = g_strdup(lug_api_method(api));
+	call->path = g_strdup(raw_rest(api));
+	call->content_type = g_strdup(lug_api_header(api, "Content-Type"));
+	call->body = soup_message_body_flatten(body);
+	return call;
+}
+
+/**
+ * lug_api_service - serve /service/NAME/PATH
+ * @api: call
+ */
+void lug_api_service(struct lug_api_call *api)
+{
+	const char *slash = strchr(api->path, '/');
+	gsize len = slash ? (gsize)(slash - api->path) : strlen(api->path);
+	char *service = lug_arena_memdup(api->arena, api->path, len + 1);
+	const char *team = api->operator? lug_api_header(api, "X-Team") : api->team;
+	const char *key = lug_api_header(api, KEY_HEADER);
+	gint64 now_us = lug_now_us();
+	struct service_call *call;
+	gint64 timeout_ms;
+
+	service[len] = '\0';
+	if (!read_timeout(api, &timeout_ms)) {
+		lug_api_fail(api, LUG_BAD_INPUT, "give whole milliseconds from 1 to 600000",
+			     TIMEOUT_HEADER ": not accepted");
+		return;
+	}
+	if (!check(api, team, service, key))
+		return;
+	call = service_new(api, team, service);
+	call->deadline_us = now_us + timeout_ms * 1000;
+	if (!key) {
+		route(call, now_us);
+		return;
+	}
+	call->row_key = g_strdup_printf("%s/%s/%s", service, team, key);
+	claim_key(call, now_us);
+}
--- /dev/null
+++ b/liblug/daemon/api_table.c
@@ -0,0 +1,223 @@
+#include "daemon/entry_priv.h"
+
+#include <string.h>
+
+#include "core/units.h"
+
+#define ACCEPT_US (5 * 1000 * 1000)
+#define HISTORY_ROWS 1000
+
+struct table_call {
+	struct lug_api_call *api;
+	struct lug_entry *entry;
+	struct lug_limits *next;
+	char *text;
+	char *by;
+	gint64 seen;
+};
+
+static void table_call_free(struct table_call *call)
+{
+	lug_limits_free(call->next);
+	g_free(call->text);
+	g_free(call->by);
+	g_free(call);
+}
+
+static JsonObject *row_json(gint64 version, const char *text, const char *by, gint64 at_ms)
+{
+	JsonObject *row = json_object_new();
+
+	json_object_set_int_member(row, "version", version);
+	json_object_set_string_member(row, "text", text);
+	json_object_set_string_member(row, "by", by);
+	json_object_set_int_member(row, "at_ms", at_ms);
+	return row;
+}
+
+static void fail(struct table_call *call, const struct lug_error *err)
+{
+	lug_answer_error(call->api->msg, err);
+	lug_api_end(call->api);
+	table_call_free(call);
+}
+
+/* Tells the loser of a race what the other operator wrote. */
+static void lost_race(struct table_call *call, JsonObject *current)
+{
+	JsonObject *out = json_object_new();
+
+	json_object_set_string_member(out, "error", lug_status_name(LUG_CONFLICT));
+	json_object_set_string_member(out, "message", "another edit was accepted first");
+	json_object_set_string_member(out, "remedy",
+				      "look at the other change, make yours again on top of it");
+	json_object_set_object_member(out, "current", json_object_ref(current));
+	lug_answer_json(call->api->msg, 409, out);
+	lug_api_end(call->api);
+	table_call_free(call);
+}
+
+static void on_accepted(void *data, enum lug_status status, gint64 version)
+{
+	struct table_call *call = data;
+	struct lug_error err;
+	JsonObject *out;
+
+	(void)version;
+	if (status == LUG_OK) {
+		lug_sync_read(call->entry->sync);
+		out = json_object_new();
+		json_object_set_int_member(out, "version", call->next->version);
+		lug_answer_json(call->api->msg, 200, out);
+		lug_api_end(call->api);
+		table_call_free(call);
+		return;
+	}
+	if (status == LUG_CONFLICT)
+		lug_fail(&err, LUG_CONFLICT, "read the table again and repeat the edit",
+			 "another edit was accepted first");
+	else if (status == LUG_UNKNOWN)
+		lug_fail(&err, LUG_UNKNOWN, "read the table to see whether version %s is yours",
+			 "the edit may have been accepted");
+	else
+		lug_fail(&err, LUG_UNAVAILABLE, "try again after a second",
+			 "the table service does not answer; nothing was changed");
+	fail(call, &err);
+}
+
+static void commit(struct table_call *call, gint64 row_version)
+{
+	struct lug_op *op = lug_op_new(on_accepted, call);
+	JsonObject *row =
+		row_json(call->next->version, call->text, call->by, g_get_real_time() / 1000);
+	char key[24];
+
+	g_snprintf(key, sizeof(key), "%010" G_GINT64_FORMAT, call->next->version);
+	op->deadline_us = lug_now_us() + ACCEPT_US;
+	lug_txn_check(&op->txn, "limits", "current", row_version);
+	lug_txn_put(&op->txn, "limits", "current", row);
+	lug_txn_put(&op->txn, "history", key, row);
+	json_object_unref(row);
+	lug_lane_submit(call->entry->lane, op, lug_now_us());
+}
+
+static void on_current(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more)
+{
+	struct table_call *call = data;
+	JsonObject *current = n_rows ? rows[0].data : NULL;
+	gint64 version = lug_json_int(current, "version", 0);
+	struct lug_limits *old = NULL;
+	struct lug_error err = {0};
+
+	(void)more;
+	if (status != LUG_OK) {
+		lug_fail(&err, LUG_UNAVAILABLE, "try again after a second",
+			 "the table service does not answer; nothing was changed");
+		fail(call, &err);
+		return;
+	}
+	if (version != call->seen) {
+		lost_race(call, current ? current : json_object_new());
+		return;
+	}
+	call->next = lug_limits_parse(call->text, version + 1, &err);
+	if (call->next && current)
+		old = lug_limits_parse(lug_json_str(current, "text", ""), version, NULL);
+	if (!call->next || lug_limits_successor(old, call->next, &err)) {
+		lug_limits_free(old);
+		fail(call, &err);
+		return;
+	}
+	lug_limits_free(old);
+	commit(call, n_rows ? rows[0].version : 0);
+}
+
+static void put(struct lug_api_call *api)
+{
+	SoupMessageBody *in = soup_server_message_get_request_body(api->msg);
+	const char *match = lug_api_header(api, "If-Match");
+	struct table_call *call;
+	gint64 seen;
+
+	if (!api->operator) {
+		lug_api_fail(api, LUG_DENIED, "use an operator's token",
+			     "a team may not edit the table");
+		return;
+	}
+	if (!match || !lug_int_parse(match, &seen)) {
+		lug_api_fail(api, LUG_BAD_INPUT, "send If-Match with the version that you edited",
+			     "If-Match is missing or not a number");
+		return;
+	}
+	if (!g_utf8_validate(in->data ? in->data : "", (gssize)in->length, NULL)) {
+		lug_api_fail(api, LUG_BAD_INPUT, "send plain UTF-8 text", "the table is not text");
+		return;
+	}
+	call = g_new0(struct table_call, 1);
+	call->api = api;
+	call->entry = api->entry;
+	call->seen = seen;
+	call->text = g_strndup(in->data ? in->data : "", (gsize)in->length);
+	call->by = g_strdup(lug_api_header(api, "X-Operator") ? lug_api_header(api, "X-Operator")
+							      : api->caller);
+	lug_store_scan(api->entry->store, "limits", "current", NULL, 1, on_current, call);
+}
+
+static void get(struct lug_api_call *api)
+{
+	const struct lug_limits *limits = lug_sync_limits(api->entry->sync);
+	char *text;
+
+	if (!limits) {
+		lug_api_fail(api, LUG_NOT_FOUND, "catkinlug table apply FILE writes the first one",
+			     "there is no table yet");
+		return;
+	}
+	text = lug_limits_format(limits);
+	lug_answer_json(api->msg, 200, row_json(limits->version, text, "", 0));
+	g_free(text);
+	lug_api_end(api);
+}
+
+static void on_history(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more)
+{
+	struct lug_api_call *api = data;
+	JsonObject *out;
+	JsonArray *list;
+
+	if (status != LUG_OK) {
+		lug_api_fail(api, LUG_UNAVAILABLE, "try again after a second",
+			     "the table service does not answer");
+		return;
+	}
+	out = json_object_new();
+	list = json_array_new();
+	for (guint i = 0; i < n_rows; i++)
+		json_array_add_object_element(list, json_object_ref(rows[i].data));
+	json_object_set_array_member(out, "versions", list);
+	json_object_set_boolean_member(out, "more", more);
+	lug_answer_json(api->msg, 200, out);
+	lug_api_end(api);
+}
+
+/**
+ * lug_api_table - serve /table and /table/history
+ * @api: call
+ */
+void lug_api_table(struct lug_api_call *api)
+{
+	const char *method = lug_api_method(api);
+
+	if (!strcmp(api->path, "history") && !strcmp(method, "GET"))
+		lug_store_scan(api->entry->store, "history", "", lug_api_param(api, "after"),
+			       HISTORY_ROWS, on_history, api);
+	else if (!*api->path && !strcmp(method, "GET"))
+		get(api);
+	else if (!*api->path && !strcmp(method, "PUT"))
+		put(api);
+	else
+		lug_api_fail(api, LUG_BAD_INPUT, "use GET or PUT /table, or GET /table/history",
+			     "the method or path is not accepted");
+}
--- /dev/null
+++ b/liblug/daemon/entry.c
@@ -0,0 +1,278 @@
+#include "daemon/entry.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <string.h>
+
+#include "daemon/entry_priv.h"
+#include "daemon/reload.h"
+
+#define TICK_MS 20
+#define ENTRY_SCAN_MS 3000
+#define TAKE_AGAIN_US (500 * 1000)
+#define SILENT_BEATS 4
+#define LEASE_MS 15000
+#define LEAVE_NOTICE_MS 500
+/* An entry whose row has not changed for this many lease times is not told to agents. */
+#define STALE_FACTOR 3
+
+static void fill_row(void *data, JsonObject *row)
+{
+	struct lug_entry *entry = data;
+
+	json_object_set_string_member(row, "address", entry->ctx->settings->advertise);
+	json_object_set_string_member(row, "http", entry->ctx->settings->http);
+	json_object_set_string_member(row, "zone", entry->ctx->settings->zone);
+	json_object_set_int_member(row, "at_ms", g_get_real_time() / 1000);
+}
+
+static void on_lane(void *data, enum lug_lane_event event)
+{
+	struct lug_entry *entry = data;
+
+	(void)event;
+	entry->taking = FALSE;
+}
+
+static void on_own_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more)
+{
+	struct lug_entry *entry = data;
+	struct lug_row none = {0};
+	gboolean found = n_rows && !strcmp(rows[0].key, entry->ctx->settings->name);
+
+	(void)more;
+	if (status != LUG_OK) {
+		entry->taking = FALSE;
+		return;
+	}
+	lug_lane_take(entry->lane, found ? &rows[0] : &none, lug_now_us());
+}
+
+static void take_lane(struct lug_entry *entry, gint64 now_us)
+{
+	if (lug_lane_held(entry->lane) || entry->taking || entry->stopping ||
+	    now_us < entry->next_take_us)
+		return;
+	entry->taking = TRUE;
+	entry->next_take_us = now_us + TAKE_AGAIN_US;
+	lug_store_scan(entry->store, "entry", entry->ctx->settings->name, NULL, 1, on_own_row,
+		       entry);
+}
+
+static void on_entries(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more)
+{
+	struct lug_entry *entry = data;
+	gint64 now_ms = g_get_real_time() / 1000;
+
+	(void)more;
+	entry->reading_entries = FALSE;
+	if (status != LUG_OK)
+		return;
+	g_ptr_array_set_size(entry->entries, 0);
+	for (guint i = 0; i < n_rows; i++) {
+		gint64 age_ms = now_ms - lug_json_int(rows[i].data, "at_ms", 0);
+
+		if (!*lug_json_str(rows[i].data, "owner", "") || age_ms > STALE_FACTOR * LEASE_MS)
+			continue;
+		g_ptr_array_add(entry->entries, json_object_ref(rows[i].data));
+	}
+}
+
+static void read_entries(struct lug_entry *entry, gint64 now_us)
+{
+	if (entry->reading_entries || now_us < entry->next_entries_us)
+		return;
+	entry->reading_entries = TRUE;
+	entry->next_entries_us = now_us + lug_jitter(entry->ctx->rng, ENTRY_SCAN_MS) * 1000;
+	lug_store_scan(entry->store, "entry", "", NULL, 100, on_entries, entry);
+}
+
+static void ack_beat(struct lug_entry *entry, const struct lug_route *route)
+{
+	char **addresses = g_new0(char *, entry->entries->len + 1);
+	Lug__BeatAck ack = LUG__BEAT_ACK__INIT;
+	LUG_ENVELOPE(env, BEAT_ACK, beat_ack, &ack);
+
+	for (guint i = 0; i < entry->entries->len; i++) {
+		const char *address =
+			lug_json_str(g_ptr_array_index(entry->entries, i), "address", "");
+
+		if (strcmp(address, entry->ctx->settings->advertise) != 0)
+			addresses[ack.n_entries++] = (char *)address;
+	}
+	ack.entries = addresses;
+	lug_link_send(entry->link, route, &env);
+	g_free(addresses);
+}
+
+static void on_envelope(void *data, const struct lug_route *route, const Lug__Envelope *env)
+{
+	struct lug_entry *entry = data;
+	gint64 now_us = lug_now_us();
+
+	if (entry->closed || lug_sync_envelope(entry->sync, route, env))
+		return;
+	switch (env->body_case) {
+	case LUG__ENVELOPE__BODY_BEAT:
+		lug_roster_beat(entry->roster, route, env, now_us);
+		ack_beat(entry, route);
+		return;
+	case LUG__ENVELOPE__BODY_REPLY:
+		lug_router_reply(entry->router, env->from, env->reply, now_us);
+		return;
+	case LUG__ENVELOPE__BODY_EVENTS_REPLY:
+		lug_gather_reply(entry, env->from, env->events_reply);
+		return;
+	default:
+		return;
+	}
+}
+
+static void on_table(void *data)
+{
+	(void)data;
+}
+
+static void stop_step(struct lug_entry *entry, gint64 now_us)
+{
+	gboolean late = now_us >= entry->stop_by_us;
+
+	if (now_us < entry->stop_at_us || (!late && entry->calls))
+		return;
+	if (!late && lug_lane_held(entry->lane)) {
+		lug_lane_release(entry->lane, now_us);
+		return;
+	}
+	lug_count(entry->ctx, REQUESTS_CUT, entry->calls);
+	g_main_loop_quit(entry->ctx->loop);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct lug_entry *entry = data;
+	gint64 now_us = lug_now_us();
+
+	take_lane(entry, now_us);
+	lug_lane_tick(entry->lane, now_us);
+	lug_sync_tick(entry->sync, now_us);
+	read_entries(entry, now_us);
+	lug_roster_expire(entry->roster, now_us);
+	lug_router_tick(entry->router, now_us);
+	lug_gather_tick(entry, now_us);
+	if (entry->stopping)
+		stop_step(entry, now_us);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_stop(gpointer data)
+{
+	struct lug_entry *entry = data;
+	gint64 now_us = lug_now_us();
+
+	if (entry->stopping)
+		return G_SOURCE_CONTINUE;
+	/* The balancer reads /readyz; calls that still come are served. */
+	entry->stopping = TRUE;
+	entry->stop_at_us = now_us + LEAVE_NOTICE_MS * 1000;
+	entry->stop_by_us = now_us + entry->ctx->settings->drain_ms * 1000;
+	lug_gauge(entry->ctx, DRAINING, 1);
+	lug_timeline_add(entry->ctx->timeline, LUG_EV_DRAIN, entry->ctx->settings->name, "%s",
+			 "leaving");
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_hangup(gpointer data)
+{
+	struct lug_entry *entry = data;
+
+	lug_reload(entry->ctx, entry->path);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean is_ready(void *data)
+{
+	struct lug_entry *entry = data;
+
+	return !entry->stopping && lug_sync_limits(entry->sync) != NULL;
+}
+
+static void build_parts(struct lug_entry *entry)
+{
+	struct lug_ctx *ctx = entry->ctx;
+	struct lug_lane_config config = {.table = "entry",
+					 .key = ctx->settings->name,
+					 .ttl_ms = LEASE_MS,
+					 .fill = fill_row,
+					 .event = on_lane,
+					 .data = entry};
+
+	entry->entries = g_ptr_array_new_with_free_func((GDestroyNotify)json_object_unref);
+	lug_list_init(&entry->gathers);
+	entry->store = lug_store_http_new(ctx);
+	entry->lane = lug_lane_new(ctx, entry->store, &config);
+	entry->sync = lug_sync_new(ctx, entry->store, entry->link, on_table, entry);
+	entry->roster = lug_roster_new(ctx, ctx->settings->beat_ms * SILENT_BEATS * 1000);
+	entry->router = lug_router_new(ctx, entry->link, entry->roster);
+}
+
+static void free_parts(struct lug_entry *entry)
+{
+	entry->closed = TRUE;
+	lug_status_server_free(entry->server);
+	lug_store_free(entry->store);
+	lug_lane_free(entry->lane);
+	lug_router_free(entry->router);
+	lug_roster_free(entry->roster);
+	lug_sync_free(entry->sync);
+	g_ptr_array_unref(entry->entries);
+}
+
+static int run_loop(struct lug_entry *entry)
+{
+	struct lug_ctx *ctx = entry->ctx;
+	guint tick;
+	guint signals[3];
+
+	build_parts(entry);
+	lug_api_add(entry);
+	tick = g_timeout_add(TICK_MS, on_tick, entry);
+	signals[0] = g_unix_signal_add(SIGTERM, on_stop, entry);
+	signals[1] = g_unix_signal_add(SIGINT, on_stop, entry);
+	signals[2] = g_unix_signal_add(SIGHUP, on_hangup, entry);
+	lug_timeline_add(ctx->timeline, LUG_EV_PROCESS_START, ctx->settings->name, "entry");
+	lug_info(ctx, "started", "inner", ctx->settings->inner, "http", ctx->settings->http);
+	g_main_loop_run(ctx->loop);
+	lug_info(ctx, "stopped", "cut", ctx->metrics->counters[LUG_C_REQUESTS_CUT] ? "some" : "0");
+	g_source_remove(tick);
+	for (gsize i = 0; i < G_N_ELEMENTS(signals); i++)
+		g_source_remove(signals[i]);
+	free_parts(entry);
+	return LUG_EXIT_OK;
+}
+
+/**
+ * lug_entry_run - run an entry until it is told to stop
+ * @settings: checked settings, owned by the entry
+ * @path: file that they came from, read again on SIGHUP
+ *
+ * Return: exit code.
+ */
+int lug_entry_run(struct lug_settings *settings, const char *path)
+{
+	struct lug_entry entry = {.ctx = lug_ctx_new(settings, stderr), .path = path};
+	struct lug_error err;
+	int code = LUG_EXIT_BAD_SETTINGS;
+
+	entry.link = lug_link_new(entry.ctx, on_envelope, &entry, &err);
+	if (entry.link)
+		entry.server = lug_status_server_new(entry.ctx, is_ready, &entry, &err);
+	if (entry.server)
+		code = run_loop(&entry);
+	else
+		lug_err(entry.ctx, "settings_refused", "problem", err.msg, "remedy", err.remedy);
+	lug_link_free(entry.link);
+	lug_ctx_free(entry.ctx);
+	return code;
+}
--- /dev/null
+++ b/liblug/daemon/main.c
@@ -0,0 +1,85 @@
+#include "daemon/main.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+
+#include "daemon/reload.h"
+
+static void print_problems(const char *program, GPtrArray *problems)
+{
+	for (guint i = 0; i < problems->len; i++)
+		fprintf(stderr, "%s: %s\n", program, (char *)g_ptr_array_index(problems, i));
+}
+
+static struct lug_settings *load(const char *program, const char *path, enum lug_daemon daemon)
+{
+	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+	struct lug_settings *settings = lug_settings_load(path, problems);
+
+	if (settings && settings->daemon != daemon) {
+		g_ptr_array_add(problems,
+				g_strdup_printf("%s:1: the settings are for another daemon; name a "
+						"file with \"daemon: %s\"",
+						path,
+						daemon == LUG_DAEMON_ENTRY ? "entry" : "agent"));
+		lug_settings_free(settings);
+		settings = NULL;
+	}
+	print_problems(program, problems);
+	g_ptr_array_unref(problems);
+	return settings;
+}
+
+/**
+ * lug_main_settings - read a daemon's arguments and its settings
+ * @argc: number of arguments
+ * @argv: arguments
+ * @program: name for messages
+ * @daemon: which settings it takes
+ * @exit_code: set when NULL is returned
+ *
+ * Return: checked settings, or NULL when the program ends here.
+ */
+struct lug_settings *lug_main_settings(int argc, char **argv, const char *program,
+				       enum lug_daemon daemon, int *exit_code)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this text and end");
+	struct arg_lit *version = arg_lit0(NULL, "version", "show the release and end");
+	struct arg_file *file = arg_file1(NULL, NULL, "SETTINGS", "settings file, YAML");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, version, file, end};
+	struct lug_settings *settings = NULL;
+	int errors = arg_parse(argc, argv, table);
+
+	*exit_code = LUG_EXIT_OK;
+	if (help->count) {
+		printf("usage: %s", program);
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-14s %s\n");
+	} else if (version->count) {
+		printf("%s %s\n", program, LUG_RELEASE);
+	} else if (errors) {
+		arg_print_errors(stderr, end, program);
+		fprintf(stderr, "%s: --help shows the arguments\n", program);
+		*exit_code = LUG_EXIT_BAD_SETTINGS;
+	} else {
+		settings = load(program, file->filename[0], daemon);
+		if (!settings)
+			*exit_code = LUG_EXIT_BAD_SETTINGS;
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return settings;
+}
+
+/**
+ * lug_main_path - settings file among the arguments
+ * @argc: number of arguments
+ * @argv: arguments that lug_main_settings() has accepted
+ */
+const char *lug_main_path(int argc, char **argv)
+{
+	for (int i = argc - 1; i > 0; i--)
+		if (argv[i][0] != '-')
+			return argv[i];
+	return "";
+}
--- /dev/null
+++ b/liblug/daemon/status_server.h
@@ -0,0 +1,33 @@
+#ifndef LUG_DAEMON_STATUS_SERVER_H
+#define LUG_DAEMON_STATUS_SERVER_H
+
+#include <libsoup/soup.h>
+
+#include "core/context.h"
+#include "core/json.h"
+
+/**
+ * struct lug_status_server - HTTP server with what every daemon answers
+ * @ctx: context
+ * @soup: server; a daemon adds handlers of its own
+ * @ready: tells whether the daemon can do its work, for /readyz
+ * @data: passed to @ready
+ */
+struct lug_status_server {
+	struct lug_ctx *ctx;
+	SoupServer *soup;
+	gboolean (*ready)(void *data);
+	void *data;
+};
+
+struct lug_status_server *lug_status_server_new(struct lug_ctx *ctx, gboolean (*ready)(void *data),
+						void *data, struct lug_error *err);
+void lug_status_server_free(struct lug_status_server *server);
+void lug_answer_json(SoupServerMessage *msg, guint http, JsonObject *obj);
+void lug_answer_text(SoupServerMessage *msg, guint http, const char *text);
+void lug_answer_error(SoupServerMessage *msg, const struct lug_error *err);
+JsonObject *lug_event_json(const char *process, guint64 stamp, enum lug_event_type type,
+			   const char *subject, const char *detail);
+JsonObject *lug_local_events(struct lug_ctx *ctx, guint64 since, const char *match);
+
+#endif
--- /dev/null
+++ b/liblug/job/dispatch.c
@@ -0,0 +1,369 @@
+#include "job/owner_priv.h"
+
+#include <string.h>
+
+#include "team/share.h"
+#include "wire/pack.h"
+
+#define STARTS_PER_OFFER 16
+#define WANT_INTERVAL_US (300 * 1000)
+#define WANT_AGENTS_MIN 4
+#define RESEND_US (1000 * 1000)
+#define REFUSED_PAUSE_US (100 * 1000)
+
+static struct lug_resources headroom(const struct lug_owner *owner)
+{
+	const struct lug_team *team =
+		lug_limits_find(lug_sync_limits(owner->env.sync), owner->team);
+	struct lug_resources use = lug_queue_use(owner->queue);
+	struct lug_resources room = {0};
+
+	if (!team)
+		return room;
+	room = team->limit;
+	lug_resources_sub(&room, &use);
+	return room;
+}
+
+static struct lug_resources pool_size(const struct lug_owner *owner)
+{
+	GPtrArray *agents = lug_roster_agents(owner->env.roster);
+	struct lug_resources pool = {0};
+
+	for (guint i = 0; i < agents->len; i++) {
+		const struct lug_agent *agent = g_ptr_array_index(agents, i);
+
+		lug_resources_add(&pool, &agent->capacity);
+	}
+	return pool;
+}
+
+static void fill_want(struct lug_owner *owner, const struct lug_queue_demand *demand,
+		      Lug__Want *want, Lug__Resources *smallest, Lug__Resources *largest)
+{
+	const struct lug_team *team =
+		lug_limits_find(lug_sync_limits(owner->env.sync), owner->team);
+	struct lug_resources use = lug_queue_use(owner->queue);
+	struct lug_resources pool = pool_size(owner);
+
+	lug__want__init(want);
+	lug_pack_resources(smallest, &demand->smallest);
+	lug_pack_resources(largest, &demand->largest);
+	want->queue = owner->team;
+	LUG_SET(want, epoch, lug_lane_epoch(owner->lane));
+	want->address = owner->env.ctx->settings->advertise;
+	LUG_SET(want, pending, demand->pending);
+	want->smallest = smallest;
+	want->largest = largest;
+	LUG_SET(want, urgent, demand->urgent);
+	LUG_SET(want, share, lug_share_of(&use, &pool, team ? team->weight : 0));
+	LUG_SET(want, oldest_ms, (guint32)MIN(demand->oldest_us / 1000, G_MAXUINT32));
+}
+
+static gboolean wants_agent(const struct lug_owner *owner, const struct lug_agent *agent,
+			    const struct lug_queue_demand *demand, gint64 now_us)
+{
+	if (agent->leaving || !agent->worker_epoch ||
+	    !lug_roster_live(owner->env.roster, agent, now_us))
+		return FALSE;
+	return demand->urgent || lug_resources_fit(&demand->smallest, &agent->room);
+}
+
+/*
+ * Tells some agents what waits here. An agent with room answers by an offer when
+ * this queue's turn has come; which agents are told rotates from round to round.
+ */
+static void send_wants(struct lug_owner *owner, const struct lug_queue_demand *demand,
+		       gint64 now_us)
+{
+	GPtrArray *agents = lug_roster_agents(owner->env.roster);
+	guint left = MAX(WANT_AGENTS_MIN, 2 * demand->pending);
+	Lug__Resources smallest;
+	Lug__Resources largest;
+	Lug__Want want;
+	LUG_ENVELOPE(env, WANT, want, &want);
+
+	fill_want(owner, demand, &want, &smallest, &largest);
+	owner->want_turn += g_rand_int(owner->env.ctx->rng) & 0xff;
+	for (guint i = 0; i < agents->len && left; i++) {
+		const struct lug_agent *agent =
+			g_ptr_array_index(agents, (owner->want_turn + i) % agents->len);
+
+		if (!wants_agent(owner, agent, demand, now_us))
+			continue;
+		lug_link_send(owner->env.link, &agent->route, &env);
+		left--;
+	}
+}
+
+static gboolean has_headroom(const struct lug_owner *owner, const struct lug_queue_demand *demand)
+{
+	struct lug_resources room = headroom(owner);
+
+	return lug_resources_fit(&demand->smallest, &room);
+}
+
+static void resend(struct lug_owner *owner, struct lug_task *task, gint64 now_us)
+{
+	const struct lug_agent *agent = lug_roster_find(owner->env.roster, task->worker);
+
+	if (task->state != LUG_TASK_RUNNING || now_us - task->sent_us < RESEND_US || !agent)
+		return;
+	if (task->job->job->cancelled) {
+		task->sent_us = now_us;
+		owner_send_stop(owner, &agent->route, task->job->job->id, task->index,
+				task->attempt);
+	}
+}
+
+/**
+ * owner_dispatch_tick - tell agents what waits, repeat unanswered stops
+ * @owner: owner that has read its rows
+ * @now_us: present time
+ */
+void owner_dispatch_tick(struct lug_owner *owner, gint64 now_us)
+{
+	struct lug_queue_demand demand;
+
+	LUG_LIST_FOREACH (lug_queue_active(owner->queue), pos)
+		resend(owner, LUG_CONTAINER_OF(pos, struct lug_task, node), now_us);
+	if (now_us < owner->next_want_us)
+		return;
+	owner->next_want_us = now_us + WANT_INTERVAL_US;
+	lug_queue_demand(owner->queue, now_us, &demand);
+	if (demand.pending && has_headroom(owner, &demand))
+		send_wants(owner, &demand, now_us);
+}
+
+/**
+ * owner_send_start - send the start of a claimed attempt
+ * @owner: owner
+ * @task: task whose claim has committed
+ * @now_us: present time
+ *
+ * Each message carries a higher number; the agent drops any that is not higher than
+ * the last it has seen, so that a delayed start can't arrive after its successor.
+ */
+void owner_send_start(struct lug_owner *owner, struct lug_task *task, gint64 now_us)
+{
+	const struct lug_agent *agent = lug_roster_find(owner->env.roster, task->worker);
+	const struct lug_job *job = task->job->job;
+	Lug__Start start = LUG__START__INIT;
+	Lug__TaskId id;
+	Lug__Resources size;
+	LUG_ENVELOPE(env, START, start, &start);
+
+	task->seq = ++owner->seq;
+	task->sent_us = now_us;
+	if (!agent)
+		return;
+	lug_pack_task(&id, job->id, task->index, task->attempt);
+	lug_pack_resources(&size, &job->size);
+	start.queue = owner->team;
+	LUG_SET(&start, epoch, lug_lane_epoch(owner->lane));
+	LUG_SET(&start, seq, task->seq);
+	LUG_SET(&start, worker_epoch, task->worker_epoch);
+	start.task = &id;
+	start.team = owner->team;
+	start.kind = (char *)job->kind;
+	start.size = &size;
+	start.payload = job->payload;
+	start.checkpoint = task->checkpoint;
+	LUG_SET(&start, idempotent, job->idempotent);
+	LUG_SET(&start, urgent, job->urgent);
+	LUG_SET(&start, declared_ms, job->run_ms);
+	lug_link_send(owner->env.link, &agent->route, &env);
+}
+
+/**
+ * owner_send_stop - ask an agent to stop an attempt
+ * @owner: owner
+ * @route: route to the agent
+ * @job: job id
+ * @index: index within the job
+ * @attempt: attempt
+ */
+void owner_send_stop(struct lug_owner *owner, const struct lug_route *route, const char *job,
+		     guint32 index, guint32 attempt)
+{
+	Lug__Stop stop = LUG__STOP__INIT;
+	Lug__TaskId id;
+	LUG_ENVELOPE(env, STOP, stop, &stop);
+
+	lug_pack_task(&id, job, index, attempt);
+	stop.queue = owner->team;
+	LUG_SET(&stop, epoch, lug_lane_epoch(owner->lane));
+	LUG_SET(&stop, seq, ++owner->seq);
+	stop.task = &id;
+	lug_link_send(owner->env.link, route, &env);
+}
+
+/**
+ * owner_put_task - add a task's row to a transaction
+ * @owner: owner
+ * @txn: transaction
+ * @task: task
+ * @state: state to write
+ * @checkpoint: reference to write, may be NULL
+ * @used_ms: metered use to write
+ */
+void owner_put_task(struct lug_owner *owner, struct lug_txn *txn, const struct lug_task *task,
+		    const char *state, const char *checkpoint, gint64 used_ms)
+{
+	char *key = lug_task_row_key(owner->team, task->job->job->id, task->index);
+	JsonObject *row = json_object_new();
+
+	json_object_set_string_member(row, "state", state);
+	json_object_set_int_member(row, "attempt", task->attempt);
+	json_object_set_int_member(row, "failures", task->failures);
+	json_object_set_string_member(row, "worker", task->worker);
+	json_object_set_int_member(row, "worker_epoch", (gint64)task->worker_epoch);
+	json_object_set_string_member(row, "checkpoint", checkpoint ? checkpoint : "");
+	json_object_set_int_member(row, "used_ms", used_ms);
+	lug_txn_put(txn, "task", key, row);
+	json_object_unref(row);
+	g_free(key);
+}
+
+static void on_claimed(void *data, enum lug_status status, gint64 version)
+{
+	struct owner_ref *ref = data;
+	struct lug_task *task = owner_ref_task(ref);
+	struct lug_owner *owner = ref->owner;
+	gint64 now_us = lug_now_us();
+
+	(void)version;
+	owner_ref_free(ref);
+	if (!task || task->state != LUG_TASK_CLAIMING)
+		return;
+	if (status != LUG_OK) {
+		lug_queue_set(owner->queue, task, LUG_TASK_PENDING, now_us);
+		return;
+	}
+	if (task->job->job->cancelled) {
+		lug_queue_set(owner->queue, task, LUG_TASK_CANCELLED, now_us);
+		return;
+	}
+	lug_queue_set(owner->queue, task, LUG_TASK_RUNNING, now_us);
+	owner_send_start(owner, task, now_us);
+}
+
+static void claim(struct lug_owner *owner, struct lug_task *task, const char *worker,
+		  guint64 worker_epoch, gint64 now_us)
+{
+	struct lug_op *op;
+
+	task->attempt++;
+	task->worker_epoch = worker_epoch;
+	task->confirmed = FALSE;
+	g_strlcpy(task->worker, worker, sizeof(task->worker));
+	lug_queue_set(owner->queue, task, LUG_TASK_CLAIMING, now_us);
+	lug_timeline_add(owner->env.ctx->timeline, LUG_EV_TASK_CLAIMED, task->job->job->id,
+			 "task %u attempt %u on %s", task->index, task->attempt, worker);
+	op = lug_op_new(on_claimed, owner_ref_new(owner, task));
+	owner_put_task(owner, &op->txn, task, "running", task->checkpoint, task->used_ms);
+	lug_lane_submit(owner->lane, op, now_us);
+}
+
+static void answer_offer(struct lug_owner *owner, const struct lug_route *route,
+			 const Lug__Offer *offer, guint starts, gint64 now_us)
+{
+	Lug__OfferReply reply = LUG__OFFER_REPLY__INIT;
+	struct lug_queue_demand demand;
+	Lug__Resources smallest;
+	Lug__Resources largest;
+	Lug__Want want;
+	LUG_ENVELOPE(env, OFFER_REPLY, offer_reply, &reply);
+
+	if (owner->queue) {
+		lug_queue_demand(owner->queue, now_us, &demand);
+		if (demand.pending && has_headroom(owner, &demand)) {
+			fill_want(owner, &demand, &want, &smallest, &largest);
+			reply.want = &want;
+		}
+	}
+	reply.queue = owner->team;
+	LUG_SET(&reply, offer, offer->offer);
+	LUG_SET(&reply, starts, starts);
+	lug_link_send(owner->env.link, route, &env);
+}
+
+static guint claim_for(struct lug_owner *owner, const char *worker, const Lug__Offer *offer,
+		       gint64 now_us)
+{
+	struct lug_resources room = lug_unpack_resources(offer->room);
+	const char *const *avoid = (const char *const *)offer->avoid_kinds;
+	char **kinds = g_new0(char *, offer->n_avoid_kinds + 1);
+	guint starts = 0;
+
+	for (size_t i = 0; i < offer->n_avoid_kinds; i++)
+		kinds[i] = (char *)avoid[i];
+	while (starts < STARTS_PER_OFFER) {
+		struct lug_resources limit = headroom(owner);
+		struct lug_task *task;
+
+		lug_resources_min(&limit, &room);
+		task = lug_queue_pick(owner->queue, &limit, offer->region ? offer->region : "",
+				      offer->zone ? offer->zone : "", (const char *const *)kinds,
+				      now_us);
+		if (!task)
+			break;
+		lug_resources_sub(&room, &task->job->job->size);
+		claim(owner, task, worker, offer->worker_epoch, now_us);
+		starts++;
+	}
+	g_free(kinds);
+	return starts;
+}
+
+/**
+ * lug_owner_offer - use room that an agent offers
+ * @owner: owner
+ * @route: route to the agent
+ * @worker: its name
+ * @offer: the offer
+ * @now_us: present time
+ */
+void lug_owner_offer(struct lug_owner *owner, const struct lug_route *route, const char *worker,
+		     const Lug__Offer *offer, gint64 now_us)
+{
+	guint starts = 0;
+
+	if (lug_owner_held(owner) && owner->load == LOAD_DONE && offer->worker_epoch &&
+	    lug_lane_valid(owner->lane, now_us) && strlen(worker) <= LUG_JOB_ID_MAX)
+		starts = claim_for(owner, worker, offer, now_us);
+	answer_offer(owner, route, offer, starts, now_us);
+}
+
+/**
+ * lug_owner_start_reply - take in the answer to a start
+ * @owner: owner
+ * @worker: name of the agent's worker
+ * @reply: the answer
+ * @now_us: present time
+ */
+void lug_owner_start_reply(struct lug_owner *owner, const char *worker,
+			   const Lug__StartReply *reply, gint64 now_us)
+{
+	struct lug_task *task;
+
+	if (!lug_owner_held(owner) || !reply->task)
+		return;
+	task = lug_queue_task(owner->queue, reply->task->job, reply->task->index);
+	if (!task || task->attempt != reply->task->attempt || task->state != LUG_TASK_RUNNING ||
+	    strcmp(task->worker, worker))
+		return;
+	if (reply->status != LUG_OK) {
+		task->retry_us = now_us + REFUSED_PAUSE_US;
+		lug_queue_set(owner->queue, task, LUG_TASK_PENDING, now_us);
+		lug_timeline_add(owner->env.ctx->timeline, LUG_EV_TASK_REFUSED, task->job->job->id,
+				 "task %u attempt %u by %s: %s", task->index, task->attempt, worker,
+				 reply->detail ? reply->detail : "");
+		return;
+	}
+	if (task->confirmed)
+		return;
+	task->confirmed = TRUE;
+	task->started_us = now_us;
+	lug_observe(owner->env.ctx, TASK_WAIT_US, MAX(now_us - task->queued_us, 0));
+}
--- /dev/null
+++ b/liblug/job/fence.c
@@ -0,0 +1,165 @@
+#include "job/owner_priv.h"
+
+#include <string.h>
+
+#define READ_US (1000 * 1000)
+/* An agent that holds tasks sends every beat; after this many it counts as silent. */
+#define SILENT_BEATS 4
+
+/*
+ * A worker whose agent is silent may still run its tasks until its lease has
+ * lapsed. The owner watches the lease's row; when the row has not changed for the
+ * lease time and a margin, it raises the epoch there, after which the silent agent
+ * can't renew, and gives the tasks out again.
+ */
+
+struct fence_call {
+	struct lug_owner *owner;
+	guint generation;
+	char worker[LUG_JOB_ID_MAX + 1];
+};
+
+static struct fence_call *call_new(struct lug_owner *owner, const char *worker)
+{
+	struct fence_call *call = g_new0(struct fence_call, 1);
+
+	call->owner = owner;
+	call->generation = owner->generation;
+	g_strlcpy(call->worker, worker, sizeof(call->worker));
+	return call;
+}
+
+static struct owner_fence *call_fence(const struct fence_call *call)
+{
+	if (call->generation != call->owner->generation)
+		return NULL;
+	return g_hash_table_lookup(call->owner->fences, call->worker);
+}
+
+static void lose_tasks(struct lug_owner *owner, const char *worker, guint64 epoch, gint64 now_us)
+{
+	LUG_LIST_FOREACH_SAFE (lug_queue_active(owner->queue), pos, tmp) {
+		struct lug_task *task = LUG_CONTAINER_OF(pos, struct lug_task, node);
+
+		if (!strcmp(task->worker, worker) && task->worker_epoch < epoch)
+			owner_lose(owner, task, TRUE, "the lease of its worker lapsed", now_us);
+	}
+}
+
+static void on_fenced(void *data, enum lug_status status, gint64 version)
+{
+	struct fence_call *call = data;
+	struct owner_fence *fence = call_fence(call);
+
+	(void)version;
+	g_free(call);
+	if (!fence)
+		return;
+	/* The next read finds the fenced row, whoever wrote it. */
+	fence->committing = FALSE;
+	fence->next_read_us = 0;
+	(void)status;
+}
+
+static void commit_fence(struct lug_owner *owner, struct owner_fence *fence,
+			 const struct lug_row *row, gint64 now_us)
+{
+	struct lug_op *op = lug_op_new(on_fenced, call_new(owner, fence->worker));
+
+	json_object_set_int_member(row->data, "epoch", lug_json_int(row->data, "epoch", 0) + 1);
+	json_object_set_string_member(row->data, "owner", "");
+	json_object_set_string_member(row->data, "state", "fenced");
+	json_object_set_string_member(row->data, "prev_txn", lug_json_str(row->data, "txn", ""));
+	json_object_set_string_member(row->data, "txn", "fence");
+	lug_txn_check(&op->txn, "worker", fence->worker, row->version);
+	lug_txn_put(&op->txn, "worker", fence->worker, row->data);
+	fence->committing = TRUE;
+	lug_timeline_add(owner->env.ctx->timeline, LUG_EV_LEASE_LAPSED, fence->worker,
+			 "fenced by the owner of %s", owner->team);
+	lug_warn(owner->env.ctx, "worker_fenced", "worker", fence->worker, "team", owner->team);
+	lug_lane_submit(owner->lane, op, now_us);
+}
+
+static void judge(struct lug_owner *owner, struct owner_fence *fence, const struct lug_row *row,
+		  gint64 now_us)
+{
+	if (!strcmp(lug_json_str(row->data, "state", ""), "fenced")) {
+		lose_tasks(owner, fence->worker, (guint64)lug_json_int(row->data, "epoch", 0),
+			   now_us);
+		return;
+	}
+	if (row->version != fence->version) {
+		fence->version = row->version;
+		fence->since_us = now_us;
+		return;
+	}
+	if (!fence->committing && lug_lane_row_lapsed(row, now_us - fence->since_us))
+		commit_fence(owner, fence, row, now_us);
+}
+
+static void on_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		   gboolean more)
+{
+	struct fence_call *call = data;
+	struct owner_fence *fence = call_fence(call);
+	struct lug_owner *owner = call->owner;
+
+	(void)more;
+	g_free(call);
+	if (!fence)
+		return;
+	fence->reading = FALSE;
+	if (status != LUG_OK || !n_rows || strcmp(rows[0].key, fence->worker))
+		return;
+	judge(owner, fence, &rows[0], lug_now_us());
+}
+
+static void watch(struct lug_owner *owner, const char *worker, gint64 now_us)
+{
+	struct owner_fence *fence = g_hash_table_lookup(owner->fences, worker);
+
+	if (!fence) {
+		fence = g_new0(struct owner_fence, 1);
+		g_strlcpy(fence->worker, worker, sizeof(fence->worker));
+		g_hash_table_insert(owner->fences, fence->worker, fence);
+	}
+	if (fence->reading || now_us < fence->next_read_us)
+		return;
+	fence->reading = TRUE;
+	fence->next_read_us = now_us + lug_jitter(owner->env.ctx->rng, READ_US);
+	lug_store_scan(owner->env.store, "worker", worker, NULL, 1, on_row,
+		       call_new(owner, worker));
+}
+
+static gboolean worker_silent(const struct lug_owner *owner, const char *worker, gint64 now_us)
+{
+	const struct lug_agent *agent = lug_roster_find(owner->env.roster, worker);
+
+	gint64 beat_us = owner->env.ctx->settings->beat_ms * 1000;
+
+	return !agent || now_us - agent->heard_us > SILENT_BEATS * beat_us;
+}
+
+static gboolean drop_heard(gpointer key, gpointer value, gpointer data)
+{
+	struct lug_owner *owner = data;
+
+	(void)value;
+	return !worker_silent(owner, key, lug_now_us());
+}
+
+/**
+ * owner_fence_tick - watch the leases of silent workers that hold tasks
+ * @owner: owner that has read its rows
+ * @now_us: present time
+ */
+void owner_fence_tick(struct lug_owner *owner, gint64 now_us)
+{
+	g_hash_table_foreach_remove(owner->fences, drop_heard, owner);
+	LUG_LIST_FOREACH (lug_queue_active(owner->queue), pos) {
+		struct lug_task *task = LUG_CONTAINER_OF(pos, struct lug_task, node);
+
+		if (task->state == LUG_TASK_RUNNING && worker_silent(owner, task->worker, now_us))
+			watch(owner, task->worker, now_us);
+	}
+}
--- /dev/null
+++ b/liblug/job/load.c
@@ -0,0 +1,165 @@
+#include "job/owner_priv.h"
+
+#include <string.h>
+
+#define SCAN_ROWS 500
+
+/*
+ * Reads the rows of one team: jobs first, then once after a take the rows of
+ * tasks. Later scans read jobs only, to find new and cancelled ones.
+ */
+
+struct scan {
+	struct lug_owner *owner;
+	guint generation;
+};
+
+static void start_scan(struct lug_owner *owner);
+
+static void apply_task_row(struct lug_owner *owner, struct lug_task *task, JsonObject *row,
+			   gint64 now_us)
+{
+	const char *state = lug_json_str(row, "state", "pending");
+	const char *checkpoint = lug_json_str(row, "checkpoint", "");
+
+	task->attempt = (guint32)lug_json_int(row, "attempt", 0);
+	task->failures = (guint32)lug_json_int(row, "failures", 0);
+	task->used_ms = lug_json_int(row, "used_ms", 0);
+	task->worker_epoch = (guint64)lug_json_int(row, "worker_epoch", 0);
+	g_strlcpy(task->worker, lug_json_str(row, "worker", ""), sizeof(task->worker));
+	g_free(task->checkpoint);
+	task->checkpoint = *checkpoint ? g_strdup(checkpoint) : NULL;
+	if (!strcmp(state, "running")) {
+		/* Nothing was sent in this epoch, so only a beat can tell that the worker lacks it.
+		 */
+		task->seq = 0;
+		task->sent_us = now_us;
+		lug_queue_set(owner->queue, task, LUG_TASK_RUNNING, now_us);
+	} else if (!strcmp(state, "done")) {
+		lug_queue_set(owner->queue, task, LUG_TASK_DONE, now_us);
+	} else if (!strcmp(state, "failed")) {
+		lug_queue_set(owner->queue, task, LUG_TASK_FAILED, now_us);
+	} else if (!strcmp(state, "cancelled")) {
+		lug_queue_set(owner->queue, task, LUG_TASK_CANCELLED, now_us);
+	}
+}
+
+static void read_task_row(struct lug_owner *owner, const struct lug_row *row, gint64 now_us)
+{
+	char **parts = g_strsplit(row->key, "/", 3);
+
+	if (g_strv_length(parts) == 3) {
+		guint32 index = (guint32)g_ascii_strtoull(parts[2], NULL, 10);
+		struct lug_task *task = lug_queue_task(owner->queue, parts[1], index);
+
+		if (task)
+			apply_task_row(owner, task, row->data, now_us);
+	}
+	g_strfreev(parts);
+}
+
+static void read_job_row(struct lug_owner *owner, const struct lug_row *row, gint64 now_us)
+{
+	struct lug_job *job = lug_job_from_row(row->data);
+	struct lug_queue_job *qjob = lug_queue_find(owner->queue, job->id);
+	gboolean cancelled = job->cancelled;
+
+	if (!qjob) {
+		gint64 waited_ms = g_get_real_time() / 1000 - job->submitted_ms;
+
+		qjob = lug_queue_add(owner->queue, job,
+				     now_us - CLAMP(waited_ms, 0, 3600000) * 1000);
+	} else {
+		lug_job_free(job);
+	}
+	qjob->row_version = row->version;
+	qjob->job->cancelled = cancelled;
+	if (cancelled && owner->load == LOAD_DONE)
+		owner_cancel_job(owner, qjob, now_us);
+}
+
+static void after_tasks(struct lug_owner *owner, gint64 now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	owner->load = LOAD_DONE;
+	g_hash_table_iter_init(&it, lug_queue_jobs(owner->queue));
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct lug_queue_job *qjob = value;
+
+		if (qjob->job->cancelled)
+			owner_cancel_job(owner, qjob, now_us);
+	}
+}
+
+static void finish_scan(struct lug_owner *owner, gint64 now_us)
+{
+	g_clear_pointer(&owner->scan_after, g_free);
+	if (owner->load == LOAD_JOBS) {
+		owner->load = LOAD_TASKS;
+		start_scan(owner);
+		return;
+	}
+	if (owner->load == LOAD_TASKS)
+		after_tasks(owner, now_us);
+	owner->next_want_us = 0;
+	if (owner->scan_again) {
+		owner->scan_again = FALSE;
+		start_scan(owner);
+	}
+}
+
+static void on_rows(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		    gboolean more)
+{
+	struct scan *scan = data;
+	struct lug_owner *owner = scan->owner;
+	gboolean stale = scan->generation != owner->generation;
+	gint64 now_us = lug_now_us();
+
+	g_free(scan);
+	if (stale)
+		return;
+	owner->scanning = FALSE;
+	if (status != LUG_OK)
+		return;
+	for (guint i = 0; i < n_rows; i++) {
+		if (owner->load == LOAD_TASKS)
+			read_task_row(owner, &rows[i], now_us);
+		else
+			read_job_row(owner, &rows[i], now_us);
+	}
+	if (!more || !n_rows) {
+		finish_scan(owner, now_us);
+		return;
+	}
+	g_free(owner->scan_after);
+	owner->scan_after = g_strdup(rows[n_rows - 1].key);
+	start_scan(owner);
+}
+
+static void start_scan(struct lug_owner *owner)
+{
+	const char *table = owner->load == LOAD_TASKS ? "task" : "job";
+	char *prefix = g_strconcat(owner->team, "/", NULL);
+	struct scan *scan = g_new0(struct scan, 1);
+
+	scan->owner = owner;
+	scan->generation = owner->generation;
+	owner->scanning = TRUE;
+	lug_store_scan(owner->env.store, table, prefix, owner->scan_after, SCAN_ROWS, on_rows,
+		       scan);
+	g_free(prefix);
+}
+
+/**
+ * owner_scan - read the team's rows, or go on where a failed scan stopped
+ * @owner: owner
+ * @now_us: present time
+ */
+void owner_scan(struct lug_owner *owner, gint64 now_us)
+{
+	(void)now_us;
+	start_scan(owner);
+}
--- /dev/null
+++ b/liblug/job/owner.c
@@ -0,0 +1,214 @@
+#include "job/owner_priv.h"
+
+#include <string.h>
+
+#define SCAN_MS 2000
+
+/**
+ * owner_ref_new - remember a task for an asynchronous call
+ * @owner: owner
+ * @task: task with its present attempt
+ */
+struct owner_ref *owner_ref_new(struct lug_owner *owner, const struct lug_task *task)
+{
+	struct owner_ref *ref = g_new0(struct owner_ref, 1);
+
+	ref->owner = owner;
+	g_strlcpy(ref->job, task->job->job->id, sizeof(ref->job));
+	ref->index = task->index;
+	ref->attempt = task->attempt;
+	return ref;
+}
+
+/**
+ * owner_ref_free - release a reference
+ * @ref: reference
+ */
+void owner_ref_free(struct owner_ref *ref)
+{
+	g_free(ref->checkpoint);
+	g_free(ref);
+}
+
+/**
+ * owner_ref_task - task that a reference names
+ * @ref: reference
+ *
+ * Return: the task, or NULL when its job has gone or another attempt is current.
+ */
+struct lug_task *owner_ref_task(const struct owner_ref *ref)
+{
+	struct lug_task *task;
+
+	if (!ref->owner->queue)
+		return NULL;
+	task = lug_queue_task(ref->owner->queue, ref->job, ref->index);
+	return task && task->attempt == ref->attempt ? task : NULL;
+}
+
+static void fill_row(void *data, JsonObject *row)
+{
+	struct lug_owner *owner = data;
+
+	json_object_set_string_member(row, "address", owner->env.ctx->settings->advertise);
+}
+
+/**
+ * owner_reset - drop all that was read from the table
+ * @owner: owner
+ */
+void owner_reset(struct lug_owner *owner)
+{
+	g_clear_pointer(&owner->queue, lug_queue_free);
+	g_hash_table_remove_all(owner->fences);
+	g_clear_pointer(&owner->scan_after, g_free);
+	owner->load = LOAD_NONE;
+	owner->generation++;
+}
+
+static void on_lane(void *data, enum lug_lane_event event)
+{
+	struct lug_owner *owner = data;
+
+	owner_reset(owner);
+	if (event != LUG_LANE_TAKEN)
+		return;
+	owner->queue = lug_queue_new(owner->team);
+	owner->load = LOAD_JOBS;
+	owner->seq = 0;
+	owner->next_scan_us = 0;
+	lug_info(owner->env.ctx, "queue_owned", "team", owner->team);
+	owner_scan(owner, lug_now_us());
+}
+
+/**
+ * lug_owner_new - create an owner that holds nothing yet
+ * @env: shared parts, copied
+ * @team: team of the queue
+ */
+struct lug_owner *lug_owner_new(const struct lug_owner_env *env, const char *team)
+{
+	struct lug_owner *owner = g_new0(struct lug_owner, 1);
+	struct lug_lane_config config = {
+		.table = "queue",
+		.key = team,
+		.ttl_ms = env->ctx->settings->queue_lease_ms,
+		.fill = fill_row,
+		.event = on_lane,
+		.data = owner,
+	};
+
+	owner->env = *env;
+	owner->team = g_strdup(team);
+	owner->lane = lug_lane_new(env->ctx, env->store, &config);
+	owner->fences = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return owner;
+}
+
+/**
+ * lug_owner_free - release an owner
+ * @owner: owner, may be NULL; its store must be freed before
+ */
+void lug_owner_free(struct lug_owner *owner)
+{
+	if (!owner)
+		return;
+	owner_reset(owner);
+	lug_lane_free(owner->lane);
+	g_hash_table_unref(owner->fences);
+	g_free(owner->team);
+	g_free(owner);
+}
+
+/**
+ * lug_owner_team - team of the queue
+ */
+const char *lug_owner_team(const struct lug_owner *owner)
+{
+	return owner->team;
+}
+
+/**
+ * lug_owner_epoch - number of times the queue has changed hands
+ */
+guint64 lug_owner_epoch(const struct lug_owner *owner)
+{
+	return lug_lane_epoch(owner->lane);
+}
+
+/**
+ * lug_owner_held - tell whether the queue is owned here
+ */
+gboolean lug_owner_held(const struct lug_owner *owner)
+{
+	return lug_lane_held(owner->lane) && owner->queue;
+}
+
+/**
+ * lug_owner_take - try to become the owner
+ * @owner: owner
+ * @seen: the queue's row as last read
+ * @now_us: present time
+ */
+void lug_owner_take(struct lug_owner *owner, const struct lug_row *seen, gint64 now_us)
+{
+	lug_lane_take(owner->lane, seen, now_us);
+}
+
+/**
+ * lug_owner_release - give the queue up
+ * @owner: owner
+ * @now_us: present time
+ */
+void lug_owner_release(struct lug_owner *owner, gint64 now_us)
+{
+	lug_lane_release(owner->lane, now_us);
+}
+
+/**
+ * lug_owner_poke - look for changed job rows now
+ * @owner: owner
+ * @now_us: present time
+ */
+void lug_owner_poke(struct lug_owner *owner, gint64 now_us)
+{
+	if (!lug_owner_held(owner) || owner->load != LOAD_DONE)
+		return;
+	if (owner->scanning)
+		owner->scan_again = TRUE;
+	else
+		owner_scan(owner, now_us);
+}
+
+/**
+ * lug_owner_tick - renew, rescan, resend; call it several times a second
+ * @owner: owner
+ * @now_us: present time
+ */
+void lug_owner_tick(struct lug_owner *owner, gint64 now_us)
+{
+	lug_lane_tick(owner->lane, now_us);
+	if (!lug_owner_held(owner))
+		return;
+	if (!owner->scanning && now_us >= owner->next_scan_us) {
+		owner->next_scan_us = now_us + lug_jitter(owner->env.ctx->rng, SCAN_MS) * 1000;
+		owner_scan(owner, now_us);
+	}
+	if (owner->load != LOAD_DONE)
+		return;
+	owner_dispatch_tick(owner, now_us);
+	owner_fence_tick(owner, now_us);
+	owner_close_jobs(owner, now_us);
+}
+
+/**
+ * lug_owner_pending - number of waiting tasks
+ */
+guint lug_owner_pending(const struct lug_owner *owner, gint64 now_us)
+{
+	struct lug_queue_demand demand = {0};
+
+	if (owner->queue)
+		lug_queue_demand(owner->queue, now_us, &demand);
+	return demand.pending;
+}
--- /dev/null
+++ b/liblug/job/owner.h
@@ -0,0 +1,54 @@
+#ifndef LUG_JOB_OWNER_H
+#define LUG_JOB_OWNER_H
+
+#include "job/queue.h"
+#include "member/roster.h"
+#include "platform/lane.h"
+#include "team/sync.h"
+
+/**
+ * struct lug_owner_env - what all owned queues of one process share
+ * @ctx: context
+ * @store: table service client
+ * @link: inner connections
+ * @sync: weights and limits
+ * @roster: agents that announce themselves to this process
+ */
+struct lug_owner_env {
+	struct lug_ctx *ctx;
+	struct lug_store *store;
+	struct lug_link *link;
+	struct lug_sync *sync;
+	struct lug_roster *roster;
+};
+
+/**
+ * struct lug_owner - owner of one team's queue
+ *
+ * The owner alone writes the rows of the team's tasks, through the lane of the
+ * queue's row. It claims a task for an agent in the table before it sends the
+ * start, and gives a task out again only when the former attempt surely does
+ * not run.
+ */
+struct lug_owner;
+
+struct lug_owner *lug_owner_new(const struct lug_owner_env *env, const char *team);
+void lug_owner_free(struct lug_owner *owner);
+const char *lug_owner_team(const struct lug_owner *owner);
+guint64 lug_owner_epoch(const struct lug_owner *owner);
+gboolean lug_owner_held(const struct lug_owner *owner);
+void lug_owner_take(struct lug_owner *owner, const struct lug_row *seen, gint64 now_us);
+void lug_owner_release(struct lug_owner *owner, gint64 now_us);
+void lug_owner_tick(struct lug_owner *owner, gint64 now_us);
+void lug_owner_poke(struct lug_owner *owner, gint64 now_us);
+void lug_owner_offer(struct lug_owner *owner, const struct lug_route *route, const char *worker,
+		     const Lug__Offer *offer, gint64 now_us);
+void lug_owner_start_reply(struct lug_owner *owner, const char *worker,
+			   const Lug__StartReply *reply, gint64 now_us);
+void lug_owner_report(struct lug_owner *owner, const struct lug_route *route, const char *worker,
+		      const Lug__Report *report, gint64 now_us);
+void lug_owner_held_tasks(struct lug_owner *owner, const struct lug_agent *agent,
+			  const Lug__QueueHeld *held, gint64 now_us);
+guint lug_owner_pending(const struct lug_owner *owner, gint64 now_us);
+
+#endif
--- /dev/null
+++ b/liblug/job/owner_priv.h
@@ -0,0 +1,77 @@
+#ifndef LUG_JOB_OWNER_PRIV_H
+#define LUG_JOB_OWNER_PRIV_H
+
+#include "job/owner.h"
+
+/*
+ * Shared by the files that make up struct lug_owner: owner.c (life and ticks),
+ * load.c (reading rows), dispatch.c (wants, offers, claims, starts), settle.c
+ * (reports, losses, ends of jobs) and fence.c (silent workers).
+ */
+
+enum owner_load {
+	LOAD_NONE,
+	LOAD_JOBS,
+	LOAD_TASKS,
+	LOAD_DONE,
+};
+
+struct owner_fence {
+	char worker[LUG_JOB_ID_MAX + 1];
+	gint64 version;
+	gint64 since_us;
+	gint64 next_read_us;
+	gboolean reading;
+	gboolean committing;
+};
+
+struct lug_owner {
+	struct lug_owner_env env;
+	char *team;
+	struct lug_lane *lane;
+	struct lug_queue *queue;
+	enum owner_load load;
+	gboolean scanning;
+	gboolean scan_again;
+	char *scan_after;
+	gint64 next_scan_us;
+	gint64 next_want_us;
+	guint64 seq;
+	guint want_turn;
+	GHashTable *fences;
+	guint generation;
+};
+
+/* Names a task across asynchronous calls, in which its job may vanish. */
+struct owner_ref {
+	struct lug_owner *owner;
+	char job[LUG_JOB_ID_MAX + 1];
+	guint32 index;
+	guint32 attempt;
+	struct lug_route route;
+	gboolean has_route;
+	enum lug_task_state next;
+	char *checkpoint;
+	gint64 used_ms;
+	gint64 retry_us;
+};
+
+struct owner_ref *owner_ref_new(struct lug_owner *owner, const struct lug_task *task);
+void owner_ref_free(struct owner_ref *ref);
+struct lug_task *owner_ref_task(const struct owner_ref *ref);
+void owner_put_task(struct lug_owner *owner, struct lug_txn *txn, const struct lug_task *task,
+		    const char *state, const char *checkpoint, gint64 used_ms);
+
+void owner_scan(struct lug_owner *owner, gint64 now_us);
+void owner_reset(struct lug_owner *owner);
+void owner_dispatch_tick(struct lug_owner *owner, gint64 now_us);
+void owner_send_start(struct lug_owner *owner, struct lug_task *task, gint64 now_us);
+void owner_send_stop(struct lug_owner *owner, const struct lug_route *route, const char *job,
+		     guint32 index, guint32 attempt);
+void owner_cancel_job(struct lug_owner *owner, struct lug_queue_job *qjob, gint64 now_us);
+void owner_close_jobs(struct lug_owner *owner, gint64 now_us);
+void owner_lose(struct lug_owner *owner, struct lug_task *task, gboolean may_have_run,
+		const char *why, gint64 now_us);
+void owner_fence_tick(struct lug_owner *owner, gint64 now_us);
+
+#endif
--- /dev/null
+++ b/liblug/job/owners.c
@@ -0,0 +1,317 @@
+#include "job/owners.h"
+
+#include <string.h>
+
+#define SCAN_MS 2000
+#define SCAN_ROWS 300
+/* A free queue is taken after a pause that grows with the queues already owned. */
+#define TAKE_PAUSE_MS 400
+#define TAKE_PAUSE_PER_QUEUE_MS 300
+
+/* What this process knows of one queue's row. */
+struct view {
+	char *team;
+	struct lug_row row;
+	gint64 since_us;
+	gint64 take_at_us;
+	char *address;
+	guint64 epoch;
+};
+
+struct lug_owners {
+	struct lug_owner_env env;
+	GHashTable *views;
+	GHashTable *owners;
+	gint64 next_scan_us;
+	gboolean scanning;
+	gboolean read_once;
+	gboolean leaving;
+};
+
+static void view_free(gpointer data)
+{
+	struct view *view = data;
+
+	g_clear_pointer(&view->row.data, json_object_unref);
+	g_free(view->team);
+	g_free(view->address);
+	g_free(view);
+}
+
+static void owner_free(gpointer data)
+{
+	lug_owner_free(data);
+}
+
+/**
+ * lug_owners_new - create the set, owning nothing
+ * @env: shared parts, copied
+ */
+struct lug_owners *lug_owners_new(const struct lug_owner_env *env)
+{
+	struct lug_owners *owners = g_new0(struct lug_owners, 1);
+
+	owners->env = *env;
+	owners->views = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, view_free);
+	owners->owners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_free);
+	return owners;
+}
+
+/**
+ * lug_owners_free - release the set
+ * @owners: may be NULL; the store must be freed before
+ */
+void lug_owners_free(struct lug_owners *owners)
+{
+	if (!owners)
+		return;
+	g_hash_table_unref(owners->owners);
+	g_hash_table_unref(owners->views);
+	g_free(owners);
+}
+
+static struct view *view_of(struct lug_owners *owners, const char *team)
+{
+	struct view *view = g_hash_table_lookup(owners->views, team);
+
+	if (view)
+		return view;
+	view = g_new0(struct view, 1);
+	view->team = g_strdup(team);
+	view->row.key = view->team;
+	g_hash_table_insert(owners->views, view->team, view);
+	return view;
+}
+
+static void set_address(struct view *view, const char *address, guint64 epoch)
+{
+	if (epoch < view->epoch)
+		return;
+	view->epoch = epoch;
+	if (!g_strcmp0(view->address, address))
+		return;
+	g_free(view->address);
+	view->address = *address ? g_strdup(address) : NULL;
+}
+
+static void update_view(struct lug_owners *owners, const struct lug_row *row, gint64 now_us)
+{
+	struct view *view = view_of(owners, row->key);
+	gboolean released = !*lug_json_str(row->data, "owner", "");
+
+	if (row->version != view->row.version) {
+		view->row.version = row->version;
+		view->since_us = now_us;
+		view->take_at_us = 0;
+	}
+	g_clear_pointer(&view->row.data, json_object_unref);
+	view->row.data = row->data ? json_object_ref(row->data) : NULL;
+	set_address(view, released ? "" : lug_json_str(row->data, "address", ""),
+		    (guint64)lug_json_int(row->data, "epoch", 0));
+}
+
+static void on_rows(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		    gboolean more)
+{
+	struct lug_owners *owners = data;
+	gint64 now_us = lug_now_us();
+
+	(void)more;
+	owners->scanning = FALSE;
+	if (status != LUG_OK)
+		return;
+	owners->read_once = TRUE;
+	for (guint i = 0; i < n_rows; i++)
+		update_view(owners, &rows[i], now_us);
+}
+
+static void start_scan(struct lug_owners *owners, gint64 now_us)
+{
+	owners->scanning = TRUE;
+	owners->next_scan_us = now_us + lug_jitter(owners->env.ctx->rng, SCAN_MS) * 1000;
+	lug_store_scan(owners->env.store, "queue", "", NULL, SCAN_ROWS, on_rows, owners);
+}
+
+/**
+ * lug_owners_count - number of queues owned here
+ */
+guint lug_owners_count(const struct lug_owners *owners)
+{
+	GHashTableIter it;
+	gpointer value;
+	guint n = 0;
+
+	g_hash_table_iter_init(&it, owners->owners);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		n += lug_owner_held(value) ? 1 : 0;
+	return n;
+}
+
+static struct lug_owner *owner_of(struct lug_owners *owners, const char *team)
+{
+	struct lug_owner *owner = g_hash_table_lookup(owners->owners, team);
+
+	if (owner)
+		return owner;
+	owner = lug_owner_new(&owners->env, team);
+	g_hash_table_insert(owners->owners, (gpointer)lug_owner_team(owner), owner);
+	return owner;
+}
+
+static void consider(struct lug_owners *owners, const char *team, gint64 now_us)
+{
+	struct view *view = view_of(owners, team);
+	GRand *rng = owners->env.ctx->rng;
+
+	if (!lug_lane_row_lapsed(&view->row, now_us - view->since_us)) {
+		view->take_at_us = 0;
+		return;
+	}
+	if (!view->take_at_us) {
+		gint64 pause_ms = g_rand_int_range(rng, 0, TAKE_PAUSE_MS) +
+				  TAKE_PAUSE_PER_QUEUE_MS * (gint64)lug_owners_count(owners);
+
+		view->take_at_us = now_us + pause_ms * 1000;
+		return;
+	}
+	if (now_us < view->take_at_us)
+		return;
+	view->take_at_us = 0;
+	view->since_us = now_us;
+	owners->next_scan_us = 0;
+	lug_owner_take(owner_of(owners, team), &view->row, now_us);
+}
+
+static void consider_all(struct lug_owners *owners, gint64 now_us)
+{
+	const struct lug_limits *limits = lug_sync_limits(owners->env.sync);
+
+	if (!owners->read_once || owners->leaving)
+		return;
+	for (guint i = 0; limits && i < limits->teams->len; i++) {
+		const struct lug_team *team = &g_array_index(limits->teams, struct lug_team, i);
+		struct lug_owner *owner = lug_owners_find(owners, team->name);
+
+		if (!owner || !lug_owner_held(owner))
+			consider(owners, team->name, now_us);
+	}
+}
+
+/**
+ * lug_owners_tick - read the queues' rows, take lapsed queues, tick the owned ones
+ * @owners: set
+ * @now_us: present time
+ */
+void lug_owners_tick(struct lug_owners *owners, gint64 now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+	guint pending = 0;
+
+	if (!owners->scanning && now_us >= owners->next_scan_us)
+		start_scan(owners, now_us);
+	consider_all(owners, now_us);
+	g_hash_table_iter_init(&it, owners->owners);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		lug_owner_tick(value, now_us);
+		pending += lug_owner_pending(value, now_us);
+	}
+	lug_gauge(owners->env.ctx, QUEUES_OWNED, lug_owners_count(owners));
+	lug_gauge(owners->env.ctx, TASKS_PENDING, pending);
+}
+
+/**
+ * lug_owners_find - owner object of a team's queue, NULL when never taken here
+ */
+struct lug_owner *lug_owners_find(const struct lug_owners *owners, const char *team)
+{
+	return team ? g_hash_table_lookup(owners->owners, team) : NULL;
+}
+
+/**
+ * lug_owners_address - where the owner of a queue is reached, NULL when unknown
+ */
+const char *lug_owners_address(const struct lug_owners *owners, const char *team)
+{
+	struct view *view = team ? g_hash_table_lookup(owners->views, team) : NULL;
+
+	return view ? view->address : NULL;
+}
+
+/**
+ * lug_owners_epoch - highest epoch heard of for a queue
+ */
+guint64 lug_owners_epoch(const struct lug_owners *owners, const char *team)
+{
+	struct view *view = team ? g_hash_table_lookup(owners->views, team) : NULL;
+
+	return view ? view->epoch : 0;
+}
+
+/**
+ * lug_owners_told - take in what an owner says of itself
+ * @owners: set
+ * @team: team of the queue
+ * @epoch: its epoch
+ * @address: its inner address, may be NULL
+ * @now_us: present time
+ */
+void lug_owners_told(struct lug_owners *owners, const char *team, guint64 epoch,
+		     const char *address, gint64 now_us)
+{
+	(void)now_us;
+	if (!team || !address || epoch <= lug_owners_epoch(owners, team))
+		return;
+	set_address(view_of(owners, team), address, epoch);
+}
+
+/**
+ * lug_owners_each_address - visit the known owners' addresses
+ */
+void lug_owners_each_address(const struct lug_owners *owners,
+			     void (*fn)(void *data, const char *team, const char *address),
+			     void *data)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, owners->views);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct view *view = value;
+
+		if (view->address)
+			fn(data, view->team, view->address);
+	}
+}
+
+/**
+ * lug_owners_names - names of the queues owned here, lent
+ */
+GPtrArray *lug_owners_names(const struct lug_owners *owners)
+{
+	GPtrArray *names = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, owners->owners);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (lug_owner_held(value))
+			g_ptr_array_add(names, (gpointer)lug_owner_team(value));
+	return names;
+}
+
+/**
+ * lug_owners_leave - give all queues up, take no others
+ * @owners: set
+ * @now_us: present time
+ */
+void lug_owners_leave(struct lug_owners *owners, gint64 now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	owners->leaving = TRUE;
+	g_hash_table_iter_init(&it, owners->owners);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		lug_owner_release(value, now_us);
+}
--- /dev/null
+++ b/liblug/job/queue.h
@@ -0,0 +1,130 @@
+#ifndef LUG_JOB_QUEUE_H
+#define LUG_JOB_QUEUE_H
+
+#include "core/list.h"
+#include "job/job.h"
+
+enum lug_task_state {
+	LUG_TASK_PENDING,
+	LUG_TASK_CLAIMING,
+	LUG_TASK_RUNNING,
+	LUG_TASK_SETTLING,
+	LUG_TASK_DONE,
+	LUG_TASK_FAILED,
+	LUG_TASK_CANCELLED,
+	LUG_TASK_STATES,
+};
+
+enum lug_outcome {
+	LUG_OUTCOME_DONE = 1,
+	LUG_OUTCOME_FAILED = 2,
+	LUG_OUTCOME_EVICTED = 3,
+	LUG_OUTCOME_LOST = 4,
+};
+
+struct lug_queue_job;
+
+/**
+ * struct lug_task - one task of a job as its queue's owner sees it
+ * @node: place in the queue's pending or active list
+ * @job: job
+ * @index: index within the job
+ * @attempt: number of the latest attempt, 0 before the first
+ * @failures: attempts that failed by themselves
+ * @state: state
+ * @worker: worker of the latest attempt
+ * @worker_epoch: lease epoch of that worker
+ * @seq: number of the latest start message
+ * @confirmed: the agent has said that it holds the attempt
+ * @stopping: a stop was sent
+ * @checkpoint: reference to resume from, NULL for the beginning
+ * @used_ms: metered core-milliseconds of ended attempts
+ * @queued_us: since when it waits
+ * @started_us: when the latest attempt was confirmed
+ * @retry_us: not before this time
+ * @sent_us: when the latest start or stop was sent
+ */
+struct lug_task {
+	struct lug_list node;
+	struct lug_queue_job *job;
+	guint32 index;
+	guint32 attempt;
+	guint32 failures;
+	enum lug_task_state state;
+	char worker[LUG_JOB_ID_MAX + 1];
+	guint64 worker_epoch;
+	guint64 seq;
+	gboolean confirmed;
+	gboolean stopping;
+	char *checkpoint;
+	gint64 used_ms;
+	gint64 queued_us;
+	gint64 started_us;
+	gint64 retry_us;
+	gint64 sent_us;
+};
+
+/**
+ * struct lug_queue_job - a job in an owner's memory
+ * @job: as submitted
+ * @row_version: version of its row
+ * @tasks: array of @job->count tasks
+ * @open: tasks not ended yet
+ * @done: tasks that ended well
+ * @failed: tasks that failed for good
+ * @closing: its final transaction is in flight
+ * @why: last reason of a failure
+ */
+struct lug_queue_job {
+	struct lug_job *job;
+	gint64 row_version;
+	struct lug_task *tasks;
+	guint32 open;
+	guint32 done;
+	guint32 failed;
+	gboolean closing;
+	gboolean seen;
+	char why[128];
+};
+
+/**
+ * struct lug_queue - tasks of one team, ordered for starting
+ */
+struct lug_queue;
+
+struct lug_queue *lug_queue_new(const char *team);
+void lug_queue_free(struct lug_queue *queue);
+struct lug_queue_job *lug_queue_add(struct lug_queue *queue, struct lug_job *job, gint64 now_us);
+void lug_queue_drop(struct lug_queue *queue, struct lug_queue_job *qjob);
+struct lug_queue_job *lug_queue_find(const struct lug_queue *queue, const char *id);
+GHashTable *lug_queue_jobs(const struct lug_queue *queue);
+struct lug_task *lug_queue_task(const struct lug_queue *queue, const char *id, guint32 index);
+void lug_queue_set(struct lug_queue *queue, struct lug_task *task, enum lug_task_state state,
+		   gint64 now_us);
+struct lug_task *lug_queue_pick(struct lug_queue *queue, const struct lug_resources *room,
+				const char *region, const char *zone, const char *const *avoid,
+				gint64 now_us);
+void lug_queue_learn(struct lug_queue *queue, const char *kind, gint64 run_ms);
+gint64 lug_queue_estimate_ms(const struct lug_queue *queue, const struct lug_job *job);
+struct lug_list *lug_queue_active(struct lug_queue *queue);
+
+/**
+ * struct lug_queue_demand - what waits in a queue
+ * @pending: number of tasks
+ * @urgent: some of them are urgent
+ * @smallest: smallest size, member by member
+ * @largest: largest size, member by member
+ * @oldest_us: longest wait
+ */
+struct lug_queue_demand {
+	guint pending;
+	gboolean urgent;
+	struct lug_resources smallest;
+	struct lug_resources largest;
+	gint64 oldest_us;
+};
+
+void lug_queue_demand(const struct lug_queue *queue, gint64 now_us, struct lug_queue_demand *out);
+struct lug_resources lug_queue_use(const struct lug_queue *queue);
+
+#endif
--- /dev/null
+++ b/liblug/job/runner.h
@@ -0,0 +1,113 @@
+#ifndef LUG_JOB_RUNNER_H
+#define LUG_JOB_RUNNER_H
+
+#include "colocate/control.h"
+#include "colocate/reserve.h"
+#include "core/list.h"
+#include "job/job.h"
+#include "job/owners.h"
+#include "member/lease.h"
+#include "member/peers.h"
+
+enum lug_run_state {
+	LUG_RUN_STARTING,
+	LUG_RUN_RUNNING,
+	LUG_RUN_STOPPING,
+	LUG_RUN_ENDED,
+};
+
+/**
+ * struct lug_run - a task attempt that this agent holds
+ * @node: place in the runner's list
+ * @job: job id
+ * @index: index within the job
+ * @attempt: attempt
+ * @queue: team of the queue that gave it out
+ * @kind: kind of work
+ * @size: reserved size
+ * @urgent: must not be evicted for other batch work
+ * @state: state
+ * @reserved: @size is reserved
+ * @outcome: how it ended, enum lug_outcome
+ * @detail: words on the outcome
+ * @checkpoint: reference written when it was stopped
+ * @used_ms: metered core-milliseconds
+ * @started_us: when the worker accepted it
+ * @sent_us: last call or report on its behalf
+ * @calling: a call to the worker is in flight
+ * @want_checkpoint: how to stop it
+ */
+struct lug_run {
+	struct lug_list node;
+	char job[LUG_JOB_ID_MAX + 1];
+	guint32 index;
+	guint32 attempt;
+	char queue[LUG_JOB_KIND_MAX + 1];
+	char kind[LUG_JOB_KIND_MAX + 1];
+	struct lug_resources size;
+	gboolean urgent;
+	enum lug_run_state state;
+	gboolean reserved;
+	guint32 outcome;
+	char detail[96];
+	char *checkpoint;
+	gint64 used_ms;
+	gint64 started_us;
+	gint64 sent_us;
+	gboolean calling;
+	gboolean want_checkpoint;
+};
+
+/**
+ * struct lug_runner_env - what the runner needs of its agent
+ * @ctx: context
+ * @link: inner connections
+ * @worker: client of the worker's interface
+ * @lease: the worker's lease
+ * @owners: where the owners of queues are
+ * @peers: connections to them
+ */
+struct lug_runner_env {
+	struct lug_ctx *ctx;
+	struct lug_link *link;
+	struct lug_http *worker;
+	struct lug_lease *lease;
+	struct lug_owners *owners;
+	struct lug_peers *peers;
+};
+
+/**
+ * struct lug_runner - runs batch tasks on one worker
+ *
+ * The runner is the only authority over the worker's room. What the worker runs is
+ * learned from the worker when the agent starts.
+ */
+struct lug_runner;
+
+struct lug_runner *lug_runner_new(const struct lug_runner_env *env);
+void lug_runner_free(struct lug_runner *runner);
+void lug_runner_adopt(struct lug_runner *runner, JsonObject *state);
+void lug_runner_clear(struct lug_runner *runner);
+void lug_runner_tick(struct lug_runner *runner, gint64 now_us);
+void lug_runner_drain(struct lug_runner *runner, gboolean drain);
+gboolean lug_runner_draining(const struct lug_runner *runner);
+gboolean lug_runner_empty(const struct lug_runner *runner);
+void lug_runner_start(struct lug_runner *runner, const struct lug_route *route,
+		      const Lug__Start *start, gint64 now_us);
+void lug_runner_stop(struct lug_runner *runner, const Lug__Stop *stop, gint64 now_us);
+void lug_runner_report_ack(struct lug_runner *runner, const Lug__ReportAck *ack);
+void lug_runner_queue_epoch(struct lug_runner *runner, const char *queue, guint64 epoch);
+struct lug_resources lug_runner_room(const struct lug_runner *runner);
+struct lug_resources lug_runner_capacity(const struct lug_runner *runner);
+void lug_runner_hold(struct lug_runner *runner, const struct lug_resources *room);
+guint lug_runner_count(const struct lug_runner *runner);
+gboolean lug_runner_holds_queue(const struct lug_runner *runner, const char *queue);
+void lug_runner_fill_held(struct lug_runner *runner, struct lug_arena *arena, const char *queue,
+			  Lug__QueueHeld *out);
+void lug_runner_evict_for(struct lug_runner *runner, const struct lug_resources *need,
+			  gint64 now_us);
+void lug_runner_evict_one(struct lug_runner *runner, gint64 now_us);
+void lug_runner_throttle(struct lug_runner *runner, gint64 percent);
+gboolean lug_runner_send(struct lug_runner *runner, const char *queue, Lug__Envelope *env);
+
+#endif
--- /dev/null
+++ b/liblug/job/settle.c
@@ -0,0 +1,389 @@
+#include "job/owner_priv.h"
+
+#include <string.h>
+
+#include "wire/pack.h"
+
+#define FAILURES_MAX 3
+#define FAILURE_PAUSE_US (500 * 1000)
+#define DELETES_PER_OP 200
+#define RESEND_START_US (1000 * 1000)
+
+static const char *const state_names[LUG_TASK_STATES] = {
+	[LUG_TASK_PENDING] = "pending",	    [LUG_TASK_CLAIMING] = "running",
+	[LUG_TASK_RUNNING] = "running",	    [LUG_TASK_SETTLING] = "running",
+	[LUG_TASK_DONE] = "done",	    [LUG_TASK_FAILED] = "failed",
+	[LUG_TASK_CANCELLED] = "cancelled",
+};
+
+static void ack_report(struct lug_owner *owner, const struct lug_route *route, const char *job,
+		       guint32 index, guint32 attempt)
+{
+	Lug__ReportAck ack = LUG__REPORT_ACK__INIT;
+	Lug__TaskId id;
+	LUG_ENVELOPE(env, REPORT_ACK, report_ack, &ack);
+
+	lug_pack_task(&id, job, index, attempt);
+	ack.queue = owner->team;
+	ack.task = &id;
+	lug_link_send(owner->env.link, route, &env);
+}
+
+static void on_settled(void *data, enum lug_status status, gint64 version)
+{
+	struct owner_ref *ref = data;
+	struct lug_owner *owner = ref->owner;
+	struct lug_task *task = owner_ref_task(ref);
+	gint64 now_us = lug_now_us();
+
+	(void)version;
+	if (status == LUG_OK && ref->has_route)
+		ack_report(owner, &ref->route, ref->job, ref->index, ref->attempt);
+	if (!task || task->state != LUG_TASK_SETTLING) {
+		owner_ref_free(ref);
+		return;
+	}
+	if (status != LUG_OK) {
+		/* The agent repeats its report. */
+		lug_queue_set(owner->queue, task, LUG_TASK_RUNNING, now_us);
+		owner_ref_free(ref);
+		return;
+	}
+	g_free(task->checkpoint);
+	task->checkpoint = g_steal_pointer(&ref->checkpoint);
+	task->used_ms = ref->used_ms;
+	task->retry_us = ref->retry_us;
+	lug_queue_set(owner->queue, task, ref->next, now_us);
+	owner_ref_free(ref);
+	owner->next_want_us = 0;
+	owner_close_jobs(owner, now_us);
+}
+
+static void settle(struct lug_owner *owner, struct lug_task *task, enum lug_task_state next,
+		   const char *checkpoint, gint64 used_ms, const struct lug_route *route,
+		   gint64 now_us)
+{
+	struct owner_ref *ref = owner_ref_new(owner, task);
+	struct lug_op *op;
+
+	ref->next = next;
+	ref->checkpoint = g_strdup(checkpoint);
+	ref->used_ms = task->used_ms + used_ms;
+	if (task->failures && next == LUG_TASK_PENDING)
+		ref->retry_us = now_us + FAILURE_PAUSE_US * task->failures;
+	if (route) {
+		ref->route = *route;
+		ref->has_route = TRUE;
+	}
+	lug_queue_set(owner->queue, task, LUG_TASK_SETTLING, now_us);
+	op = lug_op_new(on_settled, ref);
+	op->add = used_ms;
+	owner_put_task(owner, &op->txn, task, state_names[next], checkpoint, ref->used_ms);
+	lug_lane_submit(owner->lane, op, now_us);
+}
+
+static enum lug_task_state next_state(const struct lug_task *task, guint32 outcome,
+				      gboolean has_checkpoint)
+{
+	const struct lug_job *job = task->job->job;
+
+	if (outcome == LUG_OUTCOME_DONE)
+		return LUG_TASK_DONE;
+	if (job->cancelled)
+		return LUG_TASK_CANCELLED;
+	if (outcome == LUG_OUTCOME_EVICTED && has_checkpoint)
+		return LUG_TASK_PENDING;
+	if (!job->idempotent || task->failures >= FAILURES_MAX)
+		return LUG_TASK_FAILED;
+	return LUG_TASK_PENDING;
+}
+
+static void note_report(struct lug_owner *owner, struct lug_task *task, const Lug__Report *report,
+			const char *worker, gint64 now_us)
+{
+	const char *detail = report->detail ? report->detail : "";
+
+	if (report->outcome == LUG_OUTCOME_FAILED) {
+		task->failures++;
+		g_strlcpy(task->job->why, detail, sizeof(task->job->why));
+	}
+	if (report->outcome == LUG_OUTCOME_LOST)
+		g_strlcpy(task->job->why, "lost with its worker", sizeof(task->job->why));
+	if (report->outcome == LUG_OUTCOME_DONE && task->confirmed && !task->checkpoint)
+		lug_queue_learn(owner->queue, task->job->job->kind,
+				(now_us - task->started_us) / 1000);
+	lug_timeline_add(owner->env.ctx->timeline,
+			 report->outcome == LUG_OUTCOME_EVICTED ? LUG_EV_TASK_EVICTED
+								: LUG_EV_TASK_FINISHED,
+			 task->job->job->id, "task %u attempt %u on %s outcome %u %s", task->index,
+			 task->attempt, worker, report->outcome, detail);
+}
+
+/**
+ * lug_owner_report - take in the end of an attempt
+ * @owner: owner
+ * @route: route to the agent
+ * @worker: its name
+ * @report: how the attempt ended
+ * @now_us: present time
+ *
+ * A report of an attempt that is not current changes nothing and is acknowledged, so
+ * that the agent forgets it.
+ */
+void lug_owner_report(struct lug_owner *owner, const struct lug_route *route, const char *worker,
+		      const Lug__Report *report, gint64 now_us)
+{
+	const char *checkpoint =
+		report->checkpoint && *report->checkpoint ? report->checkpoint : NULL;
+	struct lug_task *task;
+
+	if (!lug_owner_held(owner) || owner->load != LOAD_DONE || !report->task ||
+	    !report->task->job)
+		return;
+	task = lug_queue_task(owner->queue, report->task->job, report->task->index);
+	if (!task || task->attempt != report->task->attempt || strcmp(task->worker, worker) ||
+	    task->state >= LUG_TASK_DONE || task->state == LUG_TASK_PENDING) {
+		ack_report(owner, route, report->task->job, report->task->index,
+			   report->task->attempt);
+		return;
+	}
+	if (task->state != LUG_TASK_RUNNING)
+		return;
+	note_report(owner, task, report, worker, now_us);
+	settle(owner, task, next_state(task, report->outcome, checkpoint != NULL),
+	       checkpoint ? checkpoint : task->checkpoint, MAX(report->used_ms, 0), route, now_us);
+}
+
+/**
+ * owner_lose - handle an attempt that surely no longer runs and left no report
+ * @owner: owner
+ * @task: running task
+ * @may_have_run: FALSE when the attempt was certainly never started
+ * @why: shown in the time line
+ * @now_us: present time
+ */
+void owner_lose(struct lug_owner *owner, struct lug_task *task, gboolean may_have_run,
+		const char *why, gint64 now_us)
+{
+	const struct lug_job *job = task->job->job;
+
+	if (task->state != LUG_TASK_RUNNING)
+		return;
+	lug_count(owner->env.ctx, TASKS_LOST, 1);
+	lug_timeline_add(owner->env.ctx->timeline, LUG_EV_TASK_LOST, job->id,
+			 "task %u attempt %u on %s: %s", task->index, task->attempt, task->worker,
+			 why);
+	if (may_have_run && !job->idempotent) {
+		g_strlcpy(task->job->why, "lost with its worker; it may have run",
+			  sizeof(task->job->why));
+		settle(owner, task, LUG_TASK_FAILED, task->checkpoint, 0, NULL, now_us);
+		return;
+	}
+	if (job->cancelled) {
+		lug_queue_set(owner->queue, task, LUG_TASK_CANCELLED, now_us);
+		return;
+	}
+	lug_queue_set(owner->queue, task, LUG_TASK_PENDING, now_us);
+	owner->next_want_us = 0;
+}
+
+static gboolean holds(const Lug__QueueHeld *held, const struct lug_task *task)
+{
+	for (size_t i = 0; i < held->n_held; i++) {
+		const Lug__TaskId *id = held->held[i];
+
+		if (id->index == task->index && id->attempt == task->attempt && id->job &&
+		    !strcmp(id->job, task->job->job->id))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static void check_task(struct lug_owner *owner, struct lug_task *task,
+		       const struct lug_agent *agent, const Lug__QueueHeld *held, gint64 now_us)
+{
+	if (task->state != LUG_TASK_RUNNING || strcmp(task->worker, agent->name))
+		return;
+	if (holds(held, task)) {
+		task->worker_epoch = MAX(task->worker_epoch, agent->worker_epoch);
+		if (!task->confirmed)
+			task->started_us = now_us;
+		task->confirmed = TRUE;
+		return;
+	}
+	if (agent->worker_epoch > task->worker_epoch)
+		owner_lose(owner, task, TRUE, "its worker came back without it", now_us);
+	else if (task->seq <= held->last_seq)
+		owner_lose(owner, task, task->confirmed, "its agent does not hold it", now_us);
+	else if (now_us - task->sent_us > RESEND_START_US)
+		owner_send_start(owner, task, now_us);
+}
+
+static void stop_strays(struct lug_owner *owner, const struct lug_agent *agent,
+			const Lug__QueueHeld *held)
+{
+	for (size_t i = 0; i < held->n_held; i++) {
+		const Lug__TaskId *id = held->held[i];
+		struct lug_task *task = lug_queue_task(owner->queue, id->job, id->index);
+
+		if (!id->job)
+			continue;
+		if (task && task->attempt == id->attempt && task->state != LUG_TASK_PENDING &&
+		    task->state < LUG_TASK_DONE && !strcmp(task->worker, agent->name))
+			continue;
+		owner_send_stop(owner, &agent->route, id->job, id->index, id->attempt);
+	}
+}
+
+/**
+ * lug_owner_held_tasks - compare what an agent holds with what it should hold
+ * @owner: owner
+ * @agent: agent
+ * @held: what it holds of this queue, with the last start it has seen
+ * @now_us: present time
+ */
+void lug_owner_held_tasks(struct lug_owner *owner, const struct lug_agent *agent,
+			  const Lug__QueueHeld *held, gint64 now_us)
+{
+	if (!lug_owner_held(owner) || owner->load != LOAD_DONE || !agent->worker_epoch)
+		return;
+	if (held->epoch != lug_lane_epoch(owner->lane))
+		return;
+	LUG_LIST_FOREACH_SAFE (lug_queue_active(owner->queue), pos, tmp)
+		check_task(owner, LUG_CONTAINER_OF(pos, struct lug_task, node), agent, held,
+			   now_us);
+	stop_strays(owner, agent, held);
+}
+
+/**
+ * owner_cancel_job - stop what runs of a cancelled job and drop what waits
+ * @owner: owner
+ * @qjob: job whose row says cancelled
+ * @now_us: present time
+ */
+void owner_cancel_job(struct lug_owner *owner, struct lug_queue_job *qjob, gint64 now_us)
+{
+	for (guint32 i = 0; i < qjob->job->count; i++) {
+		struct lug_task *task = &qjob->tasks[i];
+
+		if (task->state == LUG_TASK_PENDING)
+			lug_queue_set(owner->queue, task, LUG_TASK_CANCELLED, now_us);
+		else if (task->state == LUG_TASK_RUNNING && !task->stopping) {
+			task->stopping = TRUE;
+			task->sent_us = 0;
+		}
+	}
+	owner_dispatch_tick(owner, now_us);
+}
+
+struct closing {
+	struct lug_owner *owner;
+	char id[LUG_JOB_ID_MAX + 1];
+};
+
+static void delete_tasks(struct lug_owner *owner, const char *id, guint32 count, gint64 now_us)
+{
+	for (guint32 first = 0; first < count; first += DELETES_PER_OP) {
+		struct lug_op *op = lug_op_new(NULL, NULL);
+
+		for (guint32 i = first; i < count && i < first + DELETES_PER_OP; i++) {
+			char *key = lug_task_row_key(owner->team, id, i);
+
+			lug_txn_delete(&op->txn, "task", key);
+			g_free(key);
+		}
+		lug_lane_submit(owner->lane, op, now_us);
+	}
+}
+
+static void on_closed(void *data, enum lug_status status, gint64 version)
+{
+	struct closing *closing = data;
+	struct lug_owner *owner = closing->owner;
+	struct lug_queue_job *qjob =
+		owner->queue ? lug_queue_find(owner->queue, closing->id) : NULL;
+
+	(void)version;
+	g_free(closing);
+	if (!qjob)
+		return;
+	if (status != LUG_OK) {
+		qjob->closing = FALSE;
+		lug_owner_poke(owner, lug_now_us());
+		return;
+	}
+	lug_timeline_add(owner->env.ctx->timeline,
+			 qjob->job->cancelled ? LUG_EV_JOB_CANCELLED : LUG_EV_JOB_DONE,
+			 qjob->job->id, "done %u failed %u of %u", qjob->done, qjob->failed,
+			 qjob->job->count);
+	delete_tasks(owner, qjob->job->id, qjob->job->count, lug_now_us());
+	lug_queue_drop(owner->queue, qjob);
+}
+
+static const char *job_state(const struct lug_queue_job *qjob)
+{
+	if (qjob->done == qjob->job->count)
+		return "done";
+	if (qjob->job->cancelled)
+		return "cancelled";
+	return "failed";
+}
+
+static JsonObject *summary_row(const struct lug_queue_job *qjob)
+{
+	JsonObject *row = lug_job_to_json(qjob->job);
+	gint64 used_ms = 0;
+	gint64 attempts = 0;
+
+	for (guint32 i = 0; i < qjob->job->count; i++) {
+		used_ms += qjob->tasks[i].used_ms;
+		attempts += qjob->tasks[i].attempt;
+	}
+	json_object_set_string_member(row, "state", job_state(qjob));
+	json_object_set_string_member(row, "why", qjob->why);
+	json_object_set_int_member(row, "done", qjob->done);
+	json_object_set_int_member(row, "failed", qjob->failed);
+	json_object_set_int_member(row, "attempts", attempts);
+	json_object_set_int_member(row, "used_ms", used_ms);
+	json_object_set_int_member(row, "ended_ms", g_get_real_time() / 1000);
+	return row;
+}
+
+static void close_job(struct lug_owner *owner, struct lug_queue_job *qjob, gint64 now_us)
+{
+	char *key = lug_job_row_key(owner->team, qjob->job->id);
+	struct closing *closing = g_new0(struct closing, 1);
+	struct lug_op *op = lug_op_new(on_closed, closing);
+	JsonObject *row = summary_row(qjob);
+
+	qjob->closing = TRUE;
+	closing->owner = owner;
+	g_strlcpy(closing->id, qjob->job->id, sizeof(closing->id));
+	lug_txn_check(&op->txn, "job", key, qjob->row_version);
+	lug_txn_delete(&op->txn, "job", key);
+	lug_txn_put(&op->txn, "jobdone", key, row);
+	lug_lane_submit(owner->lane, op, now_us);
+	json_object_unref(row);
+	g_free(key);
+}
+
+/**
+ * owner_close_jobs - end the jobs whose tasks have all ended
+ * @owner: owner
+ * @now_us: present time
+ */
+void owner_close_jobs(struct lug_owner *owner, gint64 now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (!owner->queue)
+		return;
+	g_hash_table_iter_init(&it, lug_queue_jobs(owner->queue));
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct lug_queue_job *qjob = value;
+
+		if (!qjob->open && !qjob->closing && qjob->row_version)
+			close_job(owner, qjob, now_us);
+	}
+}
--- /dev/null
+++ b/liblug/member/roster.c
@@ -0,0 +1,224 @@
+#include "member/roster.h"
+
+#include <string.h>
+
+#include "wire/pack.h"
+
+/* A silent agent is forgotten after this many times the silence that makes it dead. */
+#define FORGET_FACTOR 20
+
+struct lug_roster {
+	struct lug_ctx *ctx;
+	gint64 silence_us;
+	GPtrArray *agents;
+	GHashTable *by_name;
+	GHashTable *lost;
+};
+
+static void agent_free(gpointer data)
+{
+	struct lug_agent *agent = data;
+
+	g_strfreev(agent->queues);
+	g_free(agent);
+}
+
+/**
+ * lug_roster_new - create an empty roster
+ * @ctx: context
+ * @silence_us: an agent not heard for this long counts as dead
+ */
+struct lug_roster *lug_roster_new(struct lug_ctx *ctx, gint64 silence_us)
+{
+	struct lug_roster *roster = g_new0(struct lug_roster, 1);
+
+	roster->ctx = ctx;
+	roster->silence_us = silence_us;
+	roster->agents = g_ptr_array_new_with_free_func(agent_free);
+	roster->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	roster->lost = g_hash_table_new(NULL, NULL);
+	return roster;
+}
+
+/**
+ * lug_roster_free - release a roster
+ * @roster: roster, may be NULL
+ */
+void lug_roster_free(struct lug_roster *roster)
+{
+	if (!roster)
+		return;
+	g_hash_table_unref(roster->by_name);
+	g_hash_table_unref(roster->lost);
+	g_ptr_array_unref(roster->agents);
+	g_free(roster);
+}
+
+/**
+ * lug_roster_find - agent by its worker's name
+ */
+struct lug_agent *lug_roster_find(const struct lug_roster *roster, const char *name)
+{
+	return g_hash_table_lookup(roster->by_name, name);
+}
+
+/**
+ * lug_roster_live - tell whether an agent was heard lately
+ */
+gboolean lug_roster_live(const struct lug_roster *roster, const struct lug_agent *agent,
+			 gint64 now_us)
+{
+	return now_us - agent->heard_us <= roster->silence_us;
+}
+
+static void copy_name(char *out, const char *in)
+{
+	g_strlcpy(out, in ? in : "", LUG_NAME_MAX + 1);
+}
+
+static void copy_queues(struct lug_agent *agent, const Lug__Beat *beat)
+{
+	g_strfreev(agent->queues);
+	agent->queues = g_new0(char *, beat->n_queues + 1);
+	for (size_t i = 0; i < beat->n_queues; i++)
+		agent->queues[i] = g_strdup(beat->queues[i]);
+}
+
+static void copy_beat(struct lug_agent *agent, const Lug__Beat *beat)
+{
+	copy_name(agent->service, beat->service);
+	copy_name(agent->region, beat->region);
+	copy_name(agent->zone, beat->zone);
+	copy_name(agent->rack, beat->rack);
+	copy_name(agent->address, beat->address);
+	agent->slots = beat->slots;
+	agent->connections = beat->connections;
+	agent->busy = beat->busy;
+	agent->queued = beat->queued;
+	agent->service_us = beat->service_us;
+	agent->leaving = beat->leaving;
+	agent->worker_epoch = beat->worker_epoch;
+	agent->tasks = beat->tasks;
+	agent->room = lug_unpack_resources(beat->room);
+	agent->capacity = lug_unpack_resources(beat->capacity);
+	copy_queues(agent, beat);
+}
+
+static struct lug_agent *agent_of(struct lug_roster *roster, const Lug__Envelope *env,
+				  gint64 now_us)
+{
+	struct lug_agent *agent = lug_roster_find(roster, env->from);
+
+	if (!agent) {
+		agent = g_new0(struct lug_agent, 1);
+		copy_name(agent->name, env->from);
+		g_ptr_array_add(roster->agents, agent);
+		g_hash_table_insert(roster->by_name, agent->name, agent);
+	}
+	if (env->incarnation == agent->incarnation)
+		return agent;
+	/* After a clock step a restarted agent may carry a lower incarnation. */
+	if (env->incarnation < agent->incarnation && lug_roster_live(roster, agent, now_us))
+		return agent;
+	agent->incarnation = env->incarnation;
+	agent->generation = 0;
+	agent->inflight = 0;
+	agent->failing = 0;
+	agent->ejected_until_us = 0;
+	agent->seen_us = now_us;
+	lug_timeline_add(roster->ctx->timeline, LUG_EV_PEER_SEEN, agent->name, "%s",
+			 env->beat->zone ? env->beat->zone : "");
+	return agent;
+}
+
+/**
+ * lug_roster_beat - take in a beat
+ * @roster: roster
+ * @route: where it came from
+ * @env: envelope that carries the beat
+ * @now_us: present time
+ *
+ * Return: the agent, or NULL when the beat comes from an older incarnation or an
+ * older connection than the latest known.
+ */
+struct lug_agent *lug_roster_beat(struct lug_roster *roster, const struct lug_route *route,
+				  const Lug__Envelope *env, gint64 now_us)
+{
+	struct lug_agent *agent = agent_of(roster, env, now_us);
+
+	if (env->incarnation != agent->incarnation || env->beat->generation < agent->generation)
+		return NULL;
+	agent->generation = env->beat->generation;
+	agent->route = *route;
+	agent->table_version = env->table_version;
+	agent->heard_us = now_us;
+	copy_beat(agent, env->beat);
+	if (g_hash_table_remove(roster->lost, agent))
+		lug_timeline_add(roster->ctx->timeline, LUG_EV_PEER_SEEN, agent->name, "again");
+	return agent;
+}
+
+static void note_lost(struct lug_roster *roster, struct lug_agent *agent)
+{
+	if (!g_hash_table_add(roster->lost, agent))
+		return;
+	lug_timeline_add(roster->ctx->timeline, LUG_EV_PEER_LOST, agent->name, "silent");
+	lug_warn(roster->ctx, "peer_lost", "peer", agent->name);
+}
+
+/**
+ * lug_roster_expire - note silent agents and forget long silent ones
+ * @roster: roster
+ * @now_us: present time
+ */
+void lug_roster_expire(struct lug_roster *roster, gint64 now_us)
+{
+	gint64 live = 0;
+
+	for (guint i = roster->agents->len; i-- > 0;) {
+		struct lug_agent *agent = g_ptr_array_index(roster->agents, i);
+
+		if (lug_roster_live(roster, agent, now_us)) {
+			live++;
+			continue;
+		}
+		note_lost(roster, agent);
+		if (now_us - agent->heard_us < FORGET_FACTOR * roster->silence_us ||
+		    agent->inflight)
+			continue;
+		g_hash_table_remove(roster->lost, agent);
+		g_hash_table_remove(roster->by_name, agent->name);
+		g_ptr_array_remove_index_fast(roster->agents, i);
+	}
+	lug_gauge(roster->ctx, PEERS, live);
+}
+
+/**
+ * lug_roster_agents - all known agents, live or not
+ */
+GPtrArray *lug_roster_agents(const struct lug_roster *roster)
+{
+	return roster->agents;
+}
+
+/**
+ * lug_roster_owner - agent that says it owns a queue
+ * @roster: roster
+ * @queue: team of the queue
+ *
+ * Return: the most recently heard one, or NULL.
+ */
+struct lug_agent *lug_roster_owner(const struct lug_roster *roster, const char *queue)
+{
+	struct lug_agent *best = NULL;
+
+	for (guint i = 0; i < roster->agents->len; i++) {
+		struct lug_agent *agent = g_ptr_array_index(roster->agents, i);
+
+		if (!agent->queues || !g_strv_contains((const char *const *)agent->queues, queue))
+			continue;
+		if (!best || agent->heard_us > best->heard_us)
+			best = agent;
+	}
+	return best;
+}
--- /dev/null
+++ b/liblug/member/roster.h
@@ -0,0 +1,80 @@
+#ifndef LUG_MEMBER_ROSTER_H
+#define LUG_MEMBER_ROSTER_H
+
+#include "core/context.h"
+#include "core/list.h"
+#include "core/resources.h"
+#include "wire/link.h"
+
+/**
+ * struct lug_agent - an agent as its beats and answers describe it
+ * @name: worker's name
+ * @incarnation: start of the agent's process
+ * @generation: connection generation; an older one is refused
+ * @route: where messages to it go
+ * @service: service of its backend server
+ * @address: its inner address
+ * @slots: requests its backend server runs at once
+ * @connections: requests it accepts at once
+ * @busy: requests running at the last report
+ * @queued: requests waiting at the last report
+ * @service_us: mean time of its backend server
+ * @inflight: requests this process has sent it and waits for
+ * @leaving: takes no new work
+ * @room: free for batch tasks
+ * @capacity: all that batch tasks may use
+ * @worker_epoch: epoch of its worker's lease, 0 while it holds none
+ * @queues: names of the queues that it owns, NULL-terminated
+ * @table_version: version of the weights and limits in force there
+ * @seen_us: when it was first seen in this incarnation
+ * @heard_us: last message
+ * @failing: consecutive failed requests
+ * @ejected_until_us: no requests before this time, after failures
+ * @tasks: batch tasks that it runs
+ */
+struct lug_agent {
+	char name[LUG_NAME_MAX + 1];
+	guint64 incarnation;
+	guint32 generation;
+	struct lug_route route;
+	char service[LUG_NAME_MAX + 1];
+	char region[LUG_NAME_MAX + 1];
+	char zone[LUG_NAME_MAX + 1];
+	char rack[LUG_NAME_MAX + 1];
+	char address[LUG_NAME_MAX + 1];
+	guint32 slots;
+	guint32 connections;
+	guint32 busy;
+	guint32 queued;
+	guint32 service_us;
+	guint32 inflight;
+	gboolean leaving;
+	struct lug_resources room;
+	struct lug_resources capacity;
+	guint64 worker_epoch;
+	char **queues;
+	guint64 table_version;
+	gint64 seen_us;
+	gint64 heard_us;
+	guint32 failing;
+	gint64 ejected_until_us;
+	guint32 tasks;
+};
+
+/**
+ * struct lug_roster - the agents known to one process
+ */
+struct lug_roster;
+
+struct lug_roster *lug_roster_new(struct lug_ctx *ctx, gint64 silence_us);
+void lug_roster_free(struct lug_roster *roster);
+struct lug_agent *lug_roster_beat(struct lug_roster *roster, const struct lug_route *route,
+				  const Lug__Envelope *env, gint64 now_us);
+struct lug_agent *lug_roster_find(const struct lug_roster *roster, const char *name);
+gboolean lug_roster_live(const struct lug_roster *roster, const struct lug_agent *agent,
+			 gint64 now_us);
+void lug_roster_expire(struct lug_roster *roster, gint64 now_us);
+GPtrArray *lug_roster_agents(const struct lug_roster *roster);
+struct lug_agent *lug_roster_owner(const struct lug_roster *roster, const char *queue);
+
+#endif
--- /dev/null
+++ b/liblug/platform/http.c
@@ -0,0 +1,203 @@
+#include "platform/http.h"
+
+#include <libsoup/soup.h>
+
+#include "core/list.h"
+
+#define DEFAULT_CONNECTIONS 8
+
+struct lug_http {
+	SoupSession *session;
+	char *base_url;
+	void (*drop)(void *data);
+	struct lug_list calls;
+};
+
+struct http_call {
+	struct lug_list node;
+	struct lug_http *http;
+	SoupMessage *msg;
+	GCancellable *cancel;
+	guint timer;
+	gboolean sent;
+	lug_http_fn fn;
+	void *data;
+};
+
+static void call_free(struct http_call *call)
+{
+	lug_list_remove(&call->node);
+	if (call->timer)
+		g_source_remove(call->timer);
+	g_object_unref(call->cancel);
+	g_object_unref(call->msg);
+	g_free(call);
+}
+
+static SoupSession *session_new(const char *source, guint connections)
+{
+	GInetSocketAddress *local = NULL;
+	SoupSession *session;
+
+	if (source)
+		local = G_INET_SOCKET_ADDRESS(g_inet_socket_address_new_from_string(source, 0));
+	session = soup_session_new_with_options("max-conns", (int)connections, "max-conns-per-host",
+						(int)connections, "timeout", 0, "idle-timeout", 30,
+						"local-address", local, NULL);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+	soup_session_set_proxy_resolver(session, NULL);
+	if (local)
+		g_object_unref(local);
+	return session;
+}
+
+/**
+ * lug_http_new - client of one server
+ * @base_url: http://IP:PORT
+ * @source: local IP for outgoing connections, may be NULL
+ * @drop: called with the data of each call that lug_http_free() drops, may be NULL
+ */
+struct lug_http *lug_http_new(const char *base_url, const char *source, void (*drop)(void *data))
+{
+	struct lug_http *http = g_new0(struct lug_http, 1);
+
+	http->session = session_new(source, DEFAULT_CONNECTIONS);
+	http->base_url = g_strdup(base_url);
+	http->drop = drop;
+	lug_list_init(&http->calls);
+	return http;
+}
+
+/**
+ * lug_http_set_connections - bound the open connections
+ * @http: client without calls in flight
+ * @connections: bound
+ */
+void lug_http_set_connections(struct lug_http *http, guint connections)
+{
+	g_object_unref(http->session);
+	http->session = session_new(NULL, connections);
+}
+
+/**
+ * lug_http_free - release a client; calls in flight are dropped without a callback
+ * @http: client, may be NULL
+ */
+void lug_http_free(struct lug_http *http)
+{
+	if (!http)
+		return;
+	LUG_LIST_FOREACH_SAFE (&http->calls, pos, tmp) {
+		struct http_call *call = LUG_CONTAINER_OF(pos, struct http_call, node);
+
+		if (http->drop)
+			http->drop(call->data);
+		call->fn = NULL;
+		call->http = NULL;
+		lug_list_remove(&call->node);
+		g_cancellable_cancel(call->cancel);
+	}
+	soup_session_abort(http->session);
+	/* Cancelled calls finish through the loop and free themselves. */
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	g_object_unref(http->session);
+	g_free(http->base_url);
+	g_free(http);
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	struct http_call *call = data;
+
+	call->timer = 0;
+	g_cancellable_cancel(call->cancel);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_wrote_headers(SoupMessage *msg, gpointer data)
+{
+	(void)msg;
+	((struct http_call *)data)->sent = TRUE;
+}
+
+static gboolean body_whole(SoupMessage *msg, gsize len)
+{
+	SoupMessageHeaders *headers = soup_message_get_response_headers(msg);
+
+	if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_CONTENT_LENGTH)
+		return TRUE;
+	return soup_message_headers_get_content_length(headers) == (goffset)len;
+}
+
+static void on_done(GObject *session, GAsyncResult *result, gpointer data)
+{
+	struct http_call *call = data;
+	struct lug_http_answer answer = {.sent = call->sent, .body = "", .content_type = ""};
+	GBytes *bytes = soup_session_send_and_read_finish(SOUP_SESSION(session), result, NULL);
+	const char *type;
+
+	if (bytes && body_whole(call->msg, g_bytes_get_size(bytes))) {
+		answer.http = soup_message_get_status(call->msg);
+		answer.body = g_bytes_get_data(bytes, &answer.len);
+		type = soup_message_headers_get_one(soup_message_get_response_headers(call->msg),
+						    "Content-Type");
+		answer.content_type = type ? type : "";
+	}
+	if (call->fn)
+		call->fn(call->data, &answer);
+	if (bytes)
+		g_bytes_unref(bytes);
+	call_free(call);
+}
+
+static void set_headers(SoupMessage *msg, const struct lug_http_call *spec)
+{
+	SoupMessageHeaders *headers = soup_message_get_request_headers(msg);
+
+	for (const char *const *p = spec->headers; p && p[0]; p += 2)
+		soup_message_headers_replace(headers, p[0], p[1]);
+	if (spec->body) {
+		GBytes *bytes = g_bytes_new(spec->body, spec->len);
+
+		soup_message_set_request_body_from_bytes(msg, spec->content_type, bytes);
+		g_bytes_unref(bytes);
+	}
+}
+
+/**
+ * lug_http_send - start a call
+ * @http: client
+ * @spec: the call, copied
+ * @fn: called once with the answer, also on failure
+ * @data: passed to @fn
+ */
+void lug_http_send(struct lug_http *http, const struct lug_http_call *spec, lug_http_fn fn,
+		   void *data)
+{
+	struct http_call *call = g_new0(struct http_call, 1);
+	char *url = g_strconcat(http->base_url, spec->path, NULL);
+
+	call->http = http;
+	call->fn = fn;
+	call->data = data;
+	call->cancel = g_cancellable_new();
+	call->msg = soup_message_new(spec->method, url);
+	g_free(url);
+	lug_list_append(&http->calls, &call->node);
+	if (!call->msg) {
+		struct lug_http_answer none = {.body = "", .content_type = ""};
+
+		call->msg = soup_message_new("GET", http->base_url);
+		fn(data, &none);
+		call_free(call);
+		return;
+	}
+	/* A request is never sent again by the library: outcomes are settled by the callers. */
+	soup_message_add_flags(call->msg, SOUP_MESSAGE_NO_REDIRECT);
+	set_headers(call->msg, spec);
+	g_signal_connect(call->msg, "wrote-headers", G_CALLBACK(on_wrote_headers), call);
+	call->timer = g_timeout_add((guint)MAX(spec->timeout_ms, 1), on_timeout, call);
+	soup_session_send_and_read_async(http->session, call->msg, G_PRIORITY_DEFAULT, call->cancel,
+					 on_done, call);
+}
--- /dev/null
+++ b/liblug/platform/http.h
@@ -0,0 +1,55 @@
+#ifndef LUG_PLATFORM_HTTP_H
+#define LUG_PLATFORM_HTTP_H
+
+#include <glib.h>
+
+/**
+ * struct lug_http_call - one HTTP call
+ * @method: method
+ * @path: path with query
+ * @content_type: type of @body, may be NULL
+ * @body: body, copied, may be NULL
+ * @len: bytes in @body
+ * @timeout_ms: time after which the call is given up
+ * @headers: name and value pairs closed by NULL, may be NULL
+ */
+struct lug_http_call {
+	const char *method;
+	const char *path;
+	const char *content_type;
+	const void *body;
+	gsize len;
+	gint64 timeout_ms;
+	const char *const *headers;
+};
+
+/**
+ * struct lug_http_answer - answer to a call
+ * @http: status code, 0 when no whole answer came
+ * @sent: FALSE when the call certainly did not reach the server
+ * @body: body, lent for the callback
+ * @len: bytes in @body
+ * @content_type: type of @body or ""
+ */
+struct lug_http_answer {
+	guint http;
+	gboolean sent;
+	const char *body;
+	gsize len;
+	const char *content_type;
+};
+
+typedef void (*lug_http_fn)(void *data, const struct lug_http_answer *answer);
+
+/**
+ * struct lug_http - client of one HTTP server
+ */
+struct lug_http;
+
+struct lug_http *lug_http_new(const char *base_url, const char *source, void (*drop)(void *data));
+void lug_http_free(struct lug_http *http);
+void lug_http_set_connections(struct lug_http *http, guint connections);
+void lug_http_send(struct lug_http *http, const struct lug_http_call *call, lug_http_fn fn,
+		   void *data);
+
+#endif
--- /dev/null
+++ b/liblug/platform/lane.h
@@ -0,0 +1,78 @@
+#ifndef LUG_PLATFORM_LANE_H
+#define LUG_PLATFORM_LANE_H
+
+#include "core/list.h"
+#include "platform/store.h"
+
+/**
+ * struct lug_op - one member of a group commit
+ * @node: place in the lane's queue
+ * @txn: checks and writes
+ * @add: added to the lane's total when the operation commits
+ * @deadline_us: time after which the caller no longer waits, 0 for never
+ * @fn: called once with the outcome
+ * @data: passed to @fn
+ * @sent: part of a transaction that was sent and is not settled
+ */
+struct lug_op {
+	struct lug_list node;
+	struct lug_txn txn;
+	gint64 add;
+	gint64 deadline_us;
+	void (*fn)(void *data, enum lug_status status, gint64 version);
+	void *data;
+	gboolean sent;
+};
+
+enum lug_lane_event {
+	LUG_LANE_TAKEN,
+	LUG_LANE_LOST,
+	LUG_LANE_RELEASED,
+};
+
+/**
+ * struct lug_lane_config - identity and hooks of a lane
+ * @table: table of the leased row
+ * @key: key of the leased row
+ * @ttl_ms: lease time
+ * @fill: adds members to the row at each commit, may be NULL
+ * @event: told of each change of hands
+ * @data: passed to the hooks
+ */
+struct lug_lane_config {
+	const char *table;
+	const char *key;
+	gint64 ttl_ms;
+	void (*fill)(void *data, JsonObject *row);
+	void (*event)(void *data, enum lug_lane_event event);
+	void *data;
+};
+
+/**
+ * struct lug_lane - a leased row through which one holder commits
+ *
+ * Each transaction of the holder checks and rewrites the leased row. So a
+ * commit renews the lease, a former holder can't commit, a transaction that is
+ * sent twice applies once, and after a lost answer the row tells whether the
+ * transaction took effect. One transaction is in flight at a time; operations
+ * submitted meanwhile share the next one.
+ */
+struct lug_lane;
+
+struct lug_lane *lug_lane_new(struct lug_ctx *ctx, struct lug_store *store,
+			      const struct lug_lane_config *config);
+void lug_lane_free(struct lug_lane *lane);
+void lug_lane_take(struct lug_lane *lane, const struct lug_row *seen, gint64 now_us);
+void lug_lane_release(struct lug_lane *lane, gint64 now_us);
+struct lug_op *lug_op_new(void (*fn)(void *data, enum lug_status status, gint64 version),
+			  void *data);
+void lug_lane_submit(struct lug_lane *lane, struct lug_op *op, gint64 now_us);
+void lug_lane_tick(struct lug_lane *lane, gint64 now_us);
+gboolean lug_lane_held(const struct lug_lane *lane);
+gboolean lug_lane_valid(const struct lug_lane *lane, gint64 now_us);
+gint64 lug_lane_valid_until(const struct lug_lane *lane);
+guint64 lug_lane_epoch(const struct lug_lane *lane);
+gint64 lug_lane_total(const struct lug_lane *lane);
+gboolean lug_lane_row_lapsed(const struct lug_row *row, gint64 unchanged_us);
+
+#endif
--- /dev/null
+++ b/liblug/route/budget.h
@@ -0,0 +1,18 @@
+#ifndef LUG_ROUTE_BUDGET_H
+#define LUG_ROUTE_BUDGET_H
+
+#include <glib.h>
+
+/**
+ * struct lug_budget - bounds retries to a part of the first attempts
+ * @tokens: retries that may be made now
+ */
+struct lug_budget {
+	double tokens;
+};
+
+void lug_budget_init(struct lug_budget *budget);
+void lug_budget_first(struct lug_budget *budget, gint64 percent);
+gboolean lug_budget_retry(struct lug_budget *budget);
+
+#endif
--- /dev/null
+++ b/liblug/route/choose.h
@@ -0,0 +1,44 @@
+#ifndef LUG_ROUTE_CHOOSE_H
+#define LUG_ROUTE_CHOOSE_H
+
+#include "member/roster.h"
+
+/**
+ * struct lug_choice - what a choice of an agent depends on besides the agents
+ * @service: service asked for
+ * @zone: availability zone of the chooser
+ * @region: region of the chooser
+ * @exclude: agent that has just failed the request, may be NULL
+ * @silence_us: an agent not heard for this long is not chosen
+ * @now_us: present time
+ */
+struct lug_choice {
+	const char *service;
+	const char *zone;
+	const char *region;
+	const struct lug_agent *exclude;
+	gint64 silence_us;
+	gint64 now_us;
+};
+
+struct lug_chooser;
+
+/**
+ * struct lug_chooser_ops - a way to choose an agent
+ * @pick: returns one of @agents, or NULL when none can serve
+ */
+struct lug_chooser_ops {
+	struct lug_agent *(*pick)(const struct lug_chooser *chooser, GPtrArray *agents,
+				  const struct lug_choice *choice, GRand *rng);
+};
+
+struct lug_chooser {
+	const struct lug_chooser_ops *ops;
+};
+
+const struct lug_chooser *lug_chooser_two_choices(void);
+const struct lug_chooser *lug_chooser_random(void);
+gint64 lug_choose_cost_us(const struct lug_agent *agent, const struct lug_choice *choice);
+void lug_choose_result(struct lug_agent *agent, gboolean ok, gint64 now_us);
+
+#endif
--- /dev/null
+++ b/liblug/route/serve.c
@@ -0,0 +1,417 @@
+#include "route/serve.h"
+
+#include <string.h>
+
+#include "core/list.h"
+#include "wire/pack.h"
+
+#define TOMBSTONE_US (5 * 1000 * 1000)
+#define TOMBSTONES_MAX 100000
+#define KEPT_REPLY_BYTES (16 * 1024)
+#define KEY_CHARS 128
+#define METHOD_CHARS 16
+
+enum serve_state {
+	SERVE_QUEUED,
+	SERVE_RUNNING,
+	SERVE_DONE,
+	SERVE_CANCELLED,
+};
+
+struct serve_request {
+	struct lug_list node;
+	struct lug_serve *serve;
+	char key[KEY_CHARS];
+	enum serve_state state;
+	struct lug_arena *arena;
+	struct lug_route route;
+	guint64 id;
+	guint32 attempt;
+	char *method;
+	char *path;
+	char *team;
+	char *content_type;
+	void *body;
+	gsize body_len;
+	gint64 deadline_us;
+	gint64 queued_us;
+	gint64 started_us;
+	gint64 expires_us;
+	guint32 status;
+	guint32 http;
+	char *reply_type;
+	void *reply;
+	gsize reply_len;
+};
+
+struct lug_serve {
+	struct lug_ctx *ctx;
+	struct lug_link *link;
+	struct lug_http *backend;
+	struct lug_admit admit;
+	struct lug_control *control;
+	GHashTable *requests;
+	struct lug_list queue;
+	struct lug_list ended;
+	gboolean leaving;
+};
+
+static void request_free(gpointer data)
+{
+	struct serve_request *req = data;
+
+	lug_list_remove(&req->node);
+	lug_arena_free(req->arena);
+}
+
+static void read_settings(struct lug_serve *serve)
+{
+	const struct lug_settings *settings = serve->ctx->settings;
+
+	serve->admit.slots = settings->service_slots;
+	serve->admit.connections = settings->service_connections;
+	serve->admit.queue = settings->service_queue;
+}
+
+/**
+ * lug_serve_new - create
+ * @ctx: context
+ * @link: inner connections
+ * @backend: client of the backend server
+ */
+struct lug_serve *lug_serve_new(struct lug_ctx *ctx, struct lug_link *link,
+				struct lug_http *backend)
+{
+	struct lug_serve *serve = g_new0(struct lug_serve, 1);
+
+	serve->ctx = ctx;
+	serve->link = link;
+	serve->backend = backend;
+	serve->requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, request_free);
+	lug_list_init(&serve->queue);
+	lug_list_init(&serve->ended);
+	read_settings(serve);
+	return serve;
+}
+
+/**
+ * lug_serve_free - release; the backend's client must be freed before
+ * @serve: may be NULL
+ */
+void lug_serve_free(struct lug_serve *serve)
+{
+	if (!serve)
+		return;
+	g_hash_table_unref(serve->requests);
+	g_free(serve);
+}
+
+/**
+ * lug_serve_set_control - tell service times to the throttling of batch tasks
+ */
+void lug_serve_set_control(struct lug_serve *serve, struct lug_control *control)
+{
+	serve->control = control;
+}
+
+/**
+ * lug_serve_load - load of the backend server
+ */
+const struct lug_admit *lug_serve_load(const struct lug_serve *serve)
+{
+	return &serve->admit;
+}
+
+/**
+ * lug_serve_leave - refuse new requests, or accept them again
+ */
+void lug_serve_leave(struct lug_serve *serve, gboolean leaving)
+{
+	serve->leaving = leaving;
+}
+
+/**
+ * lug_serve_idle - tell whether no request runs or waits
+ */
+gboolean lug_serve_idle(const struct lug_serve *serve)
+{
+	return !serve->admit.busy && !serve->admit.queued;
+}
+
+static void make_key(char *key, const Lug__Envelope *env, guint64 id, guint32 attempt)
+{
+	g_snprintf(key, KEY_CHARS, "%s#%" G_GINT64_MODIFIER "x#%" G_GINT64_MODIFIER "x#%u",
+		   env->from, env->incarnation, id, attempt);
+}
+
+static void send_reply(struct lug_serve *serve, const struct lug_route *route, guint64 id,
+		       guint32 attempt, guint32 status, const char *detail,
+		       const struct serve_request *done)
+{
+	Lug__Reply reply = LUG__REPLY__INIT;
+	LUG_ENVELOPE(env, REPLY, reply, &reply);
+
+	LUG_SET(&reply, id, id);
+	LUG_SET(&reply, attempt, attempt);
+	LUG_SET(&reply, status, status);
+	LUG_SET(&reply, busy, (guint32)serve->admit.busy);
+	LUG_SET(&reply, queued, (guint32)serve->admit.queued);
+	LUG_SET(&reply, service_us, (guint32)serve->admit.service_us);
+	reply.detail = (char *)detail;
+	if (done && status == LUG_OK) {
+		LUG_SET(&reply, http, done->http);
+		reply.has_body = 1;
+		reply.body.data = done->reply;
+		reply.body.len = done->reply_len;
+		reply.content_type = done->reply_type;
+	}
+	lug_link_send(serve->link, route, &env);
+}
+
+static void end_request(struct serve_request *req, enum serve_state state, gint64 now_us)
+{
+	req->state = state;
+	req->expires_us = now_us + TOMBSTONE_US;
+	lug_list_remove(&req->node);
+	lug_list_append(&req->serve->ended, &req->node);
+}
+
+static void start_queued(struct lug_serve *serve, gint64 now_us);
+
+static void finish(struct serve_request *req, guint32 status, const char *detail, gint64 now_us)
+{
+	struct lug_serve *serve = req->serve;
+
+	req->status = status;
+	send_reply(serve, &req->route, req->id, req->attempt, status, detail, req);
+	if (req->reply_len > KEPT_REPLY_BYTES) {
+		req->reply = NULL;
+		req->reply_len = 0;
+		req->status = LUG_UNKNOWN;
+	}
+	end_request(req, SERVE_DONE, now_us);
+}
+
+static void on_backend(void *data, const struct lug_http_answer *answer)
+{
+	struct serve_request *req = data;
+	struct lug_serve *serve = req->serve;
+	gint64 now_us = lug_now_us();
+	gint64 took_us = now_us - req->started_us;
+
+	serve->admit.busy--;
+	if (answer->http) {
+		req->http = answer->http;
+		req->reply_type = lug_arena_strdup(req->arena, answer->content_type);
+		req->reply = lug_arena_memdup(req->arena, answer->body, answer->len);
+		req->reply_len = answer->len;
+		lug_admit_learn(&serve->admit, took_us);
+		lug_observe(serve->ctx, BACKEND_US, took_us);
+		if (serve->control)
+			lug_control_sample(serve->control, took_us);
+		lug_count(serve->ctx, REQUESTS_OK, 1);
+		finish(req, LUG_OK, NULL, now_us);
+	} else if (!answer->sent) {
+		lug_count(serve->ctx, REQUESTS_NOT_RUN, 1);
+		finish(req, LUG_NOT_RUN, "the backend server can't be reached", now_us);
+	} else {
+		lug_count(serve->ctx, REQUESTS_UNKNOWN, 1);
+		finish(req, LUG_UNKNOWN, "the backend server did not answer whole", now_us);
+	}
+	start_queued(serve, now_us);
+}
+
+static void call_backend(struct serve_request *req, gint64 now_us)
+{
+	struct lug_serve *serve = req->serve;
+	char id[32];
+	char attempt[16];
+	const char *headers[] = {"X-Request-Id", id,	    "X-Attempt", attempt,
+				 "X-Team",	 req->team, NULL};
+	struct lug_http_call call = {
+		.method = req->method,
+		.path = req->path,
+		.content_type = req->content_type,
+		.body = req->body_len ? req->body : NULL,
+		.len = req->body_len,
+		.timeout_ms = MAX((req->deadline_us - now_us) / 1000, 1),
+		.headers = headers,
+	};
+
+	g_snprintf(id, sizeof(id), "%" G_GINT64_MODIFIER "x", req->id);
+	g_snprintf(attempt, sizeof(attempt), "%u", req->attempt);
+	req->state = SERVE_RUNNING;
+	req->started_us = now_us;
+	serve->admit.busy++;
+	lug_observe(serve->ctx, QUEUE_US, now_us - req->queued_us);
+	lug_http_send(serve->backend, &call, on_backend, req);
+}
+
+static void refuse(struct serve_request *req, const char *why, gint64 now_us)
+{
+	struct lug_serve *serve = req->serve;
+
+	lug_count(serve->ctx, REQUESTS_SHED, 1);
+	send_reply(serve, &req->route, req->id, req->attempt, LUG_NOT_RUN, why, NULL);
+	end_request(req, SERVE_CANCELLED, now_us);
+}
+
+static void start_queued(struct lug_serve *serve, gint64 now_us)
+{
+	while (serve->admit.busy < serve->admit.slots && !lug_list_empty(&serve->queue)) {
+		struct serve_request *req =
+			LUG_CONTAINER_OF(serve->queue.next, struct serve_request, node);
+
+		lug_list_remove(&req->node);
+		serve->admit.queued--;
+		if (now_us + serve->admit.service_us / 2 >= req->deadline_us)
+			refuse(req, "its deadline would pass", now_us);
+		else
+			call_backend(req, now_us);
+	}
+}
+
+static struct serve_request *request_new(struct lug_serve *serve, const char *key)
+{
+	struct lug_arena *arena = lug_arena_new();
+	struct serve_request *req = lug_arena_alloc(arena, sizeof(*req));
+
+	req->arena = arena;
+	req->serve = serve;
+	lug_list_init(&req->node);
+	g_strlcpy(req->key, key, sizeof(req->key));
+	g_hash_table_insert(serve->requests, req->key, req);
+	return req;
+}
+
+static void copy_request(struct serve_request *req, const struct lug_route *route,
+			 const Lug__Request *in, gint64 now_us)
+{
+	req->route = *route;
+	req->id = in->id;
+	req->attempt = in->attempt;
+	req->method = lug_arena_strdup(req->arena, in->method ? in->method : "GET");
+	req->path = lug_arena_strdup(req->arena, in->path ? in->path : "/");
+	req->team = lug_arena_strdup(req->arena, in->team ? in->team : "");
+	req->content_type = lug_arena_strdup(req->arena, in->content_type);
+	req->body = lug_arena_memdup(req->arena, in->body.data, in->body.len);
+	req->body_len = in->body.len;
+	req->queued_us = now_us;
+	req->deadline_us = now_us + (gint64)in->timeout_ms * 1000;
+}
+
+static gboolean acceptable(const struct lug_serve *serve, const Lug__Request *in)
+{
+	const char *path = in->path ? in->path : "/";
+
+	return in->service && !strcmp(in->service, serve->ctx->settings->service_name) &&
+	       path[0] == '/' && (!in->method || strlen(in->method) < METHOD_CHARS);
+}
+
+static void admit_request(struct serve_request *req, gint64 now_us)
+{
+	struct lug_serve *serve = req->serve;
+
+	switch (lug_admit_decide(&serve->admit, req->deadline_us - now_us)) {
+	case LUG_ADMIT_RUN:
+		call_backend(req, now_us);
+		return;
+	case LUG_ADMIT_QUEUE:
+		req->state = SERVE_QUEUED;
+		serve->admit.queued++;
+		lug_list_append(&serve->queue, &req->node);
+		return;
+	case LUG_ADMIT_FULL:
+		refuse(req, "full", now_us);
+		return;
+	case LUG_ADMIT_TOO_LATE:
+		refuse(req, "its deadline would pass", now_us);
+		return;
+	}
+}
+
+/**
+ * lug_serve_request - admit or refuse a request
+ * @serve: serve
+ * @route: where the reply goes
+ * @env: envelope that carries the request
+ * @now_us: present time
+ */
+void lug_serve_request(struct lug_serve *serve, const struct lug_route *route,
+		       const Lug__Envelope *env, gint64 now_us)
+{
+	const Lug__Request *in = env->request;
+	struct serve_request *req;
+	char key[KEY_CHARS];
+
+	lug_count(serve->ctx, REQUESTS, 1);
+	make_key(key, env, in->id, in->attempt);
+	req = g_hash_table_lookup(serve->requests, key);
+	if (req) {
+		if (req->state == SERVE_CANCELLED)
+			send_reply(serve, route, in->id, in->attempt, LUG_NOT_RUN, "cancelled",
+				   NULL);
+		return;
+	}
+	req = request_new(serve, key);
+	copy_request(req, route, in, now_us);
+	if (!acceptable(serve, in) || serve->leaving) {
+		refuse(req, serve->leaving ? "leaving" : "another service", now_us);
+		return;
+	}
+	admit_request(req, now_us);
+}
+
+/**
+ * lug_serve_cancel - settle a request by its id
+ * @serve: serve
+ * @route: where the answer goes
+ * @env: envelope that carries the cancellation
+ * @now_us: present time
+ *
+ * A request that has not got a slot never gets one. One that has run is answered with
+ * its outcome, one that runs is answered when it ends.
+ */
+void lug_serve_cancel(struct lug_serve *serve, const struct lug_route *route,
+		      const Lug__Envelope *env, gint64 now_us)
+{
+	const Lug__Cancel *in = env->cancel;
+	struct serve_request *req;
+	char key[KEY_CHARS];
+
+	make_key(key, env, in->id, in->attempt);
+	req = g_hash_table_lookup(serve->requests, key);
+	if (!req) {
+		req = request_new(serve, key);
+		end_request(req, SERVE_CANCELLED, now_us);
+	}
+	req->route = *route;
+	if (req->state == SERVE_QUEUED) {
+		serve->admit.queued--;
+		end_request(req, SERVE_CANCELLED, now_us);
+	}
+	if (req->state == SERVE_CANCELLED)
+		send_reply(serve, route, in->id, in->attempt, LUG_NOT_RUN, "cancelled", NULL);
+	if (req->state == SERVE_DONE)
+		send_reply(serve, route, in->id, in->attempt, req->status, "ran before", req);
+}
+
+/**
+ * lug_serve_tick - forget what ended long ago
+ * @serve: serve
+ * @now_us: present time
+ */
+void lug_serve_tick(struct lug_serve *serve, gint64 now_us)
+{
+	read_settings(serve);
+	while (!lug_list_empty(&serve->ended)) {
+		struct serve_request *req =
+			LUG_CONTAINER_OF(serve->ended.next, struct serve_request, node);
+
+		if (now_us < req->expires_us && g_hash_table_size(serve->requests) < TOMBSTONES_MAX)
+			break;
+		g_hash_table_remove(serve->requests, req->key);
+	}
+	lug_gauge(serve->ctx, INFLIGHT, serve->admit.busy);
+	lug_gauge(serve->ctx, QUEUED, serve->admit.queued);
+}
--- /dev/null
+++ b/liblug/team/charge.h
@@ -0,0 +1,10 @@
+#ifndef LUG_TEAM_CHARGE_H
+#define LUG_TEAM_CHARGE_H
+
+#include "core/json.h"
+
+JsonObject *lug_charge_update(JsonObject *charges, const char *boot, JsonObject *meters);
+gint64 lug_charge_total(JsonObject *charges, const char *team);
+double lug_charge_cost(gint64 core_ms, double price);
+
+#endif
--- /dev/null
+++ b/liblug/team/sync.h
@@ -0,0 +1,26 @@
+#ifndef LUG_TEAM_SYNC_H
+#define LUG_TEAM_SYNC_H
+
+#include "platform/store.h"
+#include "team/limits.h"
+#include "wire/link.h"
+
+/**
+ * struct lug_sync - keeps the newest table of weights and limits in force
+ *
+ * Versions only rise. They come from the table service and from any peer whose
+ * envelope tells a higher version.
+ */
+struct lug_sync;
+
+struct lug_sync *lug_sync_new(struct lug_ctx *ctx, struct lug_store *store, struct lug_link *link,
+			      void (*changed)(void *data), void *data);
+void lug_sync_free(struct lug_sync *sync);
+const struct lug_limits *lug_sync_limits(const struct lug_sync *sync);
+gint64 lug_sync_row_version(const struct lug_sync *sync);
+void lug_sync_tick(struct lug_sync *sync, gint64 now_us);
+void lug_sync_read(struct lug_sync *sync);
+gboolean lug_sync_envelope(struct lug_sync *sync, const struct lug_route *route,
+			   const Lug__Envelope *env);
+
+#endif
--- /dev/null
+++ b/liblug/timeline/timeline.h
@@ -0,0 +1,74 @@
+#ifndef LUG_TIMELINE_TIMELINE_H
+#define LUG_TIMELINE_TIMELINE_H
+
+#include <glib.h>
+
+#include "core/hlc.h"
+
+#define LUG_EVENTS(X)                             \
+	X(PROCESS_START, "process_start")         \
+	X(PROCESS_STOP, "process_stop")           \
+	X(DRAIN, "drain")                         \
+	X(REQUEST_ADMITTED, "request_admitted")   \
+	X(REQUEST_SENT, "request_sent")           \
+	X(REQUEST_RETRIED, "request_retried")     \
+	X(REQUEST_SHED, "request_shed")           \
+	X(REQUEST_DONE, "request_done")           \
+	X(JOB_ACCEPTED, "job_accepted")           \
+	X(JOB_DONE, "job_done")                   \
+	X(JOB_CANCELLED, "job_cancelled")         \
+	X(TASK_CLAIMED, "task_claimed")           \
+	X(TASK_STARTED, "task_started")           \
+	X(TASK_REFUSED, "task_refused")           \
+	X(TASK_THROTTLED, "task_throttled")       \
+	X(TASK_CHECKPOINTED, "task_checkpointed") \
+	X(TASK_EVICTED, "task_evicted")           \
+	X(TASK_FINISHED, "task_finished")         \
+	X(TASK_LOST, "task_lost")                 \
+	X(LEASE_TAKEN, "lease_taken")             \
+	X(LEASE_LOST, "lease_lost")               \
+	X(LEASE_LAPSED, "lease_lapsed")           \
+	X(PEER_SEEN, "peer_seen")                 \
+	X(PEER_LOST, "peer_lost")                 \
+	X(STORE_DOWN, "store_down")               \
+	X(STORE_BACK, "store_back")               \
+	X(VERSION_IN_FORCE, "version_in_force")   \
+	X(SETTINGS_RELOADED, "settings_reloaded")
+
+#define X(id, name) LUG_EV_##id,
+enum lug_event_type { LUG_EVENTS(X) LUG_EVENT_COUNT };
+#undef X
+
+#define LUG_SUBJECT_MAX 72
+#define LUG_DETAIL_MAX 96
+
+/**
+ * struct lug_event - one typed event
+ * @stamp: hybrid logical clock stamp, orders events of all processes
+ * @type: what happened
+ * @subject: job task, request id, peer or lease concerned
+ * @detail: further words, may be empty
+ */
+struct lug_event {
+	guint64 stamp;
+	enum lug_event_type type;
+	char subject[LUG_SUBJECT_MAX];
+	char detail[LUG_DETAIL_MAX];
+};
+
+/**
+ * struct lug_timeline - bounded ring of the latest events of one process
+ */
+struct lug_timeline;
+
+struct lug_timeline *lug_timeline_new(struct lug_hlc *hlc, gsize capacity);
+void lug_timeline_free(struct lug_timeline *timeline);
+void lug_timeline_add(struct lug_timeline *timeline, enum lug_event_type type, const char *subject,
+		      const char *fmt, ...) G_GNUC_PRINTF(4, 5);
+typedef void (*lug_event_fn)(const struct lug_event *event, void *data);
+void lug_timeline_each(const struct lug_timeline *timeline, guint64 since, const char *match,
+		       lug_event_fn fn, void *data);
+guint64 lug_timeline_dropped(const struct lug_timeline *timeline);
+const char *lug_event_name(enum lug_event_type type);
+
+#endif
--- /dev/null
+++ b/liblug/wire/link.c
@@ -0,0 +1,459 @@
+#include "wire/link.h"
+
+#include <errno.h>
+#include <string.h>
+#include <zmq.h>
+
+#define RECV_BATCH 64
+#define SEND_HWM_MESSAGES 4096
+#define RECONNECT_MIN_MS 100
+#define RECONNECT_MAX_MS 2000
+#define CLOSE_LINGER_MS 300
+#define CONNECT_TIMEOUT_MS 2000
+
+struct socket_source {
+	GSource source;
+	void *socket;
+	gpointer tag;
+};
+
+struct lug_link {
+	struct lug_ctx *ctx;
+	void *zmq;
+	void *router;
+	GSource *router_source;
+	lug_link_fn fn;
+	void *data;
+	guint64 table_version;
+	GHashTable *dials;
+	guint64 dial_count;
+};
+
+struct lug_dial {
+	guint64 number;
+	struct lug_link *link;
+	void *owner;
+	char *address;
+	void *socket;
+	GSource *source;
+	guint32 generation;
+};
+
+static gboolean socket_readable(void *socket)
+{
+	int events = 0;
+	size_t len = sizeof(events);
+
+	if (zmq_getsockopt(socket, ZMQ_EVENTS, &events, &len))
+		return FALSE;
+	return (events & ZMQ_POLLIN) != 0;
+}
+
+static gboolean source_prepare(GSource *source, gint *timeout)
+{
+	*timeout = -1;
+	return socket_readable(((struct socket_source *)source)->socket);
+}
+
+static gboolean source_check(GSource *source)
+{
+	return socket_readable(((struct socket_source *)source)->socket);
+}
+
+static void account(struct lug_ctx *ctx, const Lug__Envelope *env, gsize len, gboolean sent)
+{
+	if (lug_frame_carried(env)) {
+		if (sent)
+			lug_count(ctx, CARRIED_TX, len);
+		else
+			lug_count(ctx, CARRIED_RX, len);
+		return;
+	}
+	if (sent) {
+		lug_count(ctx, CONTROL_TX, len);
+		lug_count(ctx, CONTROL_TX_MSGS, 1);
+		return;
+	}
+	lug_count(ctx, CONTROL_RX, len);
+	lug_count(ctx, CONTROL_RX_MSGS, 1);
+}
+
+static void deliver(struct lug_link *link, const struct lug_route *route, const void *data,
+		    gsize len)
+{
+	struct lug_arena *arena = lug_arena_new();
+	Lug__Envelope *env = lug_frame_decode(data, len, arena, NULL);
+
+	if (!env) {
+		lug_count(link->ctx, MALFORMED, 1);
+	} else {
+		account(link->ctx, env, len, FALSE);
+		lug_hlc_observe(&link->ctx->hlc, env->hlc, g_get_real_time());
+		link->fn(link->data, route, env);
+	}
+	lug_arena_free(arena);
+}
+
+static gboolean drop_further_parts(void *socket)
+{
+	int more = 0;
+	size_t len = sizeof(more);
+	gboolean dropped = FALSE;
+
+	while (!zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &len) && more) {
+		zmq_msg_t part;
+
+		zmq_msg_init(&part);
+		zmq_msg_recv(&part, socket, ZMQ_DONTWAIT);
+		zmq_msg_close(&part);
+		dropped = TRUE;
+	}
+	return dropped;
+}
+
+static gboolean receive_identity(struct lug_link *link, struct lug_route *route)
+{
+	zmq_msg_t part;
+
+	zmq_msg_init(&part);
+	if (zmq_msg_recv(&part, link->router, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&part);
+		return FALSE;
+	}
+	route->dial = 0;
+	route->len = MIN(zmq_msg_size(&part), sizeof(route->id));
+	memcpy(route->id, zmq_msg_data(&part), route->len);
+	zmq_msg_close(&part);
+	return TRUE;
+}
+
+static gboolean receive_one(struct lug_link *link, void *socket, struct lug_route *route)
+{
+	zmq_msg_t part;
+
+	if (!route->dial && !receive_identity(link, route))
+		return FALSE;
+	zmq_msg_init(&part);
+	if (zmq_msg_recv(&part, socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&part);
+		return FALSE;
+	}
+	if (drop_further_parts(socket))
+		lug_count(link->ctx, MALFORMED, 1);
+	else
+		deliver(link, route, zmq_msg_data(&part), zmq_msg_size(&part));
+	zmq_msg_close(&part);
+	return TRUE;
+}
+
+static gboolean router_dispatch(GSource *source, GSourceFunc fn, gpointer data)
+{
+	struct lug_link *link = ((struct socket_source *)source)->tag;
+	struct lug_route route = {0};
+
+	(void)fn;
+	(void)data;
+	for (int i = 0; i < RECV_BATCH; i++)
+		if (!receive_one(link, link->router, &route))
+			break;
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean dial_dispatch(GSource *source, GSourceFunc fn, gpointer data)
+{
+	struct lug_dial *dial = ((struct socket_source *)source)->tag;
+	struct lug_route route;
+
+	(void)fn;
+	(void)data;
+	g_source_ref(source);
+	for (int i = 0; i < RECV_BATCH && !g_source_is_destroyed(source); i++) {
+		lug_dial_route(dial, &route);
+		if (!receive_one(dial->link, dial->socket, &route))
+			break;
+	}
+	g_source_unref(source);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs router_funcs = {
+	.prepare = source_prepare, .check = source_check, .dispatch = router_dispatch};
+static GSourceFuncs dial_funcs = {
+	.prepare = source_prepare, .check = source_check, .dispatch = dial_dispatch};
+
+static GSource *attach(void *socket, GSourceFuncs *funcs, gpointer tag)
+{
+	GSource *source = g_source_new(funcs, sizeof(struct socket_source));
+	struct socket_source *own = (struct socket_source *)source;
+	int fd = -1;
+	size_t len = sizeof(fd);
+
+	own->socket = socket;
+	own->tag = tag;
+	zmq_getsockopt(socket, ZMQ_FD, &fd, &len);
+	g_source_add_unix_fd(source, fd, G_IO_IN);
+	g_source_attach(source, NULL);
+	return source;
+}
+
+static void detach(GSource **source)
+{
+	if (!*source)
+		return;
+	g_source_destroy(*source);
+	g_source_unref(*source);
+	*source = NULL;
+}
+
+static void set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void set_bounds(const struct lug_link *link, void *socket)
+{
+	int64_t max = link->ctx->settings->body_bytes + LUG_FRAME_OVERHEAD_MAX;
+
+	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+	set_int(socket, ZMQ_SNDHWM, SEND_HWM_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, SEND_HWM_MESSAGES);
+	set_int(socket, ZMQ_LINGER, CLOSE_LINGER_MS);
+}
+
+/**
+ * lug_link_new - bind the inner address and start receiving
+ * @ctx: context
+ * @fn: called for each valid envelope
+ * @data: passed to @fn
+ * @err: names the address when it can't be bound
+ *
+ * Return: the link, or NULL with LUG_BAD_INPUT.
+ */
+struct lug_link *lug_link_new(struct lug_ctx *ctx, lug_link_fn fn, void *data,
+			      struct lug_error *err)
+{
+	struct lug_link *link = g_new0(struct lug_link, 1);
+	char *endpoint = g_strdup_printf("tcp://%s", ctx->settings->inner);
+
+	link->ctx = ctx;
+	link->fn = fn;
+	link->data = data;
+	link->zmq = zmq_ctx_new();
+	link->dials = g_hash_table_new(g_int64_hash, g_int64_equal);
+	link->router = zmq_socket(link->zmq, ZMQ_ROUTER);
+	set_bounds(link, link->router);
+	set_int(link->router, ZMQ_ROUTER_MANDATORY, 1);
+	set_int(link->router, ZMQ_ROUTER_HANDOVER, 1);
+	if (zmq_bind(link->router, endpoint)) {
+		lug_fail(err, LUG_BAD_INPUT, "name a free address of this instance in \"inner\"",
+			 "inner: %s can't be bound: %s", ctx->settings->inner,
+			 zmq_strerror(zmq_errno()));
+		g_free(endpoint);
+		lug_link_free(link);
+		return NULL;
+	}
+	g_free(endpoint);
+	link->router_source = attach(link->router, &router_funcs, link);
+	return link;
+}
+
+/**
+ * lug_link_free - close all connections
+ * @link: link, may be NULL; its dials must be freed before
+ */
+void lug_link_free(struct lug_link *link)
+{
+	if (!link)
+		return;
+	detach(&link->router_source);
+	if (link->router)
+		zmq_close(link->router);
+	zmq_ctx_term(link->zmq);
+	g_hash_table_unref(link->dials);
+	g_free(link);
+}
+
+/**
+ * lug_link_set_table_version - version of the weights and limits told to peers
+ * @link: link
+ * @version: version in force here
+ */
+void lug_link_set_table_version(struct lug_link *link, guint64 version)
+{
+	link->table_version = version;
+}
+
+static void stamp_envelope(struct lug_link *link, Lug__Envelope *env)
+{
+	env->has_proto = 1;
+	env->proto = LUG_PROTO_VERSION;
+	env->from = link->ctx->settings->name;
+	env->has_incarnation = 1;
+	env->incarnation = link->ctx->incarnation;
+	env->has_hlc = 1;
+	env->hlc = lug_hlc_now(&link->ctx->hlc, g_get_real_time());
+	env->has_table_version = 1;
+	env->table_version = link->table_version;
+}
+
+/**
+ * lug_link_dial - outgoing connection that a route names
+ * @link: link
+ * @route: route
+ *
+ * Return: the connection, or NULL when the peer dialled or the connection is gone.
+ */
+struct lug_dial *lug_link_dial(const struct lug_link *link, const struct lug_route *route)
+{
+	return route->dial ? g_hash_table_lookup(link->dials, &route->dial) : NULL;
+}
+
+/**
+ * lug_link_send - send one envelope without waiting
+ * @link: link
+ * @route: destination
+ * @env: envelope with its body set; the head is filled in here
+ *
+ * Return: FALSE when the envelope was certainly not sent.
+ */
+gboolean lug_link_send(struct lug_link *link, const struct lug_route *route, Lug__Envelope *env)
+{
+	struct lug_dial *dial = lug_link_dial(link, route);
+	void *socket = dial ? dial->socket : link->router;
+	zmq_msg_t part;
+	gsize len;
+
+	if (route->dial && !dial)
+		return FALSE;
+	stamp_envelope(link, env);
+	if (!route->dial && zmq_send(socket, route->id, route->len, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
+		return FALSE;
+	len = lug__envelope__get_packed_size(env);
+	zmq_msg_init_size(&part, len);
+	lug__envelope__pack(env, zmq_msg_data(&part));
+	if (zmq_msg_send(&part, socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&part);
+		return FALSE;
+	}
+	account(link->ctx, env, len, TRUE);
+	return TRUE;
+}
+
+static void dial_open(struct lug_dial *dial)
+{
+	const struct lug_settings *settings = dial->link->ctx->settings;
+	char identity[LUG_ROUTE_ID_MAX];
+	char *endpoint;
+
+	dial->generation++;
+	dial->socket = zmq_socket(dial->link->zmq, ZMQ_DEALER);
+	set_bounds(dial->link, dial->socket);
+	set_int(dial->socket, ZMQ_IMMEDIATE, 1);
+	set_int(dial->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+	set_int(dial->socket, ZMQ_HANDSHAKE_IVL, CONNECT_TIMEOUT_MS);
+	set_int(dial->socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
+	set_int(dial->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	g_snprintf(identity, sizeof(identity), "%s#%" G_GINT64_MODIFIER "x#%u", settings->name,
+		   dial->link->ctx->incarnation, dial->generation);
+	zmq_setsockopt(dial->socket, ZMQ_ROUTING_ID, identity, strlen(identity));
+	if (settings->source)
+		endpoint = g_strdup_printf("tcp://%s:0;%s", settings->source, dial->address);
+	else
+		endpoint = g_strdup_printf("tcp://%s", dial->address);
+	zmq_connect(dial->socket, endpoint);
+	g_free(endpoint);
+	dial->source = attach(dial->socket, &dial_funcs, dial);
+}
+
+static void dial_close(struct lug_dial *dial)
+{
+	detach(&dial->source);
+	zmq_close(dial->socket);
+	dial->socket = NULL;
+}
+
+/**
+ * lug_dial_new - connect to an address
+ * @link: link
+ * @address: IP:PORT of the peer
+ * @owner: returned by lug_dial_owner()
+ *
+ * The connection is made and remade in the background.
+ */
+struct lug_dial *lug_dial_new(struct lug_link *link, const char *address, void *owner)
+{
+	struct lug_dial *dial = g_new0(struct lug_dial, 1);
+
+	dial->link = link;
+	dial->number = ++link->dial_count;
+	g_hash_table_insert(link->dials, &dial->number, dial);
+	dial->owner = owner;
+	dial->address = g_strdup(address);
+	dial_open(dial);
+	return dial;
+}
+
+/**
+ * lug_dial_free - close a connection
+ * @dial: connection, may be NULL
+ */
+void lug_dial_free(struct lug_dial *dial)
+{
+	if (!dial)
+		return;
+	g_hash_table_remove(dial->link->dials, &dial->number);
+	dial_close(dial);
+	g_free(dial->address);
+	g_free(dial);
+}
+
+/**
+ * lug_dial_again - replace a silent connection by a new one
+ * @dial: connection
+ *
+ * The new connection has a new source port and a higher generation.
+ */
+void lug_dial_again(struct lug_dial *dial)
+{
+	lug_count(dial->link->ctx, REDIALS, 1);
+	dial_close(dial);
+	dial_open(dial);
+}
+
+/**
+ * lug_dial_generation - number of times the connection was opened
+ * @dial: connection
+ */
+guint32 lug_dial_generation(const struct lug_dial *dial)
+{
+	return dial->generation;
+}
+
+/**
+ * lug_dial_address - address that was dialled
+ * @dial: connection
+ */
+const char *lug_dial_address(const struct lug_dial *dial)
+{
+	return dial->address;
+}
+
+/**
+ * lug_dial_owner - the owner given to lug_dial_new()
+ * @dial: connection
+ */
+void *lug_dial_owner(const struct lug_dial *dial)
+{
+	return dial->owner;
+}
+
+/**
+ * lug_dial_route - route that sends through a connection
+ * @dial: connection
+ * @route: filled in
+ */
+void lug_dial_route(struct lug_dial *dial, struct lug_route *route)
+{
+	memset(route, 0, sizeof(*route));
+	route->dial = dial->number;
+}
--- /dev/null
+++ b/tests/rig/deploy.py
@@ -0,0 +1,319 @@
+"""Starts and stops the processes of one example deployment on loopback addresses."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+import yaml
+
+OPERATOR_TOKEN = "operator-secret"
+UNITS = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30, "TB": 1 << 40}
+READY_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 30
+
+
+def size_bytes(text):
+    """Bytes of a size such as 60GB."""
+    match = re.fullmatch(r"([0-9.]+)([KMGT]?B)", text)
+    return int(float(match.group(1)) * UNITS[match.group(2)])
+
+
+def http(method, url, body=None, headers=None, timeout=5):
+    """One HTTP call; returns status, headers and body, also for 4xx and 5xx."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read()
+
+
+def wait_for(condition, timeout_s=READY_TIMEOUT_S, what="condition", step_s=0.05):
+    """Waits until condition() is true and returns its value."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        try:
+            value = condition()
+        except (OSError, ValueError, KeyError):
+            value = None
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"no {what} within {timeout_s} s")
+        time.sleep(step_s)
+
+
+def table_text(rows):
+    """Text of a table of weights and limits."""
+    lines = ["team weight cores memory accelerators price"]
+    for row in rows:
+        lines.append(f"{row['team']} {row['weight']} {row['cores']} {row['memory']} "
+                     f"{row['accelerators']} {row['price']}")
+    return "\n".join(lines) + "\n"
+
+
+class Deployment:
+    """Processes of one deployment. Addresses are 127.NET.x.y; each process has its own."""
+
+    def __init__(self, example, run_dir, build="build", net=30, seed=1, proxied=False,
+                 overrides=None, workers=None):
+        with open(example, encoding="utf-8") as file:
+            self.spec = yaml.safe_load(file)
+        self.spec.update(overrides or {})
+        if workers:
+            self.spec["workers"]["count"] = workers
+        self.dir = os.path.abspath(run_dir)
+        self.build = os.path.abspath(build)
+        self.net = net
+        self.seed = seed
+        self.proxied = proxied
+        self.processes = {}
+        self.commands = {}
+        self.exit_codes = {}
+        self.zones = self.spec["zones"]
+        os.makedirs(self.dir, exist_ok=True)
+        self.entries = [f"entry-{i + 1}" for i in range(self.spec["entries"])]
+        self.workers = [f"worker-{i + 1:02d}" for i in range(self.spec["workers"]["count"])]
+
+    # Addresses: 127.NET.1.x entries, .2.x agents, .3.x workers, .4.1 platform. With a proxy
+    # the peers are told 127.NET+1.x.y, where the proxy listens in their place.
+    def ip(self, name):
+        kind, number = name.split("-")
+        block = {"entry": 1, "agent": 2, "worker": 3, "platform": 4}[kind]
+        return f"127.{self.net}.{block}.{int(number)}"
+
+    def via(self, name):
+        ip = self.ip(name)
+        if not self.proxied:
+            return ip
+        return ip.replace(f"127.{self.net}.", f"127.{self.net + 1}.", 1)
+
+    def zone(self, name):
+        number = int(name.split("-")[1])
+        return self.zones[(number - 1) % len(self.zones)]
+
+    def agent(self, worker):
+        return worker.replace("worker", "agent")
+
+    def entry_url(self, index=0):
+        return f"http://{self.ip(self.entries[index])}:8080"
+
+    def agent_url(self, worker):
+        return f"http://{self.ip(self.agent(worker))}:8080"
+
+    def worker_url(self, worker):
+        return f"http://{self.ip(worker)}:8100"
+
+    def platform_url(self):
+        return f"http://{self.ip('platform-1')}:9000"
+
+    def tokens(self):
+        tokens = [{"token": OPERATOR_TOKEN, "role": "operator"}]
+        for row in self.spec["weights"]:
+            tokens.append({"token": f"{row['team']}-secret", "team": row["team"]})
+        return tokens
+
+    def _common(self, name):
+        return {
+            "name": name, "region": self.spec["region"], "zone": self.zone(name),
+            "platform": {"url": f"http://{self.via('platform-1')}:9000"},
+            "lease": dict(self.spec["lease"]), "beat": self.spec["beat"],
+        }
+
+    def entry_settings(self, name):
+        settings = self._common(name)
+        settings.update({
+            "daemon": "entry", "http": f"{self.ip(name)}:8080", "inner": f"{self.ip(name)}:7000",
+            "advertise": f"{self.via(name)}:7000", "source": self.ip(name),
+            "tokens": self.tokens(), "drain": "10s",
+        })
+        return settings
+
+    def agent_settings(self, worker):
+        name = self.agent(worker)
+        service = self.spec["service"]
+        settings = self._common(worker)
+        settings.update({
+            "daemon": "agent", "rack": self.rack(worker),
+            "http": f"{self.ip(name)}:8080", "inner": f"{self.ip(name)}:7000",
+            "advertise": f"{self.via(name)}:7000", "source": self.ip(name),
+            "entries": [f"{self.via(entry)}:7000" for entry in self.entries],
+            "service": {"name": service["name"], "url": f"http://{self.ip(worker)}:8101",
+                        "slots": service["slots"], "connections": service["connections"],
+                        "cores": service["cores"], "memory": service["memory"],
+                        "target": service["target"]},
+            "worker": {"url": f"http://{self.ip(worker)}:8100"}, "drain": "15s",
+        })
+        return settings
+
+    def rack(self, worker):
+        return f"rack-{(int(worker.split('-')[1]) - 1) // self.spec['workers']['rack_size'] + 1}"
+
+    def worker_config(self, worker):
+        sizes = self.spec["workers"]
+        service = self.spec["service"]
+        index = int(worker.split("-")[1]) - 1
+        accelerators = sizes["accelerators"]
+        return {
+            "name": worker, "seed": self.seed, "millicores": sizes["cores"] * 1000,
+            "memory_bytes": size_bytes(sizes["memory"]),
+            "accelerators": accelerators[index % len(accelerators)],
+            "service_millicores": service["cores"] * 1000, "base_ms": service["base_ms"],
+            "slots": service["slots"], "listen": f"{self.ip(worker)}:8100",
+            "backend": f"{self.ip(worker)}:8101", "platform": f"http://{self.via('platform-1')}:9000",
+            "history": os.path.join(self.dir, "history.jsonl"),
+        }
+
+    def _write_settings(self, name, settings):
+        path = os.path.join(self.dir, f"{name}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            yaml.safe_dump(settings, file, sort_keys=False)
+        return path
+
+    def command(self, name):
+        """Command line of a process, writing its settings first."""
+        kind = name.split("-")[0]
+        if kind == "platform":
+            return [f"{self.build}/standin-platform", self.ip(name), "9000"]
+        if kind == "worker":
+            return [f"{self.build}/standin-worker", json.dumps(self.worker_config(name))]
+        if kind == "entry":
+            path = self._write_settings(name, self.entry_settings(name))
+            return [f"{self.build}/catkinlug-entryd", path]
+        path = self._write_settings(name, self.agent_settings(name.replace("agent", "worker")))
+        return [f"{self.build}/catkinlug-agentd", path]
+
+    def start(self, name):
+        """Starts one process by name: platform-1, worker-01, agent-01, entry-1."""
+        command = self.command(name)
+        with open(os.path.join(self.dir, f"{name}.log"), "ab") as log:
+            process = subprocess.Popen(command, stdout=log, stderr=log,
+                                       stdin=subprocess.DEVNULL)
+        self.processes[name] = process
+        return process
+
+    def start_proxy(self):
+        rules = {"listeners": [], "zones": {}, "delay_ms": self.spec["link_ms"]}
+        names = self.entries + [self.agent(w) for w in self.workers]
+        for name in names:
+            rules["zones"][self.ip(name)] = self.zone(name)
+            rules["listeners"].append({"name": name, "listen": f"{self.via(name)}:7000",
+                                       "target": f"{self.ip(name)}:7000", "zone": self.zone(name)})
+        rules["listeners"].append({"name": "platform-1", "listen": f"{self.via('platform-1')}:9000",
+                                   "target": f"{self.ip('platform-1')}:9000", "zone": ""})
+        path = os.path.join(self.dir, "proxy.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(rules, file)
+        with open(os.path.join(self.dir, "proxy.log"), "ab") as log:
+            self.processes["proxy-1"] = subprocess.Popen(
+                [f"{self.build}/standin-proxy", path, f"127.{self.net}.5.1:9100"],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        wait_for(lambda: http("GET", f"http://127.{self.net}.5.1:9100/")[0] == 200, what="proxy")
+
+    def proxy(self, **rule):
+        """Sets a rule of the fault proxy."""
+        return http("POST", f"http://127.{self.net}.5.1:9100/", json.dumps(rule))
+
+    def platform(self, **control):
+        """Sets faults of the platform and returns its counts."""
+        status, _, body = http("POST", f"{self.platform_url()}/control", json.dumps(control))
+        assert status == 200
+        return json.loads(body)
+
+    def start_all(self, table=True):
+        if self.proxied:
+            self.start_proxy()
+        self.start("platform-1")
+        wait_for(lambda: self.platform(), what="platform")
+        for worker in self.workers:
+            self.start(worker)
+        for entry in self.entries:
+            self.start(entry)
+        if table:
+            self.put_table()
+        for worker in self.workers:
+            self.start(self.agent(worker))
+        self.wait_ready()
+
+    def put_table(self):
+        """Writes the first table once an entry answers."""
+        headers = {"If-Match": "0", "X-Operator": "setup"}
+        wait_for(lambda: self.call("PUT", "/table", table_text(self.spec["weights"]),
+                                   headers)[0] in (200, 409), what="first table")
+
+    def wait_ready(self):
+        def ready():
+            for index in range(len(self.entries)):
+                status, _, body = self.call("GET", "/status", entry=index)
+                state = json.loads(body)
+                owned = all(queue["owner"] for queue in state["queues"]) and state["queues"]
+                if status != 200 or not owned or state["table"]["in_force"] < len(self.workers):
+                    return False
+                if any(not worker["lease_epoch"] for worker in state["workers"]):
+                    return False
+            return True
+        wait_for(ready, what="ready deployment")
+
+    def call(self, method, path, body=None, headers=None, entry=0, token=OPERATOR_TOKEN,
+             timeout=10):
+        """HTTP call to an entry."""
+        all_headers = {"Authorization": f"Bearer {token}"}
+        all_headers.update(headers or {})
+        return http(method, self.entry_url(entry) + path, body, all_headers, timeout)
+
+    def get(self, path, **kwargs):
+        status, _, body = self.call("GET", path, **kwargs)
+        assert status == 200, (status, body)
+        return json.loads(body)
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name, timeout_s=STOP_TIMEOUT_S):
+        """Asks a process to stop and returns its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        try:
+            code = process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            code = "killed"
+        self.exit_codes[name] = code
+        return code
+
+    def stop_all(self):
+        """Stops the daemons first, then the stand-ins; returns daemons with a bad exit."""
+        daemons = [n for n in self.processes if n.split("-")[0] in ("entry", "agent")]
+        for name in daemons:
+            process = self.processes[name]
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        bad = {}
+        for name in daemons:
+            code = self.stop(name)
+            if code != 0:
+                bad[name] = code
+        for name in list(self.processes):
+            self.kill(name)
+        return bad
+
+    def history(self):
+        """What the workers recorded."""
+        path = os.path.join(self.dir, "history.jsonl")
+        if not os.path.exists(path):
+            return []
+        with open(path, encoding="utf-8") as file:
+            return [json.loads(line) for line in file if line.endswith("}\n")]
