--- /dev/null
+++ b/tests/standin/platform.c
@@ -0,0 +1,319 @@
+/*
+ * Stand-in for the platform: a transactional table service and an object store
+ * over HTTP, in memory, with faults set through POST /control.
+ */
+#include <libsoup/soup.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/json.h"
+
+struct row {
+	char *data;
+	gint64 version;
+};
+
+struct platform {
+	GTree *rows;
+	GHashTable *objects;
+	gint64 revision;
+	gint64 delay_ms;
+	gint64 outage;
+	gint64 lose_percent;
+	gint64 rate;
+	double tokens;
+	gint64 refilled_us;
+	gint64 reads;
+	gint64 writes;
+	gint64 peak;
+	gint64 window_s;
+	gint64 window_calls;
+	GRand *rng;
+};
+
+struct delayed {
+	SoupServerMessage *msg;
+	SoupServer *server;
+};
+
+static void row_free(gpointer data)
+{
+	struct row *row = data;
+
+	g_free(row->data);
+	g_free(row);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+static char *full_key(const char *table, const char *key)
+{
+	return g_strconcat(table, "/", key, NULL);
+}
+
+static void answer_json(SoupServerMessage *msg, guint http, JsonObject *obj)
+{
+	char *text = lug_json_text(obj);
+
+	soup_server_message_set_status(msg, http, NULL);
+	soup_server_message_set_response(msg, "application/json", SOUP_MEMORY_TAKE, text,
+					 strlen(text));
+	json_object_unref(obj);
+}
+
+static JsonArray *failed_checks(struct platform *p, JsonArray *checks)
+{
+	JsonArray *failed = json_array_new();
+
+	for (guint i = 0; checks && i < json_array_get_length(checks); i++) {
+		JsonObject *check = json_array_get_object_element(checks, i);
+		char *key = full_key(lug_json_str(check, "t", ""), lug_json_str(check, "k", ""));
+		struct row *row = g_tree_lookup(p->rows, key);
+
+		if ((row ? row->version : 0) != lug_json_int(check, "v", 0))
+			json_array_add_int_element(failed, i);
+		g_free(key);
+	}
+	return failed;
+}
+
+static void apply_puts(struct platform *p, JsonArray *puts)
+{
+	p->revision++;
+	for (guint i = 0; puts && i < json_array_get_length(puts); i++) {
+		JsonObject *put = json_array_get_object_element(puts, i);
+		char *key = full_key(lug_json_str(put, "t", ""), lug_json_str(put, "k", ""));
+		const char *data = lug_json_str(put, "d", NULL);
+		struct row *row;
+
+		if (!data) {
+			g_tree_remove(p->rows, key);
+			g_free(key);
+			continue;
+		}
+		row = g_new0(struct row, 1);
+		row->data = g_strdup(data);
+		row->version = p->revision;
+		g_tree_replace(p->rows, key, row);
+	}
+}
+
+static void serve_txn(struct platform *p, SoupServerMessage *msg)
+{
+	SoupMessageBody *in = soup_server_message_get_request_body(msg);
+	JsonObject *txn = lug_json_parse(in->data, (gssize)in->length, NULL);
+	JsonObject *out = json_object_new();
+	JsonArray *failed;
+
+	p->writes++;
+	if (!txn) {
+		answer_json(msg, 400, out);
+		return;
+	}
+	failed = failed_checks(p, lug_json_arr(txn, "checks"));
+	if (json_array_get_length(failed)) {
+		json_object_set_array_member(out, "failed", failed);
+		answer_json(msg, 409, out);
+	} else {
+		apply_puts(p, lug_json_arr(txn, "puts"));
+		json_object_set_int_member(out, "version", p->revision);
+		json_array_unref(failed);
+		answer_json(msg, 200, out);
+	}
+	json_object_unref(txn);
+}
+
+static const char *param(GHashTable *query, const char *name, const char *fallback)
+{
+	const char *value = query ? g_hash_table_lookup(query, name) : NULL;
+
+	return value ? value : fallback;
+}
+
+static void serve_scan(struct platform *p, SoupServerMessage *msg, GHashTable *query)
+{
+	const char *table = param(query, "t", "");
+	char *prefix = full_key(table, param(query, "prefix", ""));
+	char *after = full_key(table, param(query, "after", ""));
+	glong limit = strtol(param(query, "limit", "100"), NULL, 10);
+	GTreeNode *node = g_tree_lower_bound(p->rows, prefix);
+	JsonObject *out = json_object_new();
+	JsonArray *rows = json_array_new();
+	gboolean more = FALSE;
+
+	p->reads++;
+	for (; node && g_str_has_prefix(g_tree_node_key(node), prefix);
+	     node = g_tree_node_next(node)) {
+		const char *key = g_tree_node_key(node);
+		struct row *row = g_tree_node_value(node);
+		JsonObject *item;
+
+		if (strcmp(key, after) <= 0)
+			continue;
+		if ((glong)json_array_get_length(rows) >= limit) {
+			more = TRUE;
+			break;
+		}
+		item = json_object_new();
+		json_object_set_string_member(item, "k", key + strlen(table) + 1);
+		json_object_set_int_member(item, "v", row->version);
+		json_object_set_string_member(item, "d", row->data);
+		json_array_add_object_element(rows, item);
+	}
+	json_object_set_array_member(out, "rows", rows);
+	json_object_set_boolean_member(out, "more", more);
+	answer_json(msg, 200, out);
+	g_free(prefix);
+	g_free(after);
+}
+
+static void serve_object(struct platform *p, SoupServerMessage *msg, const char *name)
+{
+	SoupMessageBody *in = soup_server_message_get_request_body(msg);
+	GBytes *bytes;
+
+	if (!strcmp(soup_server_message_get_method(msg), "PUT")) {
+		p->writes++;
+		g_hash_table_replace(p->objects, g_strdup(name),
+				     g_bytes_new(in->data, (gsize)in->length));
+		answer_json(msg, 200, json_object_new());
+		return;
+	}
+	p->reads++;
+	bytes = g_hash_table_lookup(p->objects, name);
+	if (!bytes) {
+		answer_json(msg, 404, json_object_new());
+		return;
+	}
+	soup_server_message_set_status(msg, 200, NULL);
+	soup_server_message_set_response(msg, "application/octet-stream", SOUP_MEMORY_COPY,
+					 g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes));
+}
+
+static void serve_control(struct platform *p, SoupServerMessage *msg)
+{
+	SoupMessageBody *in = soup_server_message_get_request_body(msg);
+	JsonObject *set = lug_json_parse(in->data, (gssize)in->length, NULL);
+	JsonObject *out = json_object_new();
+
+	if (set) {
+		p->delay_ms = lug_json_int(set, "delay_ms", p->delay_ms);
+		p->outage = lug_json_int(set, "outage", p->outage);
+		p->lose_percent = lug_json_int(set, "lose_percent", p->lose_percent);
+		p->rate = lug_json_int(set, "rate", p->rate);
+		json_object_unref(set);
+	}
+	json_object_set_int_member(out, "reads", p->reads);
+	json_object_set_int_member(out, "writes", p->writes);
+	json_object_set_int_member(out, "peak_calls_per_s", p->peak);
+	json_object_set_int_member(out, "revision", p->revision);
+	json_object_set_int_member(out, "rows", g_tree_nnodes(p->rows));
+	answer_json(msg, 200, out);
+}
+
+static gboolean over_rate(struct platform *p)
+{
+	gint64 now = g_get_monotonic_time();
+
+	if (now / G_USEC_PER_SEC != p->window_s) {
+		p->window_s = now / G_USEC_PER_SEC;
+		p->window_calls = 0;
+	}
+	p->window_calls++;
+	p->peak = MAX(p->peak, p->window_calls);
+	if (!p->rate)
+		return FALSE;
+	p->tokens += (double)(now - p->refilled_us) * (double)p->rate / G_USEC_PER_SEC;
+	p->tokens = MIN(p->tokens, (double)p->rate);
+	p->refilled_us = now;
+	if (p->tokens < 1)
+		return TRUE;
+	p->tokens -= 1;
+	return FALSE;
+}
+
+static gboolean release(gpointer data)
+{
+	struct delayed *delayed = data;
+
+	soup_server_message_unpause(delayed->msg);
+	g_object_unref(delayed->msg);
+	g_free(delayed);
+	return G_SOURCE_REMOVE;
+}
+
+static void delay_answer(struct platform *p, SoupServerMessage *msg)
+{
+	struct delayed *delayed = g_new0(struct delayed, 1);
+
+	delayed->msg = g_object_ref(msg);
+	soup_server_message_pause(msg);
+	g_timeout_add((guint)p->delay_ms, release, delayed);
+}
+
+static void cut(SoupServerMessage *msg)
+{
+	GSocket *socket = soup_server_message_get_socket(msg);
+
+	if (socket)
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+}
+
+static void serve(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
+		  gpointer data)
+{
+	struct platform *p = data;
+	gboolean lose;
+
+	(void)server;
+	if (!strcmp(path, "/control")) {
+		serve_control(p, msg);
+		return;
+	}
+	if (p->outage || over_rate(p)) {
+		soup_server_message_set_status(msg, 503, NULL);
+		return;
+	}
+	lose = g_rand_int_range(p->rng, 0, 100) < p->lose_percent;
+	if (!strcmp(path, "/v1/txn"))
+		serve_txn(p, msg);
+	else if (!strcmp(path, "/v1/scan"))
+		serve_scan(p, msg, query);
+	else if (g_str_has_prefix(path, "/v1/object/"))
+		serve_object(p, msg, path + strlen("/v1/object/"));
+	else
+		soup_server_message_set_status(msg, 404, NULL);
+	if (lose)
+		cut(msg);
+	else if (p->delay_ms)
+		delay_answer(p, msg);
+}
+
+int main(int argc, char **argv)
+{
+	struct platform p = {.rng = g_rand_new_with_seed(1)};
+	SoupServer *server = soup_server_new(NULL, NULL);
+	GError *why = NULL;
+	GSocketAddress *address;
+
+	if (argc < 3) {
+		g_printerr("usage: standin-platform IP PORT [RATE_PER_S]\n");
+		return 2;
+	}
+	p.rows = g_tree_new_full(compare_keys, NULL, g_free, row_free);
+	p.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  (GDestroyNotify)g_bytes_unref);
+	p.rate = argc > 3 ? strtol(argv[3], NULL, 10) : 0;
+	address = g_inet_socket_address_new_from_string(argv[1], (guint)strtol(argv[2], NULL, 10));
+	soup_server_add_handler(server, NULL, serve, &p, NULL);
+	if (!address || !soup_server_listen(server, address, 0, &why)) {
+		g_printerr("standin-platform: %s\n", why ? why->message : "bad address");
+		return 1;
+	}
+	g_main_loop_run(g_main_loop_new(NULL, FALSE));
+	return 0;
+}
--- /dev/null
+++ b/tests/standin/worker.c
@@ -0,0 +1,749 @@
+/*
+ * Stand-in for a worker of the platform and the backend server on it. Tasks and
+ * requests take simulated time. A seed draws how much each kind of task slows the
+ * service and the service slows it. What ran is written to a history file, which is
+ * what checkers trust.
+ */
+#include <libsoup/soup.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/context.h"
+#include "core/json.h"
+#include "core/list.h"
+#include "platform/http.h"
+
+#define TICK_MS 10
+#define CHECKPOINT_MS 30
+#define BODY_MAX (4 * 1024 * 1024)
+
+enum sim_state {
+	SIM_LOADING,
+	SIM_RUNNING,
+	SIM_CHECKPOINTING,
+	SIM_DONE,
+	SIM_FAILED,
+	SIM_EVICTED,
+};
+
+static const char *const state_names[] = {"running", "running", "running",
+					  "done",    "failed",	"evicted"};
+
+struct sim_task {
+	struct lug_list node;
+	char *job;
+	gint64 index;
+	gint64 attempt;
+	char *queue;
+	char *kind;
+	gint64 millicores;
+	gint64 memory;
+	gint64 accelerators;
+	gboolean urgent;
+	gboolean fails;
+	double work_ms;
+	double done_ms;
+	double used_ms;
+	enum sim_state state;
+	gboolean was_paused;
+	char *checkpoint;
+	guint64 seq;
+};
+
+struct worker {
+	char *name;
+	char *service;
+	FILE *history;
+	GRand *rng;
+	guint32 seed;
+	struct lug_http *platform;
+	struct lug_list tasks;
+	GHashTable *meters;
+	GQueue polls;
+	gint64 millicores;
+	gint64 memory;
+	gint64 accelerators;
+	gint64 service_millicores;
+	gint64 base_ms;
+	gint64 slots;
+	guint64 seq;
+	gint64 epoch;
+	gint64 until_us;
+	gint64 percent;
+	gint64 last_us;
+	gint64 busy;
+	gint64 fail_all;
+	gint64 slow_percent;
+	gint64 over_capacity;
+	char boot[32];
+};
+
+struct poll {
+	SoupServerMessage *msg;
+	guint64 after;
+	gint64 until_us;
+};
+
+static void history(struct worker *w, const char *event, const struct sim_task *task,
+		    const char *extra)
+{
+	if (!w->history)
+		return;
+	fprintf(w->history,
+		"{\"t_us\":%" G_GINT64_FORMAT ",\"worker\":\"%s\",\"event\":\"%s\",\"job\":\"%s\","
+		"\"index\":%" G_GINT64_FORMAT ",\"attempt\":%" G_GINT64_FORMAT
+		",\"progress_ms\":%.0f,\"used_ms\":%.0f%s}\n",
+		lug_now_us(), w->name, event, task ? task->job : "", task ? task->index : 0,
+		task ? task->attempt : 0, task ? task->done_ms : 0, task ? task->used_ms : 0,
+		extra ? extra : "");
+	fflush(w->history);
+}
+
+/* Slowdown of the service by one core of a kind, and of a task by a busy service. */
+static double pair_factor(const struct worker *w, const char *kind, guint salt)
+{
+	GRand *rng = g_rand_new_with_seed(w->seed * 31 + g_str_hash(kind) + salt);
+	double value = g_rand_double(rng);
+
+	g_rand_free(rng);
+	return value;
+}
+
+static void answer(SoupServerMessage *msg, guint http, JsonObject *obj)
+{
+	char *text = lug_json_text(obj);
+
+	soup_server_message_set_status(msg, http, NULL);
+	soup_server_message_set_response(msg, "application/json", SOUP_MEMORY_TAKE, text,
+					 strlen(text));
+	json_object_unref(obj);
+}
+
+static void refuse(SoupServerMessage *msg, guint http, const char *why)
+{
+	JsonObject *obj = json_object_new();
+
+	json_object_set_string_member(obj, "why", why);
+	answer(msg, http, obj);
+}
+
+static gboolean active(const struct sim_task *task)
+{
+	return task->state <= SIM_CHECKPOINTING;
+}
+
+static void task_free(struct sim_task *task)
+{
+	lug_list_remove(&task->node);
+	g_free(task->job);
+	g_free(task->queue);
+	g_free(task->kind);
+	g_free(task->checkpoint);
+	g_free(task);
+}
+
+static struct sim_task *find(struct worker *w, JsonObject *body)
+{
+	LUG_LIST_FOREACH (&w->tasks, pos) {
+		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+
+		if (task->index == lug_json_int(body, "index", -1) &&
+		    task->attempt == lug_json_int(body, "attempt", -1) &&
+		    !strcmp(task->job, lug_json_str(body, "job", "")))
+			return task;
+	}
+	return NULL;
+}
+
+static JsonObject *task_json(const struct sim_task *task)
+{
+	JsonObject *obj = json_object_new();
+
+	json_object_set_string_member(obj, "job", task->job);
+	json_object_set_int_member(obj, "index", task->index);
+	json_object_set_int_member(obj, "attempt", task->attempt);
+	json_object_set_string_member(obj, "queue", task->queue);
+	json_object_set_string_member(obj, "kind", task->kind);
+	json_object_set_int_member(obj, "millicores", task->millicores);
+	json_object_set_int_member(obj, "memory_bytes", task->memory);
+	json_object_set_int_member(obj, "accelerators", task->accelerators);
+	json_object_set_boolean_member(obj, "urgent", task->urgent);
+	json_object_set_string_member(obj, "state", state_names[task->state]);
+	json_object_set_int_member(obj, "used_ms", (gint64)task->used_ms);
+	json_object_set_string_member(
+		obj, "checkpoint",
+		task->state == SIM_EVICTED && task->checkpoint ? task->checkpoint : "");
+	return obj;
+}
+
+static void answer_events(struct worker *w, SoupServerMessage *msg, guint64 after)
+{
+	JsonObject *out = json_object_new();
+	JsonObject *meters = json_object_new();
+	JsonArray *events = json_array_new();
+	JsonArray *names = json_array_new();
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	LUG_LIST_FOREACH (&w->tasks, pos) {
+		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+		char *name = g_strdup_printf("%s/%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT, task->job,
+					     task->index, task->attempt);
+
+		json_array_add_string_element(names, name);
+		g_free(name);
+		if (!active(task) && task->seq > after)
+			json_array_add_object_element(events, task_json(task));
+	}
+	g_hash_table_iter_init(&it, w->meters);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		json_object_set_int_member(meters, key, (gint64) * (double *)value);
+	json_object_set_string_member(out, "boot", w->boot);
+	json_object_set_int_member(out, "seq", (gint64)w->seq);
+	json_object_set_array_member(out, "events", events);
+	json_object_set_array_member(out, "tasks", names);
+	json_object_set_object_member(out, "meters", meters);
+	answer(msg, 200, out);
+}
+
+static void wake_polls(struct worker *w, gboolean all)
+{
+	gint64 now_us = lug_now_us();
+
+	for (guint n = g_queue_get_length(&w->polls); n > 0; n--) {
+		struct poll *poll = g_queue_pop_head(&w->polls);
+
+		if (!all && now_us < poll->until_us) {
+			g_queue_push_tail(&w->polls, poll);
+			continue;
+		}
+		answer_events(w, poll->msg, poll->after);
+		soup_server_message_unpause(poll->msg);
+		g_object_unref(poll->msg);
+		g_free(poll);
+	}
+}
+
+static void end_task(struct worker *w, struct sim_task *task, enum sim_state state)
+{
+	task->state = state;
+	task->seq = ++w->seq;
+	history(w, state_names[state], task, NULL);
+	wake_polls(w, TRUE);
+}
+
+static gboolean lease_valid(const struct worker *w)
+{
+	return w->until_us > lug_now_us();
+}
+
+static void add_meter(struct worker *w, const char *team, double ms)
+{
+	double *sum = g_hash_table_lookup(w->meters, team);
+
+	if (!sum) {
+		sum = g_new0(double, 1);
+		g_hash_table_insert(w->meters, g_strdup(team), sum);
+	}
+	*sum += ms;
+}
+
+static void check_capacity(struct worker *w)
+{
+	gint64 millicores = w->service_millicores;
+	gint64 memory = 0;
+	gint64 accelerators = 0;
+
+	LUG_LIST_FOREACH (&w->tasks, pos) {
+		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+
+		if (!active(task))
+			continue;
+		millicores += task->millicores;
+		memory += task->memory;
+		accelerators += task->accelerators;
+	}
+	if (millicores <= w->millicores && memory <= w->memory && accelerators <= w->accelerators)
+		return;
+	w->over_capacity++;
+	history(w, "over_capacity", NULL, NULL);
+}
+
+static void read_payload(struct sim_task *task, const char *payload)
+{
+	JsonObject *obj = lug_json_parse(payload, -1, NULL);
+
+	task->work_ms = 1000;
+	if (!obj)
+		return;
+	task->work_ms = (double)lug_json_int(obj, "work_ms", 1000);
+	task->fails = lug_json_bool(obj, "fail", FALSE);
+	json_object_unref(obj);
+}
+
+static void on_checkpoint_read(void *data, const struct lug_http_answer *got)
+{
+	struct sim_task *task = data;
+	char *text = g_strndup(got->body, got->len);
+
+	if (got->http == 200)
+		task->done_ms = g_ascii_strtod(text, NULL);
+	g_free(text);
+	/* A checkpoint that can't be read fails the attempt rather than repeat its work. */
+	if (task->state == SIM_LOADING) {
+		task->state = SIM_RUNNING;
+		task->fails = task->fails || got->http != 200;
+	}
+}
+
+static void load_checkpoint(struct worker *w, struct sim_task *task)
+{
+	char *path = g_strconcat("/v1/object/", task->checkpoint, NULL);
+	struct lug_http_call call = {.method = "GET", .path = path, .timeout_ms = 5000};
+
+	task->state = SIM_LOADING;
+	lug_http_send(w->platform, &call, on_checkpoint_read, task);
+	g_free(path);
+}
+
+static void serve_start(struct worker *w, SoupServerMessage *msg, JsonObject *body)
+{
+	const char *checkpoint = lug_json_str(body, "checkpoint", "");
+	struct sim_task *task;
+
+	if (lug_json_int(body, "epoch", 0) != w->epoch || !lease_valid(w)) {
+		refuse(msg, 409, "no valid lease of this epoch");
+		return;
+	}
+	if (find(w, body)) {
+		answer(msg, 200, json_object_new());
+		return;
+	}
+	task = g_new0(struct sim_task, 1);
+	task->job = g_strdup(lug_json_str(body, "job", ""));
+	task->index = lug_json_int(body, "index", 0);
+	task->attempt = lug_json_int(body, "attempt", 0);
+	task->queue = g_strdup(lug_json_str(body, "queue", ""));
+	task->kind = g_strdup(lug_json_str(body, "kind", ""));
+	task->millicores = lug_json_int(body, "millicores", 0);
+	task->memory = lug_json_int(body, "memory_bytes", 0);
+	task->accelerators = lug_json_int(body, "accelerators", 0);
+	task->urgent = lug_json_bool(body, "urgent", FALSE);
+	read_payload(task, lug_json_str(body, "payload", ""));
+	task->state = SIM_RUNNING;
+	lug_list_append(&w->tasks, &task->node);
+	w->percent = lug_json_int(body, "percent", w->percent);
+	if (*checkpoint) {
+		task->checkpoint = g_strdup(checkpoint);
+		load_checkpoint(w, task);
+	}
+	history(w, "start", task, NULL);
+	check_capacity(w);
+	answer(msg, 200, json_object_new());
+}
+
+struct checkpointing {
+	struct worker *w;
+	JsonObject *id;
+	char *name;
+};
+
+static void on_checkpoint_written(void *data, const struct lug_http_answer *got)
+{
+	struct checkpointing *ckpt = data;
+	struct sim_task *task = find(ckpt->w, ckpt->id);
+
+	if (task && task->state == SIM_CHECKPOINTING) {
+		if (got->http == 200) {
+			g_free(task->checkpoint);
+			task->checkpoint = g_strdup(ckpt->name);
+			end_task(ckpt->w, task, SIM_EVICTED);
+		} else {
+			/* Without a checkpoint the task goes on; the agent asks again. */
+			task->state = SIM_RUNNING;
+		}
+	}
+	json_object_unref(ckpt->id);
+	g_free(ckpt->name);
+	g_free(ckpt);
+}
+
+static gboolean write_checkpoint(gpointer data)
+{
+	struct checkpointing *ckpt = data;
+	struct sim_task *task = find(ckpt->w, ckpt->id);
+	char *path = g_strconcat("/v1/object/", ckpt->name, NULL);
+	char *text = g_strdup_printf("%.0f", task ? task->done_ms : 0);
+	struct lug_http_call call = {.method = "PUT",
+				     .path = path,
+				     .content_type = "text/plain",
+				     .body = text,
+				     .len = strlen(text),
+				     .timeout_ms = 3000};
+
+	lug_http_send(ckpt->w->platform, &call, on_checkpoint_written, ckpt);
+	g_free(path);
+	g_free(text);
+	return G_SOURCE_REMOVE;
+}
+
+static void serve_stop(struct worker *w, SoupServerMessage *msg, JsonObject *body)
+{
+	struct sim_task *task = find(w, body);
+	struct checkpointing *ckpt;
+
+	if (lug_json_int(body, "epoch", 0) < w->epoch) {
+		refuse(msg, 409, "an older epoch");
+		return;
+	}
+	if (!task) {
+		refuse(msg, 404, "no such attempt");
+		return;
+	}
+	answer(msg, 200, json_object_new());
+	if (task->state != SIM_RUNNING)
+		return;
+	if (!lug_json_bool(body, "checkpoint", FALSE)) {
+		g_clear_pointer(&task->checkpoint, g_free);
+		end_task(w, task, SIM_EVICTED);
+		return;
+	}
+	task->state = SIM_CHECKPOINTING;
+	ckpt = g_new0(struct checkpointing, 1);
+	ckpt->w = w;
+	ckpt->id = json_object_ref(body);
+	ckpt->name = g_strdup_printf("ckpt/%s/%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT, task->job,
+				     task->index, task->attempt);
+	g_timeout_add(CHECKPOINT_MS, write_checkpoint, ckpt);
+}
+
+static void serve_ack(struct worker *w, SoupServerMessage *msg, JsonObject *body)
+{
+	struct sim_task *task = find(w, body);
+
+	if (task && !active(task))
+		task_free(task);
+	answer(msg, 200, json_object_new());
+}
+
+static void serve_lease(struct worker *w, SoupServerMessage *msg, JsonObject *body)
+{
+	gint64 epoch = lug_json_int(body, "epoch", 0);
+
+	if (epoch < w->epoch) {
+		refuse(msg, 409, "an older epoch");
+		return;
+	}
+	if (epoch > w->epoch)
+		w->until_us = 0;
+	w->epoch = epoch;
+	w->until_us = MAX(w->until_us, lug_json_int(body, "until_us", 0));
+	answer(msg, 200, json_object_new());
+}
+
+static void serve_kill(struct worker *w, SoupServerMessage *msg, JsonObject *body)
+{
+	if (lug_json_int(body, "epoch", 0) < w->epoch) {
+		refuse(msg, 409, "an older epoch");
+		return;
+	}
+	w->until_us = 0;
+	w->epoch = lug_json_int(body, "epoch", 0);
+	LUG_LIST_FOREACH_SAFE (&w->tasks, pos, tmp) {
+		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+
+		/* A read of a checkpoint in flight still points to the task. */
+		if (active(task))
+			history(w, "killed", task, NULL);
+		if (task->state == SIM_LOADING) {
+			task->state = SIM_FAILED;
+			continue;
+		}
+		task_free(task);
+	}
+	answer(msg, 200, json_object_new());
+}
+
+static void serve_state(struct worker *w, SoupServerMessage *msg)
+{
+	JsonObject *out = json_object_new();
+	JsonArray *tasks = json_array_new();
+
+	LUG_LIST_FOREACH (&w->tasks, pos)
+		json_array_add_object_element(
+			tasks, task_json(LUG_CONTAINER_OF(pos, struct sim_task, node)));
+	json_object_set_string_member(out, "boot", w->boot);
+	json_object_set_int_member(out, "millicores", w->millicores);
+	json_object_set_int_member(out, "memory_bytes", w->memory);
+	json_object_set_int_member(out, "accelerators", w->accelerators);
+	json_object_set_int_member(out, "over_capacity", w->over_capacity);
+	json_object_set_array_member(out, "tasks", tasks);
+	answer(msg, 200, out);
+}
+
+static void serve_events(struct worker *w, SoupServerMessage *msg, GHashTable *query)
+{
+	const char *after = query ? g_hash_table_lookup(query, "after") : NULL;
+	const char *wait = query ? g_hash_table_lookup(query, "wait_ms") : NULL;
+	guint64 seq = after ? g_ascii_strtoull(after, NULL, 10) : 0;
+	gint64 wait_ms = wait ? g_ascii_strtoll(wait, NULL, 10) : 0;
+	struct poll *poll;
+
+	if (seq < w->seq || wait_ms <= 0) {
+		answer_events(w, msg, seq);
+		return;
+	}
+	poll = g_new0(struct poll, 1);
+	poll->msg = g_object_ref(msg);
+	poll->after = seq;
+	poll->until_us = lug_now_us() + wait_ms * 1000;
+	soup_server_message_pause(msg);
+	g_queue_push_tail(&w->polls, poll);
+}
+
+static void serve_control(struct worker *w, SoupServerMessage *msg, JsonObject *body)
+{
+	JsonObject *out = json_object_new();
+	JsonObject *meters = json_object_new();
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	w->fail_all = lug_json_int(body, "fail_all", w->fail_all);
+	w->slow_percent = lug_json_int(body, "slow_percent", w->slow_percent);
+	g_hash_table_iter_init(&it, w->meters);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		json_object_set_int_member(meters, key, (gint64) * (double *)value);
+	json_object_set_object_member(out, "meters", meters);
+	json_object_set_int_member(out, "over_capacity", w->over_capacity);
+	answer(msg, 200, out);
+}
+
+static void serve(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
+		  gpointer data)
+{
+	struct worker *w = data;
+	SoupMessageBody *in = soup_server_message_get_request_body(msg);
+	JsonObject *body =
+		lug_json_parse(in->length ? in->data : "{}", in->length ? in->length : 2, NULL);
+
+	(void)server;
+	if (!body) {
+		refuse(msg, 400, "not JSON");
+		return;
+	}
+	if (!strcmp(path, "/v1/state"))
+		serve_state(w, msg);
+	else if (!strcmp(path, "/v1/events"))
+		serve_events(w, msg, query);
+	else if (!strcmp(path, "/v1/start"))
+		serve_start(w, msg, body);
+	else if (!strcmp(path, "/v1/stop"))
+		serve_stop(w, msg, body);
+	else if (!strcmp(path, "/v1/ack"))
+		serve_ack(w, msg, body);
+	else if (!strcmp(path, "/v1/lease"))
+		serve_lease(w, msg, body);
+	else if (!strcmp(path, "/v1/kill"))
+		serve_kill(w, msg, body);
+	else if (!strcmp(path, "/v1/throttle")) {
+		w->percent = lug_json_int(body, "percent", 100);
+		answer(msg, 200, json_object_new());
+	} else if (!strcmp(path, "/control"))
+		serve_control(w, msg, body);
+	else
+		refuse(msg, 404, "no such path");
+	json_object_unref(body);
+}
+
+/* The backend server */
+
+struct request {
+	struct worker *w;
+	SoupServerMessage *msg;
+	char *team;
+	gint64 ms;
+};
+
+static double service_slowdown(struct worker *w)
+{
+	double sum = 0;
+
+	LUG_LIST_FOREACH (&w->tasks, pos) {
+		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+		double cores = (double)task->millicores / 1000;
+
+		if (task->state == SIM_RUNNING && lease_valid(w))
+			sum += pair_factor(w, task->kind, 1) * cores * (double)w->percent / 100;
+	}
+	/* A whole worker of the worst kind makes the service three times slower. */
+	return 1 + 2 * sum / ((double)w->millicores / 1000);
+}
+
+static gboolean finish_request(gpointer data)
+{
+	struct request *req = data;
+
+	req->w->busy--;
+	add_meter(req->w, req->team, (double)req->ms);
+	soup_server_message_unpause(req->msg);
+	g_object_unref(req->msg);
+	g_free(req->team);
+	g_free(req);
+	return G_SOURCE_REMOVE;
+}
+
+static void set_reply(struct worker *w, SoupServerMessage *msg, const char *path, const char *id)
+{
+	SoupMessageBody *in = soup_server_message_get_request_body(msg);
+	char *digest = g_compute_checksum_for_data(
+		G_CHECKSUM_SHA256, in->length ? (const guchar *)in->data : (const guchar *)"",
+		(gsize)in->length);
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(
+		text,
+		"{\"worker\":\"%s\",\"path\":\"%s\",\"request\":\"%s\",\"bytes\":%" G_GINT64_FORMAT
+		",\"sha256\":\"%s\"}",
+		w->name, path, id, (gint64)in->length, digest);
+	soup_server_message_set_status(msg, 200, NULL);
+	soup_server_message_set_response(msg, "application/json", SOUP_MEMORY_COPY, text->str,
+					 text->len);
+	g_string_free(text, TRUE);
+	g_free(digest);
+}
+
+static void serve_backend(SoupServer *server, SoupServerMessage *msg, const char *path,
+			  GHashTable *query, gpointer data)
+{
+	struct worker *w = data;
+	SoupMessageHeaders *headers = soup_server_message_get_request_headers(msg);
+	const char *id = soup_message_headers_get_one(headers, "X-Request-Id");
+	const char *team = soup_message_headers_get_one(headers, "X-Team");
+	const char *work = query ? g_hash_table_lookup(query, "ms") : NULL;
+	const char *key = query ? g_hash_table_lookup(query, "key") : NULL;
+	double base = work ? g_ascii_strtod(work, NULL) : (double)w->base_ms;
+	char *extra =
+		g_strdup_printf(",\"request\":\"%s\",\"key\":\"%s\"", id ? id : "", key ? key : "");
+	struct request *req = g_new0(struct request, 1);
+
+	(void)server;
+	history(w, "request", NULL, extra);
+	g_free(extra);
+	set_reply(w, msg, path, id ? id : "");
+	req->w = w;
+	req->msg = g_object_ref(msg);
+	req->team = g_strdup(team ? team : "");
+	req->ms = (gint64)(base * service_slowdown(w) * (double)w->slow_percent / 100 *
+			   g_rand_double_range(w->rng, 0.8, 1.2));
+	w->busy++;
+	soup_server_message_pause(msg);
+	g_timeout_add((guint)MAX(req->ms, 0), finish_request, req);
+}
+
+static void run_task(struct worker *w, struct sim_task *task, double ms)
+{
+	double load = (double)w->busy / (double)MAX(w->slots, 1);
+	double slowdown = 1 + pair_factor(w, task->kind, 2) * load;
+	double part = ms * (double)w->percent / 100;
+
+	task->done_ms += part / slowdown * 100 / (double)w->slow_percent;
+	task->used_ms += part * (double)task->millicores / 1000;
+	if (w->fail_all || (task->fails && task->done_ms >= task->work_ms / 2))
+		end_task(w, task, SIM_FAILED);
+	else if (task->done_ms >= task->work_ms)
+		end_task(w, task, SIM_DONE);
+}
+
+static gboolean tick(gpointer data)
+{
+	struct worker *w = data;
+	gint64 now_us = lug_now_us();
+	double ms = (double)(now_us - w->last_us) / 1000;
+	gboolean valid = lease_valid(w);
+
+	/* Time for which the process itself did not run gives no progress beyond the lease. */
+	if (w->until_us < now_us && w->until_us > w->last_us)
+		ms = (double)(w->until_us - w->last_us) / 1000;
+	LUG_LIST_FOREACH_SAFE (&w->tasks, pos, tmp) {
+		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+
+		if (task->state != SIM_RUNNING)
+			continue;
+		if (task->was_paused == valid) {
+			task->was_paused = !valid;
+			history(w, valid ? "resumed" : "paused", task, NULL);
+		}
+		if (valid)
+			run_task(w, task, ms);
+	}
+	w->last_us = now_us;
+	wake_polls(w, FALSE);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean listen_on(const char *address, SoupServerCallback fn, struct worker *w)
+{
+	SoupServer *server = soup_server_new(NULL, NULL);
+	GSocketAddress *socket_address;
+	char *host = NULL;
+	guint port = 0;
+	gboolean ok;
+
+	if (!lug_address_parse(address, &host, &port))
+		return FALSE;
+	socket_address = g_inet_socket_address_new_from_string(host, port);
+	soup_server_add_handler(server, NULL, fn, w, NULL);
+	ok = soup_server_listen(server, socket_address, 0, NULL);
+	g_object_unref(socket_address);
+	g_free(host);
+	return ok;
+}
+
+static void read_config(struct worker *w, JsonObject *config)
+{
+	const char *path = lug_json_str(config, "history", "");
+
+	w->name = g_strdup(lug_json_str(config, "name", "worker"));
+	w->seed = (guint32)lug_json_int(config, "seed", 1);
+	w->rng = g_rand_new_with_seed(w->seed + g_str_hash(w->name));
+	w->millicores = lug_json_int(config, "millicores", 16000);
+	w->memory = lug_json_int(config, "memory_bytes", 60LL << 30);
+	w->accelerators = lug_json_int(config, "accelerators", 0);
+	w->service_millicores = lug_json_int(config, "service_millicores", 4000);
+	w->base_ms = lug_json_int(config, "base_ms", 10);
+	w->slots = lug_json_int(config, "slots", 8);
+	w->percent = 100;
+	w->slow_percent = 100;
+	w->platform =
+		lug_http_new(lug_json_str(config, "platform", "http://127.0.0.1:1"), NULL, NULL);
+	w->meters = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->history = *path ? fopen(path, "a") : NULL;
+	w->last_us = lug_now_us();
+	g_snprintf(w->boot, sizeof(w->boot), "%" G_GINT64_MODIFIER "x", g_get_real_time());
+	lug_list_init(&w->tasks);
+	g_queue_init(&w->polls);
+	history(w, "boot", NULL, NULL);
+}
+
+int main(int argc, char **argv)
+{
+	struct worker w = {0};
+	JsonObject *config = argc == 2 ? lug_json_parse(argv[1], -1, NULL) : NULL;
+
+	if (!config) {
+		g_printerr("usage: standin-worker JSON\n");
+		return 2;
+	}
+	read_config(&w, config);
+	if (!listen_on(lug_json_str(config, "listen", ""), serve, &w) ||
+	    !listen_on(lug_json_str(config, "backend", ""), serve_backend, &w)) {
+		g_printerr("standin-worker: an address can't be bound\n");
+		return 1;
+	}
+	g_timeout_add(TICK_MS, tick, &w);
+	g_main_loop_run(g_main_loop_new(NULL, FALSE));
+	return 0;
+}
