Command line, fault proxy, load tool and make run

Cause: only the daemons existed; nothing showed them at work. Change: catkinlug with all its commands, a TCP proxy that delays, stalls, cuts and silences, an open-loop load tool, and make run over them.

Before, the worker rounded use in its history and cut it in its answers, so that the two sums differed by 92 core-ms.

--- a/Makefile
+++ b/Makefile
@@ -22,14 +22,12 @@
 LIB_SRC := $(wildcard liblug/*/*.c)
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/liblug.a
-CLI_LIB_SRC := $(wildcard cli/cmd/*.c)
-CLI_LIB_OBJ := $(CLI_LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS := $(BUILD)/catkinlug-entryd $(BUILD)/catkinlug-agentd $(BUILD)/catkinlug
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/standin-%,$(wildcard tests/standin/*.c))
 UNIT_SRC := $(wildcard tests/unit/*.cc)
 UNIT_OBJ := $(UNIT_SRC:%.cc=$(BUILD)/%.o)
 UNIT := $(BUILD)/unit-tests
-FORMATTED := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard liblug/*/*.[ch] cli/*.[ch] cli/cmd/*.[ch] \
+FORMATTED := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard liblug/*/*.[ch] cli/*.[ch] \
 	tests/standin/*.[ch] tests/unit/*.cc tests/unit/*.h tests/fuzz/*.c tests/bench/*.c))
 LINTED := $(filter %.c,$(filter-out tests/%,$(FORMATTED)))
 
@@ -57,7 +55,9 @@
 	@mkdir -p $(@D)
 	@$(CXX) $(CXXFLAGS) $(CPPFLAGS) -Itests/unit -MMD -c $< -o $@
 
-$(BUILD)/catkinlug: $(BUILD)/cli/catkinlug.o $(CLI_LIB_OBJ) $(LIB)
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(BUILD)/catkinlug: $(BUILD)/cli/catkinlug.o $(LIB)
 	@$(CC) -o $@ $^ $(LIBS)
 
 $(BUILD)/catkinlug-%: $(BUILD)/cli/%.o $(LIB)
@@ -84,9 +84,15 @@
 	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD) OPT="$(OPT)" all $(UNIT)
 	@BUILD=$(BUILD) $(PYTHON) tests/rig/check.py
 
+EXAMPLE ?= lemnaria
+SEED ?= 1
+run: deps ## run the main job on stand-ins (EXAMPLE=lemnaria|trials, SEED=n)
+	@$(MAKE) --no-print-directory -j8 all
+	@$(PYTHON) tests/rig/run_example.py --example $(EXAMPLE) --seed $(SEED)
+
 clean: ## remove what was built
 	rm -rf build build-sanitize
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all help deps generate format lint check clean
+.PHONY: all help deps generate format lint check run clean
 .SECONDARY:
--- /dev/null
+++ b/liblug/client/client.h
@@ -0,0 +1,97 @@
+#ifndef LUG_CLIENT_CLIENT_H
+#define LUG_CLIENT_CLIENT_H
+
+#include <stdio.h>
+
+#include "core/json.h"
+
+/* Exit codes of the command line, documented in catkinlug(1). */
+enum lug_exit {
+	LUG_EXIT_DONE = 0,
+	LUG_EXIT_UNDONE = 1,
+	LUG_EXIT_USAGE = 2,
+	LUG_EXIT_RACE = 3,
+	LUG_EXIT_NOT_ALLOWED = 4,
+	LUG_EXIT_MISSING = 5,
+	LUG_EXIT_UNSURE = 6,
+};
+
+/**
+ * struct lug_client - a command's connection to the entries
+ * @entries: URLs, tried in turn until one can be reached
+ * @token: bearer token, may be NULL
+ * @json: print answers as JSON
+ * @out: where answers go
+ * @err: where errors and progress go
+ */
+struct lug_client {
+	char **entries;
+	const char *token;
+	gboolean json;
+	FILE *out;
+	FILE *err;
+};
+
+/**
+ * struct lug_client_call - one call to an entry
+ * @method: method
+ * @path: path with query
+ * @type: type of @body, may be NULL
+ * @body: body, may be NULL
+ * @if_match: version for If-Match, negative for none
+ * @operator_name: name kept in the table's history, may be NULL
+ */
+struct lug_client_call {
+	const char *method;
+	const char *path;
+	const char *type;
+	const char *body;
+	gint64 if_match;
+	const char *operator_name;
+};
+
+JsonObject *lug_client_send(const struct lug_client *client, const struct lug_client_call *call,
+			    guint *http);
+JsonObject *lug_client_get(const struct lug_client *client, const char *path, int *exit_code);
+JsonObject *lug_client_get_at(const struct lug_client *client, const char *url, const char *path,
+			      guint *http);
+int lug_client_problem(const struct lug_client *client, guint http, JsonObject *body);
+int lug_client_print(const struct lug_client *client, JsonObject *obj);
+
+int lug_table_show(const struct lug_client *client);
+int lug_table_history(const struct lug_client *client);
+int lug_table_apply(const struct lug_client *client, const char *file, gint64 version,
+		    const char *by);
+int lug_table_edit(const struct lug_client *client, gboolean yes, const char *by);
+void lug_table_print_change(FILE *out, const char *old_text, const char *new_text);
+
+int lug_job_submit(const struct lug_client *client, const char *body, gboolean wait);
+int lug_job_status(const struct lug_client *client, const char *team, const char *id,
+		   gboolean wait);
+int lug_job_list(const struct lug_client *client, const char *team);
+int lug_job_cancel(const struct lug_client *client, const char *team, const char *id);
+
+int lug_worker_list(const struct lug_client *client);
+int lug_worker_drain(const struct lug_client *client, const char *worker, gboolean undo);
+int lug_service_list(const struct lug_client *client);
+int lug_charge_report(const struct lug_client *client);
+int lug_status_show(const struct lug_client *client);
+
+/**
+ * struct lug_timeline_query - which events to show
+ * @match: text in subject or detail, NULL for all
+ * @worker: events of this process only, NULL for all
+ * @since_ms: events of the last so many milliseconds, 0 for all
+ * @html: file that gets a page, NULL to print text
+ */
+struct lug_timeline_query {
+	const char *match;
+	const char *worker;
+	gint64 since_ms;
+	const char *html;
+};
+
+int lug_timeline_show(const struct lug_client *client, const struct lug_timeline_query *query);
+char *lug_timeline_html(JsonArray *events);
+
+#endif
--- /dev/null
+++ b/liblug/client/timeline.c
@@ -0,0 +1,164 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "client/client.h"
+#include "core/hlc.h"
+
+struct merge {
+	GPtrArray *events;
+	GHashTable *seen;
+	const struct lug_timeline_query *query;
+};
+
+static int by_stamp(gconstpointer a, gconstpointer b)
+{
+	gint64 left = lug_json_int(*(JsonObject *const *)a, "stamp", 0);
+	gint64 right = lug_json_int(*(JsonObject *const *)b, "stamp", 0);
+
+	return (left > right) - (left < right);
+}
+
+static void add_event(struct merge *merge, JsonObject *event)
+{
+	const char *process = lug_json_str(event, "process", "");
+	char *name;
+
+	if (merge->query->worker && strcmp(process, merge->query->worker) != 0)
+		return;
+	name = g_strdup_printf("%s@%" G_GINT64_FORMAT, process, lug_json_int(event, "stamp", 0));
+	if (g_hash_table_add(merge->seen, name))
+		g_ptr_array_add(merge->events, json_object_ref(event));
+}
+
+static void add_events(struct merge *merge, JsonObject *body)
+{
+	JsonArray *list = lug_json_arr(body, "events");
+
+	for (guint i = 0; list && i < json_array_get_length(list); i++)
+		add_event(merge, json_array_get_object_element(list, i));
+}
+
+static char *query_path(const struct lug_timeline_query *query, const char *scope)
+{
+	char *match = g_uri_escape_string(query->match ? query->match : "", NULL, FALSE);
+	gint64 since_ms = query->since_ms ? g_get_real_time() / 1000 - query->since_ms : 0;
+	char *path = g_strdup_printf("/timeline?scope=%s&match=%s&since=%" G_GUINT64_FORMAT, scope,
+				     match, (guint64)since_ms << LUG_HLC_LOGICAL_BITS);
+
+	g_free(match);
+	return path;
+}
+
+/* Asks each other entry for its own events; one that does not answer is left out. */
+static void add_entries(const struct lug_client *client, struct merge *merge)
+{
+	int code;
+	JsonObject *status = lug_client_get(client, "/status", &code);
+	JsonArray *entries = status ? lug_json_arr(status, "entries") : NULL;
+	char *path = query_path(merge->query, "local");
+
+	for (guint i = 0; entries && i < json_array_get_length(entries); i++) {
+		JsonObject *entry = json_array_get_object_element(entries, i);
+		char *url = g_strconcat("http://", lug_json_str(entry, "http", ""), NULL);
+		guint http;
+		JsonObject *body = lug_client_get_at(client, url, path, &http);
+
+		if (body) {
+			add_events(merge, body);
+			json_object_unref(body);
+		}
+		g_free(url);
+	}
+	g_free(path);
+	if (status)
+		json_object_unref(status);
+}
+
+static void print_event(const struct lug_client *client, JsonObject *event)
+{
+	gint64 wall_ms = lug_json_int(event, "wall_ms", 0);
+	GDateTime *at = g_date_time_new_from_unix_utc(wall_ms / 1000);
+	char *when = g_date_time_format(at, "%H:%M:%S");
+
+	fprintf(client->out, "%s.%03d  %-12s  %-18s  %-22s  %s\n", when, (int)(wall_ms % 1000),
+		lug_json_str(event, "process", ""), lug_json_str(event, "event", ""),
+		lug_json_str(event, "subject", ""), lug_json_str(event, "detail", ""));
+	g_free(when);
+	g_date_time_unref(at);
+}
+
+static JsonArray *to_array(GPtrArray *events)
+{
+	JsonArray *list = json_array_new();
+
+	for (guint i = 0; i < events->len; i++)
+		json_array_add_object_element(list, json_object_ref(g_ptr_array_index(events, i)));
+	return list;
+}
+
+static int write_page(const struct lug_client *client, GPtrArray *events, const char *file)
+{
+	JsonArray *list = to_array(events);
+	char *page = lug_timeline_html(list);
+	GError *why = NULL;
+	int code = LUG_EXIT_DONE;
+
+	if (!g_file_set_contents(file, page, -1, &why)) {
+		fprintf(client->err, "catkinlug: %s\n", why->message);
+		g_error_free(why);
+		code = LUG_EXIT_USAGE;
+	} else {
+		fprintf(client->out, "%u events in %s\n", events->len, file);
+	}
+	g_free(page);
+	json_array_unref(list);
+	return code;
+}
+
+static int show(const struct lug_client *client, GPtrArray *events,
+		const struct lug_timeline_query *query)
+{
+	JsonObject *out;
+
+	if (query->html)
+		return write_page(client, events, query->html);
+	if (client->json) {
+		out = json_object_new();
+		json_object_set_array_member(out, "events", to_array(events));
+		return lug_client_print(client, out);
+	}
+	for (guint i = 0; i < events->len; i++)
+		print_event(client, g_ptr_array_index(events, i));
+	return LUG_EXIT_DONE;
+}
+
+/**
+ * lug_timeline_show - merge the events of all processes and show them in order
+ * @client: client
+ * @query: which events
+ */
+int lug_timeline_show(const struct lug_client *client, const struct lug_timeline_query *query)
+{
+	struct merge merge = {
+		.events = g_ptr_array_new_with_free_func((GDestroyNotify)json_object_unref),
+		.seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+		.query = query,
+	};
+	char *path = query_path(query, "agents");
+	int code = LUG_EXIT_DONE;
+	JsonObject *body = lug_client_get(client, path, &code);
+
+	g_free(path);
+	if (body) {
+		add_events(&merge, body);
+		if (lug_json_int(body, "answered", 0) < lug_json_int(body, "asked", 0))
+			fprintf(client->err, "catkinlug: some agents did not answer\n");
+		json_object_unref(body);
+		add_entries(client, &merge);
+		g_ptr_array_sort(merge.events, by_stamp);
+		code = show(client, merge.events, query);
+	}
+	g_hash_table_unref(merge.seen);
+	g_ptr_array_unref(merge.events);
+	return code;
+}
--- /dev/null
+++ b/tests/rig/load.py
@@ -0,0 +1,77 @@
+"""Configures the load tool from an example's recorded mix and reads its results."""
+
+import json
+import os
+import subprocess
+
+
+def request_mix(spec, modes):
+    """Mix of requests; modes maps get, post and keyed to their shares."""
+    mix = []
+    for item in spec["requests"]["mix"]:
+        for mode, part in modes.items():
+            mix.append({"team": item["team"], "token": f"{item['team']}-secret",
+                        "service": spec["service"]["name"], "path": item["path"],
+                        "ms": item["ms"], "share": item["share"] * part, "mode": mode})
+    return mix
+
+
+def job_mix(spec, only=None):
+    mix = []
+    for item in spec["jobs"]:
+        if only and item["kind"] not in only:
+            continue
+        body = {"team": item["team"], "kind": item["kind"], "count": item["count"],
+                "cores": item["cores"], "memory": item["memory"], "run_time": item["run_time"],
+                "accelerators": item.get("accelerators", 0), "urgent": item.get("urgent", False),
+                "idempotent": item.get("idempotent", True),
+                "payload": json.dumps({"work_ms": item["work_ms"],
+                                       "fail": item.get("fail", False)})}
+        mix.append({"team": item["team"], "kind": item["kind"], "token": f"{item['team']}-secret",
+                    "share": item["share"], "body": body})
+    return mix
+
+
+class Load:
+    """One run of the load tool."""
+
+    def __init__(self, deployment, name, seed, duration_s, request_rate, job_rate=0, modes=None,
+                 crest=None, jobs=None, timeout_ms=2000, urls=None):
+        self.out = os.path.join(deployment.dir, f"{name}.jsonl")
+        config = {
+            "entries": urls or [deployment.entry_url(i) for i in range(len(deployment.entries))],
+            "seed": seed, "run": name, "out": self.out, "duration_ms": int(duration_s * 1000),
+            "timeout_ms": timeout_ms,
+            "requests": {"rate": request_rate,
+                         "mix": request_mix(deployment.spec, modes or {"get": 1.0}),
+                         "crest": crest or {}},
+            "jobs": {"rate": job_rate, "mix": job_mix(deployment.spec, jobs)},
+        }
+        path = os.path.join(deployment.dir, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(config, file)
+        self.process = subprocess.Popen([f"{deployment.build}/standin-load", path],
+                                        stdin=subprocess.DEVNULL)
+
+    def wait(self):
+        self.process.wait()
+        return self.lines()
+
+    def lines(self):
+        with open(self.out, encoding="utf-8") as file:
+            return [json.loads(line) for line in file if line.endswith("}\n")]
+
+
+def quantile(values, part):
+    """Nearest-rank quantile, None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def latencies_ms(lines, since_us=0, until_us=None):
+    """Latencies from the due time of the requests that were answered well."""
+    return [(line["done_us"] - line["due_us"]) / 1000 for line in lines
+            if line["op"] == "request" and line["http"] == 200 and line["due_us"] >= since_us
+            and (until_us is None or line["due_us"] < until_us)]
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -93,10 +93,10 @@
 	fprintf(w->history,
 		"{\"t_us\":%" G_GINT64_FORMAT ",\"worker\":\"%s\",\"event\":\"%s\",\"job\":\"%s\","
 		"\"index\":%" G_GINT64_FORMAT ",\"attempt\":%" G_GINT64_FORMAT
-		",\"progress_ms\":%.0f,\"used_ms\":%.0f%s}\n",
+		",\"progress_ms\":%" G_GINT64_FORMAT ",\"used_ms\":%" G_GINT64_FORMAT "%s}\n",
 		lug_now_us(), w->name, event, task ? task->job : "", task ? task->index : 0,
-		task ? task->attempt : 0, task ? task->done_ms : 0, task ? task->used_ms : 0,
-		extra ? extra : "");
+		task ? task->attempt : 0, task ? (gint64)task->done_ms : 0,
+		task ? (gint64)task->used_ms : 0, extra ? extra : "");
 	fflush(w->history);
 }
 
