--- a/Makefile
+++ b/Makefile
@@ -53,9 +53,7 @@
 
 $(BUILD)/%.o: %.cc
 	@mkdir -p $(@D)
-	@$(CXX) $(CXXFLAGS) $(CPPFLAGS) -Itests/unit -MMD -c $< -o $@
-
-	@$(CC) -o $@ $^ $(LIBS)
+	@$(CXX) $(CXXFLAGS) -Itests/unit $(CPPFLAGS) -MMD -c $< -o $@
 
 $(BUILD)/catkinlug: $(BUILD)/cli/catkinlug.o $(LIB)
 	@$(CC) -o $@ $^ $(LIBS)
--- a/liblug/client/table.c
+++ b/liblug/client/table.c
@@ -166,6 +166,24 @@
 	return code;
 }
 
+static char *text_of_version(const struct lug_client *client, gint64 version)
+{
+	int code;
+	JsonObject *body = lug_client_get(client, "/table/history", &code);
+	JsonArray *list = body ? lug_json_arr(body, "versions") : NULL;
+	char *text = NULL;
+
+	for (guint i = 0; list && i < json_array_get_length(list); i++) {
+		JsonObject *row = json_array_get_object_element(list, i);
+
+		if (lug_json_int(row, "version", 0) == version)
+			text = g_strdup(lug_json_str(row, "text", ""));
+	}
+	if (body)
+		json_object_unref(body);
+	return text ? text : g_strdup("");
+}
+
 /**
  * lug_table_apply - write the table from a file
  * @client: client
@@ -180,6 +198,7 @@
 	JsonObject *table = NULL;
 	GError *why = NULL;
 	char *text = NULL;
+	char *base;
 	int code = LUG_EXIT_DONE;
 
 	if (!g_file_get_contents(path, &text, NULL, &why)) {
@@ -194,9 +213,11 @@
 	}
 	if (version < 0)
 		version = lug_json_int(table, "version", 0);
-	code = send_table(client, lug_json_str(table, "text", ""), text, version, by, NULL);
+	base = text_of_version(client, version);
+	code = send_table(client, base, text, version, by, NULL);
 	if (table)
 		json_object_unref(table);
+	g_free(base);
 	g_free(text);
 	return code;
 }
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -38,8 +38,8 @@
 	return pool;
 }
 
-static void fill_want(struct lug_owner *owner, const struct lug_queue_demand *demand,
-		      Lug__Want *want, Lug__Resources *smallest, Lug__Resources *largest)
+static void fill_want(struct lug_owner *owner, const struct lug_demand *demand, Lug__Want *want,
+		      Lug__Resources *smallest, Lug__Resources *largest)
 {
 	const struct lug_team *team =
 		lug_limits_find(lug_sync_limits(owner->env.sync), owner->team);
@@ -61,7 +61,7 @@
 }
 
 static gboolean wants_agent(const struct lug_owner *owner, const struct lug_agent *agent,
-			    const struct lug_queue_demand *demand, gint64 now_us)
+			    const struct lug_demand *demand, gint64 now_us)
 {
 	if (agent->leaving || !agent->worker_epoch ||
 	    !lug_roster_live(owner->env.roster, agent, now_us))
@@ -73,8 +73,7 @@
  * Tells some agents what waits here. An agent with room answers by an offer when
  * this queue's turn has come; which agents are told rotates from round to round.
  */
-static void send_wants(struct lug_owner *owner, const struct lug_queue_demand *demand,
-		       gint64 now_us)
+static void send_wants(struct lug_owner *owner, const struct lug_demand *demand, gint64 now_us)
 {
 	GPtrArray *agents = lug_roster_agents(owner->env.roster);
 	guint left = MAX(WANT_AGENTS_MIN, 2 * demand->pending);
@@ -96,7 +95,7 @@
 	}
 }
 
-static gboolean has_headroom(const struct lug_owner *owner, const struct lug_queue_demand *demand)
+static gboolean has_headroom(const struct lug_owner *owner, const struct lug_demand *demand)
 {
 	struct lug_resources room = headroom(owner);
 
@@ -123,7 +122,7 @@
  */
 void owner_dispatch_tick(struct lug_owner *owner, gint64 now_us)
 {
-	struct lug_queue_demand demand;
+	struct lug_demand demand;
 
 	LUG_LIST_FOREACH (lug_queue_active(owner->queue), pos)
 		resend(owner, LUG_CONTAINER_OF(pos, struct lug_task, node), now_us);
@@ -269,7 +268,7 @@
 			 const Lug__Offer *offer, guint starts, gint64 now_us)
 {
 	Lug__OfferReply reply = LUG__OFFER_REPLY__INIT;
-	struct lug_queue_demand demand;
+	struct lug_demand demand;
 	Lug__Resources smallest;
 	Lug__Resources largest;
 	Lug__Want want;
--- a/liblug/job/owner.c
+++ b/liblug/job/owner.c
@@ -206,7 +206,7 @@
  */
 guint lug_owner_pending(const struct lug_owner *owner, gint64 now_us)
 {
-	struct lug_queue_demand demand = {0};
+	struct lug_demand demand = {0};
 
 	if (owner->queue)
 		lug_queue_demand(owner->queue, now_us, &demand);
--- a/liblug/job/queue.c
+++ b/liblug/job/queue.c
@@ -302,7 +302,7 @@
  * @now_us: present time
  * @out: filled in
  */
-void lug_queue_demand(const struct lug_queue *queue, gint64 now_us, struct lug_queue_demand *out)
+void lug_queue_demand(const struct lug_queue *queue, gint64 now_us, struct lug_demand *out)
 {
 	memset(out, 0, sizeof(*out));
 	LUG_LIST_FOREACH (&queue->pending, pos) {
--- a/liblug/job/queue.h
+++ b/liblug/job/queue.h
@@ -109,14 +109,14 @@
 struct lug_list *lug_queue_active(struct lug_queue *queue);
 
 /**
- * struct lug_queue_demand - what waits in a queue
+ * struct lug_demand - what waits in a queue
  * @pending: number of tasks
  * @urgent: some of them are urgent
  * @smallest: smallest size, member by member
  * @largest: largest size, member by member
  * @oldest_us: longest wait
  */
-struct lug_queue_demand {
+struct lug_demand {
 	guint pending;
 	gboolean urgent;
 	struct lug_resources smallest;
@@ -124,7 +124,7 @@
 	gint64 oldest_us;
 };
 
-void lug_queue_demand(const struct lug_queue *queue, gint64 now_us, struct lug_queue_demand *out);
+void lug_queue_demand(const struct lug_queue *queue, gint64 now_us, struct lug_demand *out);
 struct lug_resources lug_queue_use(const struct lug_queue *queue);
 
 #endif
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+import subprocess
 import sys
 
 import pytest
@@ -9,9 +10,15 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "rig"))
 
-from deploy import Deployment  # noqa: E402
+from deploy import OPERATOR_TOKEN, Deployment  # noqa: E402
 
 NETS = itertools.count(40, 2)
+BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
+
+
+def make(directory, example="lemnaria", **kwargs):
+    return Deployment(os.path.join(ROOT, "examples", f"{example}.yaml"), str(directory),
+                      build=BUILD, net=next(NETS), **kwargs)
 
 
 @pytest.fixture
@@ -20,10 +27,7 @@
     started = []
 
     def start(example="lemnaria", start=True, **kwargs):
-        build = os.path.join(ROOT, os.environ.get("BUILD", "build"))
-        deployment = Deployment(os.path.join(ROOT, "examples", f"{example}.yaml"),
-                                str(tmp_path / f"run{len(started)}"), build=build,
-                                net=next(NETS), **kwargs)
+        deployment = make(tmp_path / f"run{len(started)}", example, **kwargs)
         started.append(deployment)
         if start:
             deployment.start_all()
@@ -34,3 +38,37 @@
     for deployment in started:
         bad.update(deployment.stop_all())
     assert not bad, f"daemons that did not stop cleanly: {bad}"
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    """One small deployment for all tests of a module that leave it as it was."""
+    deployment = make(tmp_path_factory.mktemp("shared"), workers=4)
+    deployment.start_all()
+    yield deployment
+    assert not deployment.stop_all()
+
+
+@pytest.fixture
+def cli():
+    """Runs the command line against a deployment, or without one."""
+
+    def run(deployment, *words, token=OPERATOR_TOKEN, env=None, stdin=None):
+        full = dict(os.environ, CATKINLUG_TOKEN=token, **(env or {}))
+        if deployment:
+            full["CATKINLUG_ENTRY"] = deployment.entry_url()
+        return subprocess.run([os.path.join(BUILD, "catkinlug"), *words], env=full, check=False,
+                              input=stdin, capture_output=True, text=True)
+
+    return run
+
+
+@pytest.fixture
+def program():
+    """Runs one of the programs to its end."""
+
+    def run(name, *words):
+        return subprocess.run([os.path.join(BUILD, name), *words], check=False,
+                              stdin=subprocess.DEVNULL, capture_output=True, text=True)
+
+    return run
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -3,25 +3,7 @@
 import json
 
 from deploy import table_text, wait_for
-
-
-def submit(deployment, **job):
-    body = {"team": "renderings", "kind": "rendering", "count": 1, "cores": 2, "memory": "1GB",
-            "run_time": "1s", "payload": json.dumps({"work_ms": 200})}
-    body.update(job)
-    status, _, answer = deployment.call("POST", "/jobs", json.dumps(body))
-    return status, json.loads(answer)
-
-
-def job_state(deployment, team, job_id):
-    return deployment.get(f"/jobs/{job_id}?team={team}")
-
-
-def wait_done(deployment, team, job_id, timeout_s=30):
-    def ended():
-        job = job_state(deployment, team, job_id)
-        return job if job["state"] in ("done", "failed", "cancelled") else None
-    return wait_for(ended, timeout_s, f"end of job {job_id}")
+from jobs import submit, wait_done
 
 
 def test_request_job_and_edit(deploy):
@@ -46,3 +28,9 @@
     assert status == 200 and json.loads(body)["version"] == 2
     wait_for(lambda: deployment.get("/status", entry=1)["table"]["in_force"] == 4 and
              deployment.get("/status", entry=1)["table"]["version"] == 2, what="edit in force")
+
+
+def test_trials_example_starts(deploy):
+    deployment = deploy("trials", workers=4)
+    status, _, body = deployment.call("GET", "/service/entries/check?ms=2", token="handlers-secret")
+    assert status == 200 and json.loads(body)["path"] == "/check"
--- /dev/null
+++ b/tests/unit/core_test.cc
@@ -0,0 +1,223 @@
+#include "lug.h"
+
+extern "C" {
+#include "core/arena.h"
+#include "core/hlc.h"
+#include "core/metrics.h"
+#include "core/settings.h"
+#include "core/units.h"
+#include "timeline/timeline.h"
+#include "wire/frame.h"
+}
+
+namespace
+{
+const std::string entry_text =
+	"daemon: entry\nname: e\nregion: r\nzone: z\nhttp: 127.0.0.1:80\ninner: 127.0.0.1:81\n"
+	"platform: {url: 'http://127.0.0.1:82'}\n"
+	"tokens: [{token: s, role: operator}]\n";
+
+std::string problems_of(const std::string &text)
+{
+	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+	struct lug_settings *settings = lug_settings_parse(text.data(), text.size(), "f", problems);
+	std::string all;
+
+	EXPECT_EQ(settings == nullptr, problems->len > 0);
+	for (guint i = 0; i < problems->len; i++)
+		all += std::string(static_cast<char *>(g_ptr_array_index(problems, i))) + "\n";
+	lug_settings_free(settings);
+	g_ptr_array_unref(problems);
+	return all;
+}
+
+bool has(const std::string &text, const char *part)
+{
+	return text.find(part) != std::string::npos;
+}
+} // namespace
+
+TEST(Settings, AcceptsMinimalFileAndFillsDefaults)
+{
+	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+	struct lug_settings *settings =
+		lug_settings_parse(entry_text.data(), entry_text.size(), "f", problems);
+
+	ASSERT_NE(settings, nullptr);
+	EXPECT_EQ(settings->platform_timeout_ms, 1000);
+	EXPECT_EQ(settings->body_bytes, 1 << 20);
+	EXPECT_STREQ(settings->advertise, "127.0.0.1:81");
+	EXPECT_EQ(settings->tokens->len, 1u);
+	lug_settings_free(settings);
+	g_ptr_array_unref(problems);
+}
+
+TEST(Settings, NamesFileLineFormAndRemedyOfEachProblem)
+{
+	EXPECT_TRUE(
+		has(problems_of(entry_text + "bogus: 1\n"), "f:9: bogus: unknown key; remove it"));
+	EXPECT_TRUE(has(problems_of(entry_text + "beat: 5\n"),
+			"f:9: beat: \"5\" is not accepted; write a "
+			"duration with its unit"));
+	EXPECT_TRUE(has(problems_of(entry_text + "drain: 20h\n"), "out of range"));
+	EXPECT_TRUE(has(problems_of(entry_text + "name: again\n"), "given twice"));
+	EXPECT_TRUE(
+		has(problems_of(entry_text + "request: {body: 1XB}\n"), "a size with its unit"));
+	EXPECT_TRUE(has(problems_of("daemon: entry\n"), "name: missing"));
+	EXPECT_TRUE(has(problems_of("daemon: other\n"), "write entry or agent"));
+	EXPECT_TRUE(has(problems_of("a: [b\n"), "not YAML"));
+	EXPECT_TRUE(has(problems_of("- a\n"), "one mapping"));
+	EXPECT_TRUE(has(problems_of(entry_text + "worker: {url: 'http://127.0.0.1:1'}\n"),
+			"worker: unknown key"))
+		<< "a key of another daemon";
+}
+
+TEST(Settings, ReportsAllProblemsAtOnce)
+{
+	std::string all = problems_of(entry_text + "bogus: 1\nbeat: 5\n");
+
+	EXPECT_TRUE(has(all, "f:9: bogus"));
+	EXPECT_TRUE(has(all, "f:10: beat"));
+}
+
+TEST(Settings, ReloadRefusesWhatNeedsRestart)
+{
+	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+	std::string moved = entry_text;
+	std::string louder = entry_text + "log: {level: debug}\n";
+	struct lug_error err = {};
+
+	moved.replace(moved.find("127.0.0.1:80"), 12, "127.0.0.1:90");
+	struct lug_settings *a =
+		lug_settings_parse(entry_text.data(), entry_text.size(), "f", problems);
+	struct lug_settings *b = lug_settings_parse(moved.data(), moved.size(), "f", problems);
+	struct lug_settings *c = lug_settings_parse(louder.data(), louder.size(), "f", problems);
+
+	EXPECT_FALSE(lug_settings_reloadable(a, b, &err));
+	EXPECT_STREQ(err.msg, "http can't change live");
+	EXPECT_TRUE(lug_settings_reloadable(a, c, &err));
+	lug_settings_free(a);
+	lug_settings_free(b);
+	lug_settings_free(c);
+	g_ptr_array_unref(problems);
+}
+
+TEST(Units, RefusesBareNumbersAndNegatives)
+{
+	gint64 value = 0;
+
+	EXPECT_TRUE(lug_duration_parse("1.5s", &value));
+	EXPECT_EQ(value, 1500);
+	EXPECT_FALSE(lug_duration_parse("5", &value));
+	EXPECT_FALSE(lug_duration_parse("-5s", &value));
+	EXPECT_FALSE(lug_size_parse("1e300GB", &value));
+	EXPECT_TRUE(lug_cores_parse("0.5", &value));
+	EXPECT_EQ(value, 500);
+}
+
+TEST(Hlc, OrdersEventsDespiteClocksThatStep)
+{
+	struct lug_hlc sender = {};
+	struct lug_hlc receiver = {};
+	guint64 sent = lug_hlc_now(&sender, 5000000);
+
+	lug_hlc_observe(&receiver, sent, 4900000);
+	EXPECT_GT(lug_hlc_now(&receiver, 4900000), sent);
+	EXPECT_GT(lug_hlc_now(&sender, 1000000), sent) << "the clock was set back";
+}
+
+TEST(Hlc, IgnoresStampFarInTheFuture)
+{
+	struct lug_hlc hlc = {};
+
+	lug_hlc_observe(&hlc, G_MAXUINT64, 1000000);
+	EXPECT_EQ(lug_hlc_wall_ms(lug_hlc_now(&hlc, 1000000)), 1000);
+}
+
+TEST(Histogram, QuantilesLieWithinResolution)
+{
+	struct lug_metrics *metrics = lug_metrics_new();
+	struct lug_histogram *hist = &metrics->histograms[LUG_H_REQUEST_US];
+
+	for (guint64 i = 1; i <= 10000; i++)
+		lug_histogram_add(hist, i);
+	EXPECT_NEAR(static_cast<double>(lug_histogram_quantile(hist, 0.5)), 5000, 5000 / 16.0);
+	EXPECT_NEAR(static_cast<double>(lug_histogram_quantile(hist, 0.99)), 9900, 9900 / 16.0);
+	lug_histogram_add(hist, G_MAXUINT64);
+	lug_metrics_free(metrics);
+}
+
+TEST(Timeline, KeepsTheLatestAndDoesNotLetRequestsDisplaceOthers)
+{
+	struct lug_hlc hlc = {};
+	struct lug_timeline *timeline = lug_timeline_new(&hlc, 16);
+	int seen = 0;
+
+	lug_timeline_add(timeline, LUG_EV_LEASE_TAKEN, "lease", "%s", "");
+	for (int i = 0; i < 100; i++)
+		lug_timeline_add(timeline, LUG_EV_REQUEST_DONE, "r", "%d", i);
+	lug_timeline_each(
+		timeline, 0, "lease",
+		[](const struct lug_event *event, void *data) {
+			EXPECT_EQ(event->type, LUG_EV_LEASE_TAKEN);
+			++*static_cast<int *>(data);
+		},
+		&seen);
+	EXPECT_EQ(seen, 1);
+	EXPECT_EQ(lug_timeline_dropped(timeline), 84u);
+	lug_timeline_free(timeline);
+}
+
+namespace
+{
+std::string packed(guint32 proto, const char *from)
+{
+	Lug__Envelope env = LUG__ENVELOPE__INIT;
+	Lug__Poke poke = LUG__POKE__INIT;
+
+	env.has_proto = 1;
+	env.proto = proto;
+	env.from = const_cast<char *>(from);
+	env.body_case = LUG__ENVELOPE__BODY_POKE;
+	env.poke = &poke;
+	std::string out(lug__envelope__get_packed_size(&env), 0);
+	lug__envelope__pack(&env, reinterpret_cast<uint8_t *>(&out[0]));
+	return out;
+}
+
+bool decodes(const std::string &bytes)
+{
+	struct lug_arena *arena = lug_arena_new();
+	bool ok = lug_frame_decode(bytes.data(), bytes.size(), arena, nullptr) != nullptr;
+
+	lug_arena_free(arena);
+	return ok;
+}
+} // namespace
+
+TEST(Frame, AcceptsNeighbouringReleasesOnly)
+{
+	EXPECT_TRUE(decodes(packed(LUG_PROTO_VERSION, "a")));
+	EXPECT_TRUE(decodes(packed(LUG_PROTO_VERSION - 1, "a")));
+	EXPECT_TRUE(decodes(packed(LUG_PROTO_VERSION + 1, "a")));
+	EXPECT_FALSE(decodes(packed(LUG_PROTO_VERSION + 2, "a")));
+	EXPECT_FALSE(decodes(packed(0, "a")));
+	EXPECT_FALSE(decodes(packed(LUG_PROTO_VERSION, "")));
+	EXPECT_FALSE(decodes(packed(LUG_PROTO_VERSION, std::string(100, 'x').c_str())));
+}
+
+TEST(Frame, SurvivesEveryCutAndFlippedByte)
+{
+	std::string whole = packed(LUG_PROTO_VERSION, "agent");
+
+	for (size_t i = 0; i < whole.size(); i++) {
+		decodes(whole.substr(0, i));
+		for (int bit = 0; bit < 8; bit++) {
+			std::string flipped = whole;
+
+			flipped[i] = static_cast<char>(flipped[i] ^ (1 << bit));
+			decodes(flipped);
+		}
+	}
+	EXPECT_FALSE(decodes("\xff\xff\xff\xff"));
+}
--- /dev/null
+++ b/tests/unit/decide_test.cc
@@ -0,0 +1,307 @@
+#include "lug.h"
+
+extern "C" {
+#include "colocate/control.h"
+#include "colocate/reserve.h"
+#include "job/queue.h"
+#include "route/admit.h"
+#include "route/budget.h"
+#include "route/choose.h"
+#include "team/charge.h"
+#include "team/share.h"
+}
+
+namespace
+{
+const gint64 ms = 1000;
+const gint64 second = 1000 * 1000;
+
+struct lug_job *job(const char *id, const char *kind, guint32 count, gint64 run_ms,
+		    gint64 millicores = 1000, bool urgent = false)
+{
+	struct lug_job *made = g_new0(struct lug_job, 1);
+
+	g_strlcpy(made->id, id, sizeof(made->id));
+	g_strlcpy(made->kind, kind, sizeof(made->kind));
+	made->count = count;
+	made->run_ms = run_ms;
+	made->size.millicores = millicores;
+	made->urgent = urgent;
+	made->idempotent = TRUE;
+	return made;
+}
+
+struct QueueTest : public testing::Test {
+	struct lug_queue *queue = lug_queue_new("t");
+	struct lug_resources room = {16000, 0, 0};
+
+	void TearDown() override
+	{
+		lug_queue_free(queue);
+	}
+
+	const char *pick(gint64 now_us)
+	{
+		struct lug_task *task = lug_queue_pick(queue, &room, "r", "z", nullptr, now_us);
+
+		return task ? task->job->job->id : nullptr;
+	}
+};
+} // namespace
+
+TEST_F(QueueTest, ShortWorkGoesFirstAndLongWorkIsNotStarved)
+{
+	lug_queue_add(queue, job("giant", "big", 1, 100000), 0);
+	lug_queue_add(queue, job("short", "small", 1, 100), 0);
+	EXPECT_STREQ(pick(50 * ms), "short");
+	lug_queue_add(queue, job("fresh", "small", 1, 100), 1000 * second);
+	lug_queue_drop(queue, lug_queue_find(queue, "short"));
+	EXPECT_STREQ(pick(1000 * second), "giant");
+}
+
+TEST_F(QueueTest, LearnedRunTimeOverridesTheDeclaredOne)
+{
+	struct lug_queue_job *liar = lug_queue_add(queue, job("liar", "big", 1, 10), 0);
+
+	lug_queue_add(queue, job("honest", "small", 1, 1000), 0);
+	EXPECT_STREQ(pick(ms), "liar");
+	for (int i = 0; i < 3; i++)
+		lug_queue_learn(queue, "big", 60000);
+	EXPECT_EQ(lug_queue_estimate_ms(queue, liar->job), 60000);
+	EXPECT_STREQ(pick(ms), "honest");
+}
+
+TEST_F(QueueTest, UrgentWorkGoesFirst)
+{
+	lug_queue_add(queue, job("short", "small", 1, 1), 0);
+	lug_queue_add(queue, job("urgent", "big", 1, 100000, 1000, true), 10 * second);
+	EXPECT_STREQ(pick(10 * second), "urgent");
+}
+
+TEST_F(QueueTest, PicksOnlyWhatFitsAndIsDue)
+{
+	struct lug_queue_job *big = lug_queue_add(queue, job("big", "k", 1, 10, 32000), 0);
+	struct lug_queue_job *later = lug_queue_add(queue, job("later", "k", 1, 10), 0);
+
+	later->tasks[0].retry_us = second;
+	EXPECT_EQ(pick(0), nullptr);
+	EXPECT_STREQ(pick(second), "later");
+	later->job->cancelled = TRUE;
+	EXPECT_EQ(pick(second), nullptr);
+	EXPECT_EQ(big->open, 1u);
+}
+
+TEST_F(QueueTest, CountsUseOfActiveTasksOnce)
+{
+	struct lug_queue_job *qjob = lug_queue_add(queue, job("j", "k", 3, 10, 2000), 0);
+
+	lug_queue_set(queue, &qjob->tasks[0], LUG_TASK_CLAIMING, 0);
+	lug_queue_set(queue, &qjob->tasks[0], LUG_TASK_RUNNING, 0);
+	lug_queue_set(queue, &qjob->tasks[1], LUG_TASK_CLAIMING, 0);
+	EXPECT_EQ(lug_queue_use(queue).millicores, 4000);
+	lug_queue_set(queue, &qjob->tasks[0], LUG_TASK_DONE, 0);
+	lug_queue_set(queue, &qjob->tasks[1], LUG_TASK_PENDING, 0);
+	EXPECT_EQ(lug_queue_use(queue).millicores, 0);
+	EXPECT_EQ(qjob->open, 2u);
+	EXPECT_EQ(qjob->done, 1u);
+}
+
+TEST(Share, NeediestQueueThatFitsIsPicked)
+{
+	struct lug_claimant rich = {0.9, FALSE, 9 * second, {1000, 0, 0}};
+	struct lug_claimant poor = {0.1, FALSE, 0, {1000, 0, 0}};
+	struct lug_claimant large = {0.0, FALSE, 0, {9000, 0, 0}};
+	struct lug_claimant urgent = {1.0, TRUE, 0, {1000, 0, 0}};
+	const struct lug_claimant *some[] = {&rich, &poor, &large};
+	const struct lug_claimant *all[] = {&rich, &poor, &large, &urgent};
+	struct lug_resources room = {4000, 0, 0};
+	struct lug_resources none = {500, 0, 0};
+
+	EXPECT_EQ(lug_share_pick(some, 3, &room), 1);
+	EXPECT_EQ(lug_share_pick(all, 4, &room), 3);
+	EXPECT_EQ(lug_share_pick(all, 4, &none), -1);
+}
+
+TEST(Reserve, NeverPromisesMoreThanTheWorkerHas)
+{
+	struct lug_reserve reserve = {{16000, 100, 1}, {4000, 10, 0}, {0, 0, 0}};
+	struct lug_resources task = {5000, 10, 0};
+	struct lug_resources gpu = {1000, 1, 1};
+	struct lug_resources negative = {-1, 0, 0};
+
+	EXPECT_TRUE(lug_reserve_take(&reserve, &task));
+	EXPECT_TRUE(lug_reserve_take(&reserve, &task));
+	EXPECT_FALSE(lug_reserve_take(&reserve, &task));
+	EXPECT_FALSE(lug_reserve_take(&reserve, &negative));
+	EXPECT_TRUE(lug_reserve_take(&reserve, &gpu));
+	EXPECT_FALSE(lug_reserve_take(&reserve, &gpu));
+	lug_reserve_give(&reserve, &task);
+	EXPECT_EQ(lug_reserve_room(&reserve).millicores, 6000);
+}
+
+TEST(Admit, RunsQueuesAndRefuses)
+{
+	struct lug_admit admit = {2, 4, 2, 0, 0, 10 * ms};
+
+	EXPECT_EQ(lug_admit_decide(&admit, second), LUG_ADMIT_RUN);
+	admit.busy = 2;
+	EXPECT_EQ(lug_admit_decide(&admit, second), LUG_ADMIT_QUEUE);
+	EXPECT_EQ(lug_admit_decide(&admit, 12 * ms), LUG_ADMIT_TOO_LATE);
+	admit.queued = 2;
+	EXPECT_EQ(lug_admit_decide(&admit, second), LUG_ADMIT_FULL);
+	admit.busy = 0;
+	admit.queued = 0;
+	EXPECT_EQ(lug_admit_decide(&admit, 0), LUG_ADMIT_TOO_LATE);
+}
+
+TEST(Budget, RetriesStayAPartOfFirstAttempts)
+{
+	struct lug_budget budget;
+	int retries = 0;
+
+	lug_budget_init(&budget);
+	for (int i = 0; i < 1000; i++) {
+		lug_budget_first(&budget, 20);
+		retries += lug_budget_retry(&budget) ? 1 : 0;
+	}
+	EXPECT_LE(retries, 215);
+	EXPECT_GE(retries, 195);
+}
+
+namespace
+{
+struct ChooseTest : public testing::Test {
+	GPtrArray *agents = g_ptr_array_new_with_free_func(g_free);
+	GRand *rng = g_rand_new_with_seed(3);
+	struct lug_choice choice = {"s", "z", "r", nullptr, second, 100 * second};
+
+	struct lug_agent *add(guint32 busy)
+	{
+		struct lug_agent *agent = g_new0(struct lug_agent, 1);
+
+		strcpy(agent->service, "s");
+		strcpy(agent->zone, "z");
+		strcpy(agent->region, "r");
+		agent->slots = 8;
+		agent->busy = busy;
+		agent->service_us = 10 * ms;
+		agent->heard_us = choice.now_us;
+		g_ptr_array_add(agents, agent);
+		return agent;
+	}
+
+	int picks(const struct lug_agent *agent, int tries)
+	{
+		const struct lug_chooser *chooser = lug_chooser_two_choices();
+		int n = 0;
+
+		for (int i = 0; i < tries; i++)
+			n += chooser->ops->pick(chooser, agents, &choice, rng) == agent;
+		return n;
+	}
+
+	void TearDown() override
+	{
+		g_ptr_array_unref(agents);
+		g_rand_free(rng);
+	}
+};
+} // namespace
+
+TEST_F(ChooseTest, PrefersIdleAndNearAgents)
+{
+	struct lug_agent *busy = add(8);
+	struct lug_agent *far = add(0);
+	struct lug_agent *idle = add(0);
+
+	strcpy(far->zone, "other");
+	EXPECT_EQ(picks(busy, 300), 0);
+	EXPECT_GT(picks(idle, 300), 150);
+	EXPECT_GT(picks(far, 300), 50);
+}
+
+TEST_F(ChooseTest, LeavesOutLeavingSilentAndEjectedAgents)
+{
+	struct lug_agent *leaving = add(0);
+	struct lug_agent *silent = add(0);
+	struct lug_agent *failing = add(0);
+	struct lug_agent *good = add(7);
+
+	add(7);
+
+	leaving->leaving = TRUE;
+	silent->heard_us -= 2 * second;
+	for (int i = 0; i < 3; i++)
+		lug_choose_result(failing, FALSE, choice.now_us);
+	EXPECT_EQ(picks(leaving, 100), 0);
+	EXPECT_EQ(picks(silent, 100), 0);
+	EXPECT_EQ(picks(failing, 100), 0);
+	EXPECT_GT(picks(good, 100), 0);
+}
+
+TEST_F(ChooseTest, EjectionNeverEmptiesThePool)
+{
+	struct lug_agent *one = add(0);
+	struct lug_agent *two = add(0);
+
+	for (int i = 0; i < 5; i++) {
+		lug_choose_result(one, FALSE, choice.now_us);
+		lug_choose_result(two, FALSE, choice.now_us);
+	}
+	EXPECT_EQ(picks(one, 100) > 0, true);
+	lug_choose_result(one, TRUE, choice.now_us);
+	EXPECT_EQ(one->failing, 0u);
+}
+
+TEST(Control, ThrottlesFastRaisesSlowlyAndEvictsOnlyAtTheFloor)
+{
+	struct lug_control control;
+	gint64 now = 0;
+	int evicted = 0;
+	int steps_down = 0;
+
+	lug_control_init(&control, 50 * ms);
+	for (; now < 4 * second; now += 50 * ms) {
+		for (int i = 0; i < 16; i++)
+			lug_control_sample(&control, 90 * ms);
+		enum lug_control_action action = lug_control_step(&control, now);
+
+		steps_down += action == LUG_CONTROL_THROTTLE;
+		evicted += action == LUG_CONTROL_EVICT;
+	}
+	EXPECT_EQ(control.level, 10);
+	EXPECT_EQ(steps_down, 5);
+	EXPECT_EQ(evicted, 0);
+	for (; now < 8 * second; now += 50 * ms) {
+		for (int i = 0; i < 16; i++)
+			lug_control_sample(&control, 90 * ms);
+		evicted += lug_control_step(&control, now) == LUG_CONTROL_EVICT;
+	}
+	EXPECT_EQ(evicted, 1);
+	for (; now < 30 * second; now += 50 * ms) {
+		for (int i = 0; i < 16; i++)
+			lug_control_sample(&control, 10 * ms);
+		lug_control_step(&control, now);
+	}
+	EXPECT_EQ(control.level, 100);
+}
+
+TEST(Charge, ReadingTakenTwiceAddsNothingAndRestartLosesNothing)
+{
+	JsonObject *meters = json_object_new();
+	JsonObject *first;
+	JsonObject *second_;
+	JsonObject *third;
+
+	json_object_set_int_member(meters, "a", 100);
+	first = lug_charge_update(nullptr, "boot1", meters);
+	second_ = lug_charge_update(first, "boot1", meters);
+	EXPECT_EQ(lug_charge_total(second_, "a"), 100);
+	json_object_set_int_member(meters, "a", 30);
+	third = lug_charge_update(second_, "boot2", meters);
+	EXPECT_EQ(lug_charge_total(third, "a"), 130);
+	json_object_unref(first);
+	json_object_unref(second_);
+	json_object_unref(third);
+	json_object_unref(meters);
+}
--- /dev/null
+++ b/tests/unit/fake_store.h
@@ -0,0 +1,177 @@
+#ifndef LUG_TESTS_FAKE_STORE_H
+#define LUG_TESTS_FAKE_STORE_H
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "platform/lane.h"
+#include "platform/store.h"
+}
+
+/* A table service in memory whose calls are answered when the test says so. */
+struct FakeStore {
+	struct lug_store base;
+	struct Row {
+		std::string data;
+		gint64 version;
+	};
+	struct Call {
+		std::vector<lug_check> checks;
+		std::vector<std::pair<std::string, std::string>> puts;
+		std::vector<std::string> deletes;
+		std::vector<std::string> check_keys;
+		std::string prefix;
+		lug_txn_fn txn_fn;
+		lug_scan_fn scan_fn;
+		void *data;
+	};
+	std::map<std::string, Row> rows;
+	std::deque<Call> calls;
+	gint64 revision = 0;
+	int commits = 0;
+
+	FakeStore()
+	{
+		static const struct lug_store_ops ops = {txn, scan, nullptr};
+
+		base.ops = &ops;
+	}
+
+	static std::string name(const char *table, const char *key)
+	{
+		return std::string(table) + "/" + key;
+	}
+
+	static void txn(struct lug_store *store, const struct lug_txn *txn, lug_txn_fn fn,
+			void *data)
+	{
+		Call call = {};
+
+		for (guint i = 0; i < txn->checks->len; i++) {
+			const struct lug_check *check =
+				&g_array_index(txn->checks, struct lug_check, i);
+
+			call.checks.push_back(*check);
+			call.check_keys.push_back(name(check->table, check->key));
+		}
+		for (guint i = 0; i < txn->puts->len; i++) {
+			const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
+
+			if (put->data)
+				call.puts.emplace_back(name(put->table, put->key), put->data);
+			else
+				call.deletes.push_back(name(put->table, put->key));
+		}
+		call.txn_fn = fn;
+		call.data = data;
+		reinterpret_cast<FakeStore *>(store)->calls.push_back(call);
+	}
+
+	static void scan(struct lug_store *store, const char *table, const char *prefix,
+			 const char *after, guint limit, lug_scan_fn fn, void *data)
+	{
+		Call call = {};
+
+		(void)after;
+		(void)limit;
+		call.prefix = name(table, prefix);
+		call.scan_fn = fn;
+		call.data = data;
+		reinterpret_cast<FakeStore *>(store)->calls.push_back(call);
+	}
+
+	gint64 version(const std::string &key) const
+	{
+		auto it = rows.find(key);
+
+		return it == rows.end() ? 0 : it->second.version;
+	}
+
+	void put(const std::string &key, const std::string &data)
+	{
+		rows[key] = Row{data, ++revision};
+	}
+
+	/* Applies a transaction; returns the indices of failed checks. */
+	std::vector<guint> apply(const Call &call)
+	{
+		std::vector<guint> failed;
+
+		for (size_t i = 0; i < call.checks.size(); i++)
+			if (version(call.check_keys[i]) != call.checks[i].version)
+				failed.push_back(static_cast<guint>(i));
+		if (!failed.empty())
+			return failed;
+		revision++;
+		commits++;
+		for (const auto &put : call.puts)
+			rows[put.first] = Row{put.second, revision};
+		for (const auto &key : call.deletes)
+			rows.erase(key);
+		return failed;
+	}
+
+	Call take()
+	{
+		Call call = calls.front();
+
+		calls.pop_front();
+		return call;
+	}
+
+	void answer_txn(const Call &call)
+	{
+		std::vector<guint> failed = apply(call);
+		struct lug_txn_result result = {failed.empty() ? LUG_OK : LUG_CONFLICT, revision,
+						failed.data(), static_cast<guint>(failed.size())};
+
+		call.txn_fn(call.data, &result);
+	}
+
+	static void answer_lost(const Call &call)
+	{
+		struct lug_txn_result result = {LUG_UNKNOWN, 0, nullptr, 0};
+
+		call.txn_fn(call.data, &result);
+	}
+
+	void answer_scan(const Call &call, enum lug_status status = LUG_OK)
+	{
+		std::vector<struct lug_row> found;
+		size_t table = call.prefix.find('/') + 1;
+
+		for (auto it = rows.lower_bound(call.prefix);
+		     it != rows.end() && it->first.compare(0, call.prefix.size(), call.prefix) == 0;
+		     ++it)
+			found.push_back({g_strdup(it->first.c_str() + table), it->second.version,
+					 lug_json_parse(it->second.data.c_str(), -1, nullptr)});
+		call.scan_fn(call.data, status, found.data(), static_cast<guint>(found.size()),
+			     FALSE);
+		for (auto &row : found) {
+			g_free(row.key);
+			json_object_unref(row.data);
+		}
+	}
+
+	/* Answers everything that is asked until nothing is open. */
+	void settle()
+	{
+		while (!calls.empty()) {
+			Call call = take();
+
+			if (call.txn_fn)
+				answer_txn(call);
+			else
+				answer_scan(call);
+		}
+	}
+};
+
+/* A context without a loop's traffic, for parts that only read settings and count. */
+struct lug_ctx *test_context(const char *name);
+
+#endif
--- /dev/null
+++ b/tests/unit/lane_test.cc
@@ -0,0 +1,233 @@
+#include "lug.h"
+
+#include "fake_store.h"
+
+namespace
+{
+const gint64 ms = 1000;
+
+struct LaneTest : public testing::Test {
+	FakeStore store;
+	struct lug_ctx *ctx = test_context("a");
+	std::vector<enum lug_lane_event> events;
+	std::vector<struct lug_lane *> lanes;
+
+	static void on_event(void *data, enum lug_lane_event event)
+	{
+		static_cast<std::vector<enum lug_lane_event> *>(data)->push_back(event);
+	}
+
+	struct lug_lane *lane(struct lug_ctx *holder, gint64 ttl_ms = 3000)
+	{
+		struct lug_lane_config config = {"queue", "t", ttl_ms, nullptr, on_event, &events};
+
+		lanes.push_back(lug_lane_new(holder, &store.base, &config));
+		return lanes.back();
+	}
+
+	struct lug_lane *held()
+	{
+		struct lug_lane *made = lane(ctx);
+		struct lug_row none = {};
+
+		lug_lane_take(made, &none, 1000 * ms);
+		store.settle();
+		EXPECT_TRUE(lug_lane_held(made));
+		return made;
+	}
+
+	void TearDown() override
+	{
+		for (struct lug_lane *made : lanes)
+			lug_lane_free(made);
+		lug_ctx_free(ctx);
+	}
+};
+
+void note(void *data, enum lug_status status, gint64 version)
+{
+	(void)version;
+	static_cast<std::vector<enum lug_status> *>(data)->push_back(status);
+}
+
+struct lug_op *op(std::vector<enum lug_status> *out, const char *key, gint64 version,
+		  gint64 add = 0)
+{
+	struct lug_op *made = lug_op_new(note, out);
+
+	lug_txn_check(&made->txn, "row", key, version);
+	lug_txn_put_text(&made->txn, "row", key, "{}");
+	made->add = add;
+	return made;
+}
+
+struct lug_row read(FakeStore &store, const char *key)
+{
+	auto it = store.rows.find(std::string("queue/") + key);
+	struct lug_row row = {const_cast<char *>(key), it->second.version,
+			      lug_json_parse(it->second.data.c_str(), -1, nullptr)};
+
+	return row;
+}
+} // namespace
+
+TEST_F(LaneTest, TakesFreeRowAndRenewsBeforeItLapses)
+{
+	struct lug_lane *made = held();
+
+	EXPECT_EQ(events, std::vector<enum lug_lane_event>{LUG_LANE_TAKEN});
+	EXPECT_EQ(lug_lane_epoch(made), 1u);
+	EXPECT_TRUE(lug_lane_valid(made, 3000 * ms));
+	EXPECT_FALSE(lug_lane_valid(made, 3990 * ms)) << "the margin for drift is taken off";
+	lug_lane_tick(made, 1900 * ms);
+	EXPECT_TRUE(store.calls.empty());
+	lug_lane_tick(made, 2000 * ms);
+	store.settle();
+	EXPECT_TRUE(lug_lane_valid(made, 4900 * ms));
+}
+
+TEST_F(LaneTest, SharesOneTransactionAmongWaitingOperations)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> out;
+
+	store.commits = 0;
+	for (int i = 0; i < 10; i++)
+		lug_lane_submit(made, op(&out, std::to_string(i).c_str(), 0), 1100 * ms);
+	store.settle();
+	EXPECT_EQ(out, std::vector<enum lug_status>(10, LUG_OK));
+	EXPECT_EQ(store.commits, 2) << "the first alone, nine together";
+}
+
+TEST_F(LaneTest, FindsCommitWhoseAnswerWasLost)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> out;
+
+	store.commits = 0;
+	lug_lane_submit(made, op(&out, "x", 0, 5), 1100 * ms);
+	FakeStore::Call call = store.take();
+	store.apply(call);
+	FakeStore::answer_lost(call);
+	EXPECT_TRUE(out.empty()) << "an unknown outcome is not told as a failure";
+	lug_lane_tick(made, lug_now_us() + 5000 * ms);
+	store.settle();
+	EXPECT_EQ(out, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_EQ(store.commits, 1) << "committed once";
+	EXPECT_EQ(lug_lane_total(made), 5);
+}
+
+TEST_F(LaneTest, SendsAgainWhatDidNotTakeEffectAndLateOriginalIsRefused)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> out;
+
+	store.commits = 0;
+	lug_lane_submit(made, op(&out, "x", 0, 5), 1100 * ms);
+	FakeStore::Call original = store.take();
+	FakeStore::answer_lost(original);
+	lug_lane_tick(made, lug_now_us() + 5000 * ms);
+	store.settle();
+	EXPECT_EQ(out, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_FALSE(store.apply(original).empty()) << "the original arrives late";
+	EXPECT_EQ(store.commits, 1);
+	EXPECT_EQ(lug_lane_total(made), 5);
+}
+
+TEST_F(LaneTest, PutsOutOnlyTheOperationThatConflicts)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> good;
+	std::vector<enum lug_status> bad;
+
+	store.put("row/taken", "{}");
+	lug_lane_submit(made, op(&good, "a", 0), 1100 * ms);
+	lug_lane_submit(made, op(&bad, "taken", 0), 1100 * ms);
+	lug_lane_submit(made, op(&good, "b", 0), 1100 * ms);
+	store.settle();
+	EXPECT_EQ(bad, std::vector<enum lug_status>{LUG_CONFLICT});
+	EXPECT_EQ(good, std::vector<enum lug_status>(2, LUG_OK));
+}
+
+TEST_F(LaneTest, FormerHolderCanNotCommit)
+{
+	struct lug_lane *first = held();
+	struct lug_ctx *other_ctx = test_context("b");
+	struct lug_lane *second = lane(other_ctx);
+	struct lug_row row = read(store, "t");
+	std::vector<enum lug_status> out;
+
+	lug_lane_take(second, &row, 9000 * ms);
+	store.settle();
+	EXPECT_TRUE(lug_lane_held(second));
+	EXPECT_EQ(lug_lane_epoch(second), 2u);
+	lug_lane_submit(first, op(&out, "x", 0), 9000 * ms);
+	store.settle();
+	EXPECT_EQ(out, std::vector<enum lug_status>{LUG_UNKNOWN})
+		<< "the row can't tell whether it took effect before the change of hands";
+	EXPECT_FALSE(lug_lane_held(first));
+	EXPECT_EQ(store.version("row/x"), 0);
+	json_object_unref(row.data);
+	lug_lane_free(second);
+	lanes.pop_back();
+	lug_ctx_free(other_ctx);
+}
+
+TEST_F(LaneTest, LearnsFromItsSuccessorThatItsLastCommitTookEffect)
+{
+	struct lug_lane *first = held();
+	struct lug_ctx *other_ctx = test_context("b");
+	struct lug_lane *second = lane(other_ctx);
+	std::vector<enum lug_status> out;
+
+	lug_lane_submit(first, op(&out, "x", 0), 1100 * ms);
+	FakeStore::Call call = store.take();
+	store.apply(call);
+	struct lug_row row = read(store, "t");
+	lug_lane_take(second, &row, 9000 * ms);
+	store.settle();
+	FakeStore::answer_lost(call);
+	lug_lane_tick(first, lug_now_us() + 5000 * ms);
+	store.settle();
+	EXPECT_EQ(out, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_FALSE(lug_lane_held(first));
+	json_object_unref(row.data);
+	lug_lane_free(second);
+	lanes.pop_back();
+	lug_ctx_free(other_ctx);
+}
+
+TEST_F(LaneTest, TellsUnsentOperationAsNotCommittedAndSentOneAsUnknown)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> sent;
+	std::vector<enum lug_status> waiting;
+	struct lug_op *first = op(&sent, "a", 0);
+	struct lug_op *second = op(&waiting, "b", 0);
+
+	first->deadline_us = 2000 * ms;
+	second->deadline_us = 2000 * ms;
+	lug_lane_submit(made, first, 1100 * ms);
+	lug_lane_submit(made, second, 1100 * ms);
+	FakeStore::answer_lost(store.take());
+	lug_lane_tick(made, 2000 * ms);
+	EXPECT_EQ(sent, std::vector<enum lug_status>{LUG_UNKNOWN});
+	EXPECT_EQ(waiting, std::vector<enum lug_status>{LUG_UNAVAILABLE});
+	store.calls.clear();
+}
+
+TEST_F(LaneTest, ReleasedRowMayBeTakenAtOnceLapsedOneAfterItsTime)
+{
+	struct lug_lane *made = held();
+	struct lug_row row = read(store, "t");
+
+	EXPECT_FALSE(lug_lane_row_lapsed(&row, 3000 * ms));
+	EXPECT_TRUE(lug_lane_row_lapsed(&row, 3100 * ms));
+	json_object_unref(row.data);
+	lug_lane_release(made, 1200 * ms);
+	store.settle();
+	row = read(store, "t");
+	EXPECT_TRUE(lug_lane_row_lapsed(&row, 0));
+	EXPECT_EQ(events.back(), LUG_LANE_RELEASED);
+	json_object_unref(row.data);
+}
