Operations on one row no longer share a transaction

Two operators had used the same entry during an outage; its lane put both edits into one group commit, whose checks are all made before its writes, so both saw version 1. The same would have let two requests with one idempotency key run. Ruled out: the table service (one write in its log) and the read-back after lost answers.

Before: the new unit test gets ok, ok. After: ok, conflict. Conclusion: an operation that meets a row written earlier in the group waits for the next transaction.

--- a/Makefile
+++ b/Makefile
@@ -88,6 +88,16 @@
 	@$(MAKE) --no-print-directory -j8 all
 	@$(PYTHON) tests/rig/run_example.py --example $(EXAMPLE) --seed $(SEED)
 
+FAULTS ?=
+DURATION_S ?= 30
+fault: deps ## run under faults (SEED=n FAULTS=a,b DURATION_S=s EXAMPLE=lemnaria|trials)
+	@$(MAKE) --no-print-directory -j8 all
+	@$(PYTHON) tests/rig/fault.py --seed $(SEED) --faults "$(FAULTS)" --duration $(DURATION_S) \
+	 --example $(EXAMPLE)
+
+fault-list: ## name the faults
+	@$(PYTHON) tests/rig/fault.py --list
+
 bench-hop: deps ## CPU and time that the entry adds to a request
 	@$(MAKE) --no-print-directory -j8 all
 	@$(PYTHON) tests/bench/hop.py
@@ -96,5 +106,5 @@
 	rm -rf build build-sanitize
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all help deps generate format lint check run bench-hop clean
+.PHONY: all help deps generate format lint check run fault fault-list bench-hop clean
 .SECONDARY:
--- a/liblug/platform/lane.c
+++ b/liblug/platform/lane.c
@@ -207,17 +207,67 @@
 	lug_store_txn(lane->store, &lane->txn, on_commit, lane);
 }
 
+static char *row_name(const char *table, const char *key)
+{
+	return g_strconcat(table, "/", key, NULL);
+}
+
+static gboolean in_set(GHashTable *rows, const char *table, const char *key)
+{
+	char *name = row_name(table, key);
+	gboolean found = g_hash_table_contains(rows, name);
+
+	g_free(name);
+	return found;
+}
+
+static gboolean meets(GHashTable *rows, const struct lug_txn *txn)
+{
+	for (guint i = 0; i < txn->checks->len; i++) {
+		const struct lug_check *check = &g_array_index(txn->checks, struct lug_check, i);
+
+		if (in_set(rows, check->table, check->key))
+			return TRUE;
+	}
+	for (guint i = 0; i < txn->puts->len; i++) {
+		const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
+
+		if (in_set(rows, put->table, put->key))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static void add_rows(GHashTable *rows, const struct lug_txn *txn)
+{
+	for (guint i = 0; i < txn->puts->len; i++) {
+		const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
+
+		g_hash_table_add(rows, row_name(put->table, put->key));
+	}
+}
+
+/*
+ * All checks of a transaction are made before its writes. So an operation that meets
+ * a row written by an earlier one waits for the next transaction, where its check
+ * sees that write.
+ */
 static void fill_flight(struct lug_lane *lane)
 {
+	GHashTable *rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	guint n = 0;
 
 	while (n++ < OPS_PER_TXN && !lug_list_empty(&lane->ops)) {
 		struct lug_op *op = LUG_CONTAINER_OF(lane->ops.next, struct lug_op, node);
 
+		if (meets(rows, &op->txn))
+			break;
+		add_rows(rows, &op->txn);
 		lug_list_remove(&op->node);
 		op->sent = TRUE;
 		lug_list_append(&lane->flight, &op->node);
 	}
+	g_hash_table_unref(rows);
 }
 
 static void commit(struct lug_lane *lane, gint64 now_us)
--- /dev/null
+++ b/tests/rig/fault.py
@@ -0,0 +1,315 @@
+"""make fault: real processes under faults drawn from a seed, judged by the stand-ins' history."""
+
+import argparse
+import json
+import os
+import random
+import shutil
+import sys
+import threading
+import time
+
+import checker
+from deploy import Deployment, http, table_text, wait_for
+from faults import FAULTS, STANDING, World, last_cut, now_us
+from load import Load
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+LEASES = {"worker": "4s", "queue": "2s"}
+REQUEST_RATE = 40
+JOB_RATE = 3
+SETTLE_S = 75
+FAULT_GAP_S = (0.4, 1.4)
+FAULT_HOLD_S = (0.8, 5.5)
+AT_ONCE = 2
+OPS_MIN = 500
+TASKS_MIN = 100
+
+
+def far_off_sizes(spec, rng):
+    """Declared run times become wrong by up to ten times either way."""
+    for job in spec["jobs"]:
+        factor = 10 ** rng.uniform(-1, 1)
+        job["run_time"] = f"{max(1, int(job['work_ms'] * factor))}ms"
+        job["work_ms"] = min(job["work_ms"], 2500)
+
+
+class Run:
+    """One run: load, edits, samples of versions, faults; then healing and judgement."""
+
+    def __init__(self, args):
+        self.args = args
+        self.rng = random.Random(args.seed)
+        self.dir = os.path.join(ROOT, "run", f"fault-{args.example}-{args.seed}")
+        shutil.rmtree(self.dir, ignore_errors=True)
+        self.deployment = Deployment(os.path.join(ROOT, "examples", f"{args.example}.yaml"),
+                                     self.dir, build=os.path.join(ROOT, "build"), net=args.net,
+                                     seed=args.seed, proxied=True,
+                                     overrides={"lease": LEASES, "beat": "250ms"})
+        far_off_sizes(self.deployment.spec, self.rng)
+        self.world = World(self.deployment, self.rng)
+        self.world.swing = self.swing
+        self.world.accepted = self.accepted
+        self.tally = {name: 0 for name in list(FAULTS) + STANDING}
+        self.edits = []
+        self.versions = []
+        self.loads = []
+        self.end = threading.Event()
+
+    def accepted(self):
+        ops = [op for load in self.loads for op in load.lines() if op["op"] == "job"]
+        return [op for op in ops if op["http"] in (200, 201) and
+                op["id"] not in self.world.cancelled][-20:]
+
+    def swing(self):
+        """Three times the load for two seconds."""
+        number = len(self.loads)
+        self.loads.append(Load(self.deployment, f"swing{number}", self.args.seed * 100 + number, 2,
+                               REQUEST_RATE * 2, 0, {"get": .6, "post": .4}))
+        return "swing"
+
+    def edit_once(self, operator, rng):
+        entry = rng.randrange(len(self.deployment.entries))
+        table = self.deployment.get("/table", entry=entry, timeout=4)
+        rows = [dict(row) for row in self.deployment.spec["weights"]]
+        shift = rng.randint(0, 5)
+        rows[0]["weight"] -= shift
+        rows[1]["weight"] += shift
+        name = f"{operator}-{time.monotonic_ns()}"
+        status, _, body = self.deployment.call(
+            "PUT", "/table", table_text(rows),
+            {"If-Match": str(table["version"]), "X-Operator": name}, entry=entry, timeout=8)
+        if status == 200:
+            self.edits.append({"version": json.loads(body)["version"], "by": name})
+
+    def edit_forever(self, operator):
+        rng = random.Random(f"{self.args.seed}-{operator}")
+        while not self.end.wait(rng.uniform(0.3, 1.2)):
+            try:
+                self.edit_once(operator, rng)
+            except (OSError, ValueError, AssertionError):
+                continue
+
+    def sample_versions(self):
+        while not self.end.wait(0.25):
+            names = self.deployment.workers + self.deployment.entries
+            for name in names:
+                process = self.deployment.processes.get(name.replace("worker", "agent"))
+                url = (self.deployment.agent_url(name) if name.startswith("worker")
+                       else f"http://{self.deployment.ip(name)}:8080")
+                try:
+                    text = http("GET", f"{url}/metrics", timeout=1)[2].decode()
+                except OSError:
+                    continue
+                version = int(text.split("\ncatkinlug_table_version ")[1].split("\n")[0])
+                self.versions.append((name, process.pid if process else 0, version))
+
+    def undo_due(self, active, everything=False):
+        for item in list(active):
+            due, end, what = item
+            if everything or time.monotonic() >= due:
+                end(self.world, what)
+                active.remove(item)
+
+    def draw_faults(self, until):
+        names = self.args.faults or list(FAULTS)
+        order = []
+        active = []
+        while time.monotonic() < until:
+            time.sleep(self.rng.uniform(*FAULT_GAP_S))
+            self.undo_due(active)
+            if len(active) >= AT_ONCE:
+                continue
+            if not order:
+                # Every fault once before any comes twice.
+                order = list(names)
+                self.rng.shuffle(order)
+            name = order.pop()
+            begin, end = FAULTS[name]
+            what = begin(self.world)
+            if what is None:
+                order.insert(0, name)
+                continue
+            self.tally[name] += 1
+            if self.args.verbose:
+                print(f"  {now_us()} {name} {what}", flush=True)
+            active.append((time.monotonic() + self.rng.uniform(*FAULT_HOLD_S), end, what))
+        self.undo_due(active, everything=True)
+
+    def heal(self):
+        for owner in list(self.world.rules):
+            self.world.set_rules(owner, None)
+        names = [self.deployment.agent(w) for w in self.deployment.workers]
+        for name in self.deployment.workers + self.deployment.entries + names:
+            process = self.deployment.processes.get(name)
+            if process is None or process.poll() is not None:
+                if process is not None and process.returncode not in (0, 3):
+                    self.world.stops.append((name, process.returncode, "?"))
+                self.deployment.processes.pop(name, None)
+                self.deployment.start(name)
+
+    def wait_jobs(self, ops):
+        wanted = {op["id"] for op in ops if op["op"] == "job" and op["http"] in (200, 201)}
+
+        def all_ended():
+            jobs = self.jobs()
+            rows = {job["id"]: job for job in jobs}
+            return all(rows.get(i, {}).get("state") in ("done", "failed", "cancelled")
+                       for i in wanted)
+        try:
+            wait_for(all_ended, SETTLE_S, "end of all jobs", 0.5)
+            return True
+        except TimeoutError:
+            return False
+
+    def jobs(self):
+        jobs = []
+        for row in self.deployment.spec["weights"]:
+            jobs += self.deployment.get(f"/jobs?team={row['team']}", timeout=8)["jobs"]
+        return jobs
+
+    def final_versions(self):
+        """Versions in force after healing, at most nine seconds later."""
+        deadline = time.monotonic() + 9
+        while True:
+            table = self.deployment.get("/status")
+            versions = {w["worker"]: w["table_version"] for w in table["workers"]
+                        if w["state"] == "live"}
+            newest = self.deployment.get("/table/history")["versions"][-1]["version"]
+            if len(versions) == len(self.deployment.workers) and \
+               set(versions.values()) == {newest}:
+                return versions
+            if time.monotonic() > deadline:
+                return versions
+            time.sleep(0.2)
+
+    def metered(self):
+        """Meters and charges of the service, once they agree or cannot any more."""
+        def sums():
+            meters = 0
+            for worker in self.deployment.workers:
+                body = http("POST", self.deployment.worker_url(worker) + "/control", "{}")[2]
+                meters += sum(json.loads(body)["meters"].values())
+            charged = sum(c["service_core_ms"] for c in self.deployment.get("/charges")["charges"])
+            return meters, charged
+        if self.world.dead_workers:
+            return None, 0
+        try:
+            wait_for(lambda: len(set(sums())) == 1, 10, "equal charges", 0.5)
+        except TimeoutError:
+            pass
+        return sums()
+
+    def fenced(self):
+        workers = set()
+        for name in os.listdir(self.dir):
+            if not name.endswith(".log"):
+                continue
+            with open(os.path.join(self.dir, name), encoding="utf-8", errors="replace") as file:
+                for line in file:
+                    if "event=worker_fenced" in line:
+                        workers.add(line.split("worker=")[1].split()[0])
+        return workers
+
+    def collect(self, ops, ended):
+        meters, charged = self.metered()
+        return {
+            "history": self.deployment.history(), "ops": ops, "jobs": self.jobs(),
+            "edits": self.edits, "table_history": self.deployment.get("/table/history")["versions"],
+            "final_versions": self.final_versions(), "versions": self.versions,
+            "drains": self.world.drains, "stops": self.world.stops, "fenced": self.fenced(),
+            "cancelled": self.world.cancelled, "fail_all": self.world.fail_all,
+            "all_ended": ended, "metered_service": meters, "charged_service": charged,
+            "charged_batch": sum(c["batch_core_ms"]
+                                 for c in self.deployment.get("/charges")["charges"]),
+        }
+
+    def drive(self):
+        self.deployment.start_all()
+        duration = self.args.duration
+        self.loads.append(Load(self.deployment, "main", self.args.seed, duration, REQUEST_RATE,
+                               JOB_RATE, {"get": .5, "post": .3, "keyed": .2}))
+        threads = [threading.Thread(target=self.edit_forever, args=(o,)) for o in ("ana", "bob")]
+        threads.append(threading.Thread(target=self.sample_versions))
+        for thread in threads:
+            thread.start()
+        self.draw_faults(time.monotonic() + duration)
+        self.end.set()
+        for thread in threads:
+            thread.join()
+        self.heal()
+        ops = [op for load in self.loads for op in load.wait()]
+        self.deployment.wait_ready()
+        ended = self.wait_jobs(ops)
+        return self.collect(ops, ended)
+
+    def run(self):
+        stopped = False
+        try:
+            result = self.drive()
+            bad = self.deployment.stop_all()
+            stopped = True
+            result["stops"] += [(name, code, last_cut(self.deployment, name))
+                                for name, code in bad.items()]
+        finally:
+            if not stopped:
+                self.deployment.stop_all()
+        return result
+
+
+def extract(result, subject):
+    """The events and operations that concern one subject."""
+    lines = [e for e in result["history"] if subject in (e["job"], e["worker"], e.get("key"))]
+    lines += [op for op in result["ops"] if subject in (op["key"], op["id"])]
+    lines.sort(key=lambda e: e.get("t_us", e.get("due_us", 0)))
+    return lines[-25:]
+
+
+def summarize(result, run, violations):
+    done_ops = sum(1 for op in result["ops"] if op["http"])
+    tasks = sum(1 for e in result["history"] if e["event"] == "done")
+    fired = sum(run.tally.values())
+    for rule, text, subject in violations[:8]:
+        print(f"VIOLATION {rule}: {text}")
+        for line in extract(result, subject):
+            print(f"    {json.dumps(line)}")
+    print("fired: " + " ".join(f"{n}={c}" for n, c in run.tally.items() if c))
+    print(f"requests_answered={sum(1 for o in result['ops'] if o['http'] == 200)} "
+          f"tasks_done={tasks} edits={len(result['edits'])}")
+    print(f"operations={done_ops} faults={fired} violations={len(violations)} seed={run.args.seed}")
+    if not fired or not tasks or not done_ops:
+        return 1
+    if run.args.duration >= 30 and (done_ops < OPS_MIN or tasks < TASKS_MIN):
+        print(f"too little was done: at least {OPS_MIN} operations and {TASKS_MIN} tasks are due")
+        return 1
+    return 1 if violations else 0
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--faults", type=lambda t: [f for f in t.split(",") if f], default=[])
+    parser.add_argument("--duration", type=float, default=30)
+    parser.add_argument("--example", default="lemnaria")
+    parser.add_argument("--net", type=int, default=100)
+    parser.add_argument("--list", action="store_true")
+    parser.add_argument("--verbose", action="store_true")
+    args = parser.parse_args()
+    if args.list:
+        print("\n".join(list(FAULTS) + STANDING))
+        return 0
+    unknown = [name for name in args.faults if name not in FAULTS]
+    if unknown:
+        print(f"unknown faults {unknown}; make fault-list names them")
+        return 2
+    run = Run(args)
+    result = run.run()
+    run.tally["racing-edits"] = len(result["edits"])
+    run.tally["sizes-off"] = 1
+    with open(os.path.join(run.dir, "result.json"), "w", encoding="utf-8") as file:
+        json.dump({k: sorted(v) if isinstance(v, set) else v for k, v in result.items()}, file)
+    return summarize(result, run, checker.check(result))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -670,12 +670,15 @@
 		ms = (double)(w->until_us - w->last_us) / 1000;
 	LUG_LIST_FOREACH_SAFE (&w->tasks, pos, tmp) {
 		struct sim_task *task = LUG_CONTAINER_OF(pos, struct sim_task, node);
+		char extra[48];
 
 		if (task->state != SIM_RUNNING)
 			continue;
 		if (task->was_paused == valid) {
 			task->was_paused = !valid;
-			history(w, valid ? "resumed" : "paused", task, NULL);
+			g_snprintf(extra, sizeof(extra), ",\"at_us\":%" G_GINT64_FORMAT,
+				   valid ? now_us : MIN(w->until_us, now_us));
+			history(w, valid ? "resumed" : "paused", task, extra);
 		}
 		if (valid)
 			run_task(w, task, ms);
--- a/tests/unit/lane_test.cc
+++ b/tests/unit/lane_test.cc
@@ -149,6 +149,21 @@
 	EXPECT_EQ(good, std::vector<enum lug_status>(2, LUG_OK));
 }
 
+TEST_F(LaneTest, OperationsOnOneRowDoNotShareTransaction)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> first;
+	std::vector<enum lug_status> second;
+	std::vector<enum lug_status> other;
+
+	lug_lane_submit(made, op(&other, "x", 0), 1100 * ms);
+	lug_lane_submit(made, op(&first, "same", 0), 1100 * ms);
+	lug_lane_submit(made, op(&second, "same", 0), 1100 * ms);
+	store.settle();
+	EXPECT_EQ(first, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_EQ(second, std::vector<enum lug_status>{LUG_CONFLICT}) << "both saw an absent row";
+}
+
 TEST_F(LaneTest, FormerHolderCanNotCommit)
 {
 	struct lug_lane *first = held();
