--- a/cli/catkinlug.c
+++ b/cli/catkinlug.c
@@ -1,6 +1,7 @@
 #include <argtable2.h>
 #include <stdio.h>
 #include <string.h>
+#include <zmq.h>
 
 #include "client/client.h"
 #include "core/settings.h"
@@ -9,6 +10,7 @@
 
 #define COMMAND_WORDS 2
 #define ENTRIES_MAX 16
+#define KEY_TEXT_BYTES 41
 
 /* Arguments that every command takes. */
 struct common {
@@ -401,6 +403,35 @@
 	return code;
 }
 
+static int new_key(void)
+{
+	char public_key[KEY_TEXT_BYTES];
+	char secret_key[KEY_TEXT_BYTES];
+
+	if (zmq_curve_keypair(public_key, secret_key)) {
+		fprintf(stderr, "catkinlug: the ZeroMQ library here has no CURVE\n");
+		return LUG_EXIT_UNDONE;
+	}
+	printf("keys:\n  - public: '%s'\n    secret: '%s'\n", public_key, secret_key);
+	return LUG_EXIT_DONE;
+}
+
+static int run_key_new(struct lug_client *client, int argc, char **argv, const char *name)
+{
+	struct common common;
+	int code;
+
+	common_init(&common);
+	{
+		void *table[] = TABLE(common);
+
+		if (parse(client, argc, argv, name, table, &common, &code))
+			code = new_key();
+		arg_freetable(table, G_N_ELEMENTS(table));
+	}
+	return code;
+}
+
 static const struct command commands[] = {
 	{"table", "show", run_table_show, "print the weights and limits in force"},
 	{"table", "edit", run_table_edit, "edit them in $EDITOR"},
@@ -416,6 +447,7 @@
 	{"charge", "report", run_charge_report, "print the charges of the teams"},
 	{"status", NULL, run_status, "print versions in force, store, entries, owners"},
 	{"timeline", NULL, run_timeline, "print the events of all processes in order"},
+	{"key", "new", run_key_new, "print a new key pair for the inner connections"},
 	{"settings", "check", run_settings_check, "check a settings file"},
 };
 
--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -37,7 +37,8 @@
 	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                   \
 	X(LEASES_LOST, "leases_lost", "Leases found held by another")                     \
 	X(TABLE_UPDATES, "table_updates", "Newer versions of the weights and limits")     \
-	X(DENIED, "denied", "Callers refused for want of a valid token")
+	X(DENIED, "denied", "Callers refused for want of a valid token")                  \
+	X(STRANGERS, "strangers", "Inner connections refused for want of a known key")
 
 #define LUG_GAUGES(X)                                                                   \
 	X(TABLE_VERSION, "table_version", "Version of the weights and limits in force") \
--- a/liblug/core/settings.c
+++ b/liblug/core/settings.c
@@ -11,6 +11,8 @@
 #define FOR_BOTH (FOR_ENTRY | FOR_AGENT)
 #define SETTINGS_BYTES_MAX (1024 * 1024)
 #define PATH_MAX_CHARS 128
+#define KEY_CHARS 40
+#define KEYS_MAX 2
 
 enum setting_type {
 	SET_TEXT,
@@ -24,6 +26,7 @@
 	SET_LEVEL,
 	SET_ADDRESSES,
 	SET_TOKENS,
+	SET_KEYS,
 };
 
 struct setting_def {
@@ -56,6 +59,7 @@
 	{"platform.rate", SET_INT, FOR_BOTH, FALSE, "50", 1, 2000, AT(platform_rate), TRUE},
 	{"entries", SET_ADDRESSES, FOR_AGENT, TRUE, NULL, 0, 0, AT(entries), FALSE},
 	{"tokens", SET_TOKENS, FOR_ENTRY, TRUE, NULL, 0, 0, AT(tokens), TRUE},
+	{"keys", SET_KEYS, FOR_BOTH, FALSE, NULL, 0, 0, AT(keys), TRUE},
 	{"beat", SET_DURATION, FOR_BOTH, FALSE, "1s", 50, 30000, AT(beat_ms), FALSE},
 	{"lease.worker", SET_DURATION, FOR_BOTH, FALSE, "120s", 2000, 600000, AT(worker_lease_ms),
 	 FALSE},
@@ -106,6 +110,8 @@
 		[SET_LEVEL] = "debug, info, warn or error",
 		[SET_ADDRESSES] = "a list of IP:PORT",
 		[SET_TOKENS] = "a list of {token: TEXT, team: NAME, role: team|operator}",
+		[SET_KEYS] = "one or two of {public: KEY, secret: KEY}, 40 characters each, as "
+			     "catkinlug key new prints them",
 	};
 
 	return forms[type];
@@ -316,6 +322,52 @@
 		store_token(p, yaml_document_get_node(&p->doc, *it));
 }
 
+static void key_member(struct parse *p, struct lug_key *key, yaml_node_t *name_node,
+		       yaml_node_t *value)
+{
+	const char *name = scalar_text(name_node);
+	const char *text = scalar_text(value);
+
+	if (!name || !text || strlen(text) != KEY_CHARS)
+		problem(p, name_node, "keys: a member is not accepted; write %s",
+			accepted_form(SET_KEYS));
+	else if (!strcmp(name, "public") && !key->public_key)
+		key->public_key = g_strdup(text);
+	else if (!strcmp(name, "secret") && !key->secret_key)
+		key->secret_key = g_strdup(text);
+	else
+		problem(p, name_node, "keys: %s: unknown or given twice; write %s", name,
+			accepted_form(SET_KEYS));
+}
+
+static void store_key(struct parse *p, yaml_node_t *item)
+{
+	struct lug_key key = {0};
+
+	if (item && item->type == YAML_MAPPING_NODE)
+		for (yaml_node_pair_t *pair = item->data.mapping.pairs.start;
+		     pair < item->data.mapping.pairs.top; pair++)
+			key_member(p, &key, yaml_document_get_node(&p->doc, pair->key),
+				   yaml_document_get_node(&p->doc, pair->value));
+	if (!key.public_key || !key.secret_key)
+		problem(p, item, "keys: public and secret are both needed; write %s",
+			accepted_form(SET_KEYS));
+	g_array_append_val(p->out->keys, key);
+}
+
+static void store_keys(struct parse *p, const struct setting_def *def, yaml_node_t *node)
+{
+	if (node->type != YAML_SEQUENCE_NODE) {
+		wrong_form(p, node, def, scalar_text(node));
+		return;
+	}
+	for (yaml_node_item_t *it = node->data.sequence.items.start;
+	     it < node->data.sequence.items.top; it++)
+		store_key(p, yaml_document_get_node(&p->doc, *it));
+	if (p->out->keys->len > KEYS_MAX)
+		problem(p, node, "keys: more than two; write %s", accepted_form(SET_KEYS));
+}
+
 static gssize find_def(const char *path, guint daemon)
 {
 	for (gsize i = 0; i < G_N_ELEMENTS(defs); i++)
@@ -353,6 +405,8 @@
 		store_addresses(p, def, value);
 	else if (def->type == SET_TOKENS)
 		store_tokens(p, def, value);
+	else if (def->type == SET_KEYS)
+		store_keys(p, def, value);
 	else if (scalar_text(value))
 		store_scalar(p, def, value, scalar_text(value));
 	else
@@ -443,6 +497,14 @@
 	fill_defaults(p);
 }
 
+static void free_key(void *data)
+{
+	struct lug_key *key = data;
+
+	g_free(key->public_key);
+	g_free(key->secret_key);
+}
+
 static void free_token(void *data)
 {
 	struct lug_token *token = data;
@@ -470,6 +532,8 @@
 	p.out->entries = g_ptr_array_new_with_free_func(g_free);
 	p.out->tokens = g_array_new(FALSE, TRUE, sizeof(struct lug_token));
 	g_array_set_clear_func(p.out->tokens, free_token);
+	p.out->keys = g_array_new(FALSE, TRUE, sizeof(struct lug_key));
+	g_array_set_clear_func(p.out->keys, free_key);
 	yaml_parser_initialize(&parser);
 	yaml_parser_set_input_string(&parser, (const unsigned char *)text, len);
 	if (!yaml_parser_load(&parser, &p.doc)) {
@@ -541,6 +605,7 @@
 	free_fields(settings);
 	g_ptr_array_unref(settings->entries);
 	g_array_unref(settings->tokens);
+	g_array_unref(settings->keys);
 	g_free(settings);
 }
 
@@ -552,7 +617,7 @@
 
 	if (is_text(def->type))
 		return !g_strcmp0(*(char *const *)left, *(char *const *)right);
-	if (def->type == SET_TOKENS || def->type == SET_ADDRESSES)
+	if (def->type == SET_TOKENS || def->type == SET_KEYS || def->type == SET_ADDRESSES)
 		return TRUE;
 	return *(const gint64 *)left == *(const gint64 *)right;
 }
--- a/liblug/core/settings.h
+++ b/liblug/core/settings.h
@@ -28,6 +28,16 @@
 	enum lug_role role;
 };
 
+/**
+ * struct lug_key - key pair of the inner connections, in the Z85 form
+ * @public_key: told to peers
+ * @secret_key: kept
+ */
+struct lug_key {
+	char *public_key;
+	char *secret_key;
+};
+
 /**
  * struct lug_settings - checked settings of one daemon
  *
@@ -49,6 +59,7 @@
 	gint64 platform_rate;
 	GPtrArray *entries;
 	GArray *tokens;
+	GArray *keys;
 	gint64 beat_ms;
 	gint64 worker_lease_ms;
 	gint64 queue_lease_ms;
--- a/liblug/daemon/api.c
+++ b/liblug/daemon/api.c
@@ -46,7 +46,6 @@
  */
 void lug_api_end(struct lug_api_call *call)
 {
-	call->entry->calls--;
 	soup_server_message_unpause(call->msg);
 	g_object_unref(call->msg);
 	if (call->query)
@@ -139,6 +138,25 @@
 	return *rest == '/' ? rest + 1 : rest;
 }
 
+/* A call counts until its answer is written whole, or its caller has gone. */
+static void on_finished(SoupServerMessage *msg, gpointer data)
+{
+	struct lug_entry *entry = data;
+
+	g_signal_handlers_disconnect_by_func(msg, on_finished, entry);
+	entry->calls--;
+}
+
+static void refuse_leaving(SoupServerMessage *msg)
+{
+	struct lug_error err;
+
+	lug_fail(&err, LUG_NOT_RUN, "send it to another entry", "not run: this entry is leaving");
+	lug_answer_error(msg, &err);
+	soup_message_headers_replace(soup_server_message_get_response_headers(msg), "Connection",
+				     "close");
+}
+
 static void on_call(SoupServer *soup, SoupServerMessage *msg, const char *path, GHashTable *query,
 		    gpointer data)
 {
@@ -149,6 +167,10 @@
 	(void)soup;
 	if (soup_server_message_get_status(msg))
 		return;
+	if (entry->stopping && lug_now_us() >= entry->stop_at_us) {
+		refuse_leaving(msg);
+		return;
+	}
 	arena = lug_arena_new();
 	call = lug_arena_alloc(arena, sizeof(*call));
 	call->arena = arena;
@@ -156,6 +178,7 @@
 	call->msg = g_object_ref(msg);
 	call->query = query ? g_hash_table_ref(query) : NULL;
 	entry->calls++;
+	g_signal_connect(msg, "finished", G_CALLBACK(on_finished), entry);
 	soup_server_message_pause(msg);
 	if (!identify(call))
 		return;
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -13,6 +13,7 @@
 #define SILENT_BEATS 4
 #define LEASE_MS 15000
 #define LEAVE_NOTICE_MS 500
+#define RELEASE_US (1000 * 1000)
 /* An entry whose row has not changed for this many lease times is not told to agents. */
 #define STALE_FACTOR 3
 
@@ -141,7 +142,10 @@
 
 	if (now_us < entry->stop_at_us || (!late && entry->calls))
 		return;
-	if (!late && lug_lane_held(entry->lane)) {
+	if (!entry->idle_since_us)
+		entry->idle_since_us = now_us;
+	/* The row need not wait for a table service that is down. */
+	if (!late && lug_lane_held(entry->lane) && now_us - entry->idle_since_us < RELEASE_US) {
 		lug_lane_release(entry->lane, now_us);
 		return;
 	}
--- a/liblug/daemon/entry_priv.h
+++ b/liblug/daemon/entry_priv.h
@@ -35,6 +35,7 @@
 	gboolean closed;
 	gint64 stop_at_us;
 	gint64 stop_by_us;
+	gint64 idle_since_us;
 	guint calls;
 };
 
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -237,6 +237,9 @@
 		return;
 	if (status != LUG_OK) {
 		lug_queue_set(owner->queue, task, LUG_TASK_PENDING, now_us);
+		task->retry_us = now_us + REFUSED_PAUSE_US;
+		if (status == LUG_CONFLICT)
+			lug_owner_poke(owner, now_us);
 		return;
 	}
 	if (task->job->job->cancelled) {
@@ -251,6 +254,7 @@
 		  guint64 worker_epoch, gint64 now_us)
 {
 	struct lug_op *op;
+	char *key;
 
 	task->attempt++;
 	task->worker_epoch = worker_epoch;
@@ -260,6 +264,10 @@
 	lug_timeline_add(owner->env.ctx->timeline, LUG_EV_TASK_CLAIMED, task->job->job->id,
 			 "task %u attempt %u on %s", task->index, task->attempt, worker);
 	op = lug_op_new(on_claimed, owner_ref_new(owner, task));
+	key = lug_job_row_key(owner->team, task->job->job->id);
+	/* No claim commits after its job was cancelled or has ended. */
+	lug_txn_check(&op->txn, "job", key, task->job->row_version);
+	g_free(key);
 	owner_put_task(owner, &op->txn, task, "running", task->checkpoint, task->used_ms);
 	lug_lane_submit(owner->lane, op, now_us);
 }
--- a/liblug/job/load.c
+++ b/liblug/job/load.c
@@ -12,6 +12,7 @@
 struct scan {
 	struct lug_owner *owner;
 	guint generation;
+	guint64 drops;
 };
 
 static void start_scan(struct lug_owner *owner);
@@ -58,12 +59,48 @@
 	g_strfreev(parts);
 }
 
-static void read_job_row(struct lug_owner *owner, const struct lug_row *row, gint64 now_us)
+/*
+ * A page that was asked for before a job ended may still show it. Such a job must not
+ * be taken for a new one.
+ */
+static gboolean page_too_old(const struct lug_owner *owner, const char *id, guint64 drops)
+{
+	const guint64 *dropped = g_hash_table_lookup(owner->dropped, id);
+
+	return dropped && *dropped > drops;
+}
+
+static gboolean drop_known(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	return *(guint64 *)value <= *(guint64 *)data;
+}
+
+/**
+ * owner_drop_job - forget an ended job
+ * @owner: owner
+ * @qjob: job whose row has been deleted
+ */
+void owner_drop_job(struct lug_owner *owner, struct lug_queue_job *qjob)
+{
+	guint64 *number = g_new0(guint64, 1);
+
+	*number = ++owner->drops;
+	g_hash_table_replace(owner->dropped, g_strdup(qjob->job->id), number);
+	lug_queue_drop(owner->queue, qjob);
+}
+
+static void read_job_row(struct lug_owner *owner, const struct lug_row *row, guint64 drops,
+			 gint64 now_us)
 {
 	struct lug_job *job = lug_job_from_row(row->data);
 	struct lug_queue_job *qjob = lug_queue_find(owner->queue, job->id);
 	gboolean cancelled = job->cancelled;
 
+	if (page_too_old(owner, job->id, drops)) {
+		lug_job_free(job);
+		return;
+	}
 	if (!qjob) {
 		gint64 waited_ms = g_get_real_time() / 1000 - job->submitted_ms;
 
@@ -116,6 +153,7 @@
 	struct scan *scan = data;
 	struct lug_owner *owner = scan->owner;
 	gboolean stale = scan->generation != owner->generation;
+	guint64 drops = scan->drops;
 	gint64 now_us = lug_now_us();
 
 	g_free(scan);
@@ -128,8 +166,9 @@
 		if (owner->load == LOAD_TASKS)
 			read_task_row(owner, &rows[i], now_us);
 		else
-			read_job_row(owner, &rows[i], now_us);
+			read_job_row(owner, &rows[i], drops, now_us);
 	}
+	g_hash_table_foreach_remove(owner->dropped, drop_known, &drops);
 	if (!more || !n_rows) {
 		finish_scan(owner, now_us);
 		return;
@@ -147,6 +186,7 @@
 
 	scan->owner = owner;
 	scan->generation = owner->generation;
+	scan->drops = owner->drops;
 	owner->scanning = TRUE;
 	lug_store_scan(owner->env.store, table, prefix, owner->scan_after, SCAN_ROWS, on_rows,
 		       scan);
--- a/liblug/job/owner.c
+++ b/liblug/job/owner.c
@@ -61,6 +61,7 @@
 {
 	g_clear_pointer(&owner->queue, lug_queue_free);
 	g_hash_table_remove_all(owner->fences);
+	g_hash_table_remove_all(owner->dropped);
 	g_clear_pointer(&owner->scan_after, g_free);
 	owner->load = LOAD_NONE;
 	owner->generation++;
@@ -102,6 +103,7 @@
 	owner->team = g_strdup(team);
 	owner->lane = lug_lane_new(env->ctx, env->store, &config);
 	owner->fences = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	owner->dropped = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return owner;
 }
 
@@ -116,6 +118,7 @@
 	owner_reset(owner);
 	lug_lane_free(owner->lane);
 	g_hash_table_unref(owner->fences);
+	g_hash_table_unref(owner->dropped);
 	g_free(owner->team);
 	g_free(owner);
 }
--- a/liblug/job/owner_priv.h
+++ b/liblug/job/owner_priv.h
@@ -39,6 +39,8 @@
 	guint64 seq;
 	guint want_turn;
 	GHashTable *fences;
+	GHashTable *dropped;
+	guint64 drops;
 	guint generation;
 };
 
@@ -63,6 +65,7 @@
 		    const char *state, const char *checkpoint, gint64 used_ms);
 
 void owner_scan(struct lug_owner *owner, gint64 now_us);
+void owner_drop_job(struct lug_owner *owner, struct lug_queue_job *qjob);
 void owner_reset(struct lug_owner *owner);
 void owner_dispatch_tick(struct lug_owner *owner, gint64 now_us);
 void owner_send_start(struct lug_owner *owner, struct lug_task *task, gint64 now_us);
--- a/liblug/job/settle.c
+++ b/liblug/job/settle.c
@@ -317,7 +317,7 @@
 			 qjob->job->id, "done %u failed %u of %u", qjob->done, qjob->failed,
 			 qjob->job->count);
 	delete_tasks(owner, qjob->job->id, qjob->job->count, lug_now_us());
-	lug_queue_drop(owner->queue, qjob);
+	owner_drop_job(owner, qjob);
 }
 
 static const char *job_state(const struct lug_queue_job *qjob)
--- a/liblug/member/peers.c
+++ b/liblug/member/peers.c
@@ -4,6 +4,7 @@
 
 /* Beats without an answer after which a connection is replaced. */
 #define UNANSWERED_MAX 3
+#define UNCONNECTED_US (2500 * 1000)
 /* Idle connections get one beat where active ones get this many. */
 #define IDLE_FACTOR 10
 /* A peer that nobody has named for this many beats is dropped. */
@@ -121,13 +122,23 @@
 
 static void send_beat(struct lug_peers *peers, struct lug_peer *peer, gint64 now_us)
 {
-	if (!peers->beat(peers->data, peer))
+	if (!peers->beat(peers->data, peer)) {
+		if (!peer->unsent_us)
+			peer->unsent_us = now_us;
 		return;
+	}
+	peer->unsent_us = 0;
 	peer->sent_us = now_us;
 	if (!peer->first_unanswered_us)
 		peer->first_unanswered_us = now_us;
 }
 
+/* A peer that can't be connected to may expect another key, which the next dial tries. */
+static gboolean unconnected(const struct lug_peer *peer, gint64 now_us)
+{
+	return peer->unsent_us && now_us - peer->unsent_us > UNCONNECTED_US;
+}
+
 static gboolean silent(const struct lug_peers *peers, const struct lug_peer *peer, gint64 now_us)
 {
 	gint64 bound_us = UNANSWERED_MAX * peers->ctx->settings->beat_ms * 1000;
@@ -143,10 +154,11 @@
 
 static void tick_peer(struct lug_peers *peers, struct lug_peer *peer, gint64 now_us)
 {
-	if (silent(peers, peer, now_us)) {
+	if (silent(peers, peer, now_us) || unconnected(peer, now_us)) {
 		lug_debug(peers->ctx, "redial", "peer", lug_dial_address(peer->dial));
 		lug_dial_again(peer->dial);
 		peer->first_unanswered_us = 0;
+		peer->unsent_us = 0;
 		peer->sent_us = 0;
 		return;
 	}
--- a/liblug/member/peers.h
+++ b/liblug/member/peers.h
@@ -16,6 +16,7 @@
  * @heard_us: last message from it
  * @sent_us: last beat
  * @first_unanswered_us: first beat since the last message from it, 0 when answered
+ * @unsent_us: since when beats can't be sent, 0 when they can
  * @told_us: when it was last named by the table or by a peer
  */
 struct lug_peer {
@@ -26,6 +27,7 @@
 	gint64 heard_us;
 	gint64 sent_us;
 	gint64 first_unanswered_us;
+	gint64 unsent_us;
 	gint64 told_us;
 };
 
--- a/liblug/platform/lane.c
+++ b/liblug/platform/lane.c
@@ -35,6 +35,7 @@
 	struct lug_txn txn;
 	enum phase phase;
 	enum io io;
+	gboolean release_wanted;
 	char txn_id[48];
 	char prev_txn[48];
 	guint64 txn_count;
@@ -423,6 +424,7 @@
 	if (lane->phase != PHASE_FREE || lane->io != IO_IDLE)
 		return;
 	lane->phase = PHASE_TAKING;
+	lane->release_wanted = FALSE;
 	lane->version = seen->version;
 	lane->epoch = (guint64)lug_json_int(seen->data, "epoch", 0) + 1;
 	lane->total = lug_json_int(seen->data, "total", 0);
@@ -430,6 +432,16 @@
 	commit(lane, now_us);
 }
 
+static void release_if_idle(struct lug_lane *lane, gint64 now_us)
+{
+	if (!lane->release_wanted || lane->phase != PHASE_HELD || lane->io != IO_IDLE ||
+	    !lug_list_empty(&lane->ops))
+		return;
+	lane->release_wanted = FALSE;
+	lane->phase = PHASE_RELEASING;
+	commit(lane, now_us);
+}
+
 /**
  * lug_lane_release - give the lease up after what is submitted has committed
  * @lane: lane
@@ -437,10 +449,8 @@
  */
 void lug_lane_release(struct lug_lane *lane, gint64 now_us)
 {
-	if (lane->phase != PHASE_HELD || lane->io != IO_IDLE)
-		return;
-	lane->phase = PHASE_RELEASING;
-	commit(lane, now_us);
+	lane->release_wanted = TRUE;
+	release_if_idle(lane, now_us);
 }
 
 /**
@@ -489,6 +499,9 @@
 	}
 	if (lane->phase != PHASE_HELD || lane->io != IO_IDLE)
 		return;
+	release_if_idle(lane, now_us);
+	if (lane->io != IO_IDLE)
+		return;
 	if (!lug_list_empty(&lane->ops) || now_us - lane->renewed_us >= renew_us)
 		commit(lane, now_us);
 }
--- a/liblug/route/router.c
+++ b/liblug/route/router.c
@@ -33,6 +33,7 @@
 	guint64 agent_incarnation;
 	gboolean counted;
 	gboolean suspected;
+	gboolean may_have_run;
 	gint64 start_us;
 	gint64 deadline_us;
 	gint64 sent_us;
@@ -129,7 +130,12 @@
 		   const Lug__Reply *reply, gint64 now_us)
 {
 	struct lug_ctx *ctx = req->router->ctx;
-	struct lug_request_result result = {
+	struct lug_request_result result;
+
+	/* An attempt that was given up without an answer may have run. */
+	if (status == LUG_NOT_RUN && req->may_have_run)
+		status = LUG_UNKNOWN;
+	result = (struct lug_request_result){
 		.status = status, .detail = detail, .id = req->id, .attempts = req->attempt};
 
 	if (status == LUG_OK) {
@@ -306,6 +312,7 @@
 
 static void on_unknown(struct request *req, const char *detail, gint64 now_us)
 {
+	req->may_have_run = TRUE;
 	if (req->spec.idempotent && may_retry(req, now_us))
 		attempt(req, now_us);
 	else
@@ -380,6 +387,7 @@
 		if (agent)
 			lug_choose_result(agent, FALSE, now_us);
 		if (req->spec.idempotent && may_retry(req, now_us)) {
+			req->may_have_run = TRUE;
 			attempt(req, now_us);
 			return;
 		}
--- a/liblug/wire/link.c
+++ b/liblug/wire/link.c
@@ -4,29 +4,19 @@
 #include <string.h>
 #include <zmq.h>
 
-#define RECV_BATCH 64
+#include "wire/guard.h"
+#include "wire/source.h"
+
 #define SEND_HWM_MESSAGES 4096
 #define RECONNECT_MIN_MS 100
 #define RECONNECT_MAX_MS 2000
 #define CLOSE_LINGER_MS 300
 #define CONNECT_TIMEOUT_MS 2000
 
-/*
- * A socket's descriptor is edge-triggered: it becomes readable when commands arrive,
- * and a send may take those commands in. So events are asked for after the descriptor
- * was readable, and once after each send.
- */
-struct socket_source {
-	GSource source;
-	void *socket;
-	gpointer owner;
-	gpointer fd_tag;
-	gboolean recheck;
-};
-
 struct lug_link {
 	struct lug_ctx *ctx;
 	void *zmq;
+	struct lug_guard *guard;
 	void *router;
 	GSource *router_source;
 	lug_link_fn fn;
@@ -46,39 +36,6 @@
 	guint32 generation;
 };
 
-static gboolean socket_readable(void *socket)
-{
-	int events = 0;
-	size_t len = sizeof(events);
-
-	if (zmq_getsockopt(socket, ZMQ_EVENTS, &events, &len))
-		return FALSE;
-	return (events & ZMQ_POLLIN) != 0;
-}
-
-static gboolean source_prepare(GSource *source, gint *timeout)
-{
-	struct socket_source *own = (struct socket_source *)source;
-
-	*timeout = -1;
-	if (!own->recheck)
-		return FALSE;
-	own->recheck = FALSE;
-	return socket_readable(own->socket);
-}
-
-static gboolean source_check(GSource *source)
-{
-	struct socket_source *own = (struct socket_source *)source;
-
-	return (g_source_query_unix_fd(source, own->fd_tag) & G_IO_IN) != 0;
-}
-
-static void recheck(GSource *source)
-{
-	((struct socket_source *)source)->recheck = TRUE;
-}
-
 static void account(struct lug_ctx *ctx, const Lug__Envelope *env, gsize len, gboolean sent)
 {
 	if (lug_frame_carried(env)) {
@@ -165,66 +122,21 @@
 	return TRUE;
 }
 
-static gboolean router_dispatch(GSource *source, GSourceFunc fn, gpointer data)
+static gboolean on_router(void *data)
 {
-	struct lug_link *link = ((struct socket_source *)source)->owner;
+	struct lug_link *link = data;
 	struct lug_route route = {0};
 
-	(void)fn;
-	(void)data;
-	for (int i = 0; i < RECV_BATCH; i++)
-		if (!receive_one(link, link->router, &route))
-			return G_SOURCE_CONTINUE;
-	recheck(source);
-	return G_SOURCE_CONTINUE;
+	return receive_one(link, link->router, &route);
 }
 
-static gboolean dial_dispatch(GSource *source, GSourceFunc fn, gpointer data)
+static gboolean on_dial(void *data)
 {
-	struct lug_dial *dial = ((struct socket_source *)source)->owner;
+	struct lug_dial *dial = data;
 	struct lug_route route;
 
-	(void)fn;
-	(void)data;
-	g_source_ref(source);
-	recheck(source);
-	for (int i = 0; i < RECV_BATCH && !g_source_is_destroyed(source); i++) {
-		lug_dial_route(dial, &route);
-		if (!receive_one(dial->link, dial->socket, &route))
-			break;
-	}
-	g_source_unref(source);
-	return G_SOURCE_CONTINUE;
-}
-
-static GSourceFuncs router_funcs = {
-	.prepare = source_prepare, .check = source_check, .dispatch = router_dispatch};
-static GSourceFuncs dial_funcs = {
-	.prepare = source_prepare, .check = source_check, .dispatch = dial_dispatch};
-
-static GSource *attach(void *socket, GSourceFuncs *funcs, gpointer owner)
-{
-	GSource *source = g_source_new(funcs, sizeof(struct socket_source));
-	struct socket_source *own = (struct socket_source *)source;
-	int fd = -1;
-	size_t len = sizeof(fd);
-
-	own->socket = socket;
-	own->owner = owner;
-	own->recheck = TRUE;
-	zmq_getsockopt(socket, ZMQ_FD, &fd, &len);
-	own->fd_tag = g_source_add_unix_fd(source, fd, G_IO_IN);
-	g_source_attach(source, NULL);
-	return source;
-}
-
-static void detach(GSource **source)
-{
-	if (!*source)
-		return;
-	g_source_destroy(*source);
-	g_source_unref(*source);
-	*source = NULL;
+	lug_dial_route(dial, &route);
+	return receive_one(dial->link, dial->socket, &route);
 }
 
 static void set_int(void *socket, int option, int value)
@@ -262,8 +174,13 @@
 	link->data = data;
 	link->zmq = zmq_ctx_new();
 	link->dials = g_hash_table_new(g_int64_hash, g_int64_equal);
+	if (lug_guard_enabled(ctx))
+		link->guard = lug_guard_new(ctx, link->zmq);
 	link->router = zmq_socket(link->zmq, ZMQ_ROUTER);
 	set_bounds(link, link->router);
+	lug_guard_set_server(ctx, link->router);
+	if (link->guard)
+		lug_guard_watch(link->guard, link->router);
 	set_int(link->router, ZMQ_ROUTER_MANDATORY, 1);
 	set_int(link->router, ZMQ_ROUTER_HANDOVER, 1);
 	if (zmq_bind(link->router, endpoint)) {
@@ -275,7 +192,7 @@
 		return NULL;
 	}
 	g_free(endpoint);
-	link->router_source = attach(link->router, &router_funcs, link);
+	link->router_source = lug_source_attach(link->router, on_router, link);
 	return link;
 }
 
@@ -287,9 +204,10 @@
 {
 	if (!link)
 		return;
-	detach(&link->router_source);
+	lug_source_detach(&link->router_source);
 	if (link->router)
 		zmq_close(link->router);
+	lug_guard_free(link->guard);
 	zmq_ctx_term(link->zmq);
 	g_hash_table_unref(link->dials);
 	g_free(link);
@@ -348,7 +266,7 @@
 	if (route->dial && !dial)
 		return FALSE;
 	stamp_envelope(link, env);
-	recheck(dial ? dial->source : link->router_source);
+	lug_source_recheck(dial ? dial->source : link->router_source);
 	if (!route->dial && zmq_send(socket, route->id, route->len, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
 		return FALSE;
 	len = lug__envelope__get_packed_size(env);
@@ -371,6 +289,7 @@
 	dial->generation++;
 	dial->socket = zmq_socket(dial->link->zmq, ZMQ_DEALER);
 	set_bounds(dial->link, dial->socket);
+	lug_guard_set_client(dial->link->ctx, dial->socket, dial->generation - 1);
 	set_int(dial->socket, ZMQ_IMMEDIATE, 1);
 	set_int(dial->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
 	set_int(dial->socket, ZMQ_HANDSHAKE_IVL, CONNECT_TIMEOUT_MS);
@@ -385,12 +304,12 @@
 		endpoint = g_strdup_printf("tcp://%s", dial->address);
 	zmq_connect(dial->socket, endpoint);
 	g_free(endpoint);
-	dial->source = attach(dial->socket, &dial_funcs, dial);
+	dial->source = lug_source_attach(dial->socket, on_dial, dial);
 }
 
 static void dial_close(struct lug_dial *dial)
 {
-	detach(&dial->source);
+	lug_source_detach(&dial->source);
 	zmq_close(dial->socket);
 	dial->socket = NULL;
 }
--- /dev/null
+++ b/liblug/wire/source.h
@@ -0,0 +1,13 @@
+#ifndef LUG_WIRE_SOURCE_H
+#define LUG_WIRE_SOURCE_H
+
+#include <glib.h>
+
+/* Receives one message; returns FALSE when none is there. */
+typedef gboolean (*lug_source_fn)(void *data);
+
+GSource *lug_source_attach(void *socket, lug_source_fn fn, void *data);
+void lug_source_detach(GSource **source);
+void lug_source_recheck(GSource *source);
+
+#endif
--- a/tests/rig/deploy.py
+++ b/tests/rig/deploy.py
@@ -73,6 +73,7 @@
         self.net = net
         self.seed = seed
         self.proxied = proxied
+        self.keys = None
         self.processes = {}
         self.commands = {}
         self.exit_codes = {}
@@ -113,6 +114,14 @@
     def platform_url(self):
         return f"http://{self.ip('platform-1')}:9000"
 
+    def inner_keys(self):
+        """Key pair of the inner connections, made once for the deployment."""
+        if not self.keys:
+            text = subprocess.run([f"{self.build}/catkinlug", "key", "new"], check=True,
+                                  stdin=subprocess.DEVNULL, capture_output=True, text=True).stdout
+            self.keys = yaml.safe_load(text)["keys"]
+        return self.keys
+
     def tokens(self):
         tokens = [{"token": OPERATOR_TOKEN, "role": "operator"}]
         for row in self.spec["weights"]:
@@ -124,6 +133,7 @@
             "name": name, "region": self.spec["region"], "zone": self.zone(name),
             "platform": {"url": f"http://{self.via('platform-1')}:9000"},
             "lease": dict(self.spec["lease"]), "beat": self.spec["beat"],
+            "keys": [dict(key) for key in self.inner_keys()],
         }
 
     def entry_settings(self, name):
--- a/tests/rig/fault.py
+++ b/tests/rig/fault.py
@@ -268,7 +268,7 @@
 def summarize(result, run, violations):
     done_ops = sum(1 for op in result["ops"] if op["http"])
     tasks = sum(1 for e in result["history"] if e["event"] == "done")
-    fired = sum(run.tally.values())
+    fired = sum(run.tally[name] for name in FAULTS)
     for rule, text, subject in violations[:8]:
         print(f"VIOLATION {rule}: {text}")
         for line in extract(result, subject):
--- a/tests/rig/faults.py
+++ b/tests/rig/faults.py
@@ -63,6 +63,14 @@
     def agents(self):
         return [self.deployment.agent(worker) for worker in self.deployment.workers]
 
+    def is_up(self, name):
+        """A daemon that has got as far as its loop, and so handles a request to stop."""
+        from deploy import http
+        try:
+            return http("GET", f"http://{self.deployment.ip(name)}:8080/healthz", timeout=1)[0] == 200
+        except OSError:
+            return False
+
     def zone_agents(self, zone):
         return [a for a in self.agents() if self.deployment.zone(a) == zone]
 
@@ -145,7 +153,7 @@
 def restart_process(kind):
     def begin(world):
         names = world.agents() if kind == "agent" else world.deployment.entries
-        name = world.take(names)
+        name = world.take([n for n in names if world.is_up(n)])
         if name:
             code = world.deployment.stop(name)
             world.stops.append((name, code, last_cut(world.deployment, name)))
--- a/tests/unit/lane_test.cc
+++ b/tests/unit/lane_test.cc
@@ -164,6 +164,20 @@
 	EXPECT_EQ(second, std::vector<enum lug_status>{LUG_CONFLICT}) << "both saw an absent row";
 }
 
+TEST_F(LaneTest, ReleaseAskedForDuringCommitFollowsIt)
+{
+	struct lug_lane *made = held();
+	std::vector<enum lug_status> out;
+
+	lug_lane_submit(made, op(&out, "x", 0), 1100 * ms);
+	lug_lane_release(made, 1100 * ms);
+	store.settle();
+	EXPECT_EQ(out, std::vector<enum lug_status>{LUG_OK});
+	lug_lane_tick(made, 1200 * ms);
+	store.settle();
+	EXPECT_EQ(events.back(), LUG_LANE_RELEASED);
+}
+
 TEST_F(LaneTest, FormerHolderCanNotCommit)
 {
 	struct lug_lane *first = held();
