--- a/Makefile
+++ b/Makefile
@@ -98,13 +98,41 @@
 fault-list: ## name the faults
 	@$(PYTHON) tests/rig/fault.py --list
 
+fault-selftest: ## show that each rule of the checker fires on a doctored history
+	@$(PYTHON) -m pytest -q -p no:cacheprovider tests/integration/test_checker.py
+
+fault-campaign: deps ## make fault for 20 seeds of each example, with the tally
+	@$(MAKE) --no-print-directory -j8 all
+	@$(PYTHON) tests/rig/campaign.py
+
+FUZZ_RUNS ?= 300000
+FUZZ := build-fuzz/fuzz
+fuzz: deps ## fuzz the readers of outside bytes under sanitizers
+	@$(MAKE) --no-print-directory -j8 $(FUZZ)
+	@mkdir -p run/fuzz && $(FUZZ) -seed=1 -runs=$(FUZZ_RUNS) -max_len=4096 -print_final_stats=1 \
+	 -artifact_prefix=run/fuzz/ run/fuzz tests/fuzz/corpus 2>run/fuzz.log && \
+	 grep -E 'number_of_executed|DONE' run/fuzz.log || { tail -40 run/fuzz.log; exit 1; }
+
+$(FUZZ): $(LIB_SRC) tests/fuzz/fuzz.c
+	@mkdir -p $(@D)
+	@clang -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined $(CPPFLAGS) -o $@ \
+	 $(filter-out liblug/daemon/% liblug/client/%,$(LIB_SRC)) tests/fuzz/fuzz.c \
+	 $(shell pkg-config --libs $(PKGS)) -lm
+
+slopes: deps ## cost of control by role at growing numbers of agents
+	@$(MAKE) --no-print-directory -j8 all
+	@$(PYTHON) tests/bench/slopes.py
+
+capacity: ## make the tables of docs/CAPACITY.md from the measurement
+	@$(PYTHON) tests/bench/capacity.py
+
 bench-hop: deps ## CPU and time that the entry adds to a request
 	@$(MAKE) --no-print-directory -j8 all
 	@$(PYTHON) tests/bench/hop.py
 
 clean: ## remove what was built
-	rm -rf build build-sanitize
+	rm -rf build build-sanitize build-fuzz
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all help deps generate format lint check run fault fault-list bench-hop clean
+.PHONY: all help deps generate format lint check run fault fault-list fault-selftest fault-campaign fuzz slopes capacity bench-hop clean
 .SECONDARY:
--- a/liblug/daemon/agent.c
+++ b/liblug/daemon/agent.c
@@ -22,6 +22,8 @@
 /* An owner hears an agent without tasks only this rarely. */
 #define IDLE_SILENT_BEATS 25
 #define LEAVE_NOTICE_MS 300
+/* Rows need not be released when the table service is down. */
+#define RELEASE_US (2 * 1000 * 1000)
 
 struct agent {
 	struct lug_ctx *ctx;
@@ -42,6 +44,7 @@
 	struct lug_status_server *server;
 	gint64 next_entries_us;
 	gboolean reading_entries;
+	guint64 drain_stamp;
 	gboolean stopping;
 	gint64 stop_at_us;
 	gint64 stop_by_us;
@@ -218,6 +221,17 @@
 	lug_peers_beat_all(agent->peers, now_us);
 }
 
+/* Orders come through several entries; the latest given holds, whenever it arrives. */
+static void on_drain(struct agent *agent, const Lug__Envelope *env)
+{
+	if (g_strcmp0(env->drain->worker, agent->ctx->settings->name) ||
+	    env->hlc <= agent->drain_stamp)
+		return;
+	agent->drain_stamp = env->hlc;
+	if (!agent->stopping)
+		set_draining(agent, !env->drain->undo);
+}
+
 static void for_owner(struct agent *agent, const struct lug_route *route, const Lug__Envelope *env,
 		      gint64 now_us)
 {
@@ -288,8 +302,7 @@
 		lug_runner_report_ack(agent->runner, env->report_ack);
 		return;
 	case LUG__ENVELOPE__BODY_DRAIN:
-		if (!g_strcmp0(env->drain->worker, agent->ctx->settings->name))
-			set_draining(agent, !env->drain->undo);
+		on_drain(agent, env);
 		return;
 	case LUG__ENVELOPE__BODY_EVENTS_QUERY:
 		on_events_query(agent, route, env->events_query);
@@ -451,7 +464,7 @@
 		return;
 	if (!agent->released) {
 		agent->released = TRUE;
-		agent->stop_by_us = MAX(agent->stop_by_us, now_us + 1000 * 1000);
+		agent->stop_by_us = now_us + RELEASE_US;
 		lug_owners_leave(agent->owners, now_us);
 		lug_lease_release(agent->lease, now_us);
 		return;
@@ -596,21 +609,19 @@
 {
 	struct lug_ctx *ctx = agent->ctx;
 	guint tick;
-	guint signals[3];
 
 	soup_server_add_handler(agent->server->soup, "/timeline", on_timeline, agent, NULL);
 	build_parts(agent);
 	tick = g_timeout_add(TICK_MS, on_tick, agent);
-	signals[0] = g_unix_signal_add(SIGTERM, on_stop, agent);
-	signals[1] = g_unix_signal_add(SIGINT, on_stop, agent);
-	signals[2] = g_unix_signal_add(SIGHUP, on_hangup, agent);
+	g_unix_signal_add(SIGTERM, on_stop, agent);
+	g_unix_signal_add(SIGINT, on_stop, agent);
+	g_unix_signal_add(SIGHUP, on_hangup, agent);
 	lug_timeline_add(ctx->timeline, LUG_EV_PROCESS_START, ctx->settings->name, "agent");
 	lug_info(ctx, "started", "inner", ctx->settings->inner, "http", ctx->settings->http);
 	g_main_loop_run(ctx->loop);
 	lug_info(ctx, "stopped", "cut", ctx->metrics->counters[LUG_C_REQUESTS_CUT] ? "some" : "0");
+	/* Signals stay handled, so that a second one does not end the process half-way. */
 	g_source_remove(tick);
-	for (gsize i = 0; i < G_N_ELEMENTS(signals); i++)
-		g_source_remove(signals[i]);
 	free_parts(agent);
 	return agent->exit_code;
 }
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -237,21 +237,19 @@
 {
 	struct lug_ctx *ctx = entry->ctx;
 	guint tick;
-	guint signals[3];
 
 	build_parts(entry);
 	lug_api_add(entry);
 	tick = g_timeout_add(TICK_MS, on_tick, entry);
-	signals[0] = g_unix_signal_add(SIGTERM, on_stop, entry);
-	signals[1] = g_unix_signal_add(SIGINT, on_stop, entry);
-	signals[2] = g_unix_signal_add(SIGHUP, on_hangup, entry);
+	g_unix_signal_add(SIGTERM, on_stop, entry);
+	g_unix_signal_add(SIGINT, on_stop, entry);
+	g_unix_signal_add(SIGHUP, on_hangup, entry);
 	lug_timeline_add(ctx->timeline, LUG_EV_PROCESS_START, ctx->settings->name, "entry");
 	lug_info(ctx, "started", "inner", ctx->settings->inner, "http", ctx->settings->http);
 	g_main_loop_run(ctx->loop);
 	lug_info(ctx, "stopped", "cut", ctx->metrics->counters[LUG_C_REQUESTS_CUT] ? "some" : "0");
+	/* Signals stay handled, so that a second one does not end the process half-way. */
 	g_source_remove(tick);
-	for (gsize i = 0; i < G_N_ELEMENTS(signals); i++)
-		g_source_remove(signals[i]);
 	free_parts(entry);
 	return LUG_EXIT_OK;
 }
--- /dev/null
+++ b/tests/bench/slopes.py
@@ -0,0 +1,210 @@
+"""make slopes: cost of control by role at growing numbers of agents, from outside the daemons."""
+
+import argparse
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "tests", "rig"))
+
+from deploy import Deployment, http, table_text, wait_for  # noqa: E402
+
+SIZES = [12, 24, 48, 96]
+TARGET = {"agents": 440, "tasks": 5100, "starts_per_s": 57, "teams": 23, "edits_per_day": 270}
+SETTLE_S = 8
+TICKS = os.sysconf("SC_CLK_TCK")
+# Bytes that TCP/IP and framing add to an inner message, and HTTP to a call of the store.
+MESSAGE_HEADER_BYTES = 75
+CALL_HEADER_BYTES = 700
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def teams_for(agents):
+    count = max(2, round(TARGET["teams"] * agents / TARGET["agents"]))
+    weights = [100 // count] * count
+    weights[0] += 100 - sum(weights)
+    return [{"team": f"team-{i + 1}", "weight": weights[i], "cores": 100000, "memory": "100TB",
+             "accelerators": 0, "price": 1} for i in range(count)]
+
+
+def spec_changes(agents, lease):
+    return {"weights": teams_for(agents), "entries": max(2, round(agents / 24)),
+            "lease": {"worker": lease, "queue": "8s"}, "beat": "1s",
+            "zones": ["z1", "z2", "z3", "z4", "z5"],
+            "workers": {"count": agents, "rack_size": 8, "cores": 64, "memory": "250GB",
+                        "accelerators": [2, 2, 2, 2, 2, 2, 2, 1]}}
+
+
+def read_metrics(url):
+    text = http("GET", url + "/metrics")[2].decode()
+    return {line.split()[0][len("catkinlug_"):]: float(line.split()[1])
+            for line in text.splitlines() if line and line[0] != "#" and "{" not in line}
+
+
+def usage(pid):
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS, int(fields[21]) * PAGE
+
+
+class Sample:
+    """Counters of all daemons and of the store at one moment."""
+
+    def __init__(self, deployment):
+        self.at = time.monotonic()
+        self.daemons = {}
+        for name in deployment.entries + [deployment.agent(w) for w in deployment.workers]:
+            metrics = read_metrics(f"http://{deployment.ip(name)}:8080")
+            cpu, rss = usage(deployment.processes[name].pid)
+            self.daemons[name] = (metrics, cpu, rss)
+        self.store = deployment.platform()
+
+
+def rates(before, after, name):
+    """Control cost of one daemon between two samples."""
+    span = after.at - before.at
+    a, b = before.daemons[name], after.daemons[name]
+
+    def rate(key):
+        return (b[0][key] - a[0][key]) / span
+    messages = (rate("control_tx_messages") + rate("control_rx_messages")) * MESSAGE_HEADER_BYTES
+    inner = rate("control_tx_bytes") + rate("control_rx_bytes") + messages
+    calls = rate("store_reads") + rate("store_writes")
+    return {"inner_bytes_s": inner, "store_bytes_s": rate("store_bytes") + calls * CALL_HEADER_BYTES,
+            "cpu": (b[1] - a[1]) / span, "rss_mb": b[2] / 1e6, "queues": b[0]["queues_owned"],
+            "messages_s": rate("control_tx_messages") + rate("control_rx_messages")}
+
+
+def mean(rows, key):
+    return sum(row[key] for row in rows) / len(rows) if rows else None
+
+
+class Feeder:
+    """Keeps tasks running and starting at the target's rate for this number of agents."""
+
+    def __init__(self, deployment, agents, seed):
+        self.deployment = deployment
+        self.rng = random.Random(seed)
+        self.rate = TARGET["starts_per_s"] * agents / TARGET["agents"]
+        self.stop = threading.Event()
+        self.thread = threading.Thread(target=self.feed)
+        self.submitted = 0
+        fill = round(TARGET["tasks"] * agents / TARGET["agents"])
+        for team in deployment.spec["weights"]:
+            self.submit(team["team"], fill // len(deployment.spec["weights"]),
+                        self.rng.randint(60000, 120000))
+
+    def submit(self, team, count, work_ms):
+        body = {"team": team, "kind": "steady", "count": count, "cores": 0.1, "memory": "64MB",
+                "run_time": "90s", "payload": json.dumps({"work_ms": work_ms})}
+        status, _, _ = self.deployment.call("POST", "/jobs", json.dumps(body))
+        assert status == 201, status
+        self.submitted += count
+
+    def feed(self):
+        teams = [team["team"] for team in self.deployment.spec["weights"]]
+        due = time.monotonic()
+        while not self.stop.is_set():
+            due += 4 / self.rate
+            self.submit(self.rng.choice(teams), 4, self.rng.randint(500, 4000))
+            self.stop.wait(max(0, due - time.monotonic()))
+
+    def end(self):
+        self.stop.set()
+        self.thread.join()
+
+
+def edit_time(deployment):
+    """Seconds until an edit is in force on all agents, as every entry sees them."""
+    rows = [dict(row) for row in deployment.spec["weights"]]
+    version = deployment.get("/table")["version"]
+    rows[0]["price"] = 1 + version / 100
+    started = time.monotonic()
+    status = deployment.call("PUT", "/table", table_text(rows), {"If-Match": str(version)})[0]
+    assert status == 200, status
+
+    def in_force():
+        tables = [deployment.get("/status", entry=i)["table"] for i in range(len(deployment.entries))]
+        return all(t["version"] > version and t["in_force"] == t["agents"] for t in tables)
+    wait_for(in_force, 30, "edit in force", 0.1)
+    return time.monotonic() - started
+
+
+def notice_time(deployment, number):
+    """Seconds until an entry calls a killed agent silent."""
+    worker = deployment.workers[-1]
+    started = time.monotonic()
+    deployment.signal(deployment.agent(worker), number)
+    wait_for(lambda: [w for w in deployment.get("/workers")["workers"] if w["worker"] == worker and
+                      w["state"] != "live"], 30, "notice", 0.05)
+    return time.monotonic() - started
+
+
+def measure(agents, seed, window_s):
+    run_dir = os.path.join(ROOT, "run", "slopes")
+    shutil.rmtree(run_dir, ignore_errors=True)
+    deployment = Deployment(os.path.join(ROOT, "examples", "trials.yaml"), run_dir,
+                            build=os.path.join(ROOT, "build"), net=80, seed=seed,
+                            overrides=spec_changes(agents, "120s"))
+    try:
+        deployment.start_all()
+        feeder = Feeder(deployment, agents, seed)
+        feeder.thread.start()
+        time.sleep(SETTLE_S)
+        before = Sample(deployment)
+        started_before = sum(d[0]["tasks_started"] for d in before.daemons.values())
+        time.sleep(window_s)
+        after = Sample(deployment)
+        started_after = sum(d[0]["tasks_started"] for d in after.daemons.values())
+        feeder.end()
+        span = after.at - before.at
+        rows = {name: rates(before, after, name) for name in after.daemons}
+        entries = [rows[n] for n in deployment.entries]
+        plain = [r for n, r in rows.items() if n.startswith("agent") and not r["queues"]]
+        owners = [r for n, r in rows.items() if n.startswith("agent") and r["queues"]]
+        result = {"agents": agents, "entries": len(entries), "teams": len(teams_for(agents)),
+                  "seed": seed, "starts_per_s": (started_after - started_before) / span,
+                  "store_reads_s": (after.store["reads"] - before.store["reads"]) / span,
+                  "store_writes_s": (after.store["writes"] - before.store["writes"]) / span,
+                  "edit_s": edit_time(deployment), "leave_s": notice_time(deployment, signal.SIGTERM)}
+        for role, group in (("entry", entries), ("agent", plain), ("owner", owners)):
+            for key in ("inner_bytes_s", "store_bytes_s", "cpu", "rss_mb", "messages_s", "queues"):
+                result[f"{role}_{key}"] = mean(group, key)
+        deployment.start(deployment.agent(deployment.workers[-1]))
+        wait_for(lambda: len([w for w in deployment.get("/workers")["workers"]
+                              if w["state"] == "live"]) == agents, 30, "all live")
+        result["dead_s"] = notice_time(deployment, signal.SIGKILL)
+        return result
+    finally:
+        deployment.stop_all()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--repeats", type=int, default=3)
+    parser.add_argument("--window", type=float, default=12)
+    parser.add_argument("--sizes", default=",".join(str(size) for size in SIZES))
+    parser.add_argument("--out", default=os.path.join(ROOT, "docs", "capacity", "slopes.json"))
+    args = parser.parse_args()
+    results = []
+    for repeat in range(args.repeats):
+        for size in (int(text) for text in args.sizes.split(",")):
+            result = measure(size, repeat + 1, args.window)
+            results.append(result)
+            print(json.dumps({k: round(v, 4) if isinstance(v, float) else v
+                              for k, v in result.items()}), flush=True)
+            os.makedirs(os.path.dirname(args.out), exist_ok=True)
+            with open(args.out, "w", encoding="utf-8") as file:
+                json.dump({"date": time.strftime("%Y-%m-%d"), "window_s": args.window,
+                           "runs": results}, file, indent=1)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/rig/fault.py
+++ b/tests/rig/fault.py
@@ -43,7 +43,7 @@
         self.dir = os.path.join(ROOT, "run", f"fault-{args.example}-{args.seed}")
         shutil.rmtree(self.dir, ignore_errors=True)
         self.deployment = Deployment(os.path.join(ROOT, "examples", f"{args.example}.yaml"),
-                                     self.dir, build=os.path.join(ROOT, "build"), net=args.net,
+                                     self.dir, build=os.path.join(ROOT, os.environ.get("BUILD", "build")), net=args.net,
                                      seed=args.seed, proxied=True,
                                      overrides={"lease": LEASES, "beat": "250ms"})
         far_off_sizes(self.deployment.spec, self.rng)
@@ -154,8 +154,9 @@
         def all_ended():
             jobs = self.jobs()
             rows = {job["id"]: job for job in jobs}
-            return all(rows.get(i, {}).get("state") in ("done", "failed", "cancelled")
-                       for i in wanted)
+            ends = ("done", "failed", "cancelled")
+            # Jobs whose submitter had no answer count too.
+            return all(i in rows for i in wanted) and all(j["state"] in ends for j in jobs)
         try:
             wait_for(all_ended, SETTLE_S, "end of all jobs", 0.5)
             return True
@@ -213,8 +214,9 @@
 
     def collect(self, ops, ended):
         meters, charged = self.metered()
+        jobs = self.jobs()
         return {
-            "history": self.deployment.history(), "ops": ops, "jobs": self.jobs(),
+            "history": self.deployment.history(), "ops": ops, "jobs": jobs,
             "edits": self.edits, "table_history": self.deployment.get("/table/history")["versions"],
             "final_versions": self.final_versions(), "versions": self.versions,
             "drains": self.world.drains, "stops": self.world.stops, "fenced": self.fenced(),
--- a/tests/rig/faults.py
+++ b/tests/rig/faults.py
@@ -236,7 +236,7 @@
     until_us = now_us()
     try:
         text = http("GET", f"{world.deployment.agent_url(worker)}/metrics", timeout=2)[2].decode()
-        if "catkinlug_draining 1" in text:
+        if "\ncatkinlug_draining 1\n" in text:
             events = json.loads(http("GET", f"{world.deployment.agent_url(worker)}/timeline",
                                      timeout=2)[2])["events"]
             told = [e for e in events if e["event"] == "drain"]
