--- a/Makefile
+++ b/Makefile
@@ -88,6 +88,10 @@
 	@$(MAKE) --no-print-directory -j8 all
 	@$(PYTHON) tests/rig/run_example.py --example $(EXAMPLE) --seed $(SEED)
 
+up: deps ## start an example and keep it running until interrupted
+	@$(MAKE) --no-print-directory -j8 all
+	@$(PYTHON) tests/rig/up.py --example $(EXAMPLE)
+
 FAULTS ?=
 DURATION_S ?= 30
 fault: deps ## run under faults (SEED=n FAULTS=a,b DURATION_S=s EXAMPLE=lemnaria|trials)
@@ -134,5 +138,5 @@
 	rm -rf build build-sanitize build-fuzz
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all help deps generate format lint check run fault fault-list fault-selftest fault-campaign fuzz slopes capacity bench-hop clean
+.PHONY: all help deps generate format lint check run up fault fault-list fault-selftest fault-campaign fuzz slopes capacity bench-hop clean
 .SECONDARY:
--- a/liblug/core/settings.c
+++ b/liblug/core/settings.c
@@ -110,8 +110,7 @@
 		[SET_LEVEL] = "debug, info, warn or error",
 		[SET_ADDRESSES] = "a list of IP:PORT",
 		[SET_TOKENS] = "a list of {token: TEXT, team: NAME, role: team|operator}",
-		[SET_KEYS] = "one or two of {public: KEY, secret: KEY}, 40 characters each, as "
-			     "catkinlug key new prints them",
+		[SET_KEYS] = "one or two of {public: KEY, secret: KEY} from catkinlug key new",
 	};
 
 	return forms[type];
