Keep room for short tasks, rest failing workers, spread starts

No short task started beside giants that filled the pool; a worker that fails everything got 705 tasks a minute; all tasks of an offer went to one worker. Wants were not sent to idle agents for up to 5 s, since their last beat told of a full worker.

--- a/Makefile
+++ b/Makefile
@@ -130,6 +130,11 @@
 capacity: ## make the tables of docs/CAPACITY.md from the measurement
 	@$(PYTHON) tests/bench/capacity.py
 
+QUICK ?=
+bench: deps ## measure the decisions against baselines (QUICK=1 SEED=n)
+	@$(MAKE) --no-print-directory -j8 all
+	@$(PYTHON) tests/bench/bench.py --seed $(SEED) $(if $(QUICK),--quick)
+
 bench-hop: deps ## CPU and time that the entry adds to a request
 	@$(MAKE) --no-print-directory -j8 all
 	@$(PYTHON) tests/bench/hop.py
@@ -138,5 +143,5 @@
 	rm -rf build build-sanitize build-fuzz
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all help deps generate format lint check run up fault fault-list fault-selftest fault-campaign fuzz slopes capacity bench-hop clean
+.PHONY: all help deps generate format lint check run up fault fault-list fault-selftest fault-campaign fuzz slopes capacity bench bench-hop clean
 .SECONDARY:
--- a/liblug/job/bidder.c
+++ b/liblug/job/bidder.c
@@ -138,6 +138,7 @@
 	offer.zone = bidder->ctx->settings->zone;
 	offer.region = bidder->ctx->settings->region;
 	LUG_SET(&offer, offer, ++bidder->offers);
+	LUG_SET(&offer, max_starts, lug_health_max_starts(lug_runner_health(bidder->runner)));
 	if (!lug_runner_send(bidder->runner, want->queue, &env)) {
 		want->expires_us = 0;
 		return;
@@ -200,6 +201,7 @@
 		end_offer(bidder);
 	g_hash_table_foreach_remove(bidder->wants, expired, &now_us);
 	if (bidder->offered_to || lug_runner_draining(bidder->runner) ||
+	    lug_health_resting(lug_runner_health(bidder->runner), now_us) ||
 	    !lug_lease_valid(bidder->lease, now_us))
 		return;
 	room = lug_runner_room(bidder->runner);
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -6,9 +6,12 @@
 #include "wire/pack.h"
 
 #define STARTS_PER_OFFER 16
+/* Part of a worker that is kept for short tasks: one in this many. */
+#define KEPT_DIVISOR 10
 #define WANT_INTERVAL_US (300 * 1000)
 #define WANT_AGENTS_MIN 4
 #define RESEND_US (1000 * 1000)
+#define ROOM_FRESH_US (600 * 1000)
 #define REFUSED_PAUSE_US (100 * 1000)
 
 static struct lug_resources headroom(const struct lug_owner *owner)
@@ -66,7 +69,9 @@
 	if (agent->leaving || !agent->worker_epoch ||
 	    !lug_roster_live(owner->env.roster, agent, now_us))
 		return FALSE;
-	return demand->urgent || lug_resources_fit(&demand->smallest, &agent->room);
+	/* What an agent told long ago of its room proves nothing: idle ones beat rarely. */
+	return demand->urgent || now_us - agent->heard_us > ROOM_FRESH_US ||
+	       lug_resources_fit(&demand->smallest, &agent->room);
 }
 
 /*
@@ -171,6 +176,7 @@
 	LUG_SET(&start, idempotent, job->idempotent);
 	LUG_SET(&start, urgent, job->urgent);
 	LUG_SET(&start, declared_ms, job->run_ms);
+	LUG_SET(&start, proven, lug_queue_proven(owner->queue, job->kind));
 	lug_link_send(owner->env.link, &agent->route, &env);
 }
 
@@ -295,24 +301,54 @@
 	lug_link_send(owner->env.link, route, &env);
 }
 
+/* Room on the worker that long tasks must leave, none when no short ones are about. */
+static struct lug_resources kept_room(const struct lug_owner *owner, const char *worker,
+				      gint64 now_us)
+{
+	const struct lug_agent *agent = lug_roster_find(owner->env.roster, worker);
+	struct lug_resources kept = {0};
+
+	if (agent && lug_queue_short_expected(owner->queue, now_us))
+		kept.millicores = agent->capacity.millicores / KEPT_DIVISOR;
+	return kept;
+}
+
+/*
+ * Tasks that wait are spread over the workers: many small tasks on one worker slow
+ * its service, and one another, more than the same tasks on many.
+ */
+static guint starts_allowed(const struct lug_owner *owner, const Lug__Offer *offer, gint64 now_us)
+{
+	GPtrArray *agents = lug_roster_agents(owner->env.roster);
+	struct lug_demand demand;
+	guint allowed;
+
+	lug_queue_demand(owner->queue, now_us, &demand);
+	allowed = (demand.pending + agents->len - 1) / MAX(agents->len, 1);
+	allowed = CLAMP(allowed, 1, STARTS_PER_OFFER);
+	return offer->max_starts ? MIN(allowed, offer->max_starts) : allowed;
+}
+
 static guint claim_for(struct lug_owner *owner, const char *worker, const Lug__Offer *offer,
 		       gint64 now_us)
 {
 	struct lug_resources room = lug_unpack_resources(offer->room);
 	const char *const *avoid = (const char *const *)offer->avoid_kinds;
 	char **kinds = g_new0(char *, offer->n_avoid_kinds + 1);
+	struct lug_resources kept = kept_room(owner, worker, now_us);
+	guint allowed = starts_allowed(owner, offer, now_us);
 	guint starts = 0;
 
 	for (size_t i = 0; i < offer->n_avoid_kinds; i++)
 		kinds[i] = (char *)avoid[i];
-	while (starts < STARTS_PER_OFFER) {
+	while (starts < allowed) {
 		struct lug_resources limit = headroom(owner);
 		struct lug_task *task;
 
 		lug_resources_min(&limit, &room);
-		task = lug_queue_pick(owner->queue, &limit, offer->region ? offer->region : "",
-				      offer->zone ? offer->zone : "", (const char *const *)kinds,
-				      now_us);
+		task = lug_queue_pick(
+			owner->queue, &limit, &kept, offer->region ? offer->region : "",
+			offer->zone ? offer->zone : "", (const char *const *)kinds, now_us);
 		if (!task)
 			break;
 		lug_resources_sub(&room, &task->job->job->size);
--- a/liblug/job/queue.c
+++ b/liblug/job/queue.c
@@ -5,6 +5,10 @@
 /* Share of a new run time in the learned mean of its kind. */
 #define LEARN_GAIN 0.2
 #define LEARN_SAMPLES_MIN 3
+/* Tasks of a kind whose mean run time is below this count as short. */
+#define SHORT_MS 2000
+/* Room is kept for short tasks this long after one has ended. */
+#define SHORT_MEMORY_US (60 * 1000 * 1000)
 
 struct kind_stats {
 	double mean_ms;
@@ -18,6 +22,7 @@
 	struct lug_list pending;
 	struct lug_list active;
 	struct lug_resources use;
+	gint64 short_seen_us;
 };
 
 static void queue_job_free(gpointer data)
@@ -188,8 +193,9 @@
  * @queue: queue
  * @kind: kind of work
  * @run_ms: run time, milliseconds
+ * @now_us: present time
  */
-void lug_queue_learn(struct lug_queue *queue, const char *kind, gint64 run_ms)
+void lug_queue_learn(struct lug_queue *queue, const char *kind, gint64 run_ms, gint64 now_us)
 {
 	struct kind_stats *stats = g_hash_table_lookup(queue->kinds, kind);
 
@@ -200,6 +206,8 @@
 	}
 	stats->samples++;
 	stats->mean_ms += LEARN_GAIN * ((double)run_ms - stats->mean_ms);
+	if (lug_queue_short(queue, kind))
+		queue->short_seen_us = now_us;
 }
 
 /**
@@ -218,6 +226,36 @@
 	return MAX((gint64)stats->mean_ms, 1);
 }
 
+/**
+ * lug_queue_proven - tell whether tasks of a kind have ended well before
+ */
+gboolean lug_queue_proven(const struct lug_queue *queue, const char *kind)
+{
+	return g_hash_table_contains(queue->kinds, kind);
+}
+
+/**
+ * lug_queue_short - tell whether tasks of a kind are known to be short
+ *
+ * Declared run times prove nothing.
+ */
+gboolean lug_queue_short(const struct lug_queue *queue, const char *kind)
+{
+	const struct kind_stats *stats = g_hash_table_lookup(queue->kinds, kind);
+
+	return stats && stats->samples >= LEARN_SAMPLES_MIN && stats->mean_ms < SHORT_MS;
+}
+
+/**
+ * lug_queue_short_expected - tell whether room should be kept for short tasks
+ * @queue: queue
+ * @now_us: present time
+ */
+gboolean lug_queue_short_expected(const struct lug_queue *queue, gint64 now_us)
+{
+	return queue->short_seen_us && now_us - queue->short_seen_us < SHORT_MEMORY_US;
+}
+
 static gboolean avoided(const char *const *avoid, const char *kind)
 {
 	return avoid && g_strv_contains(avoid, kind);
@@ -235,7 +273,18 @@
 	return ((double)(now_us - task->queued_us) + run_us) / run_us;
 }
 
-static gboolean eligible(const struct lug_task *task, const struct lug_resources *room,
+static gboolean fits(const struct lug_queue *queue, const struct lug_job *job,
+		     const struct lug_resources *room, const struct lug_resources *kept)
+{
+	struct lug_resources rest = *room;
+
+	if (kept && !job->urgent && !lug_queue_short(queue, job->kind))
+		lug_resources_sub(&rest, kept);
+	return lug_resources_fit(&job->size, &rest);
+}
+
+static gboolean eligible(const struct lug_queue *queue, const struct lug_task *task,
+			 const struct lug_resources *room, const struct lug_resources *kept,
 			 const char *region, const char *zone, const char *const *avoid,
 			 gint64 now_us)
 {
@@ -243,7 +292,7 @@
 
 	if (job->cancelled || task->job->closing || now_us < task->retry_us)
 		return FALSE;
-	if (!lug_resources_fit(&job->size, room) || !lug_job_accepts(job, region, zone))
+	if (!fits(queue, job, room, kept) || !lug_job_accepts(job, region, zone))
 		return FALSE;
 	return job->urgent || !avoided(avoid, job->kind);
 }
@@ -252,6 +301,7 @@
  * lug_queue_pick - choose the task that should use free room
  * @queue: queue
  * @room: free room of the worker
+ * @kept: room left to urgent tasks and kinds known to be short, may be NULL
  * @region: region of the worker
  * @zone: availability zone of the worker
  * @avoid: kinds that the worker does not want now, NULL-terminated, may be NULL
@@ -260,8 +310,8 @@
  * Return: a pending task that fits, or NULL.
  */
 struct lug_task *lug_queue_pick(struct lug_queue *queue, const struct lug_resources *room,
-				const char *region, const char *zone, const char *const *avoid,
-				gint64 now_us)
+				const struct lug_resources *kept, const char *region,
+				const char *zone, const char *const *avoid, gint64 now_us)
 {
 	const struct lug_queue_job *last = NULL;
 	struct lug_task *best = NULL;
@@ -274,7 +324,7 @@
 		/* Tasks of one job stand together, the longest waiting first. */
 		if (last && task->job == last && !task->retry_us)
 			continue;
-		if (!eligible(task, room, region, zone, avoid, now_us))
+		if (!eligible(queue, task, room, kept, region, zone, avoid, now_us))
 			continue;
 		last = task->job;
 		ratio = response_ratio(queue, task, now_us);
--- a/liblug/job/queue.h
+++ b/liblug/job/queue.h
@@ -102,10 +102,13 @@
 void lug_queue_set(struct lug_queue *queue, struct lug_task *task, enum lug_task_state state,
 		   gint64 now_us);
 struct lug_task *lug_queue_pick(struct lug_queue *queue, const struct lug_resources *room,
-				const char *region, const char *zone, const char *const *avoid,
-				gint64 now_us);
-void lug_queue_learn(struct lug_queue *queue, const char *kind, gint64 run_ms);
+				const struct lug_resources *kept, const char *region,
+				const char *zone, const char *const *avoid, gint64 now_us);
+void lug_queue_learn(struct lug_queue *queue, const char *kind, gint64 run_ms, gint64 now_us);
 gint64 lug_queue_estimate_ms(const struct lug_queue *queue, const struct lug_job *job);
+gboolean lug_queue_proven(const struct lug_queue *queue, const char *kind);
+gboolean lug_queue_short(const struct lug_queue *queue, const char *kind);
+gboolean lug_queue_short_expected(const struct lug_queue *queue, gint64 now_us);
 struct lug_list *lug_queue_active(struct lug_queue *queue);
 
 /**
--- a/liblug/job/runner.c
+++ b/liblug/job/runner.c
@@ -178,6 +178,9 @@
 	give_back(runner, run);
 	if (outcome == LUG_OUTCOME_DONE)
 		lug_count(ctx, TASKS_FINISHED, 1);
+	if (outcome == LUG_OUTCOME_DONE || outcome == LUG_OUTCOME_FAILED)
+		lug_health_result(&runner->health, outcome == LUG_OUTCOME_DONE, run->proven,
+				  now_us);
 	if (outcome == LUG_OUTCOME_FAILED)
 		lug_count(ctx, TASKS_FAILED, 1);
 	if (outcome == LUG_OUTCOME_EVICTED)
@@ -393,6 +396,7 @@
 	run->reserved = TRUE;
 	run->size = size;
 	run->urgent = start->urgent;
+	run->proven = start->proven;
 	g_strlcpy(run->queue, start->queue, sizeof(run->queue));
 	g_strlcpy(run->kind, start->kind ? start->kind : "", sizeof(run->kind));
 	worker_start(runner, run, start->payload, start->checkpoint, now_us);
@@ -441,6 +445,14 @@
 	run_free(runner, run);
 }
 
+/**
+ * lug_runner_health - whether the worker fails what runs well elsewhere
+ */
+const struct lug_health *lug_runner_health(const struct lug_runner *runner)
+{
+	return &runner->health;
+}
+
 /**
  * lug_runner_room - room that is neither reserved nor held for an offer
  */
--- a/liblug/job/runner.h
+++ b/liblug/job/runner.h
@@ -2,6 +2,7 @@
 #define LUG_JOB_RUNNER_H
 
 #include "colocate/control.h"
+#include "colocate/health.h"
 #include "colocate/reserve.h"
 #include "core/list.h"
 #include "job/job.h"
@@ -26,6 +27,7 @@
  * @kind: kind of work
  * @size: reserved size
  * @urgent: must not be evicted for other batch work
+ * @proven: tasks of its kind have ended well before
  * @state: state
  * @reserved: @size is reserved
  * @outcome: how it ended, enum lug_outcome
@@ -46,6 +48,7 @@
 	char kind[LUG_JOB_KIND_MAX + 1];
 	struct lug_resources size;
 	gboolean urgent;
+	gboolean proven;
 	enum lug_run_state state;
 	gboolean reserved;
 	guint32 outcome;
@@ -97,6 +100,7 @@
 void lug_runner_stop(struct lug_runner *runner, const Lug__Stop *stop, gint64 now_us);
 void lug_runner_report_ack(struct lug_runner *runner, const Lug__ReportAck *ack);
 void lug_runner_queue_epoch(struct lug_runner *runner, const char *queue, guint64 epoch);
+const struct lug_health *lug_runner_health(const struct lug_runner *runner);
 struct lug_resources lug_runner_room(const struct lug_runner *runner);
 struct lug_resources lug_runner_capacity(const struct lug_runner *runner);
 void lug_runner_hold(struct lug_runner *runner, const struct lug_resources *room);
--- a/liblug/job/runner_priv.h
+++ b/liblug/job/runner_priv.h
@@ -15,6 +15,7 @@
 	struct lug_runner_env env;
 	struct lug_reserve reserve;
 	struct lug_resources held;
+	struct lug_health health;
 	struct lug_list runs;
 	GHashTable *queues;
 	char *boot;
--- a/liblug/job/settle.c
+++ b/liblug/job/settle.c
@@ -111,7 +111,7 @@
 		g_strlcpy(task->job->why, "lost with its worker", sizeof(task->job->why));
 	if (report->outcome == LUG_OUTCOME_DONE && task->confirmed && !task->checkpoint)
 		lug_queue_learn(owner->queue, task->job->job->kind,
-				(now_us - task->started_us) / 1000);
+				(now_us - task->started_us) / 1000, now_us);
 	lug_timeline_add(owner->env.ctx->timeline,
 			 report->outcome == LUG_OUTCOME_EVICTED ? LUG_EV_TASK_EVICTED
 								: LUG_EV_TASK_FINISHED,
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -2338,7 +2338,7 @@
   (ProtobufCMessageInit) lug__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__offer__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lug__offer__field_descriptors[8] =
 {
   {
     "queue",
@@ -2424,9 +2424,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "max_starts",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__Offer, has_max_starts),
+    offsetof(Lug__Offer, max_starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__offer__field_indices_by_name[] = {
   6,   /* field[6] = avoid_kinds */
+  7,   /* field[7] = max_starts */
   5,   /* field[5] = offer */
   0,   /* field[0] = queue */
   4,   /* field[4] = region */
@@ -2437,7 +2450,7 @@
 static const ProtobufCIntRange lug__offer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lug__offer__descriptor =
 {
@@ -2447,14 +2460,14 @@
   "Lug__Offer",
   "lug",
   sizeof(Lug__Offer),
-  7,
+  8,
   lug__offer__field_descriptors,
   lug__offer__field_indices_by_name,
   1,  lug__offer__number_ranges,
   (ProtobufCMessageInit) lug__offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__start__field_descriptors[14] =
+static const ProtobufCFieldDescriptor lug__start__field_descriptors[15] =
 {
   {
     "queue",
@@ -2624,6 +2637,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proven",
+    15,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__Start, has_proven),
+    offsetof(Lug__Start, proven),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__start__field_indices_by_name[] = {
   9,   /* field[9] = checkpoint */
@@ -2633,6 +2658,7 @@
   6,   /* field[6] = kind */
   12,   /* field[12] = offer */
   8,   /* field[8] = payload */
+  14,   /* field[14] = proven */
   0,   /* field[0] = queue */
   2,   /* field[2] = seq */
   7,   /* field[7] = size */
@@ -2644,7 +2670,7 @@
 static const ProtobufCIntRange lug__start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor lug__start__descriptor =
 {
@@ -2654,7 +2680,7 @@
   "Lug__Start",
   "lug",
   sizeof(Lug__Start),
-  14,
+  15,
   lug__start__field_descriptors,
   lug__start__field_indices_by_name,
   1,  lug__start__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -270,10 +270,12 @@
   uint64_t offer;
   size_t n_avoid_kinds;
   char **avoid_kinds;
+  protobuf_c_boolean has_max_starts;
+  uint32_t max_starts;
 };
 #define LUG__OFFER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__offer__descriptor) \
-    , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0,NULL }
+    , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Lug__Start
@@ -300,10 +302,12 @@
   uint64_t offer;
   protobuf_c_boolean has_declared_ms;
   int64_t declared_ms;
+  protobuf_c_boolean has_proven;
+  protobuf_c_boolean proven;
 };
 #define LUG__START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__start__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Lug__OfferReply
--- /dev/null
+++ b/tests/bench/bench.py
@@ -0,0 +1,369 @@
+"""make bench: the decisions under load, beside baselines; a line a measure and a page of plots."""
+
+import argparse
+import json
+import os
+import shutil
+import sys
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "tests", "rig"))
+
+from deploy import Deployment, http, table_text, wait_for  # noqa: E402
+from load import Load, latencies_ms, quantile  # noqa: E402
+
+LEASES = {"worker": "30s", "queue": "4s"}
+LINES = []
+CALLERS = 4
+
+
+def now_us():
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1e6)
+
+
+def say(example, measure, value, unit, bound, ok, baseline=None):
+    """One measure on one line."""
+    beside = "" if baseline is None else f" baseline={baseline:.3g}"
+    text = f"{example}: {measure} {value:.4g} {unit} bound={bound} {'pass' if ok else 'short'}{beside}"
+    LINES.append({"example": example, "measure": measure, "value": value, "unit": unit,
+                  "bound": bound, "ok": ok, "baseline": baseline})
+    print(text, flush=True)
+
+
+class Scene:
+    """One deployment with its loads."""
+
+    def __init__(self, example, seed, name, net, colocate=True, workers=None):
+        run_dir = os.path.join(ROOT, "run", f"bench-{example}-{name}")
+        shutil.rmtree(run_dir, ignore_errors=True)
+        self.seed = seed
+        self.deployment = Deployment(os.path.join(ROOT, "examples", f"{example}.yaml"), run_dir,
+                                     build=os.path.join(ROOT, os.environ.get("BUILD", "build")),
+                                     net=net, seed=seed, proxied=True, workers=workers,
+                                     overrides={"lease": LEASES})
+        if not colocate:
+            self.deployment.agent_extra = {"colocate": {"enabled": False}}
+        self.spec = self.deployment.spec
+        self.loads = 0
+
+    def __enter__(self):
+        self.deployment.start_all()
+        return self
+
+    def __exit__(self, *error):
+        self.deployment.stop_all()
+
+    def capacity_cores(self):
+        return sum(w["millicores"] for w in self.deployment.get("/workers")["workers"]) / 1000
+
+    def load(self, duration_s, rate, crest=None, timeout_ms=2000):
+        self.loads += 1
+        return Load(self.deployment, f"load{self.loads}", self.seed * 100 + self.loads, duration_s,
+                    rate, 0, {"get": 1.0}, crest, timeout_ms=timeout_ms)
+
+    def submit(self, team, kind, count, cores, work_ms, **more):
+        body = {"team": team, "kind": kind, "count": count, "cores": cores, "memory": "512MB",
+                "run_time": f"{more.pop('declared_ms', work_ms)}ms",
+                "payload": json.dumps({"work_ms": work_ms})}
+        body.update(more)
+        at_us = now_us()
+        status, _, answer = self.deployment.call("POST", "/jobs", json.dumps(body))
+        assert status == 201, (status, answer)
+        return json.loads(answer)["id"], at_us
+
+    def open_limits(self):
+        """A table in which weights alone decide."""
+        rows = [dict(row, cores=100000, memory="100TB", accelerators=1000)
+                for row in self.spec["weights"]]
+        version = self.deployment.get("/table")["version"]
+        status = self.deployment.call("PUT", "/table", table_text(rows),
+                                      {"If-Match": str(version)})[0]
+        assert status == 200
+        wait_for(lambda: self.deployment.get("/status")["table"]["in_force"] ==
+                 len(self.deployment.workers) and self.deployment.get("/table")["version"] > version)
+
+    def batch_teams(self):
+        return [row["team"] for row in self.spec["weights"]][1:]
+
+    def cancel_all(self):
+        for job in self.deployment.get("/jobs")["jobs"]:
+            if job["state"] == "open":
+                self.deployment.call("DELETE", f"/jobs/{job['id']}?team={job['team']}")
+        wait_for(lambda: all(w["tasks"] == 0 for w in self.deployment.get("/workers")["workers"]),
+                 60, "empty workers", 0.2)
+
+    def fill(self, seconds):
+        """Hungry batch work in all batch teams for so many seconds."""
+        cores = self.capacity_cores()
+        for team in self.batch_teams():
+            for kind in ("grain", "sand", "polish"):
+                self.submit(team, f"{team}-{kind}"[:32], int(cores * seconds / 6) + 20, 1, 1500)
+
+
+def used_between(history, from_us, until_us):
+    """Core-milliseconds that tasks progressed, spread evenly over each attempt."""
+    starts, total = {}, 0
+    for event in history:
+        key = (event["worker"], event["job"], event["index"], event["attempt"])
+        if event["event"] == "start":
+            starts[key] = event["t_us"]
+        elif event["event"] in ("done", "evicted", "failed") and key in starts:
+            begin, end = starts.pop(key), event["t_us"]
+            overlap = max(0, min(end, until_us) - max(begin, from_us))
+            total += event["progress_ms"] * overlap / max(end - begin, 1)
+    return total
+
+
+def tail(scene, duration_s):
+    """p99 and p99.9 of the service alone and beside batch, and batch beside and alone."""
+    rate = scene.spec["requests"]["rate"]
+    alone = latencies_ms(scene.load(duration_s, rate).wait())
+    scene.fill(duration_s * 2.5)
+    time.sleep(2.5)
+    begin = now_us()
+    beside = latencies_ms(scene.load(duration_s, rate).wait())
+    middle = now_us()
+    time.sleep(duration_s)
+    end = now_us()
+    time.sleep(2)
+    history = scene.deployment.history()
+    scene.cancel_all()
+    with_service = used_between(history, begin, middle) / (middle - begin)
+    without = used_between(history, middle, end) / (end - middle)
+    return {"p99": quantile(beside, .99) / quantile(alone, .99),
+            "p999": quantile(beside, .999) / quantile(alone, .999),
+            "alone": alone, "beside": beside, "batch": with_service / without if without else 0}
+
+
+def measure_tail(example, seed, duration_s, plots):
+    results = {}
+    for name, colocate, net in (("policy", True, 60), ("none", False, 64)):
+        with Scene(example, seed, f"tail-{name}", net, colocate) as scene:
+            scene.open_limits()
+            results[name] = tail(scene, duration_s)
+    policy, none = results["policy"], results["none"]
+    say(example, "service-p99-beside-batch", policy["p99"], "x-alone", 1.2, policy["p99"] <= 1.2,
+        none["p99"])
+    say(example, "service-p999-beside-batch", policy["p999"], "x-alone", 1.5, policy["p999"] <= 1.5,
+        none["p999"])
+    say(example, "batch-beside-service", policy["batch"], "x-alone", 0.85, policy["batch"] >= 0.85,
+        none["batch"])
+    plots.append((f"{example}: latency of the service, ms", {
+        "alone": policy["alone"], "beside batch, policy": policy["beside"],
+        "beside batch, no control": none["beside"]}))
+
+
+def measure_crest(example, seed, scene, plots):
+    """Three times the load within a second, up to what the slots can do."""
+    service_ms, deadline_ms = 60, 600
+    slots = len(scene.deployment.workers) * scene.spec["service"]["slots"]
+    capacity = slots / (service_ms / 1000)
+    for item in scene.spec["requests"]["mix"]:
+        item["ms"] = service_ms
+    crest = {"factor": 3, "start_ms": 4000, "length_ms": 4000}
+    begin = now_us()
+    # Several callers' processes: one alone would be the bottleneck at the crest.
+    loads = [scene.load(14, capacity / 3 / CALLERS, crest, deadline_ms) for _ in range(CALLERS)]
+    lines = [line for load in loads for line in load.wait()]
+    at = [(line["due_us"] - begin) / 1e6 for line in lines]
+    inside = [line for line, t in zip(lines, at) if 4.5 <= t < 8]
+    good = [line for line in inside if line["http"] == 200]
+    offered = min(capacity, len(inside) / 3.5)
+    p99 = quantile(latencies_ms(inside), .99)
+    before = quantile(latencies_ms([l for l, t in zip(lines, at) if 1 <= t < 4]), .99)
+    after = quantile(latencies_ms([l for l, t in zip(lines, at) if t >= 13]), .99)
+    say(example, "crest-goodput", len(good) / 3.5 / offered, "of-capacity", 0.95,
+        len(good) / 3.5 >= 0.95 * offered)
+    say(example, "crest-p99-of-admitted", p99, "ms", deadline_ms, p99 <= deadline_ms)
+    ratio = after / before if after else float("inf")
+    say(example, "after-crest-p99", ratio, "x-before", 1.2, ratio <= 1.2)
+    plots.append((f"{example}: latency at the crest, ms", {
+        "before": latencies_ms([l for l, t in zip(lines, at) if t < 4]),
+        "crest": latencies_ms(inside)}))
+    del seed
+
+
+def first_starts(history):
+    starts = {}
+    for event in history:
+        if event["event"] == "start":
+            starts.setdefault(event["job"], event["t_us"])
+    return starts
+
+
+def measure_urgent(example, scene):
+    """Urgent tasks on a pool that long batch work fills."""
+    teams = scene.batch_teams()
+    cores = scene.capacity_cores()
+    for team in teams:
+        scene.submit(team, "long", int(cores), 1, 60000)
+    wait_for(lambda: sum(w["free_millicores"] for w in scene.deployment.get("/workers")["workers"])
+             < 1000, 30, "full pool", 0.2)
+    sent = []
+    for _ in range(12):
+        sent.append(scene.submit(teams[-1], "urgent", 1, 1, 200, urgent=True))
+        time.sleep(0.4)
+    wait_for(lambda: all(job in first_starts(scene.deployment.history()) for job, _ in sent), 30,
+             "urgent starts", 0.2)
+    starts = first_starts(scene.deployment.history())
+    worst = max((starts[job] - at) / 1e6 for job, at in sent)
+    say(example, "urgent-start-worst", worst, "s", 5.1, worst <= 5.1)
+    scene.cancel_all()
+
+
+def waits_of(scene, jobs):
+    starts = first_starts(scene.deployment.history())
+    return [(starts[job] - at) / 1e3 for job, at in jobs if job in starts]
+
+
+def short_jobs(scene, seconds):
+    jobs = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        jobs.append(scene.submit(scene.batch_teams()[0], "short", 1, 1, 200, declared_ms=2000))
+        time.sleep(0.2)
+    time.sleep(2)
+    return waits_of(scene, jobs)
+
+
+def measure_short(example, scene, seconds):
+    """Short tasks alone, and beside giants of the same team that fill most of the pool."""
+    alone = short_jobs(scene, seconds)
+    cores = scene.capacity_cores()
+    scene.submit(scene.batch_teams()[0], "giant", int(cores), 2, 6000, declared_ms=600)
+    time.sleep(1)
+    beside = short_jobs(scene, seconds)
+    ratio = quantile(beside, .99) / quantile(alone, .99) if beside else float("inf")
+    print(f"  short tasks alone p99 {quantile(alone, .99):.0f} ms of {len(alone)}, beside giants "
+          f"{quantile(beside, .99) or float('inf'):.0f} ms of {len(beside)}", flush=True)
+    say(example, "short-wait-p99-beside-giants", ratio, "x-alone", 1.5, ratio <= 1.5)
+    scene.cancel_all()
+
+
+def measure_shares(example, scene, seconds):
+    """All teams hungry: cores held by each against its weight."""
+    weights = {row["team"]: row["weight"] for row in scene.spec["weights"]}
+    cores = scene.capacity_cores()
+    jobs = {}
+    for team in weights:
+        jobs[team] = scene.submit(team, "hungry", int(cores * (seconds + 8) / 2), 1, 2000)[0]
+    time.sleep(4)
+    begin = now_us()
+    time.sleep(seconds)
+    end = now_us()
+    time.sleep(1.5)
+    history = scene.deployment.history()
+    used = {team: used_between([e for e in history if e["job"] == job], begin, end)
+            for team, job in jobs.items()}
+    total = sum(used.values())
+    print("  shares " + " ".join(f"{team}={used[team] / total:.3f}/{weights[team] / 100}"
+                                 for team in weights), flush=True)
+    worst = max(abs(used[team] / total - weights[team] / 100) / (weights[team] / 100)
+                for team in weights)
+    say(example, "share-worst-deviation", worst, "of-share", 0.05, worst <= 0.05)
+    scene.cancel_all()
+
+
+def measure_bad_worker(example, scene, seconds):
+    """A worker that fails everything, beside eleven-fold work of small tasks."""
+    bad = scene.deployment.workers[0]
+    http("POST", scene.deployment.worker_url(bad) + "/control", json.dumps({"fail_all": 1}))
+    begin = now_us()
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for team in scene.batch_teams():
+            scene.submit(team, "steady", 10, 1, 300)
+        time.sleep(0.5)
+    starts = [e for e in scene.deployment.history() if e["event"] == "start" and
+              e["worker"] == bad and e["t_us"] > begin]
+    http("POST", scene.deployment.worker_url(bad) + "/control", json.dumps({"fail_all": 0}))
+    value = len(starts) * 60 / max(seconds, 60)
+    say(example, "bad-worker-starts", value, "a-minute", 5, value <= 5)
+    scene.cancel_all()
+
+
+def plot(title, series):
+    """SVG of the share of values above each value, on log scales."""
+    import math
+    colors = ["#2f6f4f", "#d07000", "#c02020", "#7040a0"]
+    width, height, left, top = 640, 260, 60, 30
+    top_ms = max(max(v) for v in series.values() if v)
+    low = 1
+    parts = [f"<h3>{title}</h3><svg width='{width + 260}' height='{height + 70}'>"]
+    for power in range(0, int(math.log10(top_ms)) + 1):
+        x = left + width * power / math.log10(top_ms / low)
+        parts.append(f"<line x1='{x}' y1='{top}' x2='{x}' y2='{top + height}' stroke='#ddd'/>"
+                     f"<text x='{x}' y='{top + height + 16}'>{10 ** power}</text>")
+    for row, label in enumerate(("100 %", "10 %", "1 %", "0.1 %")):
+        y = top + height * row / 3
+        parts.append(f"<line x1='{left}' y1='{y}' x2='{left + width}' y2='{y}' stroke='#eee'/>"
+                     f"<text x='4' y='{y + 4}'>{label}</text>")
+    for (name, values), color in zip(series.items(), colors):
+        ordered = sorted(values)
+        points = []
+        for i, value in enumerate(ordered):
+            above = (len(ordered) - i) / len(ordered)
+            if above < 0.001:
+                break
+            x = left + width * math.log10(max(value, low)) / math.log10(top_ms / low)
+            points.append(f"{x:.1f},{top - height * math.log10(above) / 3:.1f}")
+        parts.append(f"<polyline points='{' '.join(points)}' fill='none' stroke='{color}' "
+                     f"stroke-width='2'/>")
+        y = top + 16 + 18 * list(series).index(name)
+        parts.append(f"<text x='{left + width + 16}' y='{y}' fill='{color}'>{name}</text>")
+    return "".join(parts) + "</svg>"
+
+
+def write_page(plots, seed):
+    rows = "".join(
+        f"<tr><td>{l['example']}</td><td>{l['measure']}</td><td>{l['value']:.4g} {l['unit']}</td>"
+        f"<td>{l['bound']}</td><td>{'' if l['baseline'] is None else format(l['baseline'], '.3g')}"
+        f"</td><td style='color:{'green' if l['ok'] else 'crimson'}'>"
+        f"{'pass' if l['ok'] else 'short'}</td></tr>" for l in LINES)
+    page = ("<!DOCTYPE html><html lang='en'><head><meta charset='utf-8'><title>catkinlug bench"
+            "</title><style>body{font:14px sans-serif;margin:24px}td,th{padding:2px 10px;"
+            "text-align:left;border-bottom:1px solid #eee}text{font-size:12px}</style></head><body>"
+            f"<h1>Measures, seed {seed}</h1><table><tr><th>example</th><th>measure</th>"
+            f"<th>value</th><th>bound</th><th>baseline</th><th></th></tr>{rows}</table>"
+            "<h2>Share of requests slower than</h2>"
+            + "".join(plot(title, series) for title, series in plots) + "</body></html>\n")
+    path = os.path.join(ROOT, "run", "bench.html")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(page)
+    print(f"page: {os.path.relpath(path, ROOT)}")
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--only", default="")
+    parser.add_argument("--examples", default="lemnaria,trials")
+    args = parser.parse_args()
+    plots = []
+    seconds = 4 if args.quick else 10
+    examples = args.examples.split(",")[:1] if args.quick else args.examples.split(",")
+    print(f"seed {args.seed}")
+
+    def wanted(name):
+        return not args.only or name in args.only.split(",")
+    for example in examples:
+        if wanted("tail"):
+            measure_tail(example, args.seed, seconds, plots)
+        with Scene(example, args.seed, "rest", 68) as scene:
+            scene.open_limits()
+            for name, run in (("urgent", lambda: measure_urgent(example, scene)),
+                              ("short", lambda: measure_short(example, scene, seconds)),
+                              ("shares", lambda: measure_shares(example, scene, seconds)),
+                              ("bad", lambda: measure_bad_worker(example, scene, 60)),
+                              ("crest", lambda: measure_crest(example, args.seed, scene, plots))):
+                if wanted(name) and not (args.quick and name == "bad" and not args.only):
+                    run()
+    if plots:
+        write_page(plots, args.seed)
+    return 0 if all(line["ok"] for line in LINES) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/rig/deploy.py
+++ b/tests/rig/deploy.py
@@ -74,6 +74,7 @@
         self.seed = seed
         self.proxied = proxied
         self.keys = None
+        self.agent_extra = {}
         self.processes = {}
         self.commands = {}
         self.exit_codes = {}
@@ -160,6 +161,7 @@
                         "target": service["target"]},
             "worker": {"url": f"http://{self.ip(worker)}:8100"}, "drain": "15s",
         })
+        settings.update(self.agent_extra)
         return settings
 
     def rack(self, worker):
@@ -203,7 +205,9 @@
         """Starts one process by name: platform-1, worker-01, agent-01, entry-1."""
         command = self.command(name)
         with open(os.path.join(self.dir, f"{name}.log"), "ab") as log:
-            process = subprocess.Popen(command, stdout=log, stderr=log,
+            # A session of its own: a stopped process must not get SIGHUP when the group of
+            # whoever started the rig becomes orphaned.
+            process = subprocess.Popen(command, stdout=log, stderr=log, start_new_session=True,
                                        stdin=subprocess.DEVNULL)
         self.processes[name] = process
         return process
--- a/tests/unit/decide_test.cc
+++ b/tests/unit/decide_test.cc
@@ -2,6 +2,7 @@
 
 extern "C" {
 #include "colocate/control.h"
+#include "colocate/health.h"
 #include "colocate/reserve.h"
 #include "job/queue.h"
 #include "route/admit.h"
@@ -34,6 +35,7 @@
 struct QueueTest : public testing::Test {
 	struct lug_queue *queue = lug_queue_new("t");
 	struct lug_resources room = {16000, 0, 0};
+	struct lug_resources kept = {0, 0, 0};
 
 	void TearDown() override
 	{
@@ -42,7 +44,8 @@
 
 	const char *pick(gint64 now_us)
 	{
-		struct lug_task *task = lug_queue_pick(queue, &room, "r", "z", nullptr, now_us);
+		struct lug_task *task =
+			lug_queue_pick(queue, &room, &kept, "r", "z", nullptr, now_us);
 
 		return task ? task->job->job->id : nullptr;
 	}
@@ -66,7 +69,7 @@
 	lug_queue_add(queue, job("honest", "small", 1, 1000), 0);
 	EXPECT_STREQ(pick(ms), "liar");
 	for (int i = 0; i < 3; i++)
-		lug_queue_learn(queue, "big", 60000);
+		lug_queue_learn(queue, "big", 60000, ms);
 	EXPECT_EQ(lug_queue_estimate_ms(queue, liar->job), 60000);
 	EXPECT_STREQ(pick(ms), "honest");
 }
@@ -106,6 +109,40 @@
 	EXPECT_EQ(qjob->done, 1u);
 }
 
+TEST_F(QueueTest, LongTasksLeaveRoomForKindsKnownToBeShort)
+{
+	lug_queue_add(queue, job("giant", "big", 1, 10, 15000), 0);
+	kept.millicores = 1600;
+	EXPECT_EQ(pick(second), nullptr) << "declared as short, but not known to be";
+	for (int i = 0; i < 3; i++)
+		lug_queue_learn(queue, "small", 100, second);
+	lug_queue_add(queue, job("short", "small", 1, 60000, 15000), 0);
+	EXPECT_STREQ(pick(second), "short");
+	EXPECT_TRUE(lug_queue_short_expected(queue, 2 * second));
+	EXPECT_FALSE(lug_queue_short_expected(queue, 62 * second));
+}
+
+TEST(Health, RestsWorkerThatFailsWhatRunsWellElsewhere)
+{
+	struct lug_health health = {};
+
+	for (int i = 0; i < 10; i++)
+		lug_health_result(&health, FALSE, FALSE, 0);
+	EXPECT_FALSE(lug_health_resting(&health, 1)) << "the job may be at fault";
+	lug_health_result(&health, FALSE, TRUE, 0);
+	EXPECT_EQ(lug_health_max_starts(&health), 1u);
+	lug_health_result(&health, FALSE, TRUE, 0);
+	EXPECT_FALSE(lug_health_resting(&health, 1));
+	lug_health_result(&health, FALSE, TRUE, 0);
+	EXPECT_TRUE(lug_health_resting(&health, 29 * second));
+	EXPECT_FALSE(lug_health_resting(&health, 30 * second));
+	lug_health_result(&health, FALSE, TRUE, 30 * second);
+	EXPECT_TRUE(lug_health_resting(&health, 89 * second))
+		<< "one failure on trial, a longer rest";
+	lug_health_result(&health, TRUE, TRUE, 100 * second);
+	EXPECT_EQ(lug_health_max_starts(&health), 0u);
+}
+
 TEST(Share, NeediestQueueThatFitsIsPicked)
 {
 	struct lug_claimant rich = {0.9, FALSE, 9 * second, {1000, 0, 0}};
