Beats as rare as their receiver can afford, digests in place of lists

Change: the receiver tells agents the time between beats that it can afford (entries 12 beats/s together, owners 8); a beat carries a digest of the held tasks and lists them only when the owner finds it differs; a new version of the table is pushed, a few agents at a time, since beats may be 30 s apart; unconfirmed starts are sent again by the owner itself; a start refused for another lease epoch is no proof that it never ran, so the owner waits for a list.

Ruled out: announcing to a part of the entries (an entry would not know all backend servers).

--- a/liblug/colocate/health.c
+++ b/liblug/colocate/health.c
@@ -1,7 +1,7 @@
 #include "colocate/health.h"
 
-#define STREAK_MAX 3
-#define REST_US (30 * 1000 * 1000)
+#define STREAK_MAX 2
+#define REST_US (60 * 1000 * 1000)
 #define REST_SHIFT_MAX 4
 
 /**
--- a/liblug/daemon/agent.c
+++ b/liblug/daemon/agent.c
@@ -18,10 +18,12 @@
 
 #define TICK_MS 50
 #define ENTRY_SCAN_MS 4000
-#define SILENT_BEATS 4
-/* An owner hears an agent without tasks only this rarely. */
-#define IDLE_SILENT_BEATS 25
+/* Beats of all agents together that an owner asks for. */
+#define BEATS_PER_S 8.0
 #define LEAVE_NOTICE_MS 300
+#define INTERVAL_MAX_MS 60000
+/* A list of held tasks that an owner asks for is sent after this time. */
+#define LIST_SOON_US (200 * 1000)
 /* Rows need not be released when the table service is down. */
 #define RELEASE_US (2 * 1000 * 1000)
 
@@ -67,7 +69,8 @@
 		if (!address || strcmp(address, lug_dial_address(peer->dial)) != 0)
 			continue;
 		beat->held[beat->n_held] = lug_arena_alloc(arena, sizeof(Lug__QueueHeld));
-		lug_runner_fill_held(agent->runner, arena, team, beat->held[beat->n_held++]);
+		lug_runner_fill_held(agent->runner, arena, team, peer->list_held,
+				     beat->held[beat->n_held++]);
 	}
 }
 
@@ -112,6 +115,7 @@
 
 	describe(agent, &beat, &room, &capacity);
 	LUG_SET(&beat, generation, lug_dial_generation(peer->dial));
+	LUG_SET(&beat, interval_ms, (guint32)lug_peers_interval_ms(agent->peers, peer));
 	if (peer->roles & LUG_PEER_ENTRY) {
 		beat.n_queues = queues->len;
 		beat.queues = (char **)queues->pdata;
@@ -120,12 +124,14 @@
 		held_lists(agent, arena, peer, &beat);
 	lug_dial_route(peer->dial, &route);
 	sent = lug_link_send(agent->link, &route, &env);
+	if (sent)
+		peer->list_held = FALSE;
 	g_ptr_array_unref(queues);
 	lug_arena_free(arena);
 	return sent;
 }
 
-static void ack_beat(struct agent *agent, const struct lug_route *route, const Lug__Beat *beat)
+static void ack_beat(struct agent *agent, const struct lug_route *route, gboolean list_held)
 {
 	Lug__QueueEpoch epochs[LUG_TEAMS_MAX];
 	Lug__QueueEpoch *list[LUG_TEAMS_MAX];
@@ -133,7 +139,9 @@
 	GPtrArray *names = lug_owners_names(agent->owners);
 	LUG_ENVELOPE(env, BEAT_ACK, beat_ack, &ack);
 
-	(void)beat;
+	LUG_SET(&ack, interval_ms, lug_roster_interval_ms(agent->roster, BEATS_PER_S));
+	if (list_held)
+		LUG_SET(&ack, list_held, 1);
 	for (guint i = 0; i < names->len && i < LUG_TEAMS_MAX; i++) {
 		const char *team = g_ptr_array_index(names, i);
 
@@ -152,24 +160,32 @@
 		    gint64 now_us)
 {
 	struct lug_agent *from = lug_roster_beat(agent->roster, route, env, now_us);
+	gboolean list_held = FALSE;
 
-	ack_beat(agent, route, env->beat);
-	if (!from)
-		return;
-	for (size_t i = 0; i < env->beat->n_held; i++) {
+	for (size_t i = 0; from && i < env->beat->n_held; i++) {
 		const Lug__QueueHeld *held = env->beat->held[i];
 		struct lug_owner *owner = lug_owners_find(agent->owners, held->queue);
 
-		if (owner)
-			lug_owner_held_tasks(owner, from, held, now_us);
+		if (owner && !lug_owner_held_tasks(owner, from, held, now_us))
+			list_held = TRUE;
 	}
+	ack_beat(agent, route, list_held);
 }
 
 static void on_beat_ack(struct agent *agent, const struct lug_route *route, const Lug__BeatAck *ack,
 			gint64 now_us)
 {
 	struct lug_dial *dial = lug_link_dial(agent->link, route);
-
+	struct lug_peer *peer = dial ? lug_dial_owner(dial) : NULL;
+
+	if (peer && ack->has_interval_ms)
+		peer->interval_ms = MIN(ack->interval_ms, INTERVAL_MAX_MS);
+	if (peer && ack->list_held) {
+		peer->list_held = TRUE;
+		peer->sent_us = MIN(peer->sent_us,
+				    now_us - lug_peers_interval_ms(agent->peers, peer) * 1000 +
+					    LIST_SOON_US);
+	}
 	for (size_t i = 0; i < ack->n_entries; i++)
 		if (lug_address_parse(ack->entries[i], NULL, NULL))
 			lug_peers_add(agent->peers, ack->entries[i], LUG_PEER_ENTRY, now_us);
@@ -300,6 +316,8 @@
 		return;
 	case LUG__ENVELOPE__BODY_REPORT_ACK:
 		lug_runner_report_ack(agent->runner, env->report_ack);
+		if (env->report_ack->want)
+			on_want(agent, route, env->report_ack->want, now_us);
 		return;
 	case LUG__ENVELOPE__BODY_DRAIN:
 		on_drain(agent, env);
@@ -429,10 +447,24 @@
 static void update_owners(struct agent *agent)
 {
 	GPtrArray *list = lug_peers_list(agent->peers);
+	gboolean *before = g_new0(gboolean, list->len + 1);
+	guint known = list->len;
 
-	for (guint i = 0; i < list->len; i++)
-		((struct lug_peer *)g_ptr_array_index(list, i))->active = FALSE;
+	for (guint i = 0; i < known; i++) {
+		struct lug_peer *peer = g_ptr_array_index(list, i);
+
+		before[i] = peer->active;
+		peer->active = FALSE;
+	}
 	lug_owners_each_address(agent->owners, add_owner, agent);
+	for (guint i = 0; i < known; i++) {
+		struct lug_peer *peer = g_ptr_array_index(list, i);
+
+		/* The owner must learn of the new time between beats before it misses one. */
+		if (peer->active != before[i])
+			peer->sent_us = 0;
+	}
+	g_free(before);
 }
 
 static void control_tasks(struct agent *agent, gint64 now_us)
@@ -573,8 +605,7 @@
 	agent->backend = lug_http_new(settings->service_url, NULL, NULL);
 	lug_http_set_connections(agent->backend, (guint)settings->service_connections);
 	agent->sync = lug_sync_new(ctx, agent->store, agent->link, on_table, agent);
-	agent->roster = lug_roster_new(
-		ctx, (settings->beat_ms * (SILENT_BEATS + IDLE_SILENT_BEATS) / 2) * 1000);
+	agent->roster = lug_roster_new(ctx);
 	agent->peers = lug_peers_new(ctx, agent->link, send_beat, agent);
 	build_jobs(agent);
 	agent->serve = lug_serve_new(ctx, agent->link, agent->backend);
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -10,7 +10,10 @@
 #define TICK_MS 20
 #define ENTRY_SCAN_MS 3000
 #define TAKE_AGAIN_US (500 * 1000)
-#define SILENT_BEATS 4
+/* Beats of all agents together that an entry asks for. */
+#define BEATS_PER_S 12.0
+/* A new version is told to this many agents in one tick. */
+#define TOLD_PER_TICK 4
 #define LEASE_MS 15000
 #define LEAVE_NOTICE_MS 500
 #define RELEASE_US (1000 * 1000)
@@ -104,6 +107,8 @@
 			addresses[ack.n_entries++] = (char *)address;
 	}
 	ack.entries = addresses;
+	ack.has_interval_ms = 1;
+	ack.interval_ms = lug_roster_interval_ms(entry->roster, BEATS_PER_S);
 	lug_link_send(entry->link, route, &env);
 	g_free(addresses);
 }
@@ -133,7 +138,26 @@
 
 static void on_table(void *data)
 {
-	(void)data;
+	struct lug_entry *entry = data;
+
+	entry->told = 0;
+}
+
+/* Tells agents of a new version, a few at a time, before their next beat asks for it. */
+static void tell_version(struct lug_entry *entry)
+{
+	GPtrArray *agents = lug_roster_agents(entry->roster);
+	guint64 version =
+		lug_sync_limits(entry->sync) ? (guint64)lug_sync_limits(entry->sync)->version : 0;
+
+	for (guint n = 0; n < TOLD_PER_TICK && entry->told < agents->len; entry->told++) {
+		struct lug_agent *agent = g_ptr_array_index(agents, entry->told);
+
+		if (agent->table_version >= version)
+			continue;
+		ack_beat(entry, &agent->route);
+		n++;
+	}
 }
 
 static void stop_step(struct lug_entry *entry, gint64 now_us)
@@ -165,6 +189,7 @@
 	lug_roster_expire(entry->roster, now_us);
 	lug_router_tick(entry->router, now_us);
 	lug_gather_tick(entry, now_us);
+	tell_version(entry);
 	if (entry->stopping)
 		stop_step(entry, now_us);
 	return G_SOURCE_CONTINUE;
@@ -217,7 +242,7 @@
 	entry->store = lug_store_http_new(ctx);
 	entry->lane = lug_lane_new(ctx, entry->store, &config);
 	entry->sync = lug_sync_new(ctx, entry->store, entry->link, on_table, entry);
-	entry->roster = lug_roster_new(ctx, ctx->settings->beat_ms * SILENT_BEATS * 1000);
+	entry->roster = lug_roster_new(ctx);
 	entry->router = lug_router_new(ctx, entry->link, entry->roster);
 }
 
--- a/liblug/daemon/entry_priv.h
+++ b/liblug/daemon/entry_priv.h
@@ -37,6 +37,7 @@
 	gint64 stop_by_us;
 	gint64 idle_since_us;
 	guint calls;
+	guint told;
 };
 
 /**
--- a/liblug/job/bidder.c
+++ b/liblug/job/bidder.c
@@ -5,7 +5,7 @@
 #include "team/share.h"
 #include "wire/pack.h"
 
-#define WANT_LIFE_US (2 * 1000 * 1000)
+#define WANT_LIFE_US (10 * 1000 * 1000)
 #define OFFER_LIFE_US (1000 * 1000)
 /* Urgent work waits this long for free room before others are evicted; the spread
  * keeps agents that know of the same task from all evicting for it. */
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -10,6 +10,8 @@
 #define KEPT_DIVISOR 10
 #define WANT_INTERVAL_US (300 * 1000)
 #define WANT_AGENTS_MIN 4
+/* Agents without room that are told as well, so that they choose fairly when they have some. */
+#define WANT_FULL_AGENTS 8
 #define RESEND_US (1000 * 1000)
 #define ROOM_FRESH_US (600 * 1000)
 #define REFUSED_PAUSE_US (100 * 1000)
@@ -63,11 +65,17 @@
 	LUG_SET(want, oldest_ms, (guint32)MIN(demand->oldest_us / 1000, G_MAXUINT32));
 }
 
+static gboolean may_learn(const struct lug_owner *owner, const struct lug_agent *agent,
+			  gint64 now_us)
+{
+	return !agent->leaving && agent->worker_epoch &&
+	       lug_roster_live(owner->env.roster, agent, now_us);
+}
+
 static gboolean wants_agent(const struct lug_owner *owner, const struct lug_agent *agent,
 			    const struct lug_demand *demand, gint64 now_us)
 {
-	if (agent->leaving || !agent->worker_epoch ||
-	    !lug_roster_live(owner->env.roster, agent, now_us))
+	if (!may_learn(owner, agent, now_us))
 		return FALSE;
 	/* What an agent told long ago of its room proves nothing: idle ones beat rarely. */
 	return demand->urgent || now_us - agent->heard_us > ROOM_FRESH_US ||
@@ -82,6 +90,7 @@
 {
 	GPtrArray *agents = lug_roster_agents(owner->env.roster);
 	guint left = MAX(WANT_AGENTS_MIN, 2 * demand->pending);
+	guint full_left = WANT_FULL_AGENTS;
 	Lug__Resources smallest;
 	Lug__Resources largest;
 	Lug__Want want;
@@ -93,10 +102,13 @@
 		const struct lug_agent *agent =
 			g_ptr_array_index(agents, (owner->want_turn + i) % agents->len);
 
-		if (!wants_agent(owner, agent, demand, now_us))
-			continue;
-		lug_link_send(owner->env.link, &agent->route, &env);
-		left--;
+		if (wants_agent(owner, agent, demand, now_us)) {
+			lug_link_send(owner->env.link, &agent->route, &env);
+			left--;
+		} else if (full_left && may_learn(owner, agent, now_us)) {
+			lug_link_send(owner->env.link, &agent->route, &env);
+			full_left--;
+		}
 	}
 }
 
@@ -113,6 +125,11 @@
 
 	if (task->state != LUG_TASK_RUNNING || now_us - task->sent_us < RESEND_US || !agent)
 		return;
+	if (!task->confirmed && agent->worker_epoch == task->worker_epoch && task->seq &&
+	    !task->job->job->cancelled) {
+		owner_send_start(owner, task, now_us);
+		return;
+	}
 	if (task->job->job->cancelled) {
 		task->sent_us = now_us;
 		owner_send_stop(owner, &agent->route, task->job->job->id, task->index,
@@ -278,23 +295,35 @@
 	lug_lane_submit(owner->lane, op, now_us);
 }
 
+/**
+ * owner_fill_want - say what waits, on a message that goes to an agent anyway
+ * @owner: owner
+ * @out: storage that lives until the message is sent
+ * @now_us: present time
+ *
+ * Return: the message, or NULL when nothing waits or the team's limit is reached.
+ */
+Lug__Want *owner_fill_want(struct lug_owner *owner, struct owner_want *out, gint64 now_us)
+{
+	struct lug_demand demand;
+
+	if (!owner->queue)
+		return NULL;
+	lug_queue_demand(owner->queue, now_us, &demand);
+	if (!demand.pending || !has_headroom(owner, &demand))
+		return NULL;
+	fill_want(owner, &demand, &out->want, &out->smallest, &out->largest);
+	return &out->want;
+}
+
 static void answer_offer(struct lug_owner *owner, const struct lug_route *route,
 			 const Lug__Offer *offer, guint starts, gint64 now_us)
 {
 	Lug__OfferReply reply = LUG__OFFER_REPLY__INIT;
-	struct lug_demand demand;
-	Lug__Resources smallest;
-	Lug__Resources largest;
-	Lug__Want want;
+	struct owner_want storage;
 	LUG_ENVELOPE(env, OFFER_REPLY, offer_reply, &reply);
 
-	if (owner->queue) {
-		lug_queue_demand(owner->queue, now_us, &demand);
-		if (demand.pending && has_headroom(owner, &demand)) {
-			fill_want(owner, &demand, &want, &smallest, &largest);
-			reply.want = &want;
-		}
-	}
+	reply.want = owner_fill_want(owner, &storage, now_us);
 	reply.queue = owner->team;
 	LUG_SET(&reply, offer, offer->offer);
 	LUG_SET(&reply, starts, starts);
@@ -396,6 +425,8 @@
 	if (!task || task->attempt != reply->task->attempt || task->state != LUG_TASK_RUNNING ||
 	    strcmp(task->worker, worker))
 		return;
+	if (reply->status == LUG_FENCED)
+		return;
 	if (reply->status != LUG_OK) {
 		task->retry_us = now_us + REFUSED_PAUSE_US;
 		lug_queue_set(owner->queue, task, LUG_TASK_PENDING, now_us);
--- a/liblug/job/fence.c
+++ b/liblug/job/fence.c
@@ -3,8 +3,6 @@
 #include <string.h>
 
 #define READ_US (1000 * 1000)
-/* An agent that holds tasks sends every beat; after this many it counts as silent. */
-#define SILENT_BEATS 4
 
 /*
  * A worker whose agent is silent may still run its tasks until its lease has
@@ -135,9 +133,7 @@
 {
 	const struct lug_agent *agent = lug_roster_find(owner->env.roster, worker);
 
-	gint64 beat_us = owner->env.ctx->settings->beat_ms * 1000;
-
-	return !agent || now_us - agent->heard_us > SILENT_BEATS * beat_us;
+	return !agent || lug_agent_silent(agent, now_us);
 }
 
 static gboolean drop_heard(gpointer key, gpointer value, gpointer data)
--- a/liblug/job/job.c
+++ b/liblug/job/job.c
@@ -5,6 +5,8 @@
 #include "core/units.h"
 
 #define ID_HEX_CHARS 20
+#define FNV_OFFSET 0xcbf29ce484222325ULL
+#define FNV_PRIME 0x100000001b3ULL
 
 static const char *const known_members[] = {
 	"team",		"kind",	    "key",    "payload",    "count",   "cores", "memory",
@@ -311,3 +313,24 @@
 {
 	return place_accepted(job->regions, region) && place_accepted(job->zones, zone);
 }
+
+/**
+ * lug_task_digest - number that stands for an attempt in the digest of a set
+ * @job: job id
+ * @index: index within the job
+ * @attempt: attempt
+ *
+ * The digest of a set is the exclusive or of its members' numbers (FNV-1a, mixed).
+ */
+guint64 lug_task_digest(const char *job, guint32 index, guint32 attempt)
+{
+	guint64 hash = FNV_OFFSET;
+
+	for (const char *p = job; *p; p++)
+		hash = (hash ^ (guint8)*p) * FNV_PRIME;
+	hash = (hash ^ index) * FNV_PRIME;
+	hash = (hash ^ attempt) * FNV_PRIME;
+	hash ^= hash >> 29;
+	hash *= FNV_PRIME;
+	return hash ^ (hash >> 32);
+}
--- a/liblug/job/job.h
+++ b/liblug/job/job.h
@@ -53,6 +53,7 @@
 void lug_job_make_id(struct lug_job *job, guint64 nonce);
 char *lug_job_row_key(const char *team, const char *id);
 char *lug_task_row_key(const char *team, const char *id, guint32 index);
+guint64 lug_task_digest(const char *job, guint32 index, guint32 attempt);
 gboolean lug_job_accepts(const struct lug_job *job, const char *region, const char *zone);
 
 #endif
--- a/liblug/job/owner_priv.h
+++ b/liblug/job/owner_priv.h
@@ -58,6 +58,14 @@
 	gint64 retry_us;
 };
 
+/* Storage for a want that rides on another message. */
+struct owner_want {
+	Lug__Want want;
+	Lug__Resources smallest;
+	Lug__Resources largest;
+};
+
+Lug__Want *owner_fill_want(struct lug_owner *owner, struct owner_want *out, gint64 now_us);
 struct owner_ref *owner_ref_new(struct lug_owner *owner, const struct lug_task *task);
 void owner_ref_free(struct owner_ref *ref);
 struct lug_task *owner_ref_task(const struct owner_ref *ref);
--- a/liblug/job/runner.c
+++ b/liblug/job/runner.c
@@ -333,7 +333,7 @@
 }
 
 static void refuse(struct lug_runner *runner, const struct lug_route *route,
-		   const Lug__Start *start, const char *why)
+		   const Lug__Start *start, enum lug_status status, const char *why)
 {
 	Lug__StartReply reply = LUG__START_REPLY__INIT;
 	LUG_ENVELOPE(env, START_REPLY, start_reply, &reply);
@@ -341,7 +341,7 @@
 	lug_count(runner->env.ctx, TASKS_REFUSED, 1);
 	reply.queue = start->queue;
 	reply.task = start->task;
-	LUG_SET(&reply, status, LUG_NOT_RUN);
+	LUG_SET(&reply, status, status);
 	reply.detail = (char *)why;
 	lug_link_send(runner->env.link, route, &env);
 }
@@ -387,7 +387,11 @@
 	}
 	why = admit(runner, start, &size, now_us);
 	if (why) {
-		refuse(runner, route, start, why);
+		/* Under another epoch the attempt may have run here before: a beat must tell. */
+		refuse(runner, route, start,
+		       start->worker_epoch == lug_lease_epoch(runner->env.lease) ? LUG_NOT_RUN
+										 : LUG_FENCED,
+		       why);
 		return;
 	}
 	lug_reserve_take(&runner->reserve, &size);
@@ -513,10 +517,11 @@
  * @runner: runner
  * @arena: owns what the list points to
  * @queue: team of the queue
+ * @list: list the attempts; otherwise only their digest is told
  * @out: filled in
  */
 void lug_runner_fill_held(struct lug_runner *runner, struct lug_arena *arena, const char *queue,
-			  Lug__QueueHeld *out)
+			  gboolean list, Lug__QueueHeld *out)
 {
 	struct run_queue *known = queue_of(runner, queue);
 	guint count = lug_runner_count(runner);
@@ -525,12 +530,17 @@
 	out->queue = known->queue;
 	LUG_SET(out, epoch, known->epoch);
 	LUG_SET(out, last_seq, known->last_seq);
+	LUG_SET(out, listed, list);
+	LUG_SET(out, digest, 0);
 	out->held = lug_arena_alloc(arena, sizeof(*out->held) * (count + 1));
 	LUG_LIST_FOREACH (&runner->runs, pos) {
 		struct lug_run *run = LUG_CONTAINER_OF(pos, struct lug_run, node);
 
 		if (strcmp(run->queue, queue))
 			continue;
+		out->digest ^= lug_task_digest(run->job, run->index, run->attempt);
+		if (!list)
+			continue;
 		out->held[out->n_held] = lug_arena_alloc(arena, sizeof(Lug__TaskId));
 		lug_pack_task(out->held[out->n_held++], run->job, run->index, run->attempt);
 	}
--- a/liblug/job/runner.h
+++ b/liblug/job/runner.h
@@ -107,7 +107,7 @@
 guint lug_runner_count(const struct lug_runner *runner);
 gboolean lug_runner_holds_queue(const struct lug_runner *runner, const char *queue);
 void lug_runner_fill_held(struct lug_runner *runner, struct lug_arena *arena, const char *queue,
-			  Lug__QueueHeld *out);
+			  gboolean list, Lug__QueueHeld *out);
 void lug_runner_evict_for(struct lug_runner *runner, const struct lug_resources *need,
 			  gint64 now_us);
 void lug_runner_evict_one(struct lug_runner *runner, gint64 now_us);
--- a/liblug/job/settle.c
+++ b/liblug/job/settle.c
@@ -20,12 +20,14 @@
 		       guint32 index, guint32 attempt)
 {
 	Lug__ReportAck ack = LUG__REPORT_ACK__INIT;
+	struct owner_want storage;
 	Lug__TaskId id;
 	LUG_ENVELOPE(env, REPORT_ACK, report_ack, &ack);
 
 	lug_pack_task(&id, job, index, attempt);
 	ack.queue = owner->team;
 	ack.task = &id;
+	ack.want = owner_fill_want(owner, &storage, lug_now_us());
 	lug_link_send(owner->env.link, route, &env);
 }
 
@@ -235,24 +237,42 @@
 	}
 }
 
+static guint64 expected_digest(struct lug_owner *owner, const char *worker)
+{
+	guint64 digest = 0;
+
+	LUG_LIST_FOREACH (lug_queue_active(owner->queue), pos) {
+		struct lug_task *task = LUG_CONTAINER_OF(pos, struct lug_task, node);
+
+		if (task->state != LUG_TASK_CLAIMING && !strcmp(task->worker, worker))
+			digest ^= lug_task_digest(task->job->job->id, task->index, task->attempt);
+	}
+	return digest;
+}
+
 /**
  * lug_owner_held_tasks - compare what an agent holds with what it should hold
  * @owner: owner
  * @agent: agent
  * @held: what it holds of this queue, with the last start it has seen
  * @now_us: present time
+ *
+ * Return: FALSE when the digest differs and the agent should list its tasks.
  */
-void lug_owner_held_tasks(struct lug_owner *owner, const struct lug_agent *agent,
-			  const Lug__QueueHeld *held, gint64 now_us)
+gboolean lug_owner_held_tasks(struct lug_owner *owner, const struct lug_agent *agent,
+			      const Lug__QueueHeld *held, gint64 now_us)
 {
 	if (!lug_owner_held(owner) || owner->load != LOAD_DONE || !agent->worker_epoch)
-		return;
+		return TRUE;
 	if (held->epoch != lug_lane_epoch(owner->lane))
-		return;
+		return FALSE;
+	if (!held->listed)
+		return held->digest == expected_digest(owner, agent->name);
 	LUG_LIST_FOREACH_SAFE (lug_queue_active(owner->queue), pos, tmp)
 		check_task(owner, LUG_CONTAINER_OF(pos, struct lug_task, node), agent, held,
 			   now_us);
 	stop_strays(owner, agent, held);
+	return TRUE;
 }
 
 /**
--- a/liblug/member/peers.c
+++ b/liblug/member/peers.c
@@ -87,6 +87,7 @@
 	if (!peer) {
 		peer = g_new0(struct lug_peer, 1);
 		peer->dial = lug_dial_new(peers->link, address, peer);
+		peer->list_held = TRUE;
 		g_ptr_array_add(peers->list, peer);
 	}
 	peer->roles |= role;
@@ -111,13 +112,19 @@
 	peer->first_unanswered_us = 0;
 }
 
-static gint64 interval_us(const struct lug_peers *peers, const struct lug_peer *peer)
+/**
+ * lug_peers_interval_ms - time between beats to a peer
+ * @peers: set
+ * @peer: peer
+ */
+gint64 lug_peers_interval_ms(const struct lug_peers *peers, const struct lug_peer *peer)
 {
-	gint64 beat_us = peers->ctx->settings->beat_ms * 1000;
+	gint64 beat_ms = peers->ctx->settings->beat_ms;
+	gint64 asked_ms = MAX(beat_ms, peer->interval_ms);
 
 	if (peer->active || (peer->roles & LUG_PEER_ENTRY))
-		return beat_us;
-	return beat_us * IDLE_FACTOR;
+		return asked_ms;
+	return MAX(asked_ms, beat_ms * IDLE_FACTOR);
 }
 
 static void send_beat(struct lug_peers *peers, struct lug_peer *peer, gint64 now_us)
@@ -159,10 +166,11 @@
 		lug_dial_again(peer->dial);
 		peer->first_unanswered_us = 0;
 		peer->unsent_us = 0;
+		peer->list_held = TRUE;
 		peer->sent_us = 0;
 		return;
 	}
-	if (now_us - peer->sent_us >= interval_us(peers, peer))
+	if (now_us - peer->sent_us >= lug_peers_interval_ms(peers, peer) * 1000)
 		send_beat(peers, peer, now_us);
 }
 
--- a/liblug/member/peers.h
+++ b/liblug/member/peers.h
@@ -13,6 +13,8 @@
  * @roles: LUG_PEER_ENTRY and LUG_PEER_OWNER
  * @seed: named in the settings, never forgotten
  * @active: beats are sent at the full rate
+ * @interval_ms: time between beats that the peer asks for, 0 for the settings'
+ * @list_held: the peer wants held tasks listed, not only their digest
  * @heard_us: last message from it
  * @sent_us: last beat
  * @first_unanswered_us: first beat since the last message from it, 0 when answered
@@ -24,6 +26,8 @@
 	guint roles;
 	gboolean seed;
 	gboolean active;
+	gint64 interval_ms;
+	gboolean list_held;
 	gint64 heard_us;
 	gint64 sent_us;
 	gint64 first_unanswered_us;
@@ -48,6 +52,7 @@
 void lug_peers_tick(struct lug_peers *peers, gint64 now_us);
 void lug_peers_beat_all(struct lug_peers *peers, gint64 now_us);
 GPtrArray *lug_peers_list(const struct lug_peers *peers);
+gint64 lug_peers_interval_ms(const struct lug_peers *peers, const struct lug_peer *peer);
 struct lug_peer *lug_peers_find(const struct lug_peers *peers, const char *address);
 
 #endif
--- a/liblug/member/roster.c
+++ b/liblug/member/roster.c
@@ -6,10 +6,11 @@
 
 /* A silent agent is forgotten after this many times the silence that makes it dead. */
 #define FORGET_FACTOR 20
+/* Beats that may be missing before an agent counts as silent. */
+#define SILENT_BEATS 3
 
 struct lug_roster {
 	struct lug_ctx *ctx;
-	gint64 silence_us;
 	GPtrArray *agents;
 	GHashTable *by_name;
 	GHashTable *lost;
@@ -26,14 +27,12 @@
 /**
  * lug_roster_new - create an empty roster
  * @ctx: context
- * @silence_us: an agent not heard for this long counts as dead
  */
-struct lug_roster *lug_roster_new(struct lug_ctx *ctx, gint64 silence_us)
+struct lug_roster *lug_roster_new(struct lug_ctx *ctx)
 {
 	struct lug_roster *roster = g_new0(struct lug_roster, 1);
 
 	roster->ctx = ctx;
-	roster->silence_us = silence_us;
 	roster->agents = g_ptr_array_new_with_free_func(agent_free);
 	roster->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	roster->lost = g_hash_table_new(NULL, NULL);
@@ -62,13 +61,32 @@
 	return g_hash_table_lookup(roster->by_name, name);
 }
 
+/**
+ * lug_agent_silent - tell whether several beats of an agent are missing
+ */
+gboolean lug_agent_silent(const struct lug_agent *agent, gint64 now_us)
+{
+	return now_us - agent->heard_us > SILENT_BEATS * agent->interval_us;
+}
+
+/**
+ * lug_roster_interval_ms - time between beats to ask of each agent
+ * @roster: roster
+ * @beats_per_s: beats from all agents together that this process can afford
+ */
+guint32 lug_roster_interval_ms(const struct lug_roster *roster, double beats_per_s)
+{
+	return (guint32)(1000 * roster->agents->len / beats_per_s);
+}
+
 /**
  * lug_roster_live - tell whether an agent was heard lately
  */
 gboolean lug_roster_live(const struct lug_roster *roster, const struct lug_agent *agent,
 			 gint64 now_us)
 {
-	return now_us - agent->heard_us <= roster->silence_us;
+	(void)roster;
+	return !lug_agent_silent(agent, now_us);
 }
 
 static void copy_name(char *out, const char *in)
@@ -99,6 +117,7 @@
 	agent->leaving = beat->leaving;
 	agent->worker_epoch = beat->worker_epoch;
 	agent->tasks = beat->tasks;
+	agent->interval_us = MAX((gint64)beat->interval_ms, 1) * 1000;
 	agent->room = lug_unpack_resources(beat->room);
 	agent->capacity = lug_unpack_resources(beat->capacity);
 	copy_queues(agent, beat);
@@ -183,7 +202,7 @@
 			continue;
 		}
 		note_lost(roster, agent);
-		if (now_us - agent->heard_us < FORGET_FACTOR * roster->silence_us ||
+		if (now_us - agent->heard_us < FORGET_FACTOR * agent->interval_us ||
 		    agent->inflight)
 			continue;
 		g_hash_table_remove(roster->lost, agent);
--- a/liblug/member/roster.h
+++ b/liblug/member/roster.h
@@ -28,6 +28,7 @@
  * @table_version: version of the weights and limits in force there
  * @seen_us: when it was first seen in this incarnation
  * @heard_us: last message
+ * @interval_us: time between its beats
  * @failing: consecutive failed requests
  * @ejected_until_us: no requests before this time, after failures
  * @tasks: batch tasks that it runs
@@ -56,6 +57,7 @@
 	guint64 table_version;
 	gint64 seen_us;
 	gint64 heard_us;
+	gint64 interval_us;
 	guint32 failing;
 	gint64 ejected_until_us;
 	guint32 tasks;
@@ -66,13 +68,15 @@
  */
 struct lug_roster;
 
-struct lug_roster *lug_roster_new(struct lug_ctx *ctx, gint64 silence_us);
+struct lug_roster *lug_roster_new(struct lug_ctx *ctx);
 void lug_roster_free(struct lug_roster *roster);
 struct lug_agent *lug_roster_beat(struct lug_roster *roster, const struct lug_route *route,
 				  const Lug__Envelope *env, gint64 now_us);
 struct lug_agent *lug_roster_find(const struct lug_roster *roster, const char *name);
 gboolean lug_roster_live(const struct lug_roster *roster, const struct lug_agent *agent,
 			 gint64 now_us);
+gboolean lug_agent_silent(const struct lug_agent *agent, gint64 now_us);
+guint32 lug_roster_interval_ms(const struct lug_roster *roster, double beats_per_s);
 void lug_roster_expire(struct lug_roster *roster, gint64 now_us);
 GPtrArray *lug_roster_agents(const struct lug_roster *roster);
 struct lug_agent *lug_roster_owner(const struct lug_roster *roster, const char *queue);
--- a/liblug/route/choose.c
+++ b/liblug/route/choose.c
@@ -14,8 +14,7 @@
 static gboolean serves(const struct lug_agent *agent, const struct lug_choice *choice)
 {
 	return !agent->leaving && agent != choice->exclude &&
-	       choice->now_us - agent->heard_us <= choice->silence_us &&
-	       !strcmp(agent->service, choice->service);
+	       !lug_agent_silent(agent, choice->now_us) && !strcmp(agent->service, choice->service);
 }
 
 static GPtrArray *candidates(GPtrArray *agents, const struct lug_choice *choice,
--- a/liblug/route/choose.h
+++ b/liblug/route/choose.h
@@ -9,7 +9,6 @@
  * @zone: availability zone of the chooser
  * @region: region of the chooser
  * @exclude: agent that has just failed the request, may be NULL
- * @silence_us: an agent not heard for this long is not chosen
  * @now_us: present time
  */
 struct lug_choice {
@@ -17,7 +16,6 @@
 	const char *zone;
 	const char *region;
 	const struct lug_agent *exclude;
-	gint64 silence_us;
 	gint64 now_us;
 };
 
--- a/liblug/route/router.c
+++ b/liblug/route/router.c
@@ -7,7 +7,6 @@
 #include "wire/pack.h"
 
 #define ATTEMPTS_MAX 4
-#define SILENCE_BEATS 3
 #define SETTLE_US (500 * 1000)
 #define CANCEL_AGAIN_US (100 * 1000)
 #define PROBE_MIN_US (250 * 1000)
@@ -186,7 +185,6 @@
 		.zone = settings->zone,
 		.region = settings->region,
 		.exclude = agent_of(req),
-		.silence_us = settings->beat_ms * 1000 * SILENCE_BEATS,
 		.now_us = now_us,
 	};
 	GPtrArray *agents = lug_roster_agents(router->roster);
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -1305,7 +1305,7 @@
   (ProtobufCMessageInit) lug__task_id__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__queue_held__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lug__queue_held__field_descriptors[6] =
 {
   {
     "queue",
@@ -1355,17 +1355,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Lug__QueueHeld, has_digest),
+    offsetof(Lug__QueueHeld, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__QueueHeld, has_listed),
+    offsetof(Lug__QueueHeld, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__queue_held__field_indices_by_name[] = {
+  4,   /* field[4] = digest */
   1,   /* field[1] = epoch */
   3,   /* field[3] = held */
   2,   /* field[2] = last_seq */
+  5,   /* field[5] = listed */
   0,   /* field[0] = queue */
 };
 static const ProtobufCIntRange lug__queue_held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lug__queue_held__descriptor =
 {
@@ -1375,7 +1401,7 @@
   "Lug__QueueHeld",
   "lug",
   sizeof(Lug__QueueHeld),
-  4,
+  6,
   lug__queue_held__field_descriptors,
   lug__queue_held__field_indices_by_name,
   1,  lug__queue_held__number_ranges,
@@ -1433,7 +1459,7 @@
   (ProtobufCMessageInit) lug__queue_epoch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__beat__field_descriptors[20] =
+static const ProtobufCFieldDescriptor lug__beat__field_descriptors[21] =
 {
   {
     "service",
@@ -1675,6 +1701,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__Beat, has_interval_ms),
+    offsetof(Lug__Beat, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__beat__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -1684,6 +1722,7 @@
   19,   /* field[19] = connections */
   15,   /* field[15] = generation */
   13,   /* field[13] = held */
+  20,   /* field[20] = interval_ms */
   8,   /* field[8] = leaving */
   7,   /* field[7] = queued */
   12,   /* field[12] = queues */
@@ -1702,7 +1741,7 @@
 {
   { 1, 0 },
   { 16, 14 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor lug__beat__descriptor =
 {
@@ -1712,14 +1751,14 @@
   "Lug__Beat",
   "lug",
   sizeof(Lug__Beat),
-  20,
+  21,
   lug__beat__field_descriptors,
   lug__beat__field_indices_by_name,
   2,  lug__beat__number_ranges,
   (ProtobufCMessageInit) lug__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__beat_ack__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lug__beat_ack__field_descriptors[5] =
 {
   {
     "entries",
@@ -1757,16 +1796,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__BeatAck, has_interval_ms),
+    offsetof(Lug__BeatAck, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_held",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__BeatAck, has_list_held),
+    offsetof(Lug__BeatAck, list_held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__beat_ack__field_indices_by_name[] = {
   1,   /* field[1] = beat_seq */
   0,   /* field[0] = entries */
+  3,   /* field[3] = interval_ms */
+  4,   /* field[4] = list_held */
   2,   /* field[2] = queues */
 };
 static const ProtobufCIntRange lug__beat_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lug__beat_ack__descriptor =
 {
@@ -1776,7 +1841,7 @@
   "Lug__BeatAck",
   "lug",
   sizeof(Lug__BeatAck),
-  3,
+  5,
   lug__beat_ack__field_descriptors,
   lug__beat_ack__field_indices_by_name,
   1,  lug__beat_ack__number_ranges,
@@ -3047,7 +3112,7 @@
   (ProtobufCMessageInit) lug__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__report_ack__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lug__report_ack__field_descriptors[3] =
 {
   {
     "queue",
@@ -3073,15 +3138,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__ReportAck, want),
+    &lug__want__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__report_ack__field_indices_by_name[] = {
   0,   /* field[0] = queue */
   1,   /* field[1] = task */
+  2,   /* field[2] = want */
 };
 static const ProtobufCIntRange lug__report_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lug__report_ack__descriptor =
 {
@@ -3091,7 +3169,7 @@
   "Lug__ReportAck",
   "lug",
   sizeof(Lug__ReportAck),
-  2,
+  3,
   lug__report_ack__field_descriptors,
   lug__report_ack__field_indices_by_name,
   1,  lug__report_ack__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -87,10 +87,14 @@
   uint64_t last_seq;
   size_t n_held;
   Lug__TaskId **held;
+  protobuf_c_boolean has_digest;
+  uint64_t digest;
+  protobuf_c_boolean has_listed;
+  protobuf_c_boolean listed;
 };
 #define LUG__QUEUE_HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__queue_held__descriptor) \
-    , NULL, 0, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Lug__QueueEpoch
@@ -141,10 +145,12 @@
   uint32_t tasks;
   protobuf_c_boolean has_connections;
   uint32_t connections;
+  protobuf_c_boolean has_interval_ms;
+  uint32_t interval_ms;
 };
 #define LUG__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__beat__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Lug__BeatAck
@@ -156,10 +162,14 @@
   uint64_t beat_seq;
   size_t n_queues;
   Lug__QueueEpoch **queues;
+  protobuf_c_boolean has_interval_ms;
+  uint32_t interval_ms;
+  protobuf_c_boolean has_list_held;
+  protobuf_c_boolean list_held;
 };
 #define LUG__BEAT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__beat_ack__descriptor) \
-    , 0,NULL, 0, 0, 0,NULL }
+    , 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Lug__Request
@@ -380,10 +390,11 @@
   ProtobufCMessage base;
   char *queue;
   Lug__TaskId *task;
+  Lug__Want *want;
 };
 #define LUG__REPORT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__report_ack__descriptor) \
-    , NULL, NULL }
+    , NULL, NULL, NULL }
 
 
 struct  Lug__Probe
