--- a/liblug/core/settings.c
+++ b/liblug/core/settings.c
@@ -1,8 +1,7 @@
-#include "core/settings.h"
+#include "core/settings_priv.h"
 
 #include <stddef.h>
 #include <string.h>
-#include <yaml.h>
 
 #include "core/units.h"
 
@@ -11,35 +10,6 @@
 #define FOR_BOTH (FOR_ENTRY | FOR_AGENT)
 #define SETTINGS_BYTES_MAX (1024 * 1024)
 #define PATH_MAX_CHARS 128
-#define KEY_CHARS 40
-#define KEYS_MAX 2
-
-enum setting_type {
-	SET_TEXT,
-	SET_ADDRESS,
-	SET_URL,
-	SET_DURATION,
-	SET_SIZE,
-	SET_CORES,
-	SET_INT,
-	SET_BOOL,
-	SET_LEVEL,
-	SET_ADDRESSES,
-	SET_TOKENS,
-	SET_KEYS,
-};
-
-struct setting_def {
-	const char *key;
-	enum setting_type type;
-	guint daemons;
-	gboolean required;
-	const char *fallback;
-	gint64 min;
-	gint64 max;
-	gsize offset;
-	gboolean reload;
-};
 
 #define AT(field) offsetof(struct lug_settings, field)
 
@@ -88,15 +58,12 @@
 	{"colocate.enabled", SET_BOOL, FOR_AGENT, FALSE, "true", 0, 0, AT(colocate_enabled), TRUE},
 };
 
-struct parse {
-	struct lug_settings *out;
-	yaml_document_t doc;
-	const char *path;
-	GPtrArray *problems;
-	guint8 seen[G_N_ELEMENTS(defs)];
-};
+G_STATIC_ASSERT(G_N_ELEMENTS(defs) <= SETTINGS_MAX);
 
-static const char *accepted_form(enum setting_type type)
+/**
+ * settings_form - accepted form of a type, for messages
+ */
+const char *settings_form(enum setting_type type)
 {
 	static const char *const forms[] = {
 		[SET_TEXT] = "a text that is not empty",
@@ -116,10 +83,10 @@
 	return forms[type];
 }
 
-static void problem(struct parse *p, const yaml_node_t *node, const char *fmt, ...)
-	G_GNUC_PRINTF(3, 4);
-
-static void problem(struct parse *p, const yaml_node_t *node, const char *fmt, ...)
+/**
+ * settings_problem - note a problem with its file and line
+ */
+void settings_problem(struct settings_parse *p, const yaml_node_t *node, const char *fmt, ...)
 {
 	gulong line = node ? node->start_mark.line + 1 : 1;
 	va_list ap;
@@ -132,7 +99,10 @@
 	g_free(text);
 }
 
-static const char *scalar_text(const yaml_node_t *node)
+/**
+ * settings_scalar - text of a plain node, NULL for another one
+ */
+const char *settings_scalar(const yaml_node_t *node)
 {
 	return node && node->type == YAML_SCALAR_NODE ? (const char *)node->data.scalar.value
 						      : NULL;
@@ -213,22 +183,25 @@
 	return type == SET_TEXT || type == SET_ADDRESS || type == SET_URL || type == SET_LEVEL;
 }
 
-static void wrong_form(struct parse *p, const yaml_node_t *node, const struct setting_def *def,
-		       const char *text)
+/**
+ * settings_wrong_form - note a value of the wrong form
+ */
+void settings_wrong_form(struct settings_parse *p, const yaml_node_t *node,
+			 const struct setting_def *def, const char *text)
 {
-	problem(p, node, "%s: \"%s\" is not accepted; write %s", def->key, text ? text : "",
-		accepted_form(def->type));
+	settings_problem(p, node, "%s: \"%s\" is not accepted; write %s", def->key,
+			 text ? text : "", settings_form(def->type));
 }
 
-static void store_scalar(struct parse *p, const struct setting_def *def, const yaml_node_t *node,
-			 const char *text)
+static void store_scalar(struct settings_parse *p, const struct setting_def *def,
+			 const yaml_node_t *node, const char *text)
 {
 	void *field = (char *)p->out + def->offset;
 	gint64 number;
 
 	if (is_text(def->type)) {
 		if ((node && !*text) || !text_valid(def->type, text)) {
-			wrong_form(p, node, def, text);
+			settings_wrong_form(p, node, def, text);
 			return;
 		}
 		g_free(*(char **)field);
@@ -236,11 +209,12 @@
 		return;
 	}
 	if (!parse_number(def->type, text, &number)) {
-		wrong_form(p, node, def, text);
+		settings_wrong_form(p, node, def, text);
 		return;
 	}
 	if (def->max && (number < def->min || number > def->max)) {
-		problem(p, node,
+		settings_problem(
+			p, node,
 			"%s: \"%s\" is out of range; the accepted range is %" G_GINT64_FORMAT
 			" to %" G_GINT64_FORMAT
 			" in the base unit (ms, bytes, millicores or count)",
@@ -250,123 +224,6 @@
 	*(gint64 *)field = number;
 }
 
-static void store_addresses(struct parse *p, const struct setting_def *def, yaml_node_t *node)
-{
-	if (node->type != YAML_SEQUENCE_NODE) {
-		wrong_form(p, node, def, scalar_text(node));
-		return;
-	}
-	for (yaml_node_item_t *it = node->data.sequence.items.start;
-	     it < node->data.sequence.items.top; it++) {
-		yaml_node_t *item = yaml_document_get_node(&p->doc, *it);
-		const char *text = scalar_text(item);
-
-		if (!lug_address_parse(text, NULL, NULL)) {
-			wrong_form(p, item, def, text);
-			continue;
-		}
-		g_ptr_array_add(p->out->entries, g_strdup(text));
-	}
-}
-
-static void token_member(struct parse *p, struct lug_token *token, yaml_node_t *key,
-			 yaml_node_t *value)
-{
-	const char *name = scalar_text(key);
-	const char *text = scalar_text(value);
-
-	if (!name || !text || !*text) {
-		problem(p, key, "tokens: a member is not accepted; write %s",
-			accepted_form(SET_TOKENS));
-		return;
-	}
-	if (!strcmp(name, "token") && !token->secret)
-		token->secret = g_strdup(text);
-	else if (!strcmp(name, "team") && !token->team)
-		token->team = g_strdup(text);
-	else if (!strcmp(name, "role") && !strcmp(text, "operator"))
-		token->role = LUG_ROLE_OPERATOR;
-	else if (strcmp(name, "role") || strcmp(text, "team"))
-		problem(p, key, "tokens: %s: \"%s\" is not accepted; write %s", name, text,
-			accepted_form(SET_TOKENS));
-}
-
-static void store_token(struct parse *p, yaml_node_t *item)
-{
-	struct lug_token token = {0};
-
-	if (!item || item->type != YAML_MAPPING_NODE) {
-		problem(p, item, "tokens: an item is not accepted; write %s",
-			accepted_form(SET_TOKENS));
-		return;
-	}
-	for (yaml_node_pair_t *pair = item->data.mapping.pairs.start;
-	     pair < item->data.mapping.pairs.top; pair++)
-		token_member(p, &token, yaml_document_get_node(&p->doc, pair->key),
-			     yaml_document_get_node(&p->doc, pair->value));
-	if (!token.secret || (!token.team && token.role == LUG_ROLE_TEAM))
-		problem(p, item, "tokens: token and team are both needed; write %s",
-			accepted_form(SET_TOKENS));
-	g_array_append_val(p->out->tokens, token);
-}
-
-static void store_tokens(struct parse *p, const struct setting_def *def, yaml_node_t *node)
-{
-	if (node->type != YAML_SEQUENCE_NODE) {
-		wrong_form(p, node, def, scalar_text(node));
-		return;
-	}
-	for (yaml_node_item_t *it = node->data.sequence.items.start;
-	     it < node->data.sequence.items.top; it++)
-		store_token(p, yaml_document_get_node(&p->doc, *it));
-}
-
-static void key_member(struct parse *p, struct lug_key *key, yaml_node_t *name_node,
-		       yaml_node_t *value)
-{
-	const char *name = scalar_text(name_node);
-	const char *text = scalar_text(value);
-
-	if (!name || !text || strlen(text) != KEY_CHARS)
-		problem(p, name_node, "keys: a member is not accepted; write %s",
-			accepted_form(SET_KEYS));
-	else if (!strcmp(name, "public") && !key->public_key)
-		key->public_key = g_strdup(text);
-	else if (!strcmp(name, "secret") && !key->secret_key)
-		key->secret_key = g_strdup(text);
-	else
-		problem(p, name_node, "keys: %s: unknown or given twice; write %s", name,
-			accepted_form(SET_KEYS));
-}
-
-static void store_key(struct parse *p, yaml_node_t *item)
-{
-	struct lug_key key = {0};
-
-	if (item && item->type == YAML_MAPPING_NODE)
-		for (yaml_node_pair_t *pair = item->data.mapping.pairs.start;
-		     pair < item->data.mapping.pairs.top; pair++)
-			key_member(p, &key, yaml_document_get_node(&p->doc, pair->key),
-				   yaml_document_get_node(&p->doc, pair->value));
-	if (!key.public_key || !key.secret_key)
-		problem(p, item, "keys: public and secret are both needed; write %s",
-			accepted_form(SET_KEYS));
-	g_array_append_val(p->out->keys, key);
-}
-
-static void store_keys(struct parse *p, const struct setting_def *def, yaml_node_t *node)
-{
-	if (node->type != YAML_SEQUENCE_NODE) {
-		wrong_form(p, node, def, scalar_text(node));
-		return;
-	}
-	for (yaml_node_item_t *it = node->data.sequence.items.start;
-	     it < node->data.sequence.items.top; it++)
-		store_key(p, yaml_document_get_node(&p->doc, *it));
-	if (p->out->keys->len > KEYS_MAX)
-		problem(p, node, "keys: more than two; write %s", accepted_form(SET_KEYS));
-}
-
 static gssize find_def(const char *path, guint daemon)
 {
 	for (gsize i = 0; i < G_N_ELEMENTS(defs); i++)
@@ -386,44 +243,45 @@
 	return FALSE;
 }
 
-static guint daemon_bit(const struct parse *p)
+static guint daemon_bit(const struct settings_parse *p)
 {
 	return p->out->daemon == LUG_DAEMON_ENTRY ? FOR_ENTRY : FOR_AGENT;
 }
 
-static void store_value(struct parse *p, gsize index, const yaml_node_t *key, yaml_node_t *value)
+static void store_value(struct settings_parse *p, gsize index, const yaml_node_t *key,
+			yaml_node_t *value)
 {
 	const struct setting_def *def = &defs[index];
 
 	if (p->seen[index]) {
-		problem(p, key, "%s: given twice; keep one", def->key);
+		settings_problem(p, key, "%s: given twice; keep one", def->key);
 		return;
 	}
 	p->seen[index] = 1;
 	if (def->type == SET_ADDRESSES)
-		store_addresses(p, def, value);
+		settings_store_addresses(p, def, value);
 	else if (def->type == SET_TOKENS)
-		store_tokens(p, def, value);
+		settings_store_tokens(p, def, value);
 	else if (def->type == SET_KEYS)
-		store_keys(p, def, value);
-	else if (scalar_text(value))
-		store_scalar(p, def, value, scalar_text(value));
+		settings_store_keys(p, def, value);
+	else if (settings_scalar(value))
+		store_scalar(p, def, value, settings_scalar(value));
 	else
-		wrong_form(p, value, def, NULL);
+		settings_wrong_form(p, value, def, NULL);
 }
 
-static void walk(struct parse *p, const char *prefix, yaml_node_t *map)
+static void walk(struct settings_parse *p, const char *prefix, yaml_node_t *map)
 {
 	for (yaml_node_pair_t *pair = map->data.mapping.pairs.start;
 	     pair < map->data.mapping.pairs.top; pair++) {
 		yaml_node_t *key = yaml_document_get_node(&p->doc, pair->key);
 		yaml_node_t *value = yaml_document_get_node(&p->doc, pair->value);
-		const char *name = scalar_text(key);
+		const char *name = settings_scalar(key);
 		char path[PATH_MAX_CHARS];
 		gssize index;
 
 		if (!name) {
-			problem(p, key, "a key must be a plain text");
+			settings_problem(p, key, "a key must be a plain text");
 			continue;
 		}
 		g_snprintf(path, sizeof(path), "%s%s%s", prefix, *prefix ? "." : "", name);
@@ -435,14 +293,15 @@
 		else if (is_section(path, daemon_bit(p)) && value->type == YAML_MAPPING_NODE)
 			walk(p, path, value);
 		else
-			problem(p, key,
+			settings_problem(
+				p, key,
 				"%s: unknown key; remove it, or see catkinlug-settings(5) for "
 				"the keys of this daemon",
 				path);
 	}
 }
 
-static void fill_defaults(struct parse *p)
+static void fill_defaults(struct settings_parse *p)
 {
 	for (gsize i = 0; i < G_N_ELEMENTS(defs); i++) {
 		const struct setting_def *def = &defs[i];
@@ -450,19 +309,20 @@
 		if (p->seen[i] || !(def->daemons & daemon_bit(p)))
 			continue;
 		if (def->required)
-			problem(p, NULL, "%s: missing; add %s", def->key, accepted_form(def->type));
+			settings_problem(p, NULL, "%s: missing; add %s", def->key,
+					 settings_form(def->type));
 		else if (def->fallback)
 			store_scalar(p, def, NULL, def->fallback);
 	}
 }
 
-static gboolean read_daemon(struct parse *p, yaml_node_t *root)
+static gboolean read_daemon(struct settings_parse *p, yaml_node_t *root)
 {
 	for (yaml_node_pair_t *pair = root->data.mapping.pairs.start;
 	     pair < root->data.mapping.pairs.top; pair++) {
 		yaml_node_t *key = yaml_document_get_node(&p->doc, pair->key);
-		const char *name = scalar_text(key);
-		const char *value = scalar_text(yaml_document_get_node(&p->doc, pair->value));
+		const char *name = settings_scalar(key);
+		const char *value = settings_scalar(yaml_document_get_node(&p->doc, pair->value));
 
 		if (!name || strcmp(name, "daemon"))
 			continue;
@@ -474,20 +334,20 @@
 			p->out->daemon = LUG_DAEMON_AGENT;
 			return TRUE;
 		}
-		problem(p, key, "daemon: \"%s\" is not accepted; write entry or agent",
-			value ? value : "");
+		settings_problem(p, key, "daemon: \"%s\" is not accepted; write entry or agent",
+				 value ? value : "");
 		return FALSE;
 	}
-	problem(p, root, "daemon: missing; add \"daemon: entry\" or \"daemon: agent\"");
+	settings_problem(p, root, "daemon: missing; add \"daemon: entry\" or \"daemon: agent\"");
 	return FALSE;
 }
 
-static void parse_document(struct parse *p)
+static void parse_document(struct settings_parse *p)
 {
 	yaml_node_t *root = yaml_document_get_root_node(&p->doc);
 
 	if (!root || root->type != YAML_MAPPING_NODE) {
-		problem(p, root, "the settings must be one mapping of keys to values");
+		settings_problem(p, root, "the settings must be one mapping of keys to values");
 		return;
 	}
 	if (!read_daemon(p, root))
@@ -496,22 +356,6 @@
 	fill_defaults(p);
 }
 
-static void free_key(void *data)
-{
-	struct lug_key *key = data;
-
-	g_free(key->public_key);
-	g_free(key->secret_key);
-}
-
-static void free_token(void *data)
-{
-	struct lug_token *token = data;
-
-	g_free(token->secret);
-	g_free(token->team);
-}
-
 /**
  * lug_settings_parse - read and check settings from memory
  * @text: YAML
@@ -524,15 +368,15 @@
 struct lug_settings *lug_settings_parse(const char *text, gsize len, const char *path,
 					GPtrArray *problems)
 {
-	struct parse p = {.path = path, .problems = problems};
+	struct settings_parse p = {.path = path, .problems = problems};
 	yaml_parser_t parser;
 
 	p.out = g_new0(struct lug_settings, 1);
 	p.out->entries = g_ptr_array_new_with_free_func(g_free);
 	p.out->tokens = g_array_new(FALSE, TRUE, sizeof(struct lug_token));
-	g_array_set_clear_func(p.out->tokens, free_token);
+	g_array_set_clear_func(p.out->tokens, settings_free_token);
 	p.out->keys = g_array_new(FALSE, TRUE, sizeof(struct lug_key));
-	g_array_set_clear_func(p.out->keys, free_key);
+	g_array_set_clear_func(p.out->keys, settings_free_key);
 	yaml_parser_initialize(&parser);
 	yaml_parser_set_input_string(&parser, (const unsigned char *)text, len);
 	if (!yaml_parser_load(&parser, &p.doc)) {
--- /dev/null
+++ b/liblug/daemon/agent_priv.h
@@ -0,0 +1,52 @@
+#ifndef LUG_DAEMON_AGENT_PRIV_H
+#define LUG_DAEMON_AGENT_PRIV_H
+
+#include "daemon/status_server.h"
+#include "job/bidder.h"
+#include "job/owners.h"
+#include "job/runner.h"
+#include "member/lease.h"
+#include "member/peers.h"
+#include "member/roster.h"
+#include "route/serve.h"
+#include "team/sync.h"
+
+/* Shared by agent.c (life and messages) and agent_beat.c (beats and events). */
+
+struct agent {
+	struct lug_ctx *ctx;
+	const char *path;
+	struct lug_link *link;
+	struct lug_store *store;
+	struct lug_sync *sync;
+	struct lug_http *worker;
+	struct lug_http *backend;
+	struct lug_lease *lease;
+	struct lug_peers *peers;
+	struct lug_roster *roster;
+	struct lug_owners *owners;
+	struct lug_runner *runner;
+	struct lug_bidder *bidder;
+	struct lug_serve *serve;
+	struct lug_control control;
+	struct lug_status_server *server;
+	gint64 next_entries_us;
+	gboolean reading_entries;
+	guint64 drain_stamp;
+	gboolean stopping;
+	gint64 stop_at_us;
+	gint64 stop_by_us;
+	gboolean released;
+	gboolean closed;
+	int exit_code;
+};
+
+gboolean agent_send_beat(void *data, struct lug_peer *peer);
+void agent_on_beat(struct agent *agent, const struct lug_route *route, const Lug__Envelope *env,
+		   gint64 now_us);
+void agent_on_beat_ack(struct agent *agent, const struct lug_route *route, const Lug__BeatAck *ack,
+		       gint64 now_us);
+void agent_on_events_query(struct agent *agent, const struct lug_route *route,
+			   const Lug__EventsQuery *query);
+
+#endif
