Weighted shares: an owner declines what would pass the others' least share

Cause: with tasks of 2 s in step, all eleven agents chose the same neediest team at once by shares that were up to 300 ms old, and gave it the pool.

--- a/liblug/job/bidder.c
+++ b/liblug/job/bidder.c
@@ -7,6 +7,8 @@
 
 #define WANT_LIFE_US (10 * 1000 * 1000)
 #define OFFER_LIFE_US (1000 * 1000)
+/* A queue that declined an offer gets no other for this time. */
+#define DECLINED_US (60 * 1000)
 /* Urgent work waits this long for free room before others are evicted; the spread
  * keeps agents that know of the same task from all evicting for it. */
 #define URGENT_WAIT_MS 200
@@ -18,6 +20,7 @@
 	struct lug_resources largest;
 	gint64 expires_us;
 	gint64 evict_at_us;
+	gint64 paused_until_us;
 };
 
 struct lug_bidder {
@@ -124,6 +127,36 @@
 	return ((struct want *)value)->expires_us < *(gint64 *)now;
 }
 
+/*
+ * While several queues wait, each offer is for one task: its answer tells the queue's
+ * new share, by which the next offer goes to whoever is neediest then. Larger offers
+ * from all workers at once would give the whole pool to one team in turn.
+ */
+static guint32 max_starts(const struct lug_bidder *bidder)
+{
+	guint32 bound = lug_health_max_starts(lug_runner_health(bidder->runner));
+
+	return bound ? bound : g_hash_table_size(bidder->wants) > 1 ? 1 : 0;
+}
+
+/* The least share among the others that wait: the owner declines beyond it. */
+static void set_next_share(const struct lug_bidder *bidder, const struct want *chosen,
+			   Lug__Offer *offer)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, bidder->wants);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct want *want = value;
+
+		if (want == chosen ||
+		    (offer->has_next_share && offer->next_share <= want->claim.share))
+			continue;
+		LUG_SET(offer, next_share, want->claim.share);
+	}
+}
+
 static void send_offer(struct lug_bidder *bidder, struct want *want,
 		       const struct lug_resources *room, gint64 now_us)
 {
@@ -138,7 +171,8 @@
 	offer.zone = bidder->ctx->settings->zone;
 	offer.region = bidder->ctx->settings->region;
 	LUG_SET(&offer, offer, ++bidder->offers);
-	LUG_SET(&offer, max_starts, lug_health_max_starts(lug_runner_health(bidder->runner)));
+	LUG_SET(&offer, max_starts, max_starts(bidder));
+	set_next_share(bidder, want, &offer);
 	if (!lug_runner_send(bidder->runner, want->queue, &env)) {
 		want->expires_us = 0;
 		return;
@@ -149,7 +183,8 @@
 	lug_runner_hold(bidder->runner, room);
 }
 
-static struct want *choose(struct lug_bidder *bidder, const struct lug_resources *room)
+static struct want *choose(struct lug_bidder *bidder, const struct lug_resources *room,
+			   gint64 now_us)
 {
 	guint n = g_hash_table_size(bidder->wants);
 	const struct lug_claimant **claims = g_new0(const struct lug_claimant *, n + 1);
@@ -160,8 +195,9 @@
 
 	g_hash_table_iter_init(&it, bidder->wants);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		claims[i++] = &((struct want *)value)->claim;
-	index = lug_share_pick(claims, n, room);
+		if (now_us >= ((struct want *)value)->paused_until_us)
+			claims[i++] = &((struct want *)value)->claim;
+	index = lug_share_pick(claims, i, room);
 	value = index < 0 ? NULL : (gpointer)claims[index];
 	g_free(claims);
 	return value ? LUG_CONTAINER_OF(value, struct want, claim) : NULL;
@@ -205,7 +241,7 @@
 	    !lug_lease_valid(bidder->lease, now_us))
 		return;
 	room = lug_runner_room(bidder->runner);
-	want = choose(bidder, &room);
+	want = choose(bidder, &room, now_us);
 	if (want)
 		send_offer(bidder, want, &room, now_us);
 	else
@@ -223,10 +259,12 @@
 	if (!bidder->offered_to || g_strcmp0(bidder->offered_to, reply->queue) ||
 	    reply->offer != bidder->offers)
 		return;
-	if (reply->want && reply->want->queue && reply->starts)
+	if (reply->want && reply->want->queue)
 		update(bidder, reply->want, now_us);
 	else
 		g_hash_table_remove(bidder->wants, reply->queue);
+	if (reply->want && reply->want->queue && !reply->starts)
+		want_of(bidder, reply->want->queue, now_us)->paused_until_us = now_us + DECLINED_US;
 	bidder->starts_due = reply->starts;
 	if (!reply->starts)
 		end_offer(bidder);
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -358,6 +358,26 @@
 	return offer->max_starts ? MIN(allowed, offer->max_starts) : allowed;
 }
 
+/*
+ * The agent chose by shares that it was told; here the queue's own is exact, with what
+ * other agents have offered meanwhile.
+ */
+static gboolean beyond_share(const struct lug_owner *owner, const Lug__Offer *offer,
+			     const struct lug_resources *pool)
+{
+	const struct lug_team *team =
+		lug_limits_find(lug_sync_limits(owner->env.sync), owner->team);
+	struct lug_resources use = lug_queue_use(owner->queue);
+	struct lug_demand demand;
+
+	if (!offer->has_next_share || !team)
+		return FALSE;
+	lug_queue_demand(owner->queue, 0, &demand);
+	if (demand.urgent)
+		return FALSE;
+	return lug_share_of(&use, pool, team->weight) > offer->next_share;
+}
+
 static guint claim_for(struct lug_owner *owner, const char *worker, const Lug__Offer *offer,
 		       gint64 now_us)
 {
@@ -366,11 +386,12 @@
 	char **kinds = g_new0(char *, offer->n_avoid_kinds + 1);
 	struct lug_resources kept = kept_room(owner, worker, now_us);
 	guint allowed = starts_allowed(owner, offer, now_us);
+	struct lug_resources pool = pool_size(owner);
 	guint starts = 0;
 
 	for (size_t i = 0; i < offer->n_avoid_kinds; i++)
 		kinds[i] = (char *)avoid[i];
-	while (starts < allowed) {
+	while (starts < allowed && !beyond_share(owner, offer, &pool)) {
 		struct lug_resources limit = headroom(owner);
 		struct lug_task *task;
 
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -2403,7 +2403,7 @@
   (ProtobufCMessageInit) lug__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__offer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lug__offer__field_descriptors[9] =
 {
   {
     "queue",
@@ -2501,10 +2501,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "next_share",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Lug__Offer, has_next_share),
+    offsetof(Lug__Offer, next_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__offer__field_indices_by_name[] = {
   6,   /* field[6] = avoid_kinds */
   7,   /* field[7] = max_starts */
+  8,   /* field[8] = next_share */
   5,   /* field[5] = offer */
   0,   /* field[0] = queue */
   4,   /* field[4] = region */
@@ -2515,7 +2528,7 @@
 static const ProtobufCIntRange lug__offer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lug__offer__descriptor =
 {
@@ -2525,7 +2538,7 @@
   "Lug__Offer",
   "lug",
   sizeof(Lug__Offer),
-  8,
+  9,
   lug__offer__field_descriptors,
   lug__offer__field_indices_by_name,
   1,  lug__offer__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -282,10 +282,12 @@
   char **avoid_kinds;
   protobuf_c_boolean has_max_starts;
   uint32_t max_starts;
+  protobuf_c_boolean has_next_share;
+  double next_share;
 };
 #define LUG__OFFER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__offer__descriptor) \
-    , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0 }
+    , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Lug__Start
