Limit offers to one task only where room is scarce

Change: the owner judges scarcity by what waits and the free room it knows; only then an offer is for one task and may be declined for its share. Full agents are told of wants only where agents with room do not suffice.

--- a/liblug/job/bidder.c
+++ b/liblug/job/bidder.c
@@ -127,18 +127,6 @@
 	return ((struct want *)value)->expires_us < *(gint64 *)now;
 }
 
-/*
- * While several queues wait, each offer is for one task: its answer tells the queue's
- * new share, by which the next offer goes to whoever is neediest then. Larger offers
- * from all workers at once would give the whole pool to one team in turn.
- */
-static guint32 max_starts(const struct lug_bidder *bidder)
-{
-	guint32 bound = lug_health_max_starts(lug_runner_health(bidder->runner));
-
-	return bound ? bound : g_hash_table_size(bidder->wants) > 1 ? 1 : 0;
-}
-
 /* The least share among the others that wait: the owner declines beyond it. */
 static void set_next_share(const struct lug_bidder *bidder, const struct want *chosen,
 			   Lug__Offer *offer)
@@ -171,7 +159,7 @@
 	offer.zone = bidder->ctx->settings->zone;
 	offer.region = bidder->ctx->settings->region;
 	LUG_SET(&offer, offer, ++bidder->offers);
-	LUG_SET(&offer, max_starts, max_starts(bidder));
+	LUG_SET(&offer, max_starts, lug_health_max_starts(lug_runner_health(bidder->runner)));
 	set_next_share(bidder, want, &offer);
 	if (!lug_runner_send(bidder->runner, want->queue, &env)) {
 		want->expires_us = 0;
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -89,7 +89,7 @@
 static void send_wants(struct lug_owner *owner, const struct lug_demand *demand, gint64 now_us)
 {
 	GPtrArray *agents = lug_roster_agents(owner->env.roster);
-	guint left = MAX(WANT_AGENTS_MIN, 2 * demand->pending);
+	guint left = MAX(WANT_AGENTS_MIN, demand->pending + 2);
 	guint full_left = WANT_FULL_AGENTS;
 	Lug__Resources smallest;
 	Lug__Resources largest;
@@ -102,13 +102,20 @@
 		const struct lug_agent *agent =
 			g_ptr_array_index(agents, (owner->want_turn + i) % agents->len);
 
-		if (wants_agent(owner, agent, demand, now_us)) {
-			lug_link_send(owner->env.link, &agent->route, &env);
-			left--;
-		} else if (full_left && may_learn(owner, agent, now_us)) {
-			lug_link_send(owner->env.link, &agent->route, &env);
-			full_left--;
-		}
+		if (!wants_agent(owner, agent, demand, now_us))
+			continue;
+		lug_link_send(owner->env.link, &agent->route, &env);
+		left--;
+	}
+	/* Full ones need to know only where room is short. */
+	for (guint i = 0; i < agents->len && left && full_left; i++) {
+		const struct lug_agent *agent =
+			g_ptr_array_index(agents, (owner->want_turn + i) % agents->len);
+
+		if (wants_agent(owner, agent, demand, now_us) || !may_learn(owner, agent, now_us))
+			continue;
+		lug_link_send(owner->env.link, &agent->route, &env);
+		full_left--;
 	}
 }
 
@@ -342,6 +349,17 @@
 	return kept;
 }
 
+/* More waits here than the free room of all agents, as far as known, would hold. */
+static gboolean room_scarce(const struct lug_owner *owner, const struct lug_demand *demand)
+{
+	GPtrArray *agents = lug_roster_agents(owner->env.roster);
+	gint64 room = 0;
+
+	for (guint i = 0; i < agents->len; i++)
+		room += ((const struct lug_agent *)g_ptr_array_index(agents, i))->room.millicores;
+	return demand->pending * demand->smallest.millicores > room / 2;
+}
+
 /*
  * Tasks that wait are spread over the workers: many small tasks on one worker slow
  * its service, and one another, more than the same tasks on many.
@@ -355,6 +373,12 @@
 	lug_queue_demand(owner->queue, now_us, &demand);
 	allowed = (demand.pending + agents->len - 1) / MAX(agents->len, 1);
 	allowed = CLAMP(allowed, 1, STARTS_PER_OFFER);
+	/*
+	 * Where several queues compete, each offer is for one task: the answer tells the
+	 * new share, by which the agent's next offer goes to whoever is neediest then.
+	 */
+	if (offer->has_next_share && room_scarce(owner, &demand))
+		allowed = 1;
 	return offer->max_starts ? MIN(allowed, offer->max_starts) : allowed;
 }
 
@@ -372,8 +396,8 @@
 
 	if (!offer->has_next_share || !team)
 		return FALSE;
-	lug_queue_demand(owner->queue, 0, &demand);
-	if (demand.urgent)
+	lug_queue_demand(owner->queue, lug_now_us(), &demand);
+	if (demand.urgent || !room_scarce(owner, &demand))
 		return FALSE;
 	return lug_share_of(&use, pool, team->weight) > offer->next_share;
 }
