Rig waits for a daemon to be up before it stops it

Cause: with sanitizers the last restarted agent of the key rotation test got its SIGTERM before it had come to handle signals, and ended with -15 (1 of 68 tests). Ruled out: a second signal during clean-up, whose handling stays to the end. Change: stop_all waits until each daemon answers /healthz.

Conclusion: a fault of the rig.

--- a/tests/rig/deploy.py
+++ b/tests/rig/deploy.py
@@ -15,6 +15,7 @@
 UNITS = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30, "TB": 1 << 40}
 READY_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 30
+UP_TIMEOUT_S = 10
 
 
 def size_bytes(text):
@@ -294,6 +295,16 @@
         process.kill()
         process.wait()
 
+    def wait_up(self, name):
+        """Waits until a daemon answers, so that it has got as far as handling signals."""
+        def answers():
+            return self.processes[name].poll() is not None or \
+                http("GET", f"http://{self.ip(name)}:8080/healthz", timeout=1)[0] == 200
+        try:
+            wait_for(answers, UP_TIMEOUT_S, f"{name} up")
+        except TimeoutError:
+            pass
+
     def stop(self, name, timeout_s=STOP_TIMEOUT_S):
         """Asks a process to stop and returns its exit code."""
         process = self.processes.pop(name)
@@ -312,9 +323,10 @@
         """Stops the daemons first, then the stand-ins; returns daemons with a bad exit."""
         daemons = [n for n in self.processes if n.split("-")[0] in ("entry", "agent")]
         for name in daemons:
-            process = self.processes[name]
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
+            self.processes[name].send_signal(signal.SIGCONT)
+            self.wait_up(name)
+        for name in daemons:
+            self.processes[name].terminate()
         bad = {}
         for name in daemons:
             code = self.stop(name)
