--- a/liblug/job/queue.h
+++ b/liblug/job/queue.h
@@ -83,7 +83,6 @@
 	guint32 done;
 	guint32 failed;
 	gboolean closing;
-	gboolean seen;
 	char why[128];
 };
 
--- a/liblug/job/settle.c
+++ b/liblug/job/settle.c
@@ -201,16 +201,32 @@
 	return FALSE;
 }
 
+static void confirm(struct lug_task *task, const struct lug_agent *agent, gint64 now_us)
+{
+	task->worker_epoch = MAX(task->worker_epoch, agent->worker_epoch);
+	if (!task->confirmed)
+		task->started_us = now_us;
+	task->confirmed = TRUE;
+}
+
+/* An equal digest says the same as a list of just the tasks that are expected. */
+static void confirm_all(struct lug_owner *owner, const struct lug_agent *agent, gint64 now_us)
+{
+	LUG_LIST_FOREACH (lug_queue_active(owner->queue), pos) {
+		struct lug_task *task = LUG_CONTAINER_OF(pos, struct lug_task, node);
+
+		if (task->state == LUG_TASK_RUNNING && !strcmp(task->worker, agent->name))
+			confirm(task, agent, now_us);
+	}
+}
+
 static void check_task(struct lug_owner *owner, struct lug_task *task,
 		       const struct lug_agent *agent, const Lug__QueueHeld *held, gint64 now_us)
 {
 	if (task->state != LUG_TASK_RUNNING || strcmp(task->worker, agent->name))
 		return;
 	if (holds(held, task)) {
-		task->worker_epoch = MAX(task->worker_epoch, agent->worker_epoch);
-		if (!task->confirmed)
-			task->started_us = now_us;
-		task->confirmed = TRUE;
+		confirm(task, agent, now_us);
 		return;
 	}
 	if (agent->worker_epoch > task->worker_epoch)
@@ -266,8 +282,12 @@
 		return TRUE;
 	if (held->epoch != lug_lane_epoch(owner->lane))
 		return FALSE;
-	if (!held->listed)
-		return held->digest == expected_digest(owner, agent->name);
+	if (!held->listed) {
+		if (held->digest != expected_digest(owner, agent->name))
+			return FALSE;
+		confirm_all(owner, agent, now_us);
+		return TRUE;
+	}
 	LUG_LIST_FOREACH_SAFE (lug_queue_active(owner->queue), pos, tmp)
 		check_task(owner, LUG_CONTAINER_OF(pos, struct lug_task, node), agent, held,
 			   now_us);
--- a/liblug/platform/lane.c
+++ b/liblug/platform/lane.c
@@ -265,7 +265,6 @@
 			break;
 		add_rows(rows, &op->txn);
 		lug_list_remove(&op->node);
-		op->sent = TRUE;
 		lug_list_append(&lane->flight, &op->node);
 	}
 	g_hash_table_unref(rows);
--- a/liblug/platform/lane.h
+++ b/liblug/platform/lane.h
@@ -12,7 +12,6 @@
  * @deadline_us: time after which the caller no longer waits, 0 for never
  * @fn: called once with the outcome
  * @data: passed to @fn
- * @sent: part of a transaction that was sent and is not settled
  */
 struct lug_op {
 	struct lug_list node;
@@ -21,7 +20,6 @@
 	gint64 deadline_us;
 	void (*fn)(void *data, enum lug_status status, gint64 version);
 	void *data;
-	gboolean sent;
 };
 
 enum lug_lane_event {
