Own load and interference by a Kalman filter; agents refuse tasks that find no speed

Cause: serving tasks were over their target for 7 to 17 % of the time. Samples of all agents (a log line a sample, on a scratch copy) show why: a figure is a moving average of 0.35 s, so it was read late and smeared; tasks that ended within a sample were not counted as present; steps of fixed size mixed up load and weights (weights of harmless pairs 0.06 to 0.12 for 0.01); and up to twelve tasks that fill, placed by four owners on the same old beat, started at full share at once and saturated a worker.

Change: the average is taken out of each figure, presence is weighed as the figure weighs it, load (level and trend) and weights take the part of an error that they are unsure of, looks are 250 ms apart, shares are planned for the load 0.4 s ahead, and an agent refuses a task that would work at less than 0.4 of its speed.

--- a/liblug/flow/executor.c
+++ b/liblug/flow/executor.c
@@ -70,7 +70,7 @@
 	exec->worker = worker;
 	exec->shards = shards;
 	exec->harm = lug_harm_new();
-	exec->present = g_array_new(FALSE, FALSE, sizeof(struct lug_harm_filler));
+	exec->present = g_array_new(FALSE, FALSE, sizeof(struct exec_presence));
 	exec->owners = g_new0(struct exec_owner, shards);
 	exec->send = send;
 	exec->data = data;
@@ -171,7 +171,7 @@
 	run->number = ++exec->run_count;
 	run->percent_allowed = 100;
 	run->share = 1;
-	run->base = LUG_HARM_BASE_UNKNOWN;
+	lug_load_init(&run->load);
 	run->image = "";
 	g_ptr_array_add(exec->runs, run);
 	return run;
--- a/liblug/flow/executor_hold.c
+++ b/liblug/flow/executor_hold.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/* A look waits this long for an end, so that progress is told twice a second. */
-#define HOLD_WAIT_MS 500
+/* A look waits this long for an end, so that figures are read four times a second. */
+#define HOLD_WAIT_MS 250
 #define HOLD_AGAIN_US (150 * 1000)
 /*
  * A look returns at once while an end is not acknowledged. So the next one follows the
@@ -136,6 +136,7 @@
 	exec->clock_at_us = now_us;
 	exec->answered_us = now_us;
 	exec->seen_epoch = exec->hold_epoch;
+	exec_note_presence(exec, now_us);
 	for (guint i = 0; i < exec->runs->len; i++)
 		((struct exec_run *)g_ptr_array_index(exec->runs, i))->listed = FALSE;
 	for (guint i = 0; i < view->running->len; i++)
--- a/liblug/flow/executor_pace.c
+++ b/liblug/flow/executor_pace.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
-/* The worker's figures cover half a second. */
-#define SAMPLE_US (480 * 1000)
+/* Samples closer than this tell little new of a figure that covers half a second. */
+#define SAMPLE_US (240 * 1000)
+/* Shares are planned for the load by the time that the next sample takes effect. */
+#define AHEAD_US (400 * 1000)
 /*
  * A serving task may be over its target for 4 s on end through others' doing. After the
  * first time those stand still that are known to press it, after the second all that fill.
@@ -19,6 +21,9 @@
 /* Weight from which a task that fills counts as pressing. */
 #define PRESSES 0.03
 
+/* A task that fills and would work at less than this is rather placed elsewhere. */
+#define START_SPEED 0.4
+
 struct pace_call {
 	struct lug_executor *exec;
 	guint64 number;
@@ -32,7 +37,8 @@
 
 static gboolean fills(const struct exec_run *run)
 {
-	return run->fills && run->state == EXEC_RUNNING && !run->stopping;
+	return run->fills && (run->state == EXEC_RUNNING || run->state == EXEC_STARTING) &&
+	       !run->stopping;
 }
 
 static void on_paced(void *data, enum lug_order_result result)
@@ -41,6 +47,7 @@
 	struct exec_run *run = exec_by_number(call->exec, call->number);
 
 	if (run) {
+		exec_note_presence(call->exec, lug_now_us());
 		run->pacing = FALSE;
 		if (result == LUG_ORDER_OK)
 			run->percent_allowed = call->percent;
@@ -55,7 +62,7 @@
 		.id = run->id, .token = lug_lane_epoch(exec->lane), .percent = percent};
 	struct pace_call *call;
 
-	if (run->pacing || percent == run->percent_allowed)
+	if (run->state != EXEC_RUNNING || run->pacing || percent == run->percent_allowed)
 		return;
 	call = g_new0(struct pace_call, 1);
 	call->exec = exec;
@@ -71,14 +78,15 @@
  *
  * Return: array of struct lug_harm_serving, owned by the caller.
  */
-GArray *exec_servings(const struct lug_executor *exec)
+GArray *exec_servings(const struct lug_executor *exec, gint64 now_us)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct lug_harm_serving));
 
 	for (guint i = 0; i < exec->runs->len; i++) {
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
-		struct lug_harm_serving serving = {run->image, run->base, run->limit,
-						   run->pressure};
+		struct lug_harm_serving serving = {run->image,
+						   lug_load_ahead(&run->load, now_us, AHEAD_US),
+						   run->limit, run->pressure};
 
 		if (serves(run) && run->limit > 0)
 			g_array_append_val(out, serving);
@@ -86,57 +94,83 @@
 	return out;
 }
 
-/* Adds up, by image, how long and how fast tasks have worked since the last sample. */
-static void note_presence(struct lug_executor *exec, gint64 now_us)
+static struct exec_presence *presence_of(struct lug_executor *exec, const char *image)
+{
+	struct exec_presence fresh = {.image = image};
+
+	for (guint i = 0; i < exec->present->len; i++)
+		if (g_array_index(exec->present, struct exec_presence, i).image == image)
+			return &g_array_index(exec->present, struct exec_presence, i);
+	/* It came within the span: its least is 0, but for the first note of the span. */
+	fresh.least = exec->present_noted ? 0 : G_MAXDOUBLE;
+	g_array_append_val(exec->present, fresh);
+	return &g_array_index(exec->present, struct exec_presence, exec->present->len - 1);
+}
+
+/**
+ * exec_note_presence - add up, by image, how long and how fast tasks that fill have worked
+ *
+ * Weighted as the worker's moving average weighs the same span; called before each change.
+ */
+void exec_note_presence(struct lug_executor *exec, gint64 now_us)
 {
-	double span = exec->presence_us ? (double)(now_us - exec->presence_us) : 0;
+	double keep = exec->presence_us ? lug_load_keep(now_us - exec->presence_us) : 0;
 
 	exec->presence_us = now_us;
+	for (guint i = 0; i < exec->present->len; i++)
+		g_array_index(exec->present, struct exec_presence, i).now = 0;
 	for (guint i = 0; i < exec->runs->len; i++) {
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
-		guint k = 0;
 
-		if (!fills(run))
-			continue;
-		while (k < exec->present->len &&
-		       g_array_index(exec->present, struct lug_harm_filler, k).image != run->image)
-			k++;
-		if (k == exec->present->len) {
-			struct lug_harm_filler fresh = {run->image, 0};
+		if (run->fills && run->state == EXEC_RUNNING)
+			presence_of(exec, run->image)->now += run->percent_allowed / 100.0;
+	}
+	for (guint i = 0; i < exec->present->len; i++) {
+		struct exec_presence *item = &g_array_index(exec->present, struct exec_presence, i);
 
-			g_array_append_val(exec->present, fresh);
-		}
-		g_array_index(exec->present, struct lug_harm_filler, k).share +=
-			span * run->percent_allowed / 100;
+		item->sum = item->sum * keep + (1 - keep) * item->now;
+		item->least = MIN(item->least, item->now);
+		item->most = MAX(item->most, item->now);
 	}
+	exec->present_noted = TRUE;
+}
+
+static struct lug_harm_presence *presences(const struct lug_executor *exec, gint64 now_us)
+{
+	struct lug_harm_presence *out = g_new0(struct lug_harm_presence, exec->present->len + 1);
+	double weight = 1 - lug_load_keep(now_us - exec->sample_us);
+
+	for (guint i = 0; i < exec->present->len; i++) {
+		const struct exec_presence *item =
+			&g_array_index(exec->present, struct exec_presence, i);
+
+		out[i] = (struct lug_harm_presence){item->image, item->sum / weight, item->least,
+						    item->most};
+	}
+	return out;
 }
 
 static void learn(struct lug_executor *exec, gint64 now_us)
 {
-	double window = (double)MAX(now_us - exec->sample_us, 1);
+	struct lug_harm_presence *present = presences(exec, now_us);
 
-	for (guint i = 0; i < exec->present->len; i++)
-		g_array_index(exec->present, struct lug_harm_filler, i).share /= window;
 	for (guint i = 0; i < exec->runs->len; i++) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
-		struct lug_harm_serving serving = {.image = run->image, .base = run->base};
-		double used;
+		struct lug_harm_sample sample = {run->image, (double)run->figure, run->target_ms,
+						 now_us};
 
-		if (!serves(run) || run->figure <= 0)
-			continue;
-		used = lug_harm_utilisation(exec->harm, run->image, (double)run->figure,
-					    run->target_ms, &run->limit);
-		lug_harm_observe(exec->harm, &serving, used,
-				 (const struct lug_harm_filler *)(void *)exec->present->data,
-				 exec->present->len);
-		run->base = serving.base;
+		if (serves(run) && run->figure > 0)
+			run->limit = lug_harm_observe(exec->harm, &run->load, &sample, present,
+						      exec->present->len);
 	}
+	g_free(present);
 	g_array_set_size(exec->present, 0);
+	exec->present_noted = FALSE;
 }
 
-static void plan(struct lug_executor *exec)
+static void plan(struct lug_executor *exec, gint64 now_us)
 {
-	GArray *servings = exec_servings(exec);
+	GArray *servings = exec_servings(exec, now_us);
 	struct lug_harm_filler *fillers = g_new0(struct lug_harm_filler, exec->runs->len + 1);
 	guint n = 0;
 
@@ -220,6 +254,29 @@
 	}
 }
 
+/**
+ * exec_has_speed - tell whether a task that fills would find room to work
+ * @exec: executor
+ * @image: its image, interned
+ * @millicores: cores that it can use
+ * @now_us: present time
+ *
+ * Owners place by what they were told, several of them at the same time. A task works at its
+ * full share until it is throttled, so those that come at once would saturate serving tasks.
+ */
+gboolean exec_has_speed(const struct lug_executor *exec, const char *image, gint64 millicores,
+			gint64 now_us)
+{
+	GArray *servings = exec_servings(exec, now_us);
+	double spare = (double)exec_spare(exec) / (double)MAX(millicores, 1);
+	double share = lug_harm_allowed(exec->harm, image,
+					(const struct lug_harm_serving *)(void *)servings->data,
+					servings->len);
+
+	g_array_unref(servings);
+	return share * CLAMP(spare, 0, 1) >= START_SPEED;
+}
+
 /**
  * exec_pace_new - share the room anew with a task that fills and has just begun
  *
@@ -229,7 +286,7 @@
 {
 	if (!run->fills)
 		return;
-	plan(exec);
+	plan(exec, lug_now_us());
 	pace_all(exec);
 }
 
@@ -240,11 +297,10 @@
  */
 void exec_pace(struct lug_executor *exec, gint64 now_us)
 {
-	note_presence(exec, now_us);
 	if (now_us - exec->sample_us >= SAMPLE_US) {
 		learn(exec, now_us);
 		exec->sample_us = now_us;
-		plan(exec);
+		plan(exec, now_us);
 		watch_targets(exec, now_us);
 	}
 	pace_all(exec);
--- a/liblug/flow/executor_priv.h
+++ b/liblug/flow/executor_priv.h
@@ -53,7 +53,7 @@
 	guint32 percent_allowed;
 	gboolean pacing;
 	double share;
-	double base;
+	struct lug_load load;
 	double limit;
 	double pressure;
 	gint64 over_us;
@@ -63,6 +63,22 @@
 	gboolean halted;
 };
 
+/**
+ * struct exec_presence - tasks of one image that fill, since the last sample
+ * @image: image, interned
+ * @now: their summed shares at present
+ * @sum: moving average of @now, from zero
+ * @least: least of @now
+ * @most: largest of @now
+ */
+struct exec_presence {
+	const char *image;
+	double now;
+	double sum;
+	double least;
+	double most;
+};
+
 struct exec_end {
 	guint64 number;
 	guint64 life;
@@ -125,6 +141,7 @@
 	guint32 failing;
 	struct lug_harm *harm;
 	GArray *present;
+	gboolean present_noted;
 	gint64 presence_us;
 	gint64 sample_us;
 };
@@ -146,7 +163,11 @@
 void exec_stop_run(struct lug_executor *exec, struct exec_run *run);
 void exec_answer(struct lug_executor *exec, guint32 shard, const struct lug_run_id *id,
 		 enum lug_status status);
-GArray *exec_servings(const struct lug_executor *exec);
+GArray *exec_servings(const struct lug_executor *exec, gint64 now_us);
+void exec_note_presence(struct lug_executor *exec, gint64 now_us);
+gint64 exec_spare(const struct lug_executor *exec);
+gboolean exec_has_speed(const struct lug_executor *exec, const char *image, gint64 millicores,
+			gint64 now_us);
 void exec_pace_new(struct lug_executor *exec, struct exec_run *run);
 void exec_pace(struct lug_executor *exec, gint64 now_us);
 void exec_report(struct lug_executor *exec, struct exec_end *end, gint64 now_us);
--- a/liblug/flow/executor_run.c
+++ b/liblug/flow/executor_run.c
@@ -106,6 +106,7 @@
 	run->calling = FALSE;
 	run->answered = TRUE;
 	if (result == LUG_ORDER_OK) {
+		exec_note_presence(exec, lug_now_us());
 		run->state = EXEC_RUNNING;
 		run->settled_us = lug_now_us();
 		exec_pace_new(exec, run);
@@ -235,11 +236,19 @@
 		exec_answer(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
+	if (start->fills &&
+	    !exec_has_speed(exec, g_intern_string(start->image ? start->image : ""),
+			    start->fill_millicores, now_us)) {
+		lug_count(exec->ctx, TASKS_REFUSED, 1);
+		exec_answer(exec, start->shard, &id, LUG_OVER_LIMIT);
+		return;
+	}
 	run = exec_add(exec, &id, EXEC_STARTING);
 	describe(run, start);
 	run->spec = g_strdup(start->spec ? start->spec : "");
 	run->checkpoint = g_strdup(start->checkpoint ? start->checkpoint : "");
 	call_start(exec, run);
+	exec_pace_new(exec, run);
 }
 
 /**
--- a/liblug/flow/executor_tell.c
+++ b/liblug/flow/executor_tell.c
@@ -157,8 +157,12 @@
 	}
 }
 
-/* Cores that neither serving tasks at their present load nor the other tasks use. */
-static gint64 spare(const struct lug_executor *exec)
+/**
+ * exec_spare - cores that neither serving tasks at their load nor the other tasks use
+ *
+ * Return: thousandths of a core, may be negative.
+ */
+gint64 exec_spare(const struct lug_executor *exec)
 {
 	double left = (double)exec->capacity.millicores;
 
@@ -168,7 +172,7 @@
 		if (run->fills)
 			left -= (double)run->fill_millicores * run->share;
 		else if (run->target_ms)
-			left -= (double)run->size.millicores * run->base;
+			left -= (double)run->size.millicores * run->load.level;
 		else
 			left -= (double)run->size.millicores;
 	}
@@ -196,7 +200,7 @@
 	beat->has_failing = 1;
 	beat->failing = exec->failing;
 	beat->has_spare_millicores = 1;
-	beat->spare_millicores = spare(exec);
+	beat->spare_millicores = exec_spare(exec);
 }
 
 static void fill_interference(struct lug_executor *exec, Lug__WorkerBeat *beat, GArray *servings,
@@ -265,7 +269,7 @@
 				   .shard_ptrs = g_new0(Lug__ShardHeld *, exec->shards),
 				   .held = g_new0(Lug__RunHeld, max),
 				   .ids = g_new0(Lug__RunId, max)};
-	GArray *servings = exec_servings(exec);
+	GArray *servings = exec_servings(exec, now_us);
 	GArray *pairs = lug_harm_pairs(exec->harm);
 	Lug__WorkerBeat beat = LUG__WORKER_BEAT__INIT;
 	struct lug_resources used;
--- a/liblug/flow/fleet.c
+++ b/liblug/flow/fleet.c
@@ -293,6 +293,7 @@
 	worker->lease_epoch = beat->lease_epoch;
 	worker->life = beat->life;
 	worker->spare = beat->spare_millicores;
+	worker->full = FALSE;
 	worker->told_failing = beat->failing;
 	return worker;
 }
--- a/liblug/flow/fleet.h
+++ b/liblug/flow/fleet.h
@@ -32,6 +32,7 @@
  * @claimed: used by tasks that the owners in this process have placed there
  * @confirmed: part of @claimed that the agent has acknowledged
  * @spare: cores that were left unused at the last beat, thousandths
+ * @full: it has refused a task that fills since its last beat
  * @coming: fillers placed there that the agent has not confirmed, array of struct lug_coming
  * @servings: serving tasks with their latencies, array of struct lug_harm_serving
  * @pairs: what its agent has learned, array of struct lug_harm_pair
@@ -62,6 +63,7 @@
 	struct lug_resources claimed;
 	struct lug_resources confirmed;
 	gint64 spare;
+	gboolean full;
 	GArray *coming;
 	GArray *servings;
 	GArray *pairs;
--- a/liblug/flow/harm.c
+++ b/liblug/flow/harm.c
@@ -1,24 +1,36 @@
 #include "flow/harm.h"
 
-/* Steps of the regression; a sample covers half a second and is noisy. */
-#define WEIGHT_RATE 0.35
-#define BASE_RATE 0.30
-/* Samples after which a weight's step is half as large, and its least. */
-#define RATE_COUNT 10.0
-#define RATE_MIN 0.05
+#include <math.h>
+
+/* Expected of a pair that was never seen together, and how far off that may be. */
+#define WEIGHT_UNKNOWN 0.06
+#define WEIGHT_SPREAD 0.08
 #define WEIGHT_MAX 2.0
-/* Expected of a pair that was never seen together; most pairs disturb each other little. */
-#define WEIGHT_UNKNOWN 0.04
+/* Random change of a weight in a second; weights change within seconds. */
+#define WEIGHT_CHANGE 0.01
 /* A pair with less is left alone: what it would win is lost in the load's swings. */
 #define WEIGHT_GUILTY 0.03
-/* Own samples after which what other workers have learned counts no more. */
-#define OWN_COUNT 12.0
-#define TOLD_COUNT_MAX 12.0
-/* Utilisation kept free below the limit for the load's swings. */
-#define MARGIN 0.0
+/* Errors beyond this many deviations are bursts of a task's own users, and count as so much. */
+#define ERROR_MAX 3.0
+/* Samples of one worker that count in the pool. */
+#define TOLD_COUNT_MAX 100.0
+/* Utilisation kept free below the limit for the load's bursts. */
+#define MARGIN 0.03
 /* Latency of an idle serving task as a part of the least that was seen of its image. */
 #define IDLE_PART 0.75
+/* The same as a part of its target, at most. */
+#define IDLE_OF_TARGET 0.17
 #define USED_MAX 0.985
+/*
+ * A mean over tail latencies says little of a span in which the pressure changed, the less the
+ * higher they were.
+ */
+#define UNSTEADY_PART 0.7
+#define UNSTEADY_USED 0.85
+#define UNSTEADY_FULL 1.0
+/* Rounds of a cut, in each of which a task may come to stand still; the least worth a round. */
+#define CUT_ROUNDS 4
+#define EXCESS_MIN 0.005
 /* Largest rise of a share in one step, so that a wrong guess shows before it hurts. */
 #define RAISE_MAX 0.5
 /* Shares below this are not worth their start. */
@@ -26,8 +38,8 @@
 
 struct entry {
 	struct lug_harm_pair own;
-	double told;
-	double told_count;
+	double var;
+	gint64 at_us;
 };
 
 struct lug_harm {
@@ -98,6 +110,7 @@
 	entry->own.serving = serving;
 	entry->own.filler = filler;
 	entry->own.weight = WEIGHT_UNKNOWN;
+	entry->var = WEIGHT_SPREAD * WEIGHT_SPREAD;
 	key = g_new0(struct pair_key, 1);
 	key->serving = serving;
 	key->filler = filler;
@@ -111,54 +124,38 @@
 double lug_harm_weight(const struct lug_harm *harm, const char *serving, const char *filler)
 {
 	const struct entry *entry = find(harm, serving, filler);
-	double told_count;
-	double sum;
-
-	if (!entry)
-		return WEIGHT_UNKNOWN;
-	told_count = entry->own.count >= OWN_COUNT ? 0 : MIN(entry->told_count, TOLD_COUNT_MAX);
-	sum = entry->own.count + told_count;
-	if (sum <= 0)
-		return WEIGHT_UNKNOWN;
-	return (entry->own.weight * entry->own.count + entry->told * told_count) / sum;
+
+	return entry ? entry->own.weight : WEIGHT_UNKNOWN;
 }
 
 /**
  * lug_harm_tell - take in what others have learned of a pair
+ *
+ * The surer of both estimates counts.
  */
 void lug_harm_tell(struct lug_harm *harm, const struct lug_harm_pair *pair)
 {
 	struct entry *entry = get(harm, pair->serving, pair->filler);
+	double var = WEIGHT_SPREAD * WEIGHT_SPREAD / (1 + pair->count);
 
-	if (!entry->own.count)
-		entry->own.weight = pair->weight;
-	entry->told = pair->weight;
-	entry->told_count = pair->count;
+	if (var >= entry->var)
+		return;
+	entry->own.weight = pair->weight;
+	entry->var = var;
 }
 
-/**
- * lug_harm_utilisation - utilisation that explains a tail latency
- * @harm: what is learned
- * @serving: image of the serving task
- * @latency_ms: its tail latency
- * @target_ms: its target
- * @limit: where the utilisation at the target goes
- */
-double lug_harm_utilisation(struct lug_harm *harm, const char *serving, double latency_ms,
-			    double target_ms, double *limit)
+/* Latency of a serving task without load. */
+static double idle_ms(struct lug_harm *harm, const struct lug_harm_sample *sample)
 {
-	double *least = g_hash_table_lookup(harm->least, serving);
-	double idle;
+	double *least = g_hash_table_lookup(harm->least, sample->image);
 
 	if (!least) {
 		least = g_new0(double, 1);
-		*least = latency_ms;
-		g_hash_table_insert(harm->least, (gpointer)serving, least);
+		*least = sample->figure_ms;
+		g_hash_table_insert(harm->least, (gpointer)sample->image, least);
 	}
-	*least = MAX(MIN(*least, latency_ms), 1);
-	idle = MIN(*least * IDLE_PART, target_ms * 0.9);
-	*limit = 1 - idle / target_ms;
-	return CLAMP(1 - idle / MAX(latency_ms, 1), 0, USED_MAX);
+	*least = MAX(MIN(*least, sample->figure_ms), 1);
+	return MIN(*least * IDLE_PART, sample->target_ms * IDLE_OF_TARGET);
 }
 
 static double pressure_of(const struct lug_harm *harm, const char *serving,
@@ -171,48 +168,75 @@
 	return sum;
 }
 
-/* Large steps while little is known of a pair, small ones once its weight has settled. */
-static double step(const struct entry *entry)
+/* The entry of a pair, with the variance that it has gained by its age. */
+static struct entry *aged(struct lug_harm *harm, const char *serving, const char *filler,
+			  gint64 now_us)
 {
-	return MAX(WEIGHT_RATE / (1 + entry->own.count / RATE_COUNT), RATE_MIN);
+	struct entry *entry = get(harm, serving, filler);
+	double span = entry->at_us ? (double)(now_us - entry->at_us) / G_USEC_PER_SEC : 0;
+
+	entry->at_us = now_us;
+	entry->var = MIN(entry->var + WEIGHT_CHANGE * WEIGHT_CHANGE * span,
+			 WEIGHT_SPREAD * WEIGHT_SPREAD);
+	return entry;
+}
+
+static void correct(struct entry *entry, double share, double error, double variance)
+{
+	double part = entry->var * share / variance;
+	double rest = variance - entry->var * share * share;
+
+	entry->own.weight = CLAMP(entry->own.weight + part * error, 0, WEIGHT_MAX);
+	entry->own.count += WEIGHT_SPREAD * WEIGHT_SPREAD * share * share / rest;
+	entry->var -= part * share * entry->var;
 }
 
 /**
  * lug_harm_observe - learn from one sample
  * @harm: what is learned
- * @serving: serving task; its base is adapted
- * @used: its utilisation over the sample
- * @present: images beside it, with their mean summed share over the sample
+ * @load: own load of the serving task, adapted
+ * @sample: what the worker tells of the serving task
+ * @present: images beside it, with their mean summed share since the former sample
  * @n: how many
  *
- * One step of a normalised least-mean-squares regression. A saturated sample tells only
- * that the utilisation is at least so high.
+ * Each weight and the load take the part of the error that they are unsure of. A saturated
+ * sample tells only that the utilisation is at least so high.
+ *
+ * Return: utilisation at which the serving task reaches its target.
  */
-void lug_harm_observe(struct lug_harm *harm, struct lug_harm_serving *serving, double used,
-		      const struct lug_harm_filler *present, guint n)
+double lug_harm_observe(struct lug_harm *harm, struct lug_load *load,
+			const struct lug_harm_sample *sample,
+			const struct lug_harm_presence *present, guint n)
 {
-	double predicted = serving->base;
-	double norm = 1;
+	double idle = idle_ms(harm, sample);
+	double tail = lug_load_tail_ms(load, sample->figure_ms, sample->at_us);
+	double used = CLAMP(1 - idle / tail, 0, USED_MAX);
+	double variance = lug_load_noise(load, used, sample->at_us);
+	double unsteady = UNSTEADY_FULL * MAX(used - UNSTEADY_USED, 0);
 	double error;
 
+	lug_load_advance(load, sample->at_us);
+	load->figure_ms = sample->figure_ms;
+	error = used - load->level;
+	variance += load->level_var;
 	for (guint i = 0; i < n; i++) {
-		const struct entry *entry = get(harm, serving->image, present[i].image);
+		const struct entry *entry =
+			aged(harm, sample->image, present[i].image, sample->at_us);
 
-		predicted += entry->own.weight * present[i].share;
-		norm += present[i].share * present[i].share;
+		error -= entry->own.weight * present[i].share;
+		unsteady += UNSTEADY_PART * MAX(entry->own.weight, WEIGHT_UNKNOWN) *
+			    (present[i].most - present[i].least);
+		variance += entry->var * present[i].share * present[i].share;
 	}
-	error = used - predicted;
-	if (used >= USED_MAX && error < 0)
-		return;
-	for (guint i = 0; i < n; i++) {
-		struct entry *entry = get(harm, serving->image, present[i].image);
-
-		entry->own.weight =
-			CLAMP(entry->own.weight + step(entry) * error * present[i].share / norm, 0,
-			      WEIGHT_MAX);
-		entry->own.count += MIN(present[i].share, 1);
+	variance += unsteady * unsteady;
+	if (used < USED_MAX || error > 0) {
+		error = CLAMP(error, -ERROR_MAX * sqrt(variance), ERROR_MAX * sqrt(variance));
+		for (guint i = 0; i < n; i++)
+			correct(get(harm, sample->image, present[i].image), present[i].share, error,
+				variance);
+		lug_load_correct(load, error, variance);
 	}
-	serving->base = CLAMP(serving->base + BASE_RATE * error / norm, 0, 1);
+	return 1 - idle / sample->target_ms;
 }
 
 /**
@@ -253,54 +277,36 @@
 }
 
 /*
- * Cuts all tasks that press a serving task by the same part, until it should be below its
- * target. A job is as late as its slowest task, so none is cut more than the others.
+ * Cuts what presses a serving task until it should be below its target, each by its weight, so
+ * that the shares lost are the least in the mean square.
  */
 static void cut(const struct lug_harm *harm, const struct lug_harm_serving *serving,
 		struct lug_harm_filler *fillers, guint n)
 {
 	double excess = serving->base + pressure_of(harm, serving->image, fillers, n) -
 			(serving->limit - MARGIN);
-	double guilty = 0;
-	double part;
-
-	for (guint i = 0; i < n; i++) {
-		double weight = lug_harm_weight(harm, serving->image, fillers[i].image);
 
-		if (weight >= WEIGHT_GUILTY)
-			guilty += fillers[i].share * weight;
-	}
-	if (excess <= 0 || guilty <= 0)
-		return;
-	part = MAX(1 - excess / guilty, 0);
-	for (guint i = 0; i < n; i++)
-		if (lug_harm_weight(harm, serving->image, fillers[i].image) >= WEIGHT_GUILTY)
-			fillers[i].share *= part;
-}
+	for (guint round = 0; round < CUT_ROUNDS && excess > EXCESS_MIN; round++) {
+		double norm = 0;
 
-/* Rise that serving tasks leave to each of the tasks that work below their full share. */
-static double rise_of(const struct lug_harm *harm, const struct lug_harm_filler *filler,
-		      const struct lug_harm_serving *servings, guint n,
-		      const struct lug_harm_filler *fillers, guint n_fillers)
-{
-	double rise = RAISE_MAX;
+		for (guint i = 0; i < n; i++) {
+			double weight = lug_harm_weight(harm, serving->image, fillers[i].image);
 
-	for (guint i = 0; i < n; i++) {
-		const struct lug_harm_serving *serving = &servings[i];
-		double slack = serving->limit - MARGIN - serving->base -
-			       pressure_of(harm, serving->image, fillers, n_fillers);
-		double throttled = 0;
-
-		if (lug_harm_weight(harm, serving->image, filler->image) < WEIGHT_GUILTY ||
-		    hopeless(serving))
-			continue;
-		for (guint k = 0; k < n_fillers; k++)
-			if (fillers[k].share < 1)
-				throttled +=
-					lug_harm_weight(harm, serving->image, fillers[k].image);
-		rise = MIN(rise, slack / MAX(throttled, 0.01));
+			if (weight >= WEIGHT_GUILTY && fillers[i].share > 0)
+				norm += weight * weight;
+		}
+		if (norm <= 0)
+			return;
+		for (guint i = 0; i < n; i++) {
+			double weight = lug_harm_weight(harm, serving->image, fillers[i].image);
+
+			if (weight >= WEIGHT_GUILTY)
+				fillers[i].share =
+					MAX(fillers[i].share - weight * excess / norm, 0);
+		}
+		excess = serving->base + pressure_of(harm, serving->image, fillers, n) -
+			 (serving->limit - MARGIN);
 	}
-	return rise;
 }
 
 /**
@@ -311,24 +317,17 @@
  * @fillers: tasks that fill, with their present shares; new shares are written
  * @n_fillers: how many
  *
- * A serving task near its target takes from the tasks that press it; a task that presses
- * none of those gets its share back by steps.
+ * All that fill rise towards their full share, and a serving task takes from those that would
+ * press it over its target.
  */
 void lug_harm_plan(const struct lug_harm *harm, struct lug_harm_serving *servings, guint n_servings,
 		   struct lug_harm_filler *fillers, guint n_fillers)
 {
-	double *rises = g_new0(double, n_fillers + 1);
-
+	for (guint i = 0; i < n_fillers; i++)
+		fillers[i].share = MIN(fillers[i].share + RAISE_MAX, 1);
 	for (guint i = 0; i < n_servings; i++)
 		if (!hopeless(&servings[i]))
 			cut(harm, &servings[i], fillers, n_fillers);
-	for (guint i = 0; i < n_fillers; i++)
-		rises[i] = fillers[i].share < 1 ? rise_of(harm, &fillers[i], servings, n_servings,
-							  fillers, n_fillers)
-						: 0;
-	for (guint i = 0; i < n_fillers; i++)
-		fillers[i].share = MIN(fillers[i].share + MAX(rises[i], 0), 1);
-	g_free(rises);
 	for (guint i = 0; i < n_fillers; i++)
 		if (fillers[i].share < SHARE_MIN)
 			fillers[i].share = 0;
--- a/liblug/flow/harm.h
+++ b/liblug/flow/harm.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "flow/load.h"
 #include "wire/inner.pb-c.h"
 
 /**
@@ -10,7 +11,7 @@
  * @serving: image of the serving task, interned
  * @filler: image of the task beside it, interned
  * @weight: utilisation that one task at full speed takes from the serving task
- * @count: samples behind it
+ * @count: knowledge gained by samples, in units of what is known of any pair
  */
 struct lug_harm_pair {
 	const char *serving;
@@ -45,20 +46,44 @@
 	double share;
 };
 
+/**
+ * struct lug_harm_presence - tasks of one image that fill, over the span of a sample
+ * @image: image, interned
+ * @share: mean of their summed shares
+ * @least: least of their summed shares
+ * @most: largest of their summed shares
+ */
+struct lug_harm_presence {
+	const char *image;
+	double share;
+	double least;
+	double most;
+};
+
 /**
  * struct lug_harm - learned interference of pairs of images
  */
 struct lug_harm;
 
-/* Utilisation taken for that of a serving task not yet observed. */
-#define LUG_HARM_BASE_UNKNOWN 0.5
+/**
+ * struct lug_harm_sample - what a worker tells of a serving task
+ * @image: its image, interned
+ * @figure_ms: tail latency, a moving average
+ * @target_ms: its target
+ * @at_us: time of the sample
+ */
+struct lug_harm_sample {
+	const char *image;
+	double figure_ms;
+	double target_ms;
+	gint64 at_us;
+};
 
 struct lug_harm *lug_harm_new(void);
 void lug_harm_free(struct lug_harm *harm);
-double lug_harm_utilisation(struct lug_harm *harm, const char *serving, double latency_ms,
-			    double target_ms, double *limit);
-void lug_harm_observe(struct lug_harm *harm, struct lug_harm_serving *serving, double used,
-		      const struct lug_harm_filler *present, guint n);
+double lug_harm_observe(struct lug_harm *harm, struct lug_load *load,
+			const struct lug_harm_sample *sample,
+			const struct lug_harm_presence *present, guint n);
 double lug_harm_slack(const struct lug_harm_serving *serving);
 void lug_harm_tell(struct lug_harm *harm, const struct lug_harm_pair *pair);
 double lug_harm_weight(const struct lug_harm *harm, const char *serving, const char *filler);
--- a/liblug/flow/place.c
+++ b/liblug/flow/place.c
@@ -39,6 +39,8 @@
 	if (!worker->ready || worker->draining || !lug_fleet_live(worker, now_us) ||
 	    now_us < worker->avoid_until_us || strcmp(worker->service, want->service) != 0)
 		return FALSE;
+	if (step->fills && worker->full)
+		return FALSE;
 	if (*step->label && !has_label(worker, step->label))
 		return FALSE;
 	lug_fleet_room(worker, &room);
--- a/liblug/flow/shard_settle.c
+++ b/liblug/flow/shard_settle.c
@@ -240,6 +240,8 @@
 		shard_unclaim(shard, entry, task, &entry->flow->steps[id.step]);
 		if (answer->status != LUG_OVER_LIMIT)
 			blame(at, now_us);
+		else if (at && entry->flow->steps[id.step].fills)
+			at->full = TRUE;
 		shard_entry_changed(shard, entry);
 	}
 	if (at && answer->used) {
