Each task that fills has a strength of its own

Cause: the same pair of images disturbs by 0.07 or by 0.3, by task, and changes within a second or two (residuals of all serving tasks of a worker agree; not by worker, not by its use of cores: correlation of successive residuals 0.57 for the same runs, 0.0 for others on the same worker).

--- a/liblug/flow/executor.c
+++ b/liblug/flow/executor.c
@@ -171,6 +171,7 @@
 	run->number = ++exec->run_count;
 	run->percent_allowed = 100;
 	run->share = 1;
+	run->strength = 1;
 	lug_load_init(&run->load);
 	run->image = "";
 	g_ptr_array_add(exec->runs, run);
--- a/liblug/flow/executor_pace.c
+++ b/liblug/flow/executor_pace.c
@@ -94,12 +94,15 @@
 	return out;
 }
 
-static struct exec_presence *presence_of(struct lug_executor *exec, const char *image)
+static struct exec_presence *presence_of(struct lug_executor *exec, const struct exec_run *run)
 {
-	struct exec_presence fresh = {.image = image};
+	struct exec_presence fresh = {.number = run->number,
+				      .image = run->image,
+				      .strength = run->strength,
+				      .strength_var = run->strength_var};
 
 	for (guint i = 0; i < exec->present->len; i++)
-		if (g_array_index(exec->present, struct exec_presence, i).image == image)
+		if (g_array_index(exec->present, struct exec_presence, i).number == run->number)
 			return &g_array_index(exec->present, struct exec_presence, i);
 	/* It came within the span: its least is 0, but for the first note of the span. */
 	fresh.least = exec->present_noted ? 0 : G_MAXDOUBLE;
@@ -108,7 +111,7 @@
 }
 
 /**
- * exec_note_presence - add up, by image, how long and how fast tasks that fill have worked
+ * exec_note_presence - add up how long and how fast tasks that fill have worked
  *
  * Weighted as the worker's moving average weighs the same span; called before each change.
  */
@@ -123,7 +126,7 @@
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
 		if (run->fills && run->state == EXEC_RUNNING)
-			presence_of(exec, run->image)->now += run->percent_allowed / 100.0;
+			presence_of(exec, run)->now = run->percent_allowed / 100.0;
 	}
 	for (guint i = 0; i < exec->present->len; i++) {
 		struct exec_presence *item = &g_array_index(exec->present, struct exec_presence, i);
@@ -144,12 +147,32 @@
 		const struct exec_presence *item =
 			&g_array_index(exec->present, struct exec_presence, i);
 
-		out[i] = (struct lug_harm_presence){item->image, item->sum / weight, item->least,
-						    item->most};
+		out[i] = (struct lug_harm_presence){
+			.image = item->image,
+			.share = item->sum / weight,
+			.least = item->least,
+			.most = item->most,
+			.strength = item->strength,
+			.strength_var = lug_harm_strength_var(item->strength_var,
+							      now_us - exec->sample_us),
+		};
 	}
 	return out;
 }
 
+static void take_strengths(struct lug_executor *exec, const struct lug_harm_presence *present)
+{
+	for (guint i = 0; i < exec->present->len; i++) {
+		struct exec_run *run = exec_by_number(
+			exec, g_array_index(exec->present, struct exec_presence, i).number);
+
+		if (!run)
+			continue;
+		run->strength = present[i].strength;
+		run->strength_var = present[i].strength_var;
+	}
+}
+
 static void learn(struct lug_executor *exec, gint64 now_us)
 {
 	struct lug_harm_presence *present = presences(exec, now_us);
@@ -163,6 +186,7 @@
 			run->limit = lug_harm_observe(exec->harm, &run->load, &sample, present,
 						      exec->present->len);
 	}
+	take_strengths(exec, present);
 	g_free(present);
 	g_array_set_size(exec->present, 0);
 	exec->present_noted = FALSE;
@@ -180,6 +204,7 @@
 		if (!fills(run))
 			continue;
 		fillers[n].image = run->image;
+		fillers[n].strength = run->strength;
 		fillers[n++].share = run->share;
 	}
 	lug_harm_plan(exec->harm, (struct lug_harm_serving *)(void *)servings->data, servings->len,
--- a/liblug/flow/executor_priv.h
+++ b/liblug/flow/executor_priv.h
@@ -53,6 +53,8 @@
 	guint32 percent_allowed;
 	gboolean pacing;
 	double share;
+	double strength;
+	double strength_var;
 	struct lug_load load;
 	double limit;
 	double pressure;
@@ -64,15 +66,21 @@
 };
 
 /**
- * struct exec_presence - tasks of one image that fill, since the last sample
+ * struct exec_presence - a task that fills, since the last sample; it may have ended meanwhile
+ * @number: number of its run
  * @image: image, interned
- * @now: their summed shares at present
+ * @strength: how much it disturbs
+ * @strength_var: variance of @strength
+ * @now: its share at present
  * @sum: moving average of @now, from zero
  * @least: least of @now
  * @most: largest of @now
  */
 struct exec_presence {
+	guint64 number;
 	const char *image;
+	double strength;
+	double strength_var;
 	double now;
 	double sum;
 	double least;
--- a/liblug/flow/harm.c
+++ b/liblug/flow/harm.c
@@ -8,6 +8,11 @@
 #define WEIGHT_MAX 2.0
 /* Random change of a weight in a second; weights change within seconds. */
 #define WEIGHT_CHANGE 0.01
+/* A task disturbs by its own measure, which changes within seconds, against its image's mean. */
+#define STRENGTH_SPREAD 0.9
+#define STRENGTH_CHANGE 0.9
+#define STRENGTH_MIN 0.2
+#define STRENGTH_MAX 5.0
 /* A pair with less is left alone: what it would win is lost in the load's swings. */
 #define WEIGHT_GUILTY 0.03
 /* Errors beyond this many deviations are bursts of a task's own users, and count as so much. */
@@ -158,13 +163,20 @@
 	return MIN(*least * IDLE_PART, sample->target_ms * IDLE_OF_TARGET);
 }
 
+/* Utilisation that a task at its full share takes from a serving task. */
+static double pressing(const struct lug_harm *harm, const char *serving,
+		       const struct lug_harm_filler *filler)
+{
+	return filler->strength * lug_harm_weight(harm, serving, filler->image);
+}
+
 static double pressure_of(const struct lug_harm *harm, const char *serving,
 			  const struct lug_harm_filler *present, guint n)
 {
 	double sum = 0;
 
 	for (guint i = 0; i < n; i++)
-		sum += present[i].share * lug_harm_weight(harm, serving, present[i].image);
+		sum += present[i].share * pressing(harm, serving, &present[i]);
 	return sum;
 }
 
@@ -181,14 +193,34 @@
 	return entry;
 }
 
-static void correct(struct entry *entry, double share, double error, double variance)
+/* Takes the weight's and the task's part of an error in. */
+static void correct(struct entry *entry, struct lug_harm_presence *item, double error,
+		    double variance)
 {
-	double part = entry->var * share / variance;
-	double rest = variance - entry->var * share * share;
+	double by_weight = item->strength * item->share;
+	double by_strength = entry->own.weight * item->share;
+	double part = entry->var * by_weight / variance;
+	double strength_part = item->strength_var * by_strength / variance;
+	double rest = variance - entry->var * by_weight * by_weight;
 
 	entry->own.weight = CLAMP(entry->own.weight + part * error, 0, WEIGHT_MAX);
-	entry->own.count += WEIGHT_SPREAD * WEIGHT_SPREAD * share * share / rest;
-	entry->var -= part * share * entry->var;
+	entry->own.count += WEIGHT_SPREAD * WEIGHT_SPREAD * by_weight * by_weight / rest;
+	entry->var -= part * by_weight * entry->var;
+	item->strength = CLAMP(item->strength + strength_part * error, STRENGTH_MIN, STRENGTH_MAX);
+	item->strength_var -= strength_part * by_strength * item->strength_var;
+}
+
+/**
+ * lug_harm_strength_var - variance of a task's strength after some time without a sample
+ * @var: variance before, 0 for a task that was never sampled
+ * @span_us: time since then
+ */
+double lug_harm_strength_var(double var, gint64 span_us)
+{
+	if (var <= 0)
+		return STRENGTH_SPREAD * STRENGTH_SPREAD;
+	return MIN(var + STRENGTH_CHANGE * STRENGTH_CHANGE * (double)span_us / G_USEC_PER_SEC,
+		   STRENGTH_SPREAD * STRENGTH_SPREAD);
 }
 
 /**
@@ -196,17 +228,17 @@
  * @harm: what is learned
  * @load: own load of the serving task, adapted
  * @sample: what the worker tells of the serving task
- * @present: images beside it, with their mean summed share since the former sample
+ * @present: tasks beside it since the former sample; their strength is adapted
  * @n: how many
  *
- * Each weight and the load take the part of the error that they are unsure of. A saturated
+ * Weights, strengths and the load each take the part of the error that they are unsure of. A saturated
  * sample tells only that the utilisation is at least so high.
  *
  * Return: utilisation at which the serving task reaches its target.
  */
 double lug_harm_observe(struct lug_harm *harm, struct lug_load *load,
 			const struct lug_harm_sample *sample,
-			const struct lug_harm_presence *present, guint n)
+			struct lug_harm_presence *present, guint n)
 {
 	double idle = idle_ms(harm, sample);
 	double tail = lug_load_tail_ms(load, sample->figure_ms, sample->at_us);
@@ -220,19 +252,22 @@
 	error = used - load->level;
 	variance += load->level_var;
 	for (guint i = 0; i < n; i++) {
-		const struct entry *entry =
-			aged(harm, sample->image, present[i].image, sample->at_us);
+		const struct lug_harm_presence *item = &present[i];
+		const struct entry *entry = aged(harm, sample->image, item->image, sample->at_us);
+		double by_weight = item->strength * item->share;
+		double by_strength = entry->own.weight * item->share;
 
-		error -= entry->own.weight * present[i].share;
+		error -= entry->own.weight * by_weight;
 		unsteady += UNSTEADY_PART * MAX(entry->own.weight, WEIGHT_UNKNOWN) *
-			    (present[i].most - present[i].least);
-		variance += entry->var * present[i].share * present[i].share;
+			    (item->most - item->least);
+		variance += entry->var * by_weight * by_weight +
+			    item->strength_var * by_strength * by_strength;
 	}
 	variance += unsteady * unsteady;
 	if (used < USED_MAX || error > 0) {
 		error = CLAMP(error, -ERROR_MAX * sqrt(variance), ERROR_MAX * sqrt(variance));
 		for (guint i = 0; i < n; i++)
-			correct(get(harm, sample->image, present[i].image), present[i].share, error,
+			correct(get(harm, sample->image, present[i].image), &present[i], error,
 				variance);
 		lug_load_correct(load, error, variance);
 	}
@@ -290,7 +325,7 @@
 		double norm = 0;
 
 		for (guint i = 0; i < n; i++) {
-			double weight = lug_harm_weight(harm, serving->image, fillers[i].image);
+			double weight = pressing(harm, serving->image, &fillers[i]);
 
 			if (weight >= WEIGHT_GUILTY && fillers[i].share > 0)
 				norm += weight * weight;
@@ -298,7 +333,7 @@
 		if (norm <= 0)
 			return;
 		for (guint i = 0; i < n; i++) {
-			double weight = lug_harm_weight(harm, serving->image, fillers[i].image);
+			double weight = pressing(harm, serving->image, &fillers[i]);
 
 			if (weight >= WEIGHT_GUILTY)
 				fillers[i].share =
--- a/liblug/flow/harm.h
+++ b/liblug/flow/harm.h
@@ -40,24 +40,30 @@
  * struct lug_harm_filler - a task that fills beside serving tasks
  * @image: image, interned
  * @share: share at which it works, 0 to 1
+ * @strength: how much it disturbs, against the mean of its image
  */
 struct lug_harm_filler {
 	const char *image;
 	double share;
+	double strength;
 };
 
 /**
- * struct lug_harm_presence - tasks of one image that fill, over the span of a sample
+ * struct lug_harm_presence - a task that fills, over the span of a sample
  * @image: image, interned
- * @share: mean of their summed shares
- * @least: least of their summed shares
- * @most: largest of their summed shares
+ * @share: mean of its share
+ * @least: least of its shares
+ * @most: largest of its shares
+ * @strength: how much it disturbs, against the mean of its image; adapted
+ * @strength_var: variance of @strength; adapted
  */
 struct lug_harm_presence {
 	const char *image;
 	double share;
 	double least;
 	double most;
+	double strength;
+	double strength_var;
 };
 
 /**
@@ -83,7 +89,8 @@
 void lug_harm_free(struct lug_harm *harm);
 double lug_harm_observe(struct lug_harm *harm, struct lug_load *load,
 			const struct lug_harm_sample *sample,
-			const struct lug_harm_presence *present, guint n);
+			struct lug_harm_presence *present, guint n);
+double lug_harm_strength_var(double var, gint64 span_us);
 double lug_harm_slack(const struct lug_harm_serving *serving);
 void lug_harm_tell(struct lug_harm *harm, const struct lug_harm_pair *pair);
 double lug_harm_weight(const struct lug_harm *harm, const char *serving, const char *filler);
