Weights stay open to change; spare cores by what tasks use

And spare cores were counted by declarations, so that 30 short tasks hid free cores (spare -5.5 cores told by a worker on which they used 4).

--- a/liblug/flow/executor_tell.c
+++ b/liblug/flow/executor_tell.c
@@ -157,6 +157,17 @@
 	}
 }
 
+/* Cores that a task uses: as the worker tells, or as declared while it has not been seen. */
+static double used_millicores(const struct exec_run *run)
+{
+	if (run->target_ms)
+		return (double)run->size.millicores * run->load.level;
+	if (run->figure > 0)
+		return (double)run->figure;
+	return run->fills ? (double)run->fill_millicores * run->share
+			  : (double)run->size.millicores;
+}
+
 /**
  * exec_spare - cores that neither serving tasks at their load nor the other tasks use
  *
@@ -166,16 +177,8 @@
 {
 	double left = (double)exec->capacity.millicores;
 
-	for (guint i = 0; i < exec->runs->len; i++) {
-		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
-
-		if (run->fills)
-			left -= (double)run->fill_millicores * run->share;
-		else if (run->target_ms)
-			left -= (double)run->size.millicores * run->load.level;
-		else
-			left -= (double)run->size.millicores;
-	}
+	for (guint i = 0; i < exec->runs->len; i++)
+		left -= used_millicores(g_ptr_array_index(exec->runs, i));
 	return (gint64)left;
 }
 
--- a/liblug/flow/harm.c
+++ b/liblug/flow/harm.c
@@ -8,6 +8,10 @@
 #define WEIGHT_MAX 2.0
 /* Random change of a weight in a second; weights change within seconds. */
 #define WEIGHT_CHANGE 0.01
+/* A weight is a mean over tasks that differ, and never surer than by this part. */
+#define WEIGHT_DOUBT 0.35
+/* Part of the difference to what others have learned that is taken over where both are sure. */
+#define TELL_BLEND 0.1
 /* A task disturbs by its own measure, which changes within seconds, against its image's mean. */
 #define STRENGTH_SPREAD 0.9
 #define STRENGTH_CHANGE 0.9
@@ -133,20 +137,29 @@
 	return entry ? entry->own.weight : WEIGHT_UNKNOWN;
 }
 
+static double least_var(double weight)
+{
+	double doubt = WEIGHT_DOUBT * MAX(weight, WEIGHT_UNKNOWN);
+
+	return doubt * doubt;
+}
+
 /**
  * lug_harm_tell - take in what others have learned of a pair
  *
- * The surer of both estimates counts.
+ * The surer of both estimates counts; where both are sure they approach each other.
  */
 void lug_harm_tell(struct lug_harm *harm, const struct lug_harm_pair *pair)
 {
 	struct entry *entry = get(harm, pair->serving, pair->filler);
 	double var = WEIGHT_SPREAD * WEIGHT_SPREAD / (1 + pair->count);
 
-	if (var >= entry->var)
-		return;
-	entry->own.weight = pair->weight;
-	entry->var = var;
+	if (var < entry->var / 2) {
+		entry->own.weight = pair->weight;
+		entry->var = MAX(var, least_var(pair->weight));
+	} else {
+		entry->own.weight += TELL_BLEND * (pair->weight - entry->own.weight);
+	}
 }
 
 /* Latency of a serving task without load. */
@@ -190,6 +203,7 @@
 	entry->at_us = now_us;
 	entry->var = MIN(entry->var + WEIGHT_CHANGE * WEIGHT_CHANGE * span,
 			 WEIGHT_SPREAD * WEIGHT_SPREAD);
+	entry->var = MAX(entry->var, least_var(entry->own.weight));
 	return entry;
 }
 
