--- a/liblug/flow/executor_pace.c
+++ b/liblug/flow/executor_pace.c
@@ -74,21 +74,18 @@
 }
 
 /**
- * exec_servings - serving tasks of the worker with their loads
- * @exec: executor
- * @now_us: present time
- * @ahead_us: time ahead for which the loads are expected
+ * exec_servings - serving tasks of the worker with their latencies
  *
  * Return: array of struct lug_harm_serving, owned by the caller.
  */
-GArray *exec_servings(const struct lug_executor *exec, gint64 now_us, gint64 ahead_us)
+GArray *exec_servings(const struct lug_executor *exec, gint64 now_us)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct lug_harm_serving));
 
 	for (guint i = 0; i < exec->runs->len; i++) {
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
 		struct lug_harm_serving serving = {run->image,
-						   lug_load_ahead(&run->load, now_us, ahead_us),
+						   lug_load_ahead(&run->load, now_us, AHEAD_US),
 						   run->limit, run->pressure};
 
 		if (serves(run) && run->limit > 0)
@@ -195,52 +192,34 @@
 	exec->present_noted = FALSE;
 }
 
-/* Tasks that are nearest their end first, so that they are done and make room. */
-static gint by_progress(gconstpointer a, gconstpointer b)
-{
-	const struct exec_run *left = *(const struct exec_run *const *)a;
-	const struct exec_run *right = *(const struct exec_run *const *)b;
-
-	if (left->percent != right->percent)
-		return left->percent > right->percent ? -1 : 1;
-	return left->number < right->number ? -1 : left->number > right->number;
-}
-
-static GPtrArray *fillers_in_order(const struct lug_executor *exec)
-{
-	GPtrArray *out = g_ptr_array_new();
-
-	for (guint i = 0; i < exec->runs->len; i++)
-		if (fills(g_ptr_array_index(exec->runs, i)))
-			g_ptr_array_add(out, g_ptr_array_index(exec->runs, i));
-	g_ptr_array_sort(out, by_progress);
-	return out;
-}
-
 static void plan(struct lug_executor *exec, gint64 now_us)
 {
-	GArray *servings = exec_servings(exec, now_us, AHEAD_US);
-	GPtrArray *order = fillers_in_order(exec);
-	struct lug_harm_filler *fillers = g_new0(struct lug_harm_filler, order->len + 1);
+	GArray *servings = exec_servings(exec, now_us);
+	struct lug_harm_filler *fillers = g_new0(struct lug_harm_filler, exec->runs->len + 1);
+	guint n = 0;
 
-	for (guint i = 0; i < order->len; i++) {
-		const struct exec_run *run = g_ptr_array_index(order, i);
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
-		fillers[i] = (struct lug_harm_filler){run->image, run->share, run->strength};
+		if (!fills(run))
+			continue;
+		fillers[n].image = run->image;
+		fillers[n].strength = run->strength;
+		fillers[n++].share = run->share;
 	}
 	lug_harm_plan(exec->harm, (struct lug_harm_serving *)(void *)servings->data, servings->len,
-		      fillers, order->len);
-	for (guint i = 0; i < order->len; i++)
-		((struct exec_run *)g_ptr_array_index(order, i))->share = fillers[i].share;
+		      fillers, n);
+	n = 0;
 	for (guint i = 0, k = 0; i < exec->runs->len; i++) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
+		if (fills(run))
+			run->share = fillers[n++].share;
 		if (serves(run) && run->limit > 0)
 			run->pressure =
 				g_array_index(servings, struct lug_harm_serving, k++).pressure;
 	}
 	g_free(fillers);
-	g_ptr_array_unref(order);
 	g_array_unref(servings);
 }
 
@@ -313,7 +292,7 @@
 gboolean exec_has_speed(const struct lug_executor *exec, const char *image, gint64 millicores,
 			gint64 now_us)
 {
-	GArray *servings = exec_servings(exec, now_us, EXEC_PLACE_AHEAD_US);
+	GArray *servings = exec_servings(exec, now_us);
 	double spare = (double)exec_spare(exec) / (double)MAX(millicores, 1);
 	double share = lug_harm_allowed(exec->harm, image,
 					(const struct lug_harm_serving *)(void *)servings->data,
--- a/liblug/flow/executor_priv.h
+++ b/liblug/flow/executor_priv.h
@@ -13,9 +13,6 @@
 /* A start is taken only while the lease stands for this long beyond it. */
 #define START_MARGIN_US (1000 * 1000)
 
-/* Tasks that fill are placed for the load that serving tasks have while they run: some 2 s. */
-#define EXEC_PLACE_AHEAD_US (500 * 1000)
-
 /**
  * enum exec_state - what is known of a run
  * @EXEC_STARTING: the start was sent, or is about to be
@@ -174,7 +171,7 @@
 void exec_stop_run(struct lug_executor *exec, struct exec_run *run);
 void exec_answer(struct lug_executor *exec, guint32 shard, const struct lug_run_id *id,
 		 enum lug_status status);
-GArray *exec_servings(const struct lug_executor *exec, gint64 now_us, gint64 ahead_us);
+GArray *exec_servings(const struct lug_executor *exec, gint64 now_us);
 void exec_note_presence(struct lug_executor *exec, gint64 now_us);
 gint64 exec_spare(const struct lug_executor *exec);
 gboolean exec_has_speed(const struct lug_executor *exec, const char *image, gint64 millicores,
--- a/liblug/flow/executor_tell.c
+++ b/liblug/flow/executor_tell.c
@@ -272,7 +272,7 @@
 				   .shard_ptrs = g_new0(Lug__ShardHeld *, exec->shards),
 				   .held = g_new0(Lug__RunHeld, max),
 				   .ids = g_new0(Lug__RunId, max)};
-	GArray *servings = exec_servings(exec, now_us, EXEC_PLACE_AHEAD_US);
+	GArray *servings = exec_servings(exec, now_us);
 	GArray *pairs = lug_harm_pairs(exec->harm);
 	Lug__WorkerBeat beat = LUG__WORKER_BEAT__INIT;
 	struct lug_resources used;
--- a/liblug/flow/harm.c
+++ b/liblug/flow/harm.c
@@ -9,7 +9,7 @@
 /* Random change of a weight in a second; weights change within seconds. */
 #define WEIGHT_CHANGE 0.01
 /* A weight is a mean over tasks that differ, and never surer than by this part. */
-#define WEIGHT_DOUBT 0.15
+#define WEIGHT_DOUBT 0.35
 /* Part of the difference to what others have learned that is taken over where both are sure. */
 #define TELL_BLEND 0.1
 /* A task disturbs by its own measure, which changes within seconds, against its image's mean. */
@@ -37,8 +37,9 @@
 #define UNSTEADY_PART 0.7
 #define UNSTEADY_USED 0.85
 #define UNSTEADY_FULL 1.0
-/* Tasks that press by less than this part of the one that presses most don't yield for it. */
-#define GUILTY_PART 0.3
+/* Rounds of a cut, in each of which a task may come to stand still; the least worth a round. */
+#define CUT_ROUNDS 4
+#define EXCESS_MIN 0.005
 /* Largest rise of a share in one step, so that a wrong guess shows before it hurts. */
 #define RAISE_MAX 0.5
 /* Shares below this are not worth their start. */
@@ -324,38 +325,36 @@
 	return share < SHARE_MIN ? 0 : share;
 }
 
-/* Least utilisation for which a task yields to a serving task. */
-static double least_guilty(const struct lug_harm *harm, const struct lug_harm_serving *serving,
-			   const struct lug_harm_filler *fillers, guint n)
-{
-	double most = 0;
-
-	for (guint i = 0; i < n; i++)
-		if (fillers[i].share > 0)
-			most = MAX(most, pressing(harm, serving->image, &fillers[i]));
-	return MAX(GUILTY_PART * most, WEIGHT_GUILTY);
-}
-
 /*
- * Cuts what presses a serving task until it should be below its target, the last first. Tasks
- * that work one after the other are done sooner, in the mean, than those that share.
+ * Cuts what presses a serving task until it should be below its target, each by its weight, so
+ * that the shares lost are the least in the mean square.
  */
 static void cut(const struct lug_harm *harm, const struct lug_harm_serving *serving,
 		struct lug_harm_filler *fillers, guint n)
 {
 	double excess = serving->base + pressure_of(harm, serving->image, fillers, n) -
 			(serving->limit - MARGIN);
-	double guilty = least_guilty(harm, serving, fillers, n);
 
-	for (guint i = n; i-- > 0 && excess > 0;) {
-		double weight = pressing(harm, serving->image, &fillers[i]);
-		double less;
+	for (guint round = 0; round < CUT_ROUNDS && excess > EXCESS_MIN; round++) {
+		double norm = 0;
+
+		for (guint i = 0; i < n; i++) {
+			double weight = pressing(harm, serving->image, &fillers[i]);
 
-		if (weight < guilty)
-			continue;
-		less = MIN(fillers[i].share, excess / weight);
-		fillers[i].share -= less;
-		excess -= less * weight;
+			if (weight >= WEIGHT_GUILTY && fillers[i].share > 0)
+				norm += weight * weight;
+		}
+		if (norm <= 0)
+			return;
+		for (guint i = 0; i < n; i++) {
+			double weight = pressing(harm, serving->image, &fillers[i]);
+
+			if (weight >= WEIGHT_GUILTY)
+				fillers[i].share =
+					MAX(fillers[i].share - weight * excess / norm, 0);
+		}
+		excess = serving->base + pressure_of(harm, serving->image, fillers, n) -
+			 (serving->limit - MARGIN);
 	}
 }
 
@@ -364,8 +363,7 @@
  * @harm: what is learned
  * @servings: serving tasks; their pressure is written
  * @n_servings: how many
- * @fillers: tasks that fill, with their present shares; new shares are written; those at the end
- *           yield first
+ * @fillers: tasks that fill, with their present shares; new shares are written
  * @n_fillers: how many
  *
  * All that fill rise towards their full share, and a serving task takes from those that would
