--- a/liblug/flow/executor_pace.c
+++ b/liblug/flow/executor_pace.c
@@ -153,8 +153,8 @@
 			.least = item->least,
 			.most = item->most,
 			.strength = item->strength,
-			.strength_var = lug_harm_strength_var(item->strength_var,
-							      now_us - exec->sample_us),
+			.strength_var =
+				lug_harm_strength_var(item->strength_var, now_us - exec->sample_us),
 		};
 	}
 	return out;
--- a/liblug/flow/executor_run.c
+++ b/liblug/flow/executor_run.c
@@ -236,9 +236,8 @@
 		exec_answer(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
-	if (start->fills &&
-	    !exec_has_speed(exec, g_intern_string(start->image ? start->image : ""),
-			    start->fill_millicores, now_us)) {
+	if (start->fills && !exec_has_speed(exec, g_intern_string(start->image ? start->image : ""),
+					    start->fill_millicores, now_us)) {
 		lug_count(exec->ctx, TASKS_REFUSED, 1);
 		exec_answer(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
--- a/liblug/flow/harm.c
+++ b/liblug/flow/harm.c
@@ -245,14 +245,14 @@
  * @present: tasks beside it since the former sample; their strength is adapted
  * @n: how many
  *
- * Weights, strengths and the load each take the part of the error that they are unsure of. A saturated
- * sample tells only that the utilisation is at least so high.
+ * Weights, strengths and the load each take the part of the error that they are unsure of. A
+ * saturated sample tells only that the utilisation is at least so high.
  *
  * Return: utilisation at which the serving task reaches its target.
  */
 double lug_harm_observe(struct lug_harm *harm, struct lug_load *load,
-			const struct lug_harm_sample *sample,
-			struct lug_harm_presence *present, guint n)
+			const struct lug_harm_sample *sample, struct lug_harm_presence *present,
+			guint n)
 {
 	double idle = idle_ms(harm, sample);
 	double tail = lug_load_tail_ms(load, sample->figure_ms, sample->at_us);
--- a/liblug/flow/harm.h
+++ b/liblug/flow/harm.h
@@ -88,8 +88,8 @@
 struct lug_harm *lug_harm_new(void);
 void lug_harm_free(struct lug_harm *harm);
 double lug_harm_observe(struct lug_harm *harm, struct lug_load *load,
-			const struct lug_harm_sample *sample,
-			struct lug_harm_presence *present, guint n);
+			const struct lug_harm_sample *sample, struct lug_harm_presence *present,
+			guint n);
 double lug_harm_strength_var(double var, gint64 span_us);
 double lug_harm_slack(const struct lug_harm_serving *serving);
 void lug_harm_tell(struct lug_harm *harm, const struct lug_harm_pair *pair);
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -180,6 +180,29 @@
 		return made;
 	}
 
+	/* A start of a task that fills: its cores are not reserved. */
+	void fill(const char *job, gint64 millicores)
+	{
+		struct lug_run_id run = id(job);
+		struct lug_resources size = {0, 1, 0};
+		Lug__RunStart message = LUG__RUN_START__INIT;
+		Lug__Resources wire_size;
+		Lug__RunId wire;
+
+		lug_run_to_wire(&run, &wire);
+		lug_size_to_wire(&size, &wire_size);
+		message.epoch = 1;
+		message.seq = ++seq;
+		message.lease_epoch = 1;
+		message.id = &wire;
+		message.size = &wire_size;
+		message.spec = (char *)"s";
+		message.fills = 1;
+		message.fill_millicores = millicores;
+		message.image = (char *)"i";
+		lug_executor_start(exec, &message, lug_now_us());
+	}
+
 	void start(const char *job, gint64 millicores = 1000, guint64 lease_epoch = 1,
 		   guint64 epoch = 1, gint64 later_us = 0)
 	{
@@ -225,6 +248,18 @@
 	EXPECT_EQ(answers[1], std::make_pair(std::string("a#1"), LUG_OK));
 }
 
+/* Owners that place at the same time don't know of each other's tasks. */
+TEST_F(ExecutorTest, ATaskThatFillsIsRefusedWhereOthersHaveTakenTheRoom)
+{
+	fill("a", 3000);
+	fill("b", 3000);
+	fill("c", 1000);
+	ASSERT_EQ(worker.orders.size(), 2u);
+	EXPECT_STREQ(worker.orders[1].id.job, "c");
+	ASSERT_EQ(answers.size(), 1u);
+	EXPECT_EQ(answers[0], std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
+}
+
 TEST_F(ExecutorTest, TheLeaseEndsInTimeOnASlowClock)
 {
 	start("a");
--- a/tests/unit/flow_test.cc
+++ b/tests/unit/flow_test.cc
@@ -1,7 +1,5 @@
 #include "lug.h"
 
-#include <cmath>
-
 extern "C" {
 #include "flow/harm.h"
 #include "flow/job.h"
@@ -139,92 +137,6 @@
 	json_object_unref(row);
 }
 
-/* A serving task whose load is pressed by a heavy and a light image. */
-struct HarmTest : public testing::Test {
-	struct lug_harm *harm = lug_harm_new();
-	const char *s = g_intern_string("s");
-	const char *heavy = g_intern_string("heavy");
-	const char *light = g_intern_string("light");
-	struct lug_harm_serving serving = {};
-
-	void SetUp() override
-	{
-		GRand *rng = g_rand_new_with_seed(3);
-
-		serving.image = s;
-		serving.base = LUG_HARM_BASE_UNKNOWN;
-		for (int i = 0; i < 400; i++) {
-			struct lug_harm_filler present[] = {
-				{heavy, (double)g_rand_int_range(rng, 0, 2)},
-				{light, (double)g_rand_int_range(rng, 0, 3)}};
-			double load = 0.45 + 0.2 * sin(i / 12.0) + 0.15 * present[0].share +
-				      g_rand_double_range(rng, -0.03, 0.03);
-			double used =
-				lug_harm_utilisation(harm, s, 25 / (1 - load), 150, &serving.limit);
-
-			lug_harm_observe(harm, &serving, used, present, 2);
-		}
-		g_rand_free(rng);
-	}
-
-	void TearDown() override
-	{
-		lug_harm_free(harm);
-	}
-};
-
-TEST_F(HarmTest, LearnsWhichImageDisturbs)
-{
-	EXPECT_GT(lug_harm_weight(harm, s, heavy), 0.08);
-	EXPECT_LT(lug_harm_weight(harm, s, light), 0.05);
-	EXPECT_NEAR(serving.limit, 0.85, 0.05);
-}
-
-TEST_F(HarmTest, CutsWhatPressesAServingTaskNearItsTarget)
-{
-	struct lug_harm_filler fillers[] = {{heavy, 1}, {heavy, 1}, {light, 1}};
-
-	serving.base = serving.limit - 0.1;
-	lug_harm_plan(harm, &serving, 1, fillers, 3);
-	EXPECT_LT(fillers[0].share, 0.9);
-	EXPECT_NEAR(fillers[0].share, fillers[1].share, 1e-9);
-	EXPECT_GT(fillers[2].share, fillers[0].share - 1e-9);
-	serving.base = 0.3;
-	for (int i = 0; i < 4; i++)
-		lug_harm_plan(harm, &serving, 1, fillers, 3);
-	EXPECT_EQ(fillers[0].share, 1);
-}
-
-TEST_F(HarmTest, ATaskOverItsTargetByItsOwnLoadTakesNothing)
-{
-	struct lug_harm_filler filler = {heavy, 1};
-
-	serving.base = serving.limit + 0.1;
-	lug_harm_plan(harm, &serving, 1, &filler, 1);
-	EXPECT_EQ(filler.share, 1);
-}
-
-TEST_F(HarmTest, PoolIsAMeanOverWorkers)
-{
-	struct lug_harm *pool = lug_harm_new();
-	GArray *one = g_array_new(FALSE, FALSE, sizeof(struct lug_harm_pair));
-	GArray *two = g_array_new(FALSE, FALSE, sizeof(struct lug_harm_pair));
-	GPtrArray *reports = g_ptr_array_new();
-	struct lug_harm_pair a = {s, heavy, 0.1, 3};
-	struct lug_harm_pair b = {s, heavy, 0.3, 1};
-
-	g_array_append_val(one, a);
-	g_array_append_val(two, b);
-	g_ptr_array_add(reports, one);
-	g_ptr_array_add(reports, two);
-	lug_harm_pool(pool, reports);
-	EXPECT_NEAR(lug_harm_weight(pool, s, heavy), 0.15, 1e-9);
-	g_ptr_array_unref(reports);
-	g_array_unref(one);
-	g_array_unref(two);
-	lug_harm_free(pool);
-}
-
 struct PlaceTest : public testing::Test {
 	struct lug_harm *harm = lug_harm_new();
 	GRand *rng = g_rand_new_with_seed(1);
@@ -358,6 +270,20 @@
 	EXPECT_EQ(choose(), worker);
 }
 
+TEST_F(PlaceTest, AWorkerThatHasRefusedIsLeftOutUntilItsNextBeat)
+{
+	struct lug_fleet_worker *worker = add("a", 16000);
+
+	step.fills = TRUE;
+	worker->full = TRUE;
+	EXPECT_EQ(choose(), nullptr);
+	step.fills = FALSE;
+	EXPECT_EQ(choose(), worker);
+	step.fills = TRUE;
+	worker->full = FALSE;
+	EXPECT_EQ(choose(), worker);
+}
+
 TEST_F(PlaceTest, AFailingWorkerIsTakenOnlyAtNeed)
 {
 	struct lug_fleet_worker *bad = add("a", 16000);
