The owner stores a job and its first claims by one transaction

Change: an entry asks the owner first; the owner stores the job's row together with the claims of its first tasks, then accepts and starts. A job that could not be stored is forgotten with its claims. An entry stores by itself where the owner is unknown, refuses, or does not answer within 250 ms, and then asks it no more for a second.

Ruled out: processor time (without charge 63 to 66 ms).

--- a/liblug/flow/front.c
+++ b/liblug/flow/front.c
@@ -41,6 +41,7 @@
 	front->peers = lug_peers_new(ctx, link, send_hello, front);
 	front->n = lug_map_shards(map);
 	front->parts = g_new0(struct lug_store *, front->n);
+	front->owner_bad_us = g_new0(gint64, front->n);
 	for (guint32 i = 0; i < front->n; i++) {
 		g_snprintf(name, sizeof(name), "%u", i);
 		front->parts[i] = lug_store_part(store, name);
@@ -62,6 +63,7 @@
 	for (guint32 i = 0; i < front->n; i++)
 		lug_store_free(front->parts[i]);
 	g_free(front->parts);
+	g_free(front->owner_bad_us);
 	lug_peers_free(front->peers);
 	g_free(front);
 }
--- a/liblug/flow/front.h
+++ b/liblug/flow/front.h
@@ -12,7 +12,7 @@
  * @LUG_JOB_STATE: tell a job's state
  * @LUG_JOB_CANCEL: cancel a job
  * @LUG_JOB_PENDING: count a queue's jobs that have not begun
- * @LUG_JOB_STORE: store a job for an entry that can't reach the table service
+ * @LUG_JOB_STORE: store a job and answer once that is done
  */
 enum lug_job_call_kind {
 	LUG_JOB_HELLO,
--- a/liblug/flow/front_priv.h
+++ b/liblug/flow/front_priv.h
@@ -10,6 +10,11 @@
  * (the owner's side).
  */
 
+/**
+ * struct lug_front - calls of clients that wait
+ * @store_bad_us: last call of the table service that failed
+ * @owner_bad_us: by shard, last time that its owner did not store a job
+ */
 struct lug_front {
 	struct lug_ctx *ctx;
 	struct lug_link *link;
@@ -20,6 +25,7 @@
 	struct lug_list calls;
 	guint64 next_id;
 	gint64 store_bad_us;
+	gint64 *owner_bad_us;
 };
 
 /**
@@ -40,6 +46,7 @@
  * @read_twice: the table was read a second time
  * @storing: a transaction is open
  * @relaying: the owner was asked to store the job
+ * @relayed: the owner was asked before
  * @stored: the job is stored and the caller answered
  * @in_doubt: an earlier transaction had no answer
  * @retry_us: next try of a submission
@@ -68,6 +75,7 @@
 	gboolean read_twice;
 	gboolean storing;
 	gboolean relaying;
+	gboolean relayed;
 	gboolean stored;
 	gboolean in_doubt;
 	gint64 retry_us;
--- a/liblug/flow/front_submit.c
+++ b/liblug/flow/front_submit.c
@@ -8,8 +8,10 @@
 /* The owner is told again until it answers; later it finds the job in the table. */
 #define TELL_FOR_US (2 * G_USEC_PER_SEC)
 #define TELL_AGAIN_US (300 * 1000)
-/* An owner commits and answers within this time. */
-#define RELAY_WAIT_US (500 * 1000)
+/* An owner commits and answers within this time; two transactions of an owner that is busy. */
+#define RELAY_WAIT_US (250 * 1000)
+/* An owner that has not answered in time is not asked for this long. */
+#define OWNER_BAD_US (1000 * 1000)
 /* After a call that failed, the owners store jobs for this long, before the next try. */
 #define STORE_BAD_US (1500 * 1000)
 
@@ -80,18 +82,30 @@
 	call->retry_us = now_us + RETRY_US;
 }
 
+static gboolean store_bad(const struct front_call *call, gint64 now_us)
+{
+	return call->front->store_bad_us && now_us - call->front->store_bad_us < STORE_BAD_US;
+}
+
+static gboolean owner_bad(const struct front_call *call, gint64 now_us)
+{
+	gint64 since_us = call->front->owner_bad_us[call->shard];
+
+	return since_us && now_us - since_us < OWNER_BAD_US;
+}
+
 /*
- * The table service may turn some instances away and serve the others. Then the owner stores
- * the job; what it has already is one job as well.
+ * The owner stores the job and the claims of its first tasks by one transaction, also while the
+ * table service turns this instance away; what it has already is one job as well.
  */
-static void relay_job(struct front_call *call, gint64 now_us)
+static gboolean relay_job(struct front_call *call, gint64 now_us)
 {
 	call->relaying = TRUE;
+	call->relayed = TRUE;
 	call->asked_until_us = now_us + RELAY_WAIT_US;
-	if (!front_send(call, call->shard)) {
+	if (!front_send(call, call->shard))
 		call->relaying = FALSE;
-		try_again(call, now_us);
-	}
+	return call->relaying;
 }
 
 /**
@@ -99,6 +113,8 @@
  */
 void front_relayed(struct front_call *call, enum lug_status status)
 {
+	gint64 now_us = lug_now_us();
+
 	call->relaying = FALSE;
 	if (status == LUG_OK) {
 		log_submit(call, "job_accepted", "stored by its owner");
@@ -108,16 +124,23 @@
 	}
 	if (status == LUG_UNKNOWN)
 		call->in_doubt = TRUE;
-	try_again(call, lug_now_us());
+	call->front->owner_bad_us[call->shard] = now_us;
+	if (store_bad(call, now_us))
+		try_again(call, now_us);
+	else
+		store_job(call);
 }
 
 static void store_or_relay(struct front_call *call, gint64 now_us)
 {
-	if (call->front->store_bad_us && now_us - call->front->store_bad_us < STORE_BAD_US) {
-		relay_job(call, now_us);
+	gboolean first = !call->relayed && !owner_bad(call, now_us);
+
+	if ((first || store_bad(call, now_us)) && relay_job(call, now_us))
 		return;
-	}
-	store_job(call);
+	if (store_bad(call, now_us))
+		try_again(call, now_us);
+	else
+		store_job(call);
 }
 
 static void store_job(struct front_call *call)
--- a/liblug/flow/shard.c
+++ b/liblug/flow/shard.c
@@ -67,20 +67,32 @@
 		g_free(occ->tasks[i].checkpoint);
 }
 
+/**
+ * shard_tell - tell callers that wait what has come of it, once
+ */
+void shard_tell(GArray *waiters, enum lug_status status)
+{
+	for (guint i = 0; i < waiters->len; i++) {
+		struct flow_waiter *waiter = &g_array_index(waiters, struct flow_waiter, i);
+
+		waiter->fn(waiter->data, status);
+	}
+	g_array_set_size(waiters, 0);
+}
+
 void shard_entry_free(gpointer data)
 {
 	struct flow_entry *entry = data;
 
 	for (guint i = 0; i < entry->occurrences->len; i++)
 		free_checkpoints(entry, g_ptr_array_index(entry->occurrences, i));
-	for (guint i = 0; i < entry->waiters->len; i++) {
-		struct flow_waiter *waiter = &g_array_index(entry->waiters, struct flow_waiter, i);
-
-		waiter->fn(waiter->data, LUG_UNKNOWN);
-	}
+	shard_tell(entry->waiters, LUG_UNKNOWN);
+	shard_tell(entry->storers, LUG_UNKNOWN);
 	g_ptr_array_unref(entry->occurrences);
 	g_array_unref(entry->acks);
 	g_array_unref(entry->waiters);
+	g_array_unref(entry->storers);
+	g_free(entry->body);
 	lug_flow_free(entry->flow);
 	g_free(entry->first);
 	g_free(entry);
@@ -122,6 +134,7 @@
 	entry->occurrences = g_ptr_array_new_with_free_func(shard_occurrence_free);
 	entry->acks = g_array_new(FALSE, FALSE, sizeof(struct flow_ack));
 	entry->waiters = g_array_new(FALSE, FALSE, sizeof(struct flow_waiter));
+	entry->storers = g_array_new(FALSE, FALSE, sizeof(struct flow_waiter));
 	entry->priority = def ? def->priority : 0;
 	age_ms = g_get_real_time() / 1000 - flow->accepted_ms;
 	entry->accepted_us = now_us - CLAMP(age_ms, 0, AGE_MAX_MS) * 1000;
--- a/liblug/flow/shard_commit.c
+++ b/liblug/flow/shard_commit.c
@@ -4,6 +4,8 @@
 
 /* Longest list of starts in one line, bytes. */
 #define START_LOG_MAX 400
+/* An entry waits a quarter of a second for its job to be stored. */
+#define STORE_WAIT_US (220 * 1000)
 
 static void on_committed(void *data, enum lug_status status, gint64 version);
 
@@ -98,14 +100,42 @@
 	stop_all(shard, entry);
 	entry->waiters = g_array_new(FALSE, FALSE, sizeof(struct flow_waiter));
 	shard_entry_remove(shard, entry);
-	for (guint i = 0; i < waiters->len; i++) {
-		struct flow_waiter *waiter = &g_array_index(waiters, struct flow_waiter, i);
-
-		waiter->fn(waiter->data, LUG_OK);
-	}
+	shard_tell(waiters, LUG_OK);
 	g_array_unref(waiters);
 }
 
+static void drop(struct lug_shard *shard, struct flow_entry *entry)
+{
+	shard_unclaim_all(shard, entry);
+	shard_entry_remove(shard, entry);
+}
+
+/*
+ * A job that could not be stored is forgotten with its claims. A row that was there before is
+ * this job, stored earlier.
+ */
+static void not_stored(struct lug_shard *shard, struct flow_entry *entry, enum lug_status status)
+{
+	char *job = g_strdup(entry->flow->id);
+
+	shard_tell(entry->storers, status == LUG_CONFLICT ? LUG_OK : status);
+	drop(shard, entry);
+	if (status == LUG_CONFLICT)
+		shard_read_job(shard, job, FALSE);
+	else
+		lug_warn(shard->env.ctx, "job_not_stored", "job", job, "status",
+			 lug_status_name(status));
+	g_free(job);
+}
+
+static void stored(struct lug_shard *shard, struct flow_entry *entry, gint64 version)
+{
+	lug_info(shard->env.ctx, "job_stored", "job", entry->flow->id, "shard", shard->name);
+	entry->version = version;
+	g_clear_pointer(&entry->body, g_free);
+	shard_tell(entry->storers, LUG_OK);
+}
+
 static void on_committed(void *data, enum lug_status status, gint64 version)
 {
 	struct shard_ref *ref = data;
@@ -113,7 +143,6 @@
 	struct flow_entry *entry;
 	gint64 now_us = lug_now_us();
 
-	(void)version;
 	if (!shard_ref_valid(ref)) {
 		g_free(ref);
 		return;
@@ -125,15 +154,20 @@
 	if (!entry)
 		return;
 	entry->in_flight = FALSE;
+	if (entry->body && status != LUG_OK) {
+		not_stored(shard, entry, status);
+		return;
+	}
 	if (status == LUG_CONFLICT) {
 		lug_warn(shard->env.ctx, "job_dropped", "job", entry->flow->id, "reason",
 			 "its row is gone: it has ended before");
-		shard_unclaim_all(shard, entry);
-		shard_entry_remove(shard, entry);
+		drop(shard, entry);
 		return;
 	}
 	if (status != LUG_OK)
 		return;
+	if (entry->body)
+		stored(shard, entry, version);
 	entry->committed_gen = entry->sent_gen;
 	send_acks(shard, entry, entry->committed_gen);
 	if (entry->end != LUG_FLOW_UNKNOWN && entry->committed_gen == entry->gen) {
@@ -155,7 +189,7 @@
 	json_object_unref(row);
 }
 
-static void submit(struct lug_shard *shard, struct flow_entry *entry)
+static void submit(struct lug_shard *shard, struct flow_entry *entry, gint64 now_us)
 {
 	struct lug_op *op = lug_op_new(on_committed, shard_ref_new(shard, entry->flow->id));
 	char *text;
@@ -167,7 +201,13 @@
 		lug_txn_put_text(&op->txn, SHARD_RUNS_TABLE, entry->flow->id, text);
 		g_free(text);
 	}
-	if (!entry->committed_gen) {
+	if (entry->body) {
+		op->deadline_us = now_us + STORE_WAIT_US;
+		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, 0);
+		lug_txn_check(&op->txn, SHARD_ENDED_TABLE, entry->flow->id, 0);
+		if (entry->end == LUG_FLOW_UNKNOWN)
+			lug_txn_put_text(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->body);
+	} else if (!entry->committed_gen) {
 		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->version);
 		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
 	}
@@ -191,7 +231,7 @@
 	SHARD_FOREACH_JOB(shard, entry)
 	{
 		if (entry->gen != entry->committed_gen && !entry->in_flight)
-			submit(shard, entry);
+			submit(shard, entry, now_us);
 	}
 	lug_lane_flush(shard->lane, now_us);
 }
--- a/liblug/flow/shard_job.c
+++ b/liblug/flow/shard_job.c
@@ -2,16 +2,6 @@
 
 #include <string.h>
 
-/* An entry waits half a second for its job to be stored. */
-#define STORE_WAIT_US (450 * 1000)
-
-struct shard_store {
-	struct shard_ref *ref;
-	char *body;
-	lug_shard_done_fn fn;
-	void *data;
-};
-
 /**
  * lug_shard_submit - take in a job whose row an entry has stored
  * @shard: shard
@@ -42,54 +32,45 @@
 	lug_shard_wake(shard);
 }
 
-static void on_job_stored(void *data, enum lug_status status, gint64 version)
-{
-	struct shard_store *store = data;
-	struct lug_shard *shard = store->ref->shard;
-
-	if (status == LUG_OK && shard_ref_valid(store->ref))
-		lug_shard_submit(shard, store->ref->job, store->body, version, lug_now_us());
-	if (status == LUG_CONFLICT && shard_ref_valid(store->ref))
-		shard_read_job(shard, store->ref->job, FALSE);
-	/* A row that was there before is this job, stored earlier. */
-	store->fn(store->data, status == LUG_CONFLICT ? LUG_OK : status);
-	g_free(store->body);
-	g_free(store->ref);
-	g_free(store);
-}
-
 /**
- * lug_shard_store - store a job for an entry that can't reach the table service
+ * lug_shard_store - store a job, together with the claims of its first tasks
  * @shard: shard
  * @job: id
  * @body: text of the job's row
  * @fn: LUG_OK once it is stored; LUG_UNAVAILABLE or LUG_FENCED: certainly not;
- *      LUG_UNKNOWN: it may be
+ *      LUG_UNKNOWN: it may be; LUG_BAD_INPUT: it can't be read
  * @data: passed to @fn
  * @now_us: present time
  */
 void lug_shard_store(struct lug_shard *shard, const char *job, const char *body,
 		     lug_shard_done_fn fn, void *data, gint64 now_us)
 {
-	struct shard_store *store;
-	struct lug_op *op;
+	struct flow_entry *entry = g_hash_table_lookup(shard->jobs, job);
+	struct flow_waiter storer = {fn, data};
+	struct lug_flow *flow;
 
-	if (g_hash_table_contains(shard->jobs, job) || g_hash_table_contains(shard->ended, job)) {
+	if (g_hash_table_contains(shard->ended, job) || (entry && !entry->body)) {
 		fn(data, LUG_OK);
 		return;
 	}
-	store = g_new0(struct shard_store, 1);
-	store->ref = shard_ref_new(shard, job);
-	store->body = g_strdup(body);
-	store->fn = fn;
-	store->data = data;
-	op = lug_op_new(on_job_stored, store);
-	op->deadline_us = now_us + STORE_WAIT_US;
-	lug_txn_check(&op->txn, SHARD_LIVE_TABLE, job, 0);
-	lug_txn_check(&op->txn, SHARD_ENDED_TABLE, job, 0);
-	lug_txn_put_text(&op->txn, SHARD_LIVE_TABLE, job, body);
-	lug_txn_put_text(&op->txn, SHARD_INBOX_TABLE, job, "{}");
-	lug_lane_submit(shard->lane, op, now_us);
+	if (entry) {
+		g_array_append_val(entry->storers, storer);
+		return;
+	}
+	if (lug_shard_stalled(shard, now_us)) {
+		fn(data, LUG_UNAVAILABLE);
+		return;
+	}
+	flow = lug_flow_decode_text(job, body);
+	if (!flow) {
+		fn(data, LUG_BAD_INPUT);
+		return;
+	}
+	entry = shard_entry_new(shard, flow, 0, now_us);
+	entry->body = g_strdup(body);
+	g_array_append_val(entry->storers, storer);
+	shard_begin_due(shard, now_us);
+	shard_entry_changed(shard, entry);
 }
 
 /**
@@ -104,7 +85,7 @@
 
 	if (ended)
 		return ended->state;
-	if (!entry)
+	if (!entry || entry->body)
 		return LUG_FLOW_UNKNOWN;
 	return entry->started ? LUG_FLOW_RUNNING : LUG_FLOW_QUEUED;
 }
@@ -148,7 +129,7 @@
 
 	SHARD_FOREACH_JOB(shard, entry)
 	{
-		n += !entry->started && !strcmp(entry->flow->queue, queue);
+		n += !entry->started && !entry->body && !strcmp(entry->flow->queue, queue);
 	}
 	return n;
 }
--- a/liblug/flow/shard_priv.h
+++ b/liblug/flow/shard_priv.h
@@ -93,6 +93,8 @@
  * @flow: job
  * @version: version of the job's row; the first commit requires it, so that a job which
  *           has ended under another owner is not begun again
+ * @body: text of the job's row while that is not stored, NULL afterwards
+ * @storers: callers that wait for that
  * @first: index of each step's first task
  * @occurrences: array of struct flow_occurrence *, those that have begun and not ended
  * @next_occurrence: first that has not begun
@@ -112,6 +114,8 @@
 struct flow_entry {
 	struct lug_flow *flow;
 	gint64 version;
+	char *body;
+	GArray *storers;
 	guint32 *first;
 	GPtrArray *occurrences;
 	guint32 next_occurrence;
@@ -183,6 +187,7 @@
 
 struct flow_entry *shard_entry_new(struct lug_shard *shard, struct lug_flow *flow, gint64 version,
 				   gint64 now_us);
+void shard_tell(GArray *waiters, enum lug_status status);
 void shard_read_job(struct lug_shard *shard, const char *job, gboolean cancel);
 void shard_unclaim_all(struct lug_shard *shard, struct flow_entry *entry);
 struct flow_occurrence *shard_occurrence_begin(struct flow_entry *entry, guint32 number);
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -122,6 +122,17 @@
 				 lug_now_us());
 	}
 
+	void store_job(const char *job, std::vector<enum lug_status> *told)
+	{
+		lug_shard_store(
+			shard, job, body,
+			[](void *data, enum lug_status status) {
+				static_cast<std::vector<enum lug_status> *>(data)->push_back(
+					status);
+			},
+			told, lug_now_us());
+	}
+
 	struct Held {
 		const char *job;
 		guint32 step;
@@ -220,6 +231,79 @@
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
 }
 
+TEST_F(ShardTest, AJobIsStoredWithItsFirstClaimsByOneTransaction)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store_job("a", &told);
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	ASSERT_EQ(store.calls.size(), 1u);
+	EXPECT_TRUE(told.empty()) << "accepted before it is stored";
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_UNKNOWN);
+	store.settle();
+	EXPECT_EQ(told, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_TRUE(stored("live/a"));
+	EXPECT_NE(runs("a").find("r1.0.0.1."), std::string::npos) << runs("a");
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_RUNNING);
+}
+
+TEST_F(ShardTest, AJobThatWasStoredBeforeIsReadAndAccepted)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store.put("0|live/a", body);
+	store_job("a", &told);
+	store_job("a", &told);
+	run();
+	EXPECT_EQ(told, (std::vector<enum lug_status>{LUG_OK, LUG_OK}));
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	store_job("a", &told);
+	EXPECT_EQ(told.size(), 3u);
+}
+
+TEST_F(ShardTest, AJobThatHasEndedIsNotBegunAgainByAStore)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store.put("0|ended/a", "{\"state\":\"completed\",\"queue\":\"q\"}");
+	store_job("a", &told);
+	run();
+	EXPECT_EQ(told, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+	EXPECT_FALSE(stored("live/a"));
+}
+
+TEST_F(ShardTest, AJobThatAFormerOwnerCouldNotStoreIsInDoubt)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store_job("a", &told);
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	/* Another owner has taken the shard meanwhile. */
+	store.put("0|shard/0", "{\"owner\":\"other\",\"epoch\":9,\"ttl_ms\":8000,\"txn\":\"x\"}");
+	run();
+	ASSERT_EQ(told.size(), 1u);
+	EXPECT_NE(told[0], LUG_OK);
+	EXPECT_FALSE(stored("live/a"));
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+}
+
 TEST_F(ShardTest, NothingStartsWhileTheTableIsSilent)
 {
 	take();
