--- a/liblug/flow/shard_job.c
+++ b/liblug/flow/shard_job.c
@@ -129,7 +129,7 @@
 
 	SHARD_FOREACH_JOB(shard, entry)
 	{
-		n += !entry->started && !entry->body && !strcmp(entry->flow->queue, queue);
+		n += !entry->begun && !entry->body && !strcmp(entry->flow->queue, queue);
 	}
 	return n;
 }
--- a/liblug/flow/shard_priv.h
+++ b/liblug/flow/shard_priv.h
@@ -103,6 +103,7 @@
  * @due_us: when its objective ends, by its declared run times
  * @late: it can't be on time any more
  * @started: a task has been claimed
+ * @begun: an agent has confirmed a start; a claim may have been refused
  * @end: final state once decided, LUG_FLOW_UNKNOWN before
  * @gen: changes
  * @sent_gen: changes covered by the transaction in flight
@@ -124,6 +125,7 @@
 	gint64 due_us;
 	gboolean late;
 	gboolean started;
+	gboolean begun;
 	enum lug_flow_state end;
 	guint64 gen;
 	guint64 sent_gen;
--- a/liblug/flow/shard_row.c
+++ b/liblug/flow/shard_row.c
@@ -132,6 +132,7 @@
 		json_array_add_string_element(names, g_ptr_array_index(workers, i));
 	json_object_set_int_member(row, "next", entry->next_occurrence);
 	json_object_set_int_member(row, "started", entry->started);
+	json_object_set_int_member(row, "begun", entry->begun);
 	json_object_set_array_member(row, "workers", names);
 	json_object_set_array_member(row, "occurrences", occurrences);
 	text = lug_json_text(row);
@@ -241,6 +242,7 @@
 
 	entry->next_occurrence = (guint32)lug_json_int(row, "next", 0);
 	entry->started = lug_json_int(row, "started", 0) != 0;
+	entry->begun = lug_json_int(row, "begun", 0) != 0;
 	for (guint i = 0; i < n; i++) {
 		JsonObject *item = json_array_get_object_element(list, i);
 		struct flow_occurrence *occ =
--- a/liblug/flow/shard_settle.c
+++ b/liblug/flow/shard_settle.c
@@ -54,11 +54,13 @@
 	task->moving = FALSE;
 }
 
-static void confirm(struct lug_shard *shard, struct flow_task *task, const struct lug_step *step)
+static void confirm(struct lug_shard *shard, struct flow_entry *entry, struct flow_task *task,
+		    const struct lug_step *step)
 {
 	struct lug_fleet_worker *worker = lug_fleet_find(shard->env.fleet, task->worker);
 	struct lug_resources size;
 
+	entry->begun = TRUE;
 	if (task->confirmed || !worker)
 		return;
 	task->confirmed = TRUE;
@@ -136,6 +138,7 @@
 	struct lug_fleet_worker *worker =
 		task->worker ? lug_fleet_find(shard->env.fleet, task->worker) : NULL;
 
+	entry->begun = TRUE;
 	if (task->state == FLOW_CLAIMED)
 		shard_unclaim(shard, entry, task, step);
 	if (outcome == LUG_RUN_DONE)
@@ -232,7 +235,7 @@
 	    strcmp(task->worker, worker))
 		return;
 	if (answer->status == LUG_OK) {
-		confirm(shard, task, &entry->flow->steps[id.step]);
+		confirm(shard, entry, task, &entry->flow->steps[id.step]);
 	} else {
 		log_run(shard, "run_refused", &id, worker, "reason",
 			lug_status_name((enum lug_status)answer->status));
@@ -342,7 +345,7 @@
 	const struct lug_fleet_worker *worker = check->worker;
 
 	if (held) {
-		confirm(shard, task, &entry->flow->steps[id->step]);
+		confirm(shard, entry, task, &entry->flow->steps[id->step]);
 		task->percent = held->percent;
 		task->figure = held->figure;
 		save_checkpoint(task, held->checkpoint);
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -207,6 +207,21 @@
 		lug_shard_end(shard, &route, "w1", &message, lug_now_us());
 	}
 
+	void answer(const char *job, guint32 index, guint32 run_number, enum lug_status status)
+	{
+		Lug__RunAnswer message = LUG__RUN_ANSWER__INIT;
+		struct lug_run_id id = {};
+		Lug__RunId wire;
+
+		g_strlcpy(id.job, job, sizeof(id.job));
+		id.index = index;
+		id.run = run_number;
+		lug_run_to_wire(&id, &wire);
+		message.id = &wire;
+		message.status = status;
+		lug_shard_answer(shard, "w1", &message, lug_now_us());
+	}
+
 	std::string runs(const char *job)
 	{
 		return store.rows[std::string("0|runs/") + job].data;
@@ -304,6 +319,22 @@
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
 }
 
+TEST_F(ShardTest, AJobWhoseStartsWereRefusedIsStillPending)
+{
+	take();
+	run();
+	beat({}, 0);
+	submit("a");
+	run();
+	answer("a", 0, 1, LUG_OVER_LIMIT);
+	answer("a", 1, 1, LUG_OVER_LIMIT);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 1u);
+	run();
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 1u);
+	answer("a", 0, 2, LUG_OK);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 0u);
+}
+
 TEST_F(ShardTest, NothingStartsWhileTheTableIsSilent)
 {
 	take();
@@ -521,6 +552,10 @@
 	EXPECT_EQ(lug_shard_pending(shard, "another"), 0u);
 	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_QUEUED);
 	beat({}, 0);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 2u) << "a claim is no start";
+	answer("a", 0, 1, LUG_OK);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 1u);
+	answer("b", 1, 1, LUG_OK);
 	EXPECT_EQ(lug_shard_pending(shard, "q"), 0u);
 }
 
