--- a/liblug/flow/shard_priv.h
+++ b/liblug/flow/shard_priv.h
@@ -93,6 +93,8 @@
  * @flow: job
  * @version: version of the job's row; the first commit requires it, so that a job which
  *           has ended under another owner is not begun again
+ * @body: text of the job's row while that is not stored, NULL afterwards
+ * @storers: callers that wait for that
  * @first: index of each step's first task
  * @occurrences: array of struct flow_occurrence *, those that have begun and not ended
  * @next_occurrence: first that has not begun
@@ -101,6 +103,7 @@
  * @due_us: when its objective ends, by its declared run times
  * @late: it can't be on time any more
  * @started: a task has been claimed
+ * @begun: an agent has confirmed a start; a claim may have been refused
  * @end: final state once decided, LUG_FLOW_UNKNOWN before
  * @gen: changes
  * @sent_gen: changes covered by the transaction in flight
@@ -112,6 +115,8 @@
 struct flow_entry {
 	struct lug_flow *flow;
 	gint64 version;
+	char *body;
+	GArray *storers;
 	guint32 *first;
 	GPtrArray *occurrences;
 	guint32 next_occurrence;
@@ -120,6 +125,7 @@
 	gint64 due_us;
 	gboolean late;
 	gboolean started;
+	gboolean begun;
 	enum lug_flow_state end;
 	guint64 gen;
 	guint64 sent_gen;
@@ -183,6 +189,7 @@
 
 struct flow_entry *shard_entry_new(struct lug_shard *shard, struct lug_flow *flow, gint64 version,
 				   gint64 now_us);
+void shard_tell(GArray *waiters, enum lug_status status);
 void shard_read_job(struct lug_shard *shard, const char *job, gboolean cancel);
 void shard_unclaim_all(struct lug_shard *shard, struct flow_entry *entry);
 struct flow_occurrence *shard_occurrence_begin(struct flow_entry *entry, guint32 number);
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -122,6 +122,17 @@
 				 lug_now_us());
 	}
 
+	void store_job(const char *job, std::vector<enum lug_status> *told)
+	{
+		lug_shard_store(
+			shard, job, body,
+			[](void *data, enum lug_status status) {
+				static_cast<std::vector<enum lug_status> *>(data)->push_back(
+					status);
+			},
+			told, lug_now_us());
+	}
+
 	struct Held {
 		const char *job;
 		guint32 step;
@@ -196,6 +207,21 @@
 		lug_shard_end(shard, &route, "w1", &message, lug_now_us());
 	}
 
+	void answer(const char *job, guint32 index, guint32 run_number, enum lug_status status)
+	{
+		Lug__RunAnswer message = LUG__RUN_ANSWER__INIT;
+		struct lug_run_id id = {};
+		Lug__RunId wire;
+
+		g_strlcpy(id.job, job, sizeof(id.job));
+		id.index = index;
+		id.run = run_number;
+		lug_run_to_wire(&id, &wire);
+		message.id = &wire;
+		message.status = status;
+		lug_shard_answer(shard, "w1", &message, lug_now_us());
+	}
+
 	std::string runs(const char *job)
 	{
 		return store.rows[std::string("0|runs/") + job].data;
@@ -220,6 +246,95 @@
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
 }
 
+TEST_F(ShardTest, AJobIsStoredWithItsFirstClaimsByOneTransaction)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store_job("a", &told);
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	ASSERT_EQ(store.calls.size(), 1u);
+	EXPECT_TRUE(told.empty()) << "accepted before it is stored";
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_UNKNOWN);
+	store.settle();
+	EXPECT_EQ(told, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_TRUE(stored("live/a"));
+	EXPECT_NE(runs("a").find("r1.0.0.1."), std::string::npos) << runs("a");
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_RUNNING);
+}
+
+TEST_F(ShardTest, AJobThatWasStoredBeforeIsReadAndAccepted)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store.put("0|live/a", body);
+	store_job("a", &told);
+	store_job("a", &told);
+	run();
+	EXPECT_EQ(told, (std::vector<enum lug_status>{LUG_OK, LUG_OK}));
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	store_job("a", &told);
+	EXPECT_EQ(told.size(), 3u);
+}
+
+TEST_F(ShardTest, AJobThatHasEndedIsNotBegunAgainByAStore)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store.put("0|ended/a", "{\"state\":\"completed\",\"queue\":\"q\"}");
+	store_job("a", &told);
+	run();
+	EXPECT_EQ(told, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+	EXPECT_FALSE(stored("live/a"));
+}
+
+TEST_F(ShardTest, AJobThatAFormerOwnerCouldNotStoreIsInDoubt)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store_job("a", &told);
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	/* Another owner has taken the shard meanwhile. */
+	store.put("0|shard/0", "{\"owner\":\"other\",\"epoch\":9,\"ttl_ms\":8000,\"txn\":\"x\"}");
+	run();
+	ASSERT_EQ(told.size(), 1u);
+	EXPECT_NE(told[0], LUG_OK);
+	EXPECT_FALSE(stored("live/a"));
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+}
+
+TEST_F(ShardTest, AJobWhoseStartsWereRefusedIsStillPending)
+{
+	take();
+	run();
+	beat({}, 0);
+	submit("a");
+	run();
+	answer("a", 0, 1, LUG_OVER_LIMIT);
+	answer("a", 1, 1, LUG_OVER_LIMIT);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 1u);
+	run();
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 1u);
+	answer("a", 0, 2, LUG_OK);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 0u);
+}
+
 TEST_F(ShardTest, NothingStartsWhileTheTableIsSilent)
 {
 	take();
@@ -437,6 +552,10 @@
 	EXPECT_EQ(lug_shard_pending(shard, "another"), 0u);
 	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_QUEUED);
 	beat({}, 0);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 2u) << "a claim is no start";
+	answer("a", 0, 1, LUG_OK);
+	EXPECT_EQ(lug_shard_pending(shard, "q"), 1u);
+	answer("b", 1, 1, LUG_OK);
 	EXPECT_EQ(lug_shard_pending(shard, "q"), 0u);
 }
 
