--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -185,7 +185,7 @@
 
 	if (shard && !lug_shard_loaded(shard))
 		shard = NULL;
-	lug_front_answer(agent->link, route, call, shard, now_us);
+	lug_front_answer(agent->link, route, call, agent->map, shard, now_us);
 }
 
 static void on_envelope(void *data, const struct lug_route *route, const Lug__Envelope *env)
--- a/liblug/flow/front.c
+++ b/liblug/flow/front.c
@@ -248,6 +248,9 @@
 	struct front_call *call = reply->id ? find_call(front, reply->id) : NULL;
 
 	lug_peers_heard(front->peers, route, now_us);
+	for (gsize i = 0; i < reply->n_owners; i++)
+		lug_map_told(front->map, reply->owners[i]->shard, reply->owners[i]->epoch,
+			     reply->owners[i]->address ? reply->owners[i]->address : "");
 	if (call)
 		take_reply(call, reply);
 }
--- a/liblug/flow/front.h
+++ b/liblug/flow/front.h
@@ -51,6 +51,7 @@
 gboolean lug_front_reaches_owners(const struct lug_front *front, gint64 now_us);
 void lug_front_tick(struct lug_front *front, gint64 now_us);
 void lug_front_answer(struct lug_link *link, const struct lug_route *route,
-		      const Lug__JobCall *call, struct lug_shard *shard, gint64 now_us);
+		      const Lug__JobCall *call, const struct lug_map *map, struct lug_shard *shard,
+		      gint64 now_us);
 
 #endif
--- a/liblug/flow/front_owner.c
+++ b/liblug/flow/front_owner.c
@@ -55,16 +55,48 @@
 	lug_shard_store(shard, call->job, call->body ? call->body : "", on_settled, to, now_us);
 }
 
+/*
+ * Says who owns which shard, so that an entry which the table service turns away learns of
+ * owners that it has not met.
+ */
+static void greet(struct lug_link *link, const struct lug_route *route, const struct lug_map *map,
+		  Lug__JobReply *reply)
+{
+	guint32 n = lug_map_shards(map);
+	Lug__ShardOwner *owners = g_new0(Lug__ShardOwner, n);
+
+	reply->owners = g_new0(Lug__ShardOwner *, n);
+	for (guint32 i = 0; i < n; i++) {
+		const struct lug_shard_place *place = lug_map_place(map, i);
+		Lug__ShardOwner *owner = &owners[reply->n_owners];
+
+		if (!*place->address)
+			continue;
+		lug__shard_owner__init(owner);
+		owner->has_shard = 1;
+		owner->shard = i;
+		owner->has_epoch = 1;
+		owner->epoch = place->epoch;
+		owner->address = place->address;
+		reply->owners[reply->n_owners++] = owner;
+	}
+	send_reply(link, route, 0, reply);
+	g_free(reply->owners);
+	g_free(owners);
+}
+
 /**
  * lug_front_answer - answer an entry's call in the process that owns the shard
  * @link: inner connections
  * @route: where the answer goes
  * @call: call
+ * @map: owners of all shards
  * @shard: shard, NULL when this process does not own it or has not read it yet
  * @now_us: present time
  */
 void lug_front_answer(struct lug_link *link, const struct lug_route *route,
-		      const Lug__JobCall *call, struct lug_shard *shard, gint64 now_us)
+		      const Lug__JobCall *call, const struct lug_map *map, struct lug_shard *shard,
+		      gint64 now_us)
 {
 	Lug__JobReply reply = LUG__JOB_REPLY__INIT;
 
@@ -73,7 +105,7 @@
 	reply.has_shard = 1;
 	reply.shard = call->shard;
 	if (call->kind == LUG_JOB_HELLO) {
-		send_reply(link, route, 0, &reply);
+		greet(link, route, map, &reply);
 		return;
 	}
 	if (!shard || !call->job) {
--- a/liblug/flow/front_submit.c
+++ b/liblug/flow/front_submit.c
@@ -8,8 +8,8 @@
 /* The owner is told again until it answers; later it finds the job in the table. */
 #define TELL_FOR_US (2 * G_USEC_PER_SEC)
 #define TELL_AGAIN_US (300 * 1000)
-/* An owner commits and answers within this time; two transactions of an owner that is busy. */
-#define RELAY_WAIT_US (250 * 1000)
+/* An owner that can commit answers within this time, one that cannot says so. */
+#define RELAY_WAIT_US (400 * 1000)
 /* An owner that has not answered in time is not asked for this long. */
 #define OWNER_BAD_US (1000 * 1000)
 /* After a call that failed, the owners store jobs for this long, before the next try. */
--- a/liblug/flow/shard_commit.c
+++ b/liblug/flow/shard_commit.c
@@ -4,7 +4,7 @@
 
 /* Longest list of starts in one line, bytes. */
 #define START_LOG_MAX 400
-/* An entry waits a quarter of a second for its job to be stored. */
+/* Told before the entry that waits gives up; ticks and two hops lie between. */
 #define STORE_WAIT_US (220 * 1000)
 
 static void on_committed(void *data, enum lug_status status, gint64 version);
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -5746,7 +5746,7 @@
   (ProtobufCMessageInit) lug__job_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__job_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lug__job_reply__field_descriptors[6] =
 {
   {
     "id",
@@ -5808,9 +5808,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owners",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lug__JobReply, n_owners),
+    offsetof(Lug__JobReply, owners),
+    &lug__shard_owner__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__job_reply__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  5,   /* field[5] = owners */
   3,   /* field[3] = pending */
   4,   /* field[4] = shard */
   2,   /* field[2] = state */
@@ -5819,7 +5832,7 @@
 static const ProtobufCIntRange lug__job_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lug__job_reply__descriptor =
 {
@@ -5829,7 +5842,7 @@
   "Lug__JobReply",
   "lug",
   sizeof(Lug__JobReply),
-  5,
+  6,
   lug__job_reply__field_descriptors,
   lug__job_reply__field_indices_by_name,
   1,  lug__job_reply__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -798,10 +798,12 @@
   uint32_t pending;
   protobuf_c_boolean has_shard;
   uint32_t shard;
+  size_t n_owners;
+  Lug__ShardOwner **owners;
 };
 #define LUG__JOB_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__job_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 typedef enum {
--- /dev/null
+++ b/tests/integration/test_soak.py
@@ -0,0 +1,13 @@
+"""Short runs of the soak; seeds that ever failed are added here."""
+
+import pytest
+from soak import Soak
+
+SECONDS = 6
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_queue_daemons_under_faults_of_a_seed(seed):
+    soak = Soak(seed, SECONDS, 210 + seed)
+    assert soak.run() == []
+    assert soak.accepted
