A job whose storing was in doubt is found by its owner

The owner's transaction had taken effect and its answer was lost; the entry gave the owner up, found the job stored and told the owner, which still counted it as its own, not yet stored, and dropped it 40 ms later.

Change: the transaction also leaves a row in the inbox, taken off by the job's next commit, so that the owner finds a job that it has forgotten, as it finds those that nobody told it.

Ruled out: the entry (it told the owner as it should), the lane (it settled the lost answer).

--- a/liblug/flow/shard_commit.c
+++ b/liblug/flow/shard_commit.c
@@ -132,6 +132,7 @@
 {
 	lug_info(shard->env.ctx, "job_stored", "job", entry->flow->id, "shard", shard->name);
 	entry->version = version;
+	entry->in_inbox = TRUE;
 	g_clear_pointer(&entry->body, g_free);
 	shard_tell(entry->storers, LUG_OK);
 }
@@ -205,8 +206,14 @@
 		op->deadline_us = now_us + STORE_WAIT_US;
 		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, 0);
 		lug_txn_check(&op->txn, SHARD_ENDED_TABLE, entry->flow->id, 0);
-		if (entry->end == LUG_FLOW_UNKNOWN)
+		if (entry->end == LUG_FLOW_UNKNOWN) {
 			lug_txn_put_text(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->body);
+			/* Where the outcome is in doubt, the job is found here. */
+			lug_txn_put_text(&op->txn, SHARD_INBOX_TABLE, entry->flow->id, "{}");
+		}
+	} else if (entry->in_inbox) {
+		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
+		entry->in_inbox = FALSE;
 	} else if (!entry->committed_gen) {
 		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->version);
 		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
--- a/liblug/flow/shard_priv.h
+++ b/liblug/flow/shard_priv.h
@@ -95,6 +95,7 @@
  *           has ended under another owner is not begun again
  * @body: text of the job's row while that is not stored, NULL afterwards
  * @storers: callers that wait for that
+ * @in_inbox: the row that tells of the job, should its storing be in doubt, is still there
  * @first: index of each step's first task
  * @occurrences: array of struct flow_occurrence *, those that have begun and not ended
  * @next_occurrence: first that has not begun
@@ -117,6 +118,7 @@
 	gint64 version;
 	char *body;
 	GArray *storers;
+	gboolean in_inbox;
 	guint32 *first;
 	GPtrArray *occurrences;
 	guint32 next_occurrence;
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -266,6 +266,9 @@
 	EXPECT_NE(runs("a").find("r1.0.0.1."), std::string::npos) << runs("a");
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
 	EXPECT_EQ(lug_shard_state(shard, "a"), LUG_FLOW_RUNNING);
+	end("a", 0, 0, 1, LUG_RUN_DONE);
+	run();
+	EXPECT_FALSE(stored("inbox/a"));
 }
 
 TEST_F(ShardTest, AJobThatWasStoredBeforeIsReadAndAccepted)
@@ -319,6 +322,32 @@
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
 }
 
+/* The entry that asked has stored it meanwhile or will; the owner finds it by itself. */
+TEST_F(ShardTest, AJobWhoseStoringWasInDoubtIsFoundAndRun)
+{
+	std::vector<enum lug_status> told;
+
+	take();
+	run();
+	beat({}, 0);
+	store_job("a", &told);
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	ASSERT_EQ(store.calls.size(), 1u);
+	FakeStore::Call call = store.take();
+	store.apply(call);
+	g_usleep(300 * 1000);
+	lug_shard_tick(shard, lug_now_us());
+	EXPECT_EQ(told, std::vector<enum lug_status>{LUG_UNKNOWN});
+	FakeStore::answer_lost(call);
+	for (int i = 0; i < 40 && ctx->metrics->counters[LUG_C_TASKS_STARTED] < 2; i++) {
+		g_usleep(100 * 1000);
+		run();
+	}
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	EXPECT_FALSE(stored("inbox/a"));
+}
+
 TEST_F(ShardTest, AJobWhoseStartsWereRefusedIsStillPending)
 {
 	take();
