--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import ctypes
 import json
 import os
 import signal
@@ -22,6 +23,14 @@
 STOP_MS = 200
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def die_with_parent():
+    """Ends a daemon however the test's process ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Handler(BaseHTTPRequestHandler):
     """Hands each call to the owner's serve(); None leaves the call without an answer."""
 
@@ -417,7 +426,7 @@
         log = open(os.path.join(self.directory, f"{name}.log"), "ab")
         self.processes[name] = subprocess.Popen(
             [os.path.join(self.build, program), self.settings(name)], stdout=log, stderr=log,
-            stdin=subprocess.DEVNULL)
+            stdin=subprocess.DEVNULL, preexec_fn=die_with_parent)
         log.close()
 
     def kill(self, name, how=signal.SIGKILL):
