--- a/liblug/flow/load.c
+++ b/liblug/flow/load.c
@@ -8,6 +8,8 @@
 #define FIGURE_ERROR 0.04
 /* Error of the queueing model that turns a tail latency into a utilisation. */
 #define MODEL_ERROR 0.02
+/* Figures closer to each other tell too little of the span between them. */
+#define KEEP_MAX 0.8
 /* Load taken for that of a serving task not yet observed, and how far off it may be. */
 #define LEVEL_UNKNOWN 0.5
 #define LEVEL_SPREAD 0.2
@@ -41,7 +43,7 @@
 {
 	if (load->figure_ms <= 0 || now_us - load->at_us > FIGURE_GAP_US)
 		return 0;
-	return lug_load_keep(now_us - load->at_us);
+	return MIN(lug_load_keep(now_us - load->at_us), KEEP_MAX);
 }
 
 /**
--- a/liblug/flow/shard.c
+++ b/liblug/flow/shard.c
@@ -92,6 +92,8 @@
 	g_array_unref(entry->acks);
 	g_array_unref(entry->waiters);
 	g_array_unref(entry->storers);
+	g_string_free(entry->ends, TRUE);
+	g_string_free(entry->refusals, TRUE);
 	g_free(entry->body);
 	lug_flow_free(entry->flow);
 	g_free(entry->first);
@@ -134,6 +136,8 @@
 	entry->occurrences = g_ptr_array_new_with_free_func(shard_occurrence_free);
 	entry->acks = g_array_new(FALSE, FALSE, sizeof(struct flow_ack));
 	entry->waiters = g_array_new(FALSE, FALSE, sizeof(struct flow_waiter));
+	entry->ends = g_string_new(NULL);
+	entry->refusals = g_string_new(NULL);
 	entry->storers = g_array_new(FALSE, FALSE, sizeof(struct flow_waiter));
 	entry->priority = def ? def->priority : 0;
 	age_ms = g_get_real_time() / 1000 - flow->accepted_ms;
--- a/liblug/flow/shard_commit.c
+++ b/liblug/flow/shard_commit.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/* Longest list of starts in one line, bytes. */
-#define START_LOG_MAX 400
+/* Longest list of runs in one line, bytes. */
+#define NOTES_MAX 400
 /* Told before the entry that waits gives up; ticks and two hops lie between. */
 #define STORE_WAIT_US (220 * 1000)
 
@@ -26,17 +26,39 @@
 	}
 }
 
-/* Notes a start for the job's line in the log: OCCURRENCE.STEP.INDEX#RUN>WORKER. */
-static void note_start(GString *runs, const struct lug_run_id *id, const char *worker)
+/**
+ * shard_note - note a run for one of the job's lines in the log
+ * @runs: what the line tells so far; more than it can hold is told as "..."
+ * @id: run
+ * @worker: worker
+ * @outcome: what came of it, NULL for a start
+ * @after_us: time since the job was accepted, told with an outcome
+ *
+ * Each run is OCCURRENCE.STEP.INDEX#RUN>WORKER, and :OUTCOME+TIME.
+ */
+void shard_note(GString *runs, const struct lug_run_id *id, const char *worker, const char *outcome,
+		gint64 after_us)
 {
-	if (runs->len > START_LOG_MAX)
+	if (runs->len > NOTES_MAX)
 		return;
 	g_string_append_printf(runs, "%s%u.%u.%u#%u>%s", runs->len ? "," : "", id->occurrence,
 			       id->step, id->index, id->run, worker);
-	if (runs->len > START_LOG_MAX)
+	if (outcome)
+		g_string_append_printf(runs, ":%s+%" G_GINT64_FORMAT "ms", outcome,
+				       after_us / 1000);
+	if (runs->len > NOTES_MAX)
 		g_string_append(runs, ",...");
 }
 
+static void log_notes(const struct lug_shard *shard, const struct flow_entry *entry,
+		      const char *event, GString *runs)
+{
+	if (runs->len)
+		lug_info(shard->env.ctx, event, "job", entry->flow->id, "shard", shard->name,
+			 "runs", runs->str);
+	g_string_truncate(runs, 0);
+}
+
 static void send_starts(struct lug_shard *shard, struct flow_entry *entry, guint64 gen,
 			gint64 now_us)
 {
@@ -56,12 +78,10 @@
 					continue;
 				shard_task_id(entry, occ, s, i - entry->first[s], &id);
 				shard_send_start(shard, entry, task, &id, now_us);
-				note_start(runs, &id, task->worker);
+				shard_note(runs, &id, task->worker, NULL, 0);
 			}
 	}
-	if (runs->len)
-		lug_info(shard->env.ctx, "runs_started", "job", entry->flow->id, "shard",
-			 shard->name, "runs", runs->str);
+	log_notes(shard, entry, "runs_started", runs);
 	g_string_free(runs, TRUE);
 }
 
@@ -218,6 +238,11 @@
 		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->version);
 		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
 	}
+	log_notes(shard, entry, "runs_refused", entry->refusals);
+	/* Runs that are done are told together, up to some ten a line. */
+	if (entry->failed || entry->end != LUG_FLOW_UNKNOWN || entry->ends->len > NOTES_MAX / 2)
+		log_notes(shard, entry, "runs_ended", entry->ends);
+	entry->failed = FALSE;
 	entry->sent_gen = entry->gen;
 	entry->in_flight = TRUE;
 	shard->in_flight++;
--- a/liblug/flow/shard_priv.h
+++ b/liblug/flow/shard_priv.h
@@ -112,6 +112,9 @@
  * @in_flight: a transaction with this job is in flight
  * @acks: ends to acknowledge after their commit, array of struct flow_ack
  * @waiters: callers that wait for the cancellation's commit
+ * @ends: ends of runs not yet told in the log
+ * @failed: one of them is not done
+ * @refusals: refused starts not yet told in the log
  */
 struct flow_entry {
 	struct lug_flow *flow;
@@ -135,6 +138,9 @@
 	gboolean in_flight;
 	GArray *acks;
 	GArray *waiters;
+	GString *ends;
+	gboolean failed;
+	GString *refusals;
 };
 
 struct flow_ended {
@@ -226,6 +232,8 @@
 		    const struct lug_run_id *id);
 void shard_unclaim(struct lug_shard *shard, struct flow_entry *entry, struct flow_task *task,
 		   const struct lug_step *step);
+void shard_note(GString *runs, const struct lug_run_id *id, const char *worker, const char *outcome,
+		gint64 after_us);
 void shard_commit(struct lug_shard *shard, gint64 now_us);
 void shard_finish(struct lug_shard *shard, struct flow_entry *entry, enum lug_flow_state state);
 
--- a/liblug/flow/shard_settle.c
+++ b/liblug/flow/shard_settle.c
@@ -193,8 +193,9 @@
 	entry = g_hash_table_lookup(shard->jobs, ack.id.job);
 	task = entry ? shard_task(entry, &ack.id) : NULL;
 	if (task && task->run == ack.id.run && counts(task, worker, end)) {
-		log_run(shard, "run_ended", &ack.id, worker, "outcome",
-			lug_run_outcome_name(end->outcome));
+		shard_note(entry->ends, &ack.id, worker, lug_run_outcome_name(end->outcome),
+			   now_us - entry->accepted_us);
+		entry->failed = entry->failed || end->outcome != LUG_RUN_DONE;
 		save_checkpoint(task, end->checkpoint);
 		settle_end(shard, entry, task, &ack.id, (enum lug_run_outcome)end->outcome, now_us);
 	} else if (!entry || entry->gen == entry->committed_gen) {
@@ -237,8 +238,9 @@
 	if (answer->status == LUG_OK) {
 		confirm(shard, entry, task, &entry->flow->steps[id.step]);
 	} else {
-		log_run(shard, "run_refused", &id, worker, "reason",
-			lug_status_name((enum lug_status)answer->status));
+		shard_note(entry->refusals, &id, worker,
+			   lug_status_name((enum lug_status)answer->status),
+			   now_us - entry->accepted_us);
 		lug_count(shard->env.ctx, TASKS_REFUSED, 1);
 		shard_unclaim(shard, entry, task, &entry->flow->steps[id.step]);
 		if (answer->status != LUG_OVER_LIMIT)
