--- a/liblug/flow/executor_tell.c
+++ b/liblug/flow/executor_tell.c
@@ -26,6 +26,8 @@
 	answer.has_shard = 1;
 	answer.shard = shard;
 	answer.id = &run;
+	answer.has_seq = 1;
+	answer.seq = exec->owners[shard].last_seq;
 	answer.has_status = 1;
 	answer.status = (guint32)status;
 	answer.used = &wire;
--- a/liblug/flow/shard_settle.c
+++ b/liblug/flow/shard_settle.c
@@ -235,6 +235,12 @@
 	if (!task || task->state != FLOW_CLAIMED || task->run != id.run ||
 	    strcmp(task->worker, worker))
 		return;
+	/* The copy that was sent later may still be carried out. */
+	if (answer->status != LUG_OK && answer->has_seq && answer->seq < task->seq) {
+		log_run(shard, "refusal_ignored", &id, worker, "reason",
+			"the start was sent again");
+		return;
+	}
 	if (answer->status == LUG_OK) {
 		confirm(shard, entry, task, &entry->flow->steps[id.step]);
 	} else {
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -5335,7 +5335,7 @@
   (ProtobufCMessageInit) lug__run_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__run_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lug__run_answer__field_descriptors[5] =
 {
   {
     "shard",
@@ -5385,9 +5385,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seq",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Lug__RunAnswer, has_seq),
+    offsetof(Lug__RunAnswer, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__run_answer__field_indices_by_name[] = {
   1,   /* field[1] = id */
+  4,   /* field[4] = seq */
   0,   /* field[0] = shard */
   2,   /* field[2] = status */
   3,   /* field[3] = used */
@@ -5395,7 +5408,7 @@
 static const ProtobufCIntRange lug__run_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lug__run_answer__descriptor =
 {
@@ -5405,7 +5418,7 @@
   "Lug__RunAnswer",
   "lug",
   sizeof(Lug__RunAnswer),
-  4,
+  5,
   lug__run_answer__field_descriptors,
   lug__run_answer__field_indices_by_name,
   1,  lug__run_answer__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -715,10 +715,12 @@
   protobuf_c_boolean has_status;
   uint32_t status;
   Lug__Resources *used;
+  protobuf_c_boolean has_seq;
+  uint64_t seq;
 };
 #define LUG__RUN_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__run_answer__descriptor) \
-    , 0, 0, NULL, 0, 0, NULL }
+    , 0, 0, NULL, 0, 0, NULL, 0, 0 }
 
 
 struct  Lug__RunStop
