A job's inbox row goes with the commit that succeeds; gathered ends are told at each change of hands

Cause (found by reading): the flag that the inbox row is still there was cleared when a commit was sent, so one that failed left the row until the job's end, and each such row takes a place of the 200 that a look at the inbox reads. Ends that were gathered for one line of the log were lost when the shard changed hands or the job was dropped: a followed request had a gap.

Change: one rule for all jobs (the row is deleted by each commit until one succeeds), and the lines are written before the state is forgotten.

--- a/liblug/daemon/main.h
+++ b/liblug/daemon/main.h
@@ -3,7 +3,7 @@
 
 #include "core/settings.h"
 
-#define LUG_RELEASE "0.1.0"
+#define LUG_RELEASE "0.3.0"
 
 struct lug_settings *lug_main_settings(int argc, char **argv, const char *program,
 				       enum lug_daemon daemon, int *exit_code);
--- a/liblug/flow/shard.c
+++ b/liblug/flow/shard.c
@@ -130,6 +130,7 @@
 
 	entry->flow = flow;
 	entry->version = version;
+	entry->in_inbox = TRUE;
 	entry->first = g_new0(guint32, flow->n_steps + 1);
 	for (guint32 s = 0; s < flow->n_steps; s++)
 		entry->first[s + 1] = entry->first[s] + flow->steps[s].count;
@@ -297,6 +298,7 @@
 	for (guint i = 0; i < order->len; i++) {
 		struct flow_entry *entry = g_ptr_array_index(order, i);
 
+		shard_log_runs(shard, entry);
 		shard_unclaim_all(shard, entry);
 		shard_entry_free(entry);
 	}
--- a/liblug/flow/shard_commit.c
+++ b/liblug/flow/shard_commit.c
@@ -124,8 +124,19 @@
 	g_array_unref(waiters);
 }
 
+/**
+ * shard_log_runs - tell in the log what became of a job's runs since it was told last
+ */
+void shard_log_runs(const struct lug_shard *shard, struct flow_entry *entry)
+{
+	log_notes(shard, entry, "runs_refused", entry->refusals);
+	log_notes(shard, entry, "runs_ended", entry->ends);
+	entry->failed = FALSE;
+}
+
 static void drop(struct lug_shard *shard, struct flow_entry *entry)
 {
+	shard_log_runs(shard, entry);
 	shard_unclaim_all(shard, entry);
 	shard_entry_remove(shard, entry);
 }
@@ -152,7 +163,6 @@
 {
 	lug_info(shard->env.ctx, "job_stored", "job", entry->flow->id, "shard", shard->name);
 	entry->version = version;
-	entry->in_inbox = TRUE;
 	g_clear_pointer(&entry->body, g_free);
 	shard_tell(entry->storers, LUG_OK);
 }
@@ -189,6 +199,8 @@
 		return;
 	if (entry->body)
 		stored(shard, entry, version);
+	else
+		entry->in_inbox = FALSE;
 	entry->committed_gen = entry->sent_gen;
 	send_acks(shard, entry, entry->committed_gen);
 	if (entry->end != LUG_FLOW_UNKNOWN && entry->committed_gen == entry->gen) {
@@ -231,18 +243,16 @@
 			/* Where the outcome is in doubt, the job is found here. */
 			lug_txn_put_text(&op->txn, SHARD_INBOX_TABLE, entry->flow->id, "{}");
 		}
-	} else if (entry->in_inbox) {
-		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
-		entry->in_inbox = FALSE;
-	} else if (!entry->committed_gen) {
-		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->version);
-		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
+	} else {
+		if (!entry->committed_gen)
+			lug_txn_check(&op->txn, SHARD_LIVE_TABLE, entry->flow->id, entry->version);
+		if (entry->in_inbox)
+			lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, entry->flow->id);
 	}
-	log_notes(shard, entry, "runs_refused", entry->refusals);
 	/* Runs that are done are told together, up to some ten a line. */
-	if (entry->failed || entry->end != LUG_FLOW_UNKNOWN || entry->ends->len > NOTES_MAX / 2)
-		log_notes(shard, entry, "runs_ended", entry->ends);
-	entry->failed = FALSE;
+	if (entry->failed || entry->refusals->len || entry->end != LUG_FLOW_UNKNOWN ||
+	    entry->ends->len > NOTES_MAX / 2)
+		shard_log_runs(shard, entry);
 	entry->sent_gen = entry->gen;
 	entry->in_flight = TRUE;
 	shard->in_flight++;
--- a/liblug/flow/shard_priv.h
+++ b/liblug/flow/shard_priv.h
@@ -95,7 +95,7 @@
  *           has ended under another owner is not begun again
  * @body: text of the job's row while that is not stored, NULL afterwards
  * @storers: callers that wait for that
- * @in_inbox: the row that tells of the job, should its storing be in doubt, is still there
+ * @in_inbox: the row that tells the owner of the job may still be there
  * @first: index of each step's first task
  * @occurrences: array of struct flow_occurrence *, those that have begun and not ended
  * @next_occurrence: first that has not begun
@@ -234,6 +234,7 @@
 		   const struct lug_step *step);
 void shard_note(GString *runs, const struct lug_run_id *id, const char *worker, const char *outcome,
 		gint64 after_us);
+void shard_log_runs(const struct lug_shard *shard, struct flow_entry *entry);
 void shard_commit(struct lug_shard *shard, gint64 now_us);
 void shard_finish(struct lug_shard *shard, struct flow_entry *entry, enum lug_flow_state state);
 
