One loop for all daemons

Cause: the handling of signals, the ticks and the reading of settings on SIGHUP stood four times, in both kinds of entry and agent.

Ruled out: one run function for all, since parts are opened in another order. Output and exit codes as before (integration tests of the path and the command line).

--- a/liblug/daemon/agent.c
+++ b/liblug/daemon/agent.c
@@ -1,7 +1,5 @@
 #include "daemon/agent.h"
 
-#include <glib-unix.h>
-#include <signal.h>
 #include <string.h>
 
 #include "daemon/agent_priv.h"
@@ -319,15 +317,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static gboolean on_hangup(gpointer data)
-{
-	struct agent *agent = data;
-
-	if (lug_reload(agent->ctx, agent->path))
-		agent->control.target_us = agent->ctx->settings->service_target_ms * 1000;
-	return G_SOURCE_CONTINUE;
-}
-
 static gboolean is_ready(void *data)
 {
 	struct agent *agent = data;
@@ -415,20 +404,14 @@
 static int run_loop(struct agent *agent)
 {
 	struct lug_ctx *ctx = agent->ctx;
-	guint tick;
 
 	soup_server_add_handler(agent->server->soup, "/timeline", on_timeline, agent, NULL);
 	build_parts(agent);
-	tick = g_timeout_add(TICK_MS, on_tick, agent);
-	g_unix_signal_add(SIGTERM, on_stop, agent);
-	g_unix_signal_add(SIGINT, on_stop, agent);
-	g_unix_signal_add(SIGHUP, on_hangup, agent);
+	lug_loop_start(&agent->loop);
 	lug_timeline_add(ctx->timeline, LUG_EV_PROCESS_START, ctx->settings->name, "agent");
 	lug_info(ctx, "started", "inner", ctx->settings->inner, "http", ctx->settings->http);
-	g_main_loop_run(ctx->loop);
+	lug_loop_run(&agent->loop);
 	lug_info(ctx, "stopped", "cut", ctx->metrics->counters[LUG_C_REQUESTS_CUT] ? "some" : "0");
-	/* Signals stay handled, so that a second one does not end the process half-way. */
-	g_source_remove(tick);
 	free_parts(agent);
 	return agent->exit_code;
 }
@@ -442,10 +425,11 @@
  */
 int lug_agent_run(struct lug_settings *settings, const char *path)
 {
-	struct agent agent = {.ctx = lug_ctx_new(settings, stderr), .path = path};
+	struct agent agent = {.ctx = lug_ctx_new(settings, stderr)};
 	struct lug_error err;
 	int code = LUG_EXIT_BAD_SETTINGS;
 
+	agent.loop = (struct lug_loop){agent.ctx, path, TICK_MS, on_tick, on_stop, &agent, 0};
 	agent.link = lug_link_new(agent.ctx, on_envelope, &agent, &err);
 	if (agent.link)
 		agent.server = lug_status_server_new(agent.ctx, is_ready, &agent, &err);
--- a/liblug/daemon/agent_priv.h
+++ b/liblug/daemon/agent_priv.h
@@ -1,6 +1,7 @@
 #ifndef LUG_DAEMON_AGENT_PRIV_H
 #define LUG_DAEMON_AGENT_PRIV_H
 
+#include "daemon/loop.h"
 #include "daemon/status_server.h"
 #include "job/bidder.h"
 #include "job/owners.h"
@@ -15,7 +16,7 @@
 
 struct agent {
 	struct lug_ctx *ctx;
-	const char *path;
+	struct lug_loop loop;
 	struct lug_link *link;
 	struct lug_store *store;
 	struct lug_sync *sync;
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -1,7 +1,5 @@
 #include "daemon/entry.h"
 
-#include <glib-unix.h>
-#include <signal.h>
 #include <string.h>
 
 #include "daemon/entry_priv.h"
@@ -212,14 +210,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static gboolean on_hangup(gpointer data)
-{
-	struct lug_entry *entry = data;
-
-	lug_reload(entry->ctx, entry->path);
-	return G_SOURCE_CONTINUE;
-}
-
 static gboolean is_ready(void *data)
 {
 	struct lug_entry *entry = data;
@@ -261,20 +251,14 @@
 static int run_loop(struct lug_entry *entry)
 {
 	struct lug_ctx *ctx = entry->ctx;
-	guint tick;
 
 	build_parts(entry);
 	lug_api_add(entry);
-	tick = g_timeout_add(TICK_MS, on_tick, entry);
-	g_unix_signal_add(SIGTERM, on_stop, entry);
-	g_unix_signal_add(SIGINT, on_stop, entry);
-	g_unix_signal_add(SIGHUP, on_hangup, entry);
+	lug_loop_start(&entry->loop);
 	lug_timeline_add(ctx->timeline, LUG_EV_PROCESS_START, ctx->settings->name, "entry");
 	lug_info(ctx, "started", "inner", ctx->settings->inner, "http", ctx->settings->http);
-	g_main_loop_run(ctx->loop);
+	lug_loop_run(&entry->loop);
 	lug_info(ctx, "stopped", "cut", ctx->metrics->counters[LUG_C_REQUESTS_CUT] ? "some" : "0");
-	/* Signals stay handled, so that a second one does not end the process half-way. */
-	g_source_remove(tick);
 	free_parts(entry);
 	return LUG_EXIT_OK;
 }
@@ -288,10 +272,11 @@
  */
 int lug_entry_run(struct lug_settings *settings, const char *path)
 {
-	struct lug_entry entry = {.ctx = lug_ctx_new(settings, stderr), .path = path};
+	struct lug_entry entry = {.ctx = lug_ctx_new(settings, stderr)};
 	struct lug_error err;
 	int code = LUG_EXIT_BAD_SETTINGS;
 
+	entry.loop = (struct lug_loop){entry.ctx, path, TICK_MS, on_tick, on_stop, &entry, 0};
 	entry.link = lug_link_new(entry.ctx, on_envelope, &entry, &err);
 	if (entry.link)
 		entry.server = lug_status_server_new(entry.ctx, is_ready, &entry, &err);
--- a/liblug/daemon/entry_priv.h
+++ b/liblug/daemon/entry_priv.h
@@ -2,6 +2,7 @@
 #define LUG_DAEMON_ENTRY_PRIV_H
 
 #include "core/list.h"
+#include "daemon/loop.h"
 #include "daemon/status_server.h"
 #include "member/roster.h"
 #include "store/lane.h"
@@ -16,7 +17,7 @@
 
 struct lug_entry {
 	struct lug_ctx *ctx;
-	const char *path;
+	struct lug_loop loop;
 	struct lug_link *link;
 	struct lug_store *store;
 	struct lug_sync *sync;
--- /dev/null
+++ b/liblug/daemon/loop.h
@@ -0,0 +1,29 @@
+#ifndef LUG_DAEMON_LOOP_H
+#define LUG_DAEMON_LOOP_H
+
+#include "core/context.h"
+
+/**
+ * struct lug_loop - how a daemon runs; part of its state, which outlives the loop
+ * @ctx: context
+ * @path: settings file, read again on SIGHUP
+ * @tick_ms: time between two calls of @tick
+ * @tick: periodic work
+ * @stop: told of SIGTERM and SIGINT; quits the loop once nothing is cut by that
+ * @data: passed to the hooks
+ * @source: timer of @tick
+ */
+struct lug_loop {
+	struct lug_ctx *ctx;
+	const char *path;
+	guint tick_ms;
+	GSourceFunc tick;
+	GSourceFunc stop;
+	gpointer data;
+	guint source;
+};
+
+void lug_loop_start(struct lug_loop *loop);
+void lug_loop_run(struct lug_loop *loop);
+
+#endif
--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -1,8 +1,7 @@
-#include <glib-unix.h>
-#include <signal.h>
 #include <string.h>
 
 #include "daemon/adapter.h"
+#include "daemon/loop.h"
 #include "daemon/main.h"
 #include "daemon/reload.h"
 #include "daemon/status_server.h"
@@ -14,7 +13,7 @@
 
 struct queue_agent {
 	struct lug_ctx *ctx;
-	const char *path;
+	struct lug_loop loop;
 	const struct lug_adapter *adapter;
 	struct lug_store *store;
 	struct lug_link *link;
@@ -300,14 +299,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static gboolean on_hangup(gpointer data)
-{
-	struct queue_agent *agent = data;
-
-	lug_reload(agent->ctx, agent->path);
-	return G_SOURCE_CONTINUE;
-}
-
 static void build_owner(struct queue_agent *agent)
 {
 	struct lug_fleet_hooks hooks = {.gone = on_gone, .claims = has_claims, .data = agent};
@@ -368,16 +359,12 @@
 static void run_loop(struct queue_agent *agent)
 {
 	struct lug_ctx *ctx = agent->ctx;
-	guint tick = g_timeout_add(TICK_MS, on_tick, agent);
 
-	g_unix_signal_add(SIGTERM, on_stop, agent);
-	g_unix_signal_add(SIGINT, on_stop, agent);
-	g_unix_signal_add(SIGHUP, on_hangup, agent);
+	lug_loop_start(&agent->loop);
 	lug_info(ctx, "started", "role", "agent", "inner", ctx->settings->inner, "worker",
 		 ctx->settings->worker_url);
 	on_tick(agent);
-	g_main_loop_run(ctx->loop);
-	g_source_remove(tick);
+	lug_loop_run(&agent->loop);
 	lug_info(ctx, "stopped", "cut", "0");
 }
 
@@ -392,11 +379,11 @@
 int lug_queue_agent_run(struct lug_settings *settings, const char *path,
 			const struct lug_adapter *adapter)
 {
-	struct queue_agent agent = {
-		.ctx = lug_ctx_new(settings, stdout), .path = path, .adapter = adapter};
+	struct queue_agent agent = {.ctx = lug_ctx_new(settings, stdout), .adapter = adapter};
 	struct lug_error err = {0};
 	int code = LUG_EXIT_OK;
 
+	agent.loop = (struct lug_loop){agent.ctx, path, TICK_MS, on_tick, on_stop, &agent, 0};
 	if (open_parts(&agent, &err)) {
 		run_loop(&agent);
 	} else {
--- a/liblug/daemon/queue_entry.c
+++ b/liblug/daemon/queue_entry.c
@@ -1,7 +1,5 @@
-#include <glib-unix.h>
-#include <signal.h>
-
 #include "daemon/adapter.h"
+#include "daemon/loop.h"
 #include "daemon/main.h"
 #include "daemon/reload.h"
 #include "daemon/status_server.h"
@@ -12,7 +10,7 @@
 
 struct queue_entry {
 	struct lug_ctx *ctx;
-	const char *path;
+	struct lug_loop loop;
 	const struct lug_adapter *adapter;
 	struct lug_store *store;
 	struct lug_link *link;
@@ -86,14 +84,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static gboolean on_hangup(gpointer data)
-{
-	struct queue_entry *entry = data;
-
-	lug_reload(entry->ctx, entry->path);
-	return G_SOURCE_CONTINUE;
-}
-
 static gboolean open_parts(struct queue_entry *entry, struct lug_error *err)
 {
 	struct lug_ctx *ctx = entry->ctx;
@@ -135,16 +125,12 @@
 static void run_loop(struct queue_entry *entry)
 {
 	struct lug_ctx *ctx = entry->ctx;
-	guint tick = g_timeout_add(TICK_MS, on_tick, entry);
 
-	g_unix_signal_add(SIGTERM, on_stop, entry);
-	g_unix_signal_add(SIGINT, on_stop, entry);
-	g_unix_signal_add(SIGHUP, on_hangup, entry);
+	lug_loop_start(&entry->loop);
 	lug_info(ctx, "started", "role", "entry", "inner", ctx->settings->inner, "clients",
 		 ctx->settings->clients);
 	on_tick(entry);
-	g_main_loop_run(ctx->loop);
-	g_source_remove(tick);
+	lug_loop_run(&entry->loop);
 	lug_info(ctx, "stopped", "cut", entry->gate.calls ? "some" : "0");
 }
 
@@ -159,11 +145,11 @@
 int lug_queue_entry_run(struct lug_settings *settings, const char *path,
 			const struct lug_adapter *adapter)
 {
-	struct queue_entry entry = {
-		.ctx = lug_ctx_new(settings, stdout), .path = path, .adapter = adapter};
+	struct queue_entry entry = {.ctx = lug_ctx_new(settings, stdout), .adapter = adapter};
 	struct lug_error err = {0};
 	int code = LUG_EXIT_OK;
 
+	entry.loop = (struct lug_loop){entry.ctx, path, TICK_MS, on_tick, on_stop, &entry, 0};
 	if (open_parts(&entry, &err)) {
 		run_loop(&entry);
 	} else {
