--- a/liblug/flow/executor_priv.h
+++ b/liblug/flow/executor_priv.h
@@ -162,6 +162,7 @@
 gint64 exec_expires_ms(const struct lug_executor *exec);
 void exec_retry(struct lug_executor *exec, gint64 now_us);
 void exec_used(const struct lug_executor *exec, struct lug_resources *out);
+gint64 exec_spare(const struct lug_executor *exec);
 gboolean exec_accepting(const struct lug_executor *exec, gint64 now_us);
 struct exec_run *exec_find(const struct lug_executor *exec, const struct lug_run_id *id);
 struct exec_run *exec_add(struct lug_executor *exec, const struct lug_run_id *id,
@@ -173,7 +174,6 @@
 		 enum lug_status status);
 GArray *exec_servings(const struct lug_executor *exec, gint64 now_us);
 void exec_note_presence(struct lug_executor *exec, gint64 now_us);
-gint64 exec_spare(const struct lug_executor *exec);
 gboolean exec_has_speed(const struct lug_executor *exec, const char *image, gint64 millicores,
 			gint64 now_us);
 void exec_pace_new(struct lug_executor *exec, struct exec_run *run);
--- a/liblug/flow/executor_tell.c
+++ b/liblug/flow/executor_tell.c
@@ -159,31 +159,6 @@
 	}
 }
 
-/* Cores that a task uses: as the worker tells, or as declared while it has not been seen. */
-static double used_millicores(const struct exec_run *run)
-{
-	if (run->target_ms)
-		return (double)run->size.millicores * run->load.level;
-	if (run->figure > 0)
-		return (double)run->figure;
-	return run->fills ? (double)run->fill_millicores * run->share
-			  : (double)run->size.millicores;
-}
-
-/**
- * exec_spare - cores that neither serving tasks at their load nor the other tasks use
- *
- * Return: thousandths of a core, may be negative.
- */
-gint64 exec_spare(const struct lug_executor *exec)
-{
-	double left = (double)exec->capacity.millicores;
-
-	for (guint i = 0; i < exec->runs->len; i++)
-		left -= used_millicores(g_ptr_array_index(exec->runs, i));
-	return (gint64)left;
-}
-
 static void fill_head(struct lug_executor *exec, Lug__WorkerBeat *beat, gint64 now_us)
 {
 	beat->has_beat = 1;
--- a/liblug/flow/harm.c
+++ b/liblug/flow/harm.c
@@ -2,7 +2,8 @@
 
 #include <math.h>
 
-/* Expected of a pair that was never seen together, and how far off that may be. */
+/* Expected of a pair that was never seen together, and how far off that may be: a regression over
+ * whole days gives 0.00 to 0.02 for half of the pairs, 0.06 to 0.35 for the others. */
 #define WEIGHT_UNKNOWN 0.06
 #define WEIGHT_SPREAD 0.08
 #define WEIGHT_MAX 2.0
@@ -12,7 +13,8 @@
 #define WEIGHT_DOUBT 0.35
 /* Part of the difference to what others have learned that is taken over where both are sure. */
 #define TELL_BLEND 0.1
-/* A task disturbs by its own measure, which changes within seconds, against its image's mean. */
+/* A task disturbs by its own measure against its image's mean: residuals show 0.07 and 0.3 for one
+ * pair, and changes between them within a second or two. */
 #define STRENGTH_SPREAD 0.9
 #define STRENGTH_CHANGE 0.9
 #define STRENGTH_MIN 0.2
--- /dev/null
+++ b/tests/unit/shard_rig.h
@@ -0,0 +1,249 @@
+#ifndef TESTS_UNIT_SHARD_RIG_H
+#define TESTS_UNIT_SHARD_RIG_H
+
+#include "lug.h"
+
+#include "fake_store.h"
+
+extern "C" {
+#include "flow/shard.h"
+}
+
+inline const char *const body =
+	"{\"queue\":\"q\",\"spec\":\"s\",\"occurrences\":1,\"accepted_ms\":0,"
+	"\"steps\":[{\"count\":2,\"millicores\":1000,\"memory\":1},"
+	"{\"count\":1,\"millicores\":1000,\"memory\":1,\"after\":[0]}]}";
+
+inline struct lug_queues *two_attempts(JsonObject *row, struct lug_error *err)
+{
+	struct lug_queues *queues = lug_queues_new(lug_json_int(row, "version", 0));
+
+	(void)err;
+	lug_queues_add(queues, "q", "h", "/q/", "pool")->attempts = 2;
+	return queues;
+}
+
+/* One shard over a table in memory, with a worker whose agent speaks by calls. */
+struct ShardRig : public testing::Test {
+	FakeStore store;
+	struct lug_ctx *ctx = test_queue_context("owner");
+	struct lug_link *link = nullptr;
+	struct lug_config *config = nullptr;
+	struct lug_fleet *fleet = nullptr;
+	struct lug_shard *shard = nullptr;
+	std::vector<enum lug_shard_event> events;
+	guint64 beats = 0;
+
+	static void on_event(void *data, guint32 number, enum lug_shard_event event)
+	{
+		(void)number;
+		static_cast<ShardRig *>(data)->events.push_back(event);
+	}
+
+	static void on_gone(void *data, const char *worker, guint64 lease_epoch)
+	{
+		auto *test = static_cast<ShardRig *>(data);
+
+		lug_shard_gone(test->shard, worker, lease_epoch, lug_now_us());
+	}
+
+	static gboolean claims(void *data, const char *worker)
+	{
+		auto *test = static_cast<ShardRig *>(data);
+
+		return test->shard && lug_shard_claims(test->shard, worker);
+	}
+
+	static void ignore(void *data, const struct lug_route *route, const Lug__Envelope *env)
+	{
+		(void)data;
+		(void)route;
+		(void)env;
+	}
+
+	void SetUp() override
+	{
+		struct lug_fleet_hooks hooks = {on_gone, claims, this};
+		struct lug_config_source source = {"op", "config", two_attempts};
+		struct lug_shard_env env = {};
+
+		store.put("op/config", "{\"version\":1}");
+		link = lug_link_new(ctx, ignore, nullptr, nullptr);
+		ASSERT_NE(link, nullptr);
+		config = lug_config_new(ctx, &store.base, &source, nullptr, nullptr);
+		lug_config_tick(config, lug_now_us());
+		store.settle();
+		fleet = lug_fleet_new(ctx, &store.base, &hooks);
+		env.ctx = ctx;
+		env.store = &store.base;
+		env.link = link;
+		env.config = config;
+		env.fleet = fleet;
+		shard = lug_shard_new(&env, 0, on_event, this);
+	}
+
+	void TearDown() override
+	{
+		lug_shard_free(shard);
+		lug_fleet_free(fleet);
+		lug_config_free(config);
+		lug_link_free(link);
+		lug_ctx_free(ctx);
+	}
+
+	void take()
+	{
+		struct lug_row row = {};
+		std::string key = "0|shard/0";
+
+		row.version = store.version(key);
+		if (row.version)
+			row.data = lug_json_parse(store.rows[key].data.c_str(), -1, nullptr);
+		lug_shard_take(shard, &row, lug_now_us());
+		store.settle();
+		if (row.data)
+			json_object_unref(row.data);
+	}
+
+	/* Lets the loop and the table run until nothing is open. */
+	void run()
+	{
+		for (int i = 0; i < 20; i++) {
+			while (g_main_context_iteration(nullptr, FALSE))
+				;
+			lug_shard_tick(shard, lug_now_us());
+			store.settle();
+		}
+	}
+
+	/* Owns the shard, and knows of a worker that is free. */
+	void serve()
+	{
+		take();
+		run();
+		beat({}, 0);
+	}
+
+	void submit(const char *job)
+	{
+		store.put(std::string("0|live/") + job, body);
+		store.put(std::string("0|inbox/") + job, "{}");
+		lug_shard_submit(shard, job, body, store.version(std::string("0|live/") + job),
+				 lug_now_us());
+	}
+
+	void store_job(const char *job, std::vector<enum lug_status> *told)
+	{
+		lug_shard_store(
+			shard, job, body,
+			[](void *data, enum lug_status status) {
+				static_cast<std::vector<enum lug_status> *>(data)->push_back(
+					status);
+			},
+			told, lug_now_us());
+	}
+
+	struct Held {
+		const char *job;
+		guint32 step;
+		guint32 index;
+		guint32 run;
+	};
+
+	void beat(const std::vector<Held> &list, guint64 last_seq, guint64 lease_epoch = 1)
+	{
+		std::vector<Lug__RunId> ids(list.size());
+		std::vector<Lug__RunHeld> held(list.size());
+		std::vector<Lug__RunHeld *> ptrs(list.size());
+		Lug__ShardHeld of_shard = LUG__SHARD_HELD__INIT;
+		Lug__ShardHeld *shards[] = {&of_shard};
+		Lug__WorkerBeat beat = LUG__WORKER_BEAT__INIT;
+		Lug__Envelope env = LUG__ENVELOPE__INIT;
+		Lug__Resources capacity = LUG__RESOURCES__INIT;
+		struct lug_fleet_worker *worker;
+		struct lug_route route = {};
+
+		for (size_t i = 0; i < list.size(); i++) {
+			struct lug_run_id id = {};
+
+			lug__run_held__init(&held[i]);
+			g_strlcpy(id.job, list[i].job, sizeof(id.job));
+			id.step = list[i].step;
+			id.index = list[i].index;
+			id.run = list[i].run;
+			lug_run_to_wire(&id, &ids[i]);
+			ids[i].job = const_cast<char *>(list[i].job);
+			held[i].id = &ids[i];
+			ptrs[i] = &held[i];
+		}
+		of_shard.epoch = lug_shard_epoch(shard);
+		of_shard.last_seq = last_seq;
+		of_shard.n_held = ptrs.size();
+		of_shard.held = ptrs.data();
+		capacity.millicores = 8000;
+		capacity.memory = 1 << 30;
+		beat.service = (char *)"pool";
+		beat.capacity = &capacity;
+		beat.ready = TRUE;
+		beat.lease_epoch = lease_epoch;
+		beat.n_shards = 1;
+		beat.shards = shards;
+		env.from = (char *)"w1";
+		env.incarnation = lease_epoch;
+		env.body_case = LUG__ENVELOPE__BODY_WORKER_BEAT;
+		env.worker_beat = &beat;
+		worker = lug_fleet_beat(fleet, &route, &env, lug_now_us());
+		ASSERT_NE(worker, nullptr);
+		lug_shard_beat(shard, worker, &of_shard, lug_now_us());
+		lug_shard_wake(shard);
+		run();
+	}
+
+	void end(const char *job, guint32 step, guint32 index, guint32 run_number,
+		 enum lug_run_outcome outcome)
+	{
+		Lug__RunEnd message = LUG__RUN_END__INIT;
+		struct lug_run_id id = {};
+		struct lug_route route = {};
+		Lug__RunId wire;
+
+		g_strlcpy(id.job, job, sizeof(id.job));
+		id.step = step;
+		id.index = index;
+		id.run = run_number;
+		lug_run_to_wire(&id, &wire);
+		message.id = &wire;
+		message.outcome = outcome;
+		lug_shard_end(shard, &route, "w1", &message, lug_now_us());
+	}
+
+	void answer(const char *job, guint32 index, guint32 run_number, enum lug_status status,
+		    guint64 answered_seq = 0)
+	{
+		Lug__RunAnswer message = LUG__RUN_ANSWER__INIT;
+		struct lug_run_id id = {};
+		Lug__RunId wire;
+
+		g_strlcpy(id.job, job, sizeof(id.job));
+		id.index = index;
+		id.run = run_number;
+		lug_run_to_wire(&id, &wire);
+		message.id = &wire;
+		message.status = status;
+		message.has_seq = answered_seq > 0;
+		message.seq = answered_seq;
+		lug_shard_answer(shard, "w1", &message, lug_now_us());
+	}
+
+	std::string runs(const char *job)
+	{
+		return store.rows[std::string("0|runs/") + job].data;
+	}
+
+	bool stored(const std::string &key)
+	{
+		return store.version("0|" + key) > 0;
+	}
+};
+
+#endif
