--- a/liblug/flow/front.h
+++ b/liblug/flow/front.h
@@ -7,7 +7,7 @@
 
 /**
  * enum lug_job_call_kind - what an entry asks a shard's owner
- * @LUG_JOB_HELLO: only an answer
+ * @LUG_JOB_HELLO: tell who owns which shard
  * @LUG_JOB_NEW: take in a job that the entry has stored
  * @LUG_JOB_STATE: tell a job's state
  * @LUG_JOB_CANCEL: cancel a job
@@ -26,8 +26,9 @@
 /**
  * struct lug_front - takes jobs of steps in and answers questions about them
  *
- * An entry stores a job itself, then tells its shard's owner. Questions go to the owner,
- * and to the table when the owner is silent or does not know the job.
+ * An entry asks the owner of a job's shard to store the job; where the owner can't, it stores the
+ * job itself and tells the owner. Questions go to the owner, and to the table when the owner is
+ * silent or does not know the job.
  */
 struct lug_front;
 
