--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -14,6 +14,11 @@
 #define CLOCK_DRIFT_DIVISOR 50
 /* Consecutive failed polls after which polls stop renewing the lease. */
 #define MAX_FAILED_POLLS 2
+/*
+ * Longest wait for the worker's list of ended runs once its lease has expired. Without an answer
+ * all its runs count as lost.
+ */
+#define EXPIRED_ANSWER_TIMEOUT_US (1500 * 1000)
 /* Time after the announcement of its exit by which a worker has exited. */
 #define WORKER_EXIT_US (500 * 1000)
 
@@ -162,6 +167,7 @@
 			lug_warn(exec->ctx, "worker_fences", "remedy",
 				 "polling again; the lease is acquired anew once its row is lost");
 		exec->failed_polls++;
+		exec->failed_poll_sent_us = exec->poll_sent_us;
 		exec->fallback_poll_us = now_us + POLL_RETRY_US;
 		return;
 	}
@@ -270,7 +276,9 @@
  * exec_drop_expired - remove the runs of a worker that has exited or whose lease has expired
  *
  * No lease expiry sent to the worker is later than @granted_until_us, so no run is left after that
- * time, even if the worker does not answer.
+ * time, even if the worker does not answer. A run may have ended as done before, though, which an
+ * agent that was suspended meanwhile learns from the next poll only. The runs are therefore kept
+ * until a poll that was sent after the expiry has been answered or has failed.
  */
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us)
 {
@@ -284,6 +292,11 @@
 	/* A poll answered after that time has listed the runs that are left. */
 	if (exec->last_answer_us > exec->granted_until_us)
 		return;
+	if (exec->expiry_seen_us < exec->granted_until_us)
+		exec->expiry_seen_us = now_us;
+	if (exec->failed_poll_sent_us <= exec->granted_until_us &&
+	    now_us - exec->expiry_seen_us < EXPIRED_ANSWER_TIMEOUT_US)
+		return;
 	lug_warn(exec->ctx, "runs_lapsed", "reason", "the worker's lease has expired");
 	g_ptr_array_set_size(exec->runs, 0);
 }
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -206,6 +206,9 @@
  * @last_end_number: number of the latest end received
  * @sent_heartbeat_seq: number of the agent's latest heartbeat to owners
  * @failed_polls: consecutive failed polls
+ * @failed_poll_sent_us: time at which the latest failed poll was sent
+ * @expiry_seen_us: time at which the lease's expiry was noticed, before @granted_until_us when it
+ *                  has not been
  * @failures: consecutive failed runs on the worker
  * @interference: learned interference
  * @task_shares: array of struct exec_task_shares, since @last_sample_us
@@ -256,6 +259,8 @@
 	guint64 last_end_number;
 	guint64 sent_heartbeat_seq;
 	guint failed_polls;
+	gint64 failed_poll_sent_us;
+	gint64 expiry_seen_us;
 	guint32 failures;
 	struct lug_interference *interference;
 	GArray *task_shares;
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -366,6 +366,37 @@
 	EXPECT_EQ(worker.orders.back().id.job, std::string("b"));
 }
 
+/* The agent was suspended for longer than the lease, and the run has ended as done meanwhile. */
+TEST_F(ExecutorTest, KeepsRunsOfAnExpiredLeaseUntilTheWorkerHasListedItsEnds)
+{
+	const gint64 *held = &ctx->metrics->gauges[LUG_G_TASKS_RUNNING];
+	gint64 later_us = lug_now_us() + 20 * G_USEC_PER_SEC;
+
+	start("a", 3000);
+	worker.answer(LUG_ORDER_OK);
+	lug_executor_tick(exec, later_us);
+	EXPECT_EQ(*held, 1) << "the owner would start the task again";
+	finished = {{1, id("a")}};
+	answer_poll();
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"}));
+	lug_executor_tick(exec, later_us);
+	EXPECT_EQ(*held, 0);
+}
+
+TEST_F(ExecutorTest, DropsRunsOfAnExpiredLeaseWhenTheWorkerDoesNotAnswer)
+{
+	const gint64 *held = &ctx->metrics->gauges[LUG_G_TASKS_RUNNING];
+	gint64 later_us = lug_now_us() + 20 * G_USEC_PER_SEC;
+
+	start("a", 3000);
+	worker.answer(LUG_ORDER_OK);
+	lug_executor_tick(exec, later_us);
+	EXPECT_EQ(*held, 1);
+	/* Longer than EXPIRED_ANSWER_TIMEOUT_US. */
+	lug_executor_tick(exec, later_us + 1600 * 1000);
+	EXPECT_EQ(*held, 0);
+}
+
 TEST_F(ExecutorTest, RefusesStartsWhileAttributesOfARunAreMissing)
 {
 	running = {{id("x"), 10}};
