--- a/liblug/daemon/agent_priv.h
+++ b/liblug/daemon/agent_priv.h
@@ -33,6 +33,7 @@
 	struct lug_daemon_http_server *http_server;
 	gint64 next_scan_us;	   /* next scan of the entries' rows */
 	gboolean scanning_entries; /* a scan of the entries' rows is in flight */
+	gboolean entries_reached;  /* the entries have received a heartbeat of this process */
 	guint64 last_drain_hlc;	   /* stamp of the latest drain request that applied */
 	gboolean stopping;
 	gint64 notice_end_us;	 /* until then, the agent only reports that it leaves */
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -12,6 +12,9 @@
 #define BEATS_PER_S 12.0
 /* Agents notified of a new table version in one tick. */
 #define NOTIFY_MAX_PER_TICK 4
+/* Time without a new agent, and longest wait for agents, before an entry reports ready. */
+#define AGENTS_SETTLED_US (500 * 1000)
+#define AGENTS_TIMEOUT_US (10 * G_USEC_PER_SEC)
 /* Lease of the entry's own row. */
 #define ENTRY_LEASE_MS 15000
 /* Time for which a stopping entry still serves new calls. */
@@ -223,11 +226,35 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/*
+ * Whether agents have registered: one serves, and no further one has been seen for
+ * AGENTS_SETTLED_US. Otherwise all requests would go to the first agents, or find none. A deployment
+ * may have no agents yet, so an entry does not wait longer than AGENTS_TIMEOUT_US for them.
+ */
+static gboolean has_agents(const struct lug_entry *entry, gint64 now_us)
+{
+	GPtrArray *agents = lug_registry_agents(entry->registry);
+	gboolean serving = FALSE;
+
+	if (now_us - entry->start_us >= AGENTS_TIMEOUT_US)
+		return TRUE;
+	for (guint i = 0; i < agents->len; i++) {
+		const struct lug_agent *agent = g_ptr_array_index(agents, i);
+
+		if (now_us - agent->seen_us < AGENTS_SETTLED_US)
+			return FALSE;
+		serving = serving || !agent->leaving;
+	}
+	return serving;
+}
+
 static gboolean is_ready(void *data)
 {
 	struct lug_entry *entry = data;
 
-	return !entry->stopping && lug_sync_limits(entry->sync) != NULL;
+	/* An entry that has been ready stays so while agents come and go. */
+	entry->agents_known = entry->agents_known || has_agents(entry, lug_now_us());
+	return !entry->stopping && lug_sync_limits(entry->sync) != NULL && entry->agents_known;
 }
 
 static void create_components(struct lug_entry *entry)
@@ -265,6 +292,7 @@
 {
 	struct lug_ctx *ctx = entry->ctx;
 
+	entry->start_us = lug_now_us();
 	create_components(entry);
 	lug_api_add_handlers(entry);
 	lug_loop_install(&entry->hooks);
--- a/liblug/daemon/entry_priv.h
+++ b/liblug/daemon/entry_priv.h
@@ -32,6 +32,8 @@
  * @scanning_entries: a scan of the entries' rows is in flight
  * @taking_lease: an attempt to take the writer's lease is in flight
  * @next_take_us: earliest next attempt to take the writer's lease
+ * @start_us: when the process started
+ * @agents_known: agents have registered, or were waited for long enough
  * @stopping: SIGTERM or SIGINT was received
  * @freeing: components are being freed; messages are ignored
  * @refuse_calls_from_us: time from which a stopping entry refuses new calls
@@ -57,6 +59,8 @@
 	gboolean scanning_entries;
 	gboolean taking_lease;
 	gint64 next_take_us;
+	gint64 start_us;
+	gboolean agents_known;
 	gboolean stopping;
 	gboolean freeing;
 	gint64 refuse_calls_from_us;
--- a/liblug/member/peers.c
+++ b/liblug/member/peers.c
@@ -9,6 +9,8 @@
  * than CONNECT_TIMEOUT_MS of wire/link.c.
  */
 #define SEND_FAILURE_MAX_US (2500 * 1000)
+/* Time for an entry to answer the first heartbeat, after which it is taken for unavailable. */
+#define ENTRY_CONTACT_TIMEOUT_US (3 * G_USEC_PER_SEC)
 /* Heartbeats to an inactive owner of a team queue are less frequent by this factor. */
 #define INACTIVE_INTERVAL_FACTOR 10
 /*
@@ -250,6 +252,32 @@
 		send_beat(peers, g_ptr_array_index(peers->list, i), now_us);
 }
 
+/**
+ * lug_peers_entries_reached - whether the entries know this process
+ * @peers: set
+ * @now_us: current time
+ *
+ * An entry routes requests to an agent once it has received a heartbeat from it.
+ *
+ * Return: TRUE when an entry has answered a heartbeat, and each other entry has answered one or has
+ * had ENTRY_CONTACT_TIMEOUT_US for it.
+ */
+gboolean lug_peers_entries_reached(const struct lug_peers *peers, gint64 now_us)
+{
+	gboolean any = FALSE;
+
+	for (guint i = 0; i < peers->list->len; i++) {
+		const struct lug_peer *peer = g_ptr_array_index(peers->list, i);
+
+		if (!(peer->roles & LUG_PEER_ENTRY))
+			continue;
+		if (!peer->heard_us && now_us - peer->added_us < ENTRY_CONTACT_TIMEOUT_US)
+			return FALSE;
+		any = any || peer->heard_us;
+	}
+	return any;
+}
+
 /**
  * lug_peers_list - all peers
  * @peers: set
--- a/liblug/member/peers.h
+++ b/liblug/member/peers.h
@@ -60,6 +60,7 @@
 void lug_peers_schedule_entry_beats(struct lug_peers *peers, gint64 within_us, gint64 now_us);
 void lug_peers_beat_all(struct lug_peers *peers, gint64 now_us);
 GPtrArray *lug_peers_list(const struct lug_peers *peers);
+gboolean lug_peers_entries_reached(const struct lug_peers *peers, gint64 now_us);
 gint64 lug_peers_interval_ms(const struct lug_peers *peers, const struct lug_peer *peer);
 struct lug_peer *lug_peers_find(const struct lug_peers *peers, const char *address);
 
--- a/tests/integration/test_regressions.py
+++ b/tests/integration/test_regressions.py
@@ -166,6 +166,29 @@
         for name in names:
             assert deployment.stop(name) == 0
             deployment.start(name)
+            # pylint: disable-next=cell-var-from-loop
+            wait_for(lambda: deployment.is_ready(name), what=f"ready {name}")
             deployment.wait_ready()
             assert deployment.call("GET", "/service/atelier-desk/x?ms=1",
                                    headers={"X-Team": "quotes"})[0] == 200
+
+
+def test_rolling_restart_by_readiness_turns_no_request_away(start_deployment):
+    """Each process is restarted once the former one reports ready; nothing else is waited for.
+
+    Heartbeats to entries are delayed, so that a restarted agent is unknown to them for a while.
+    """
+    deployment = start_deployment(workers=2, proxied=True)
+    deployment.control_proxy(set=[
+        {"a": deployment.agent(worker), "b": entry, "effect": "delay", "ms": 150}
+        for worker in deployment.workers for entry in deployment.entries])
+    for name in [deployment.agent(w) for w in deployment.workers] + deployment.entries:
+        assert deployment.stop(name) == 0
+        deployment.start(name)
+        # pylint: disable-next=cell-var-from-loop
+        wait_for(lambda: deployment.is_ready(name), what=f"ready {name}")
+        for entry in range(len(deployment.entries)):
+            if deployment.is_ready(deployment.entries[entry]):
+                status, _, body = deployment.call("GET", "/service/atelier-desk/x?ms=1",
+                                                  headers={"X-Team": "quotes"}, entry=entry)
+                assert status == 200, (name, entry, body)
--- a/tests/rig/deploy.py
+++ b/tests/rig/deploy.py
@@ -288,11 +288,16 @@
                 if status != 200 or not queues_owned or \
                         state["table"]["in_force"] < len(self.workers):
                     return False
-                if any(not worker["lease_epoch"] for worker in state["workers"]):
+                if any(not worker["lease_epoch"] or worker["state"] != "live"
+                       for worker in state["workers"]):
                     return False
             return True
         wait_for(ready, what="ready deployment")
 
+    def is_ready(self, name):
+        """Whether a daemon reports that it is ready, as a balancer or a rolling restart asks."""
+        return http("GET", f"http://{self.ip(name)}:8080/readyz", timeout=1)[0] == 200
+
     def call(self, method, path, body=None, headers=None, entry=0, token=OPERATOR_TOKEN,
              timeout=10):
         """Makes an HTTP call to an entry; returns status, headers and body."""
