--- a/liblug/workflow/executor_throttle.c
+++ b/liblug/workflow/executor_throttle.c
@@ -28,7 +28,7 @@
  * Utilisation that a best-effort task at full speed takes from a serving task, from which it counts
  * as interfering with it. Same value as THROTTLED_WEIGHT_MIN in interference.c.
  */
-#define MIN_INTERFERING_WEIGHT 0.03
+#define MIN_INTERFERING_WEIGHT 0.05
 
 /*
  * A best-effort task that would run below this part of full speed is refused, so that its owner
@@ -329,13 +329,13 @@
 {
 	GArray *servings = exec_serving_tasks(exec, now_us);
 	double spare = (double)exec_spare_millicores(exec) / (double)MAX(millicores, 1);
-	double share = lug_interference_allowed_share(
+	struct lug_interference_assessment assessment = lug_interference_assess(
 		exec->interference, image,
 		(const struct lug_interference_serving_task *)(void *)servings->data,
 		servings->len);
 
 	g_array_unref(servings);
-	return share * CLAMP(spare, 0, 1) >= MIN_START_SPEED;
+	return assessment.share * CLAMP(spare, 0, 1) >= MIN_START_SPEED;
 }
 
 /**
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -204,29 +204,32 @@
 /**
  * lug_fleet_add_unconfirmed - note a placed task that the agent hasn't confirmed
  * @worker: worker
- * @step: step of the task; ignored unless it is best-effort
+ * @step: step of the task; ignored unless it is best-effort or serves
  */
 void lug_fleet_add_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step)
 {
 	struct lug_fleet_unconfirmed unconfirmed = {g_intern_string(step->image),
-						    step->size.millicores};
+						    step->size.millicores, step->best_effort};
 
-	if (step->best_effort)
+	if (step->best_effort || step->target_ms)
 		g_array_append_val(worker->unconfirmed, unconfirmed);
 }
 
 /**
  * lug_fleet_remove_unconfirmed - remove an unconfirmed task that was confirmed or won't start
  * @worker: worker
- * @step: step of the task; ignored unless it is best-effort
+ * @step: step of the task; ignored unless it is best-effort or serves
  */
 void lug_fleet_remove_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step)
 {
-	const char *image = step->best_effort ? g_intern_string(step->image) : NULL;
+	const char *image =
+		step->best_effort || step->target_ms ? g_intern_string(step->image) : NULL;
 
 	for (guint i = 0; image && i < worker->unconfirmed->len; i++) {
-		if (g_array_index(worker->unconfirmed, struct lug_fleet_unconfirmed, i).image !=
-		    image)
+		const struct lug_fleet_unconfirmed *task =
+			&g_array_index(worker->unconfirmed, struct lug_fleet_unconfirmed, i);
+
+		if (task->image != image || task->best_effort != step->best_effort)
 			continue;
 		g_array_remove_index_fast(worker->unconfirmed, i);
 		return;
@@ -258,9 +261,26 @@
 	return fleet->interference;
 }
 
+/**
+ * lug_fleet_openness - openness of a worker to best-effort tasks, computed once for each heartbeat
+ * @worker: worker
+ * @model: learned interference
+ */
+double lug_fleet_openness(struct lug_fleet_worker *worker, const struct lug_interference *model)
+{
+	if (worker->openness < 0)
+		worker->openness = lug_interference_openness(
+			model,
+			(const struct lug_interference_serving_task *)(void *)
+				worker->serving_tasks->data,
+			worker->serving_tasks->len);
+	return worker->openness;
+}
+
 static void apply_interference(struct lug_fleet_worker *worker, const Lug__WorkerBeat *beat)
 {
 	g_array_set_size(worker->serving_tasks, 0);
+	worker->openness = -1;
 	for (gsize i = 0; i < beat->n_servings; i++) {
 		const Lug__Serving *wire = beat->servings[i];
 		struct lug_interference_serving_task serving = {
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -9,16 +9,25 @@
 #include "wire/link.h"
 
 /**
- * struct lug_fleet_unconfirmed - a best-effort task placed on a worker whose agent hasn't confirmed
- * it
+ * struct lug_fleet_unconfirmed - a best-effort or serving task placed on a worker whose agent
+ * hasn't confirmed it
  * @image: its image, interned
  * @millicores: cores that it can use
+ * @best_effort: whether it is best-effort; otherwise it serves
  */
 struct lug_fleet_unconfirmed {
 	const char *image;
 	gint64 millicores;
+	gboolean best_effort;
 };
 
+/* Iterates over the unconfirmed best-effort tasks of a worker. The inner loop runs at most once. */
+#define LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)                                          \
+	for (guint task##_i = 0; task##_i < (worker)->unconfirmed->len; task##_i++)          \
+		for (const struct lug_fleet_unconfirmed *task = &g_array_index(              \
+			     (worker)->unconfirmed, struct lug_fleet_unconfirmed, task##_i); \
+		     task && task->best_effort; task = NULL)
+
 /**
  * struct lug_fleet_worker - a worker as its agent's heartbeats describe it
  * @name: name of its agent
@@ -34,10 +43,11 @@
  * @confirmed: part of @claimed that the agent has acknowledged
  * @spare_millicores: millicores that no task used at the last heartbeat
  * @refused_best_effort: the worker has refused a best-effort task since its last heartbeat
- * @unconfirmed: best-effort tasks placed there that the agent hasn't confirmed, array of struct
- * lug_fleet_unconfirmed
+ * @unconfirmed: best-effort and serving tasks placed there that the agent hasn't confirmed, array
+ * of struct lug_fleet_unconfirmed
  * @serving_tasks: serving tasks with their utilisations, array of struct
  * lug_interference_serving_task
+ * @openness: see lug_interference_openness(), negative until lug_fleet_openness() computes it
  * @pairs: interference that its agent has learned, array of struct lug_interference_pair
  * @draining: accepts no new tasks
  * @ready: accepts starts now
@@ -69,6 +79,7 @@
 	gboolean refused_best_effort;
 	GArray *unconfirmed;
 	GArray *serving_tasks;
+	double openness;
 	GArray *pairs;
 	gboolean draining;
 	gboolean ready;
@@ -113,6 +124,7 @@
 struct lug_fleet_worker *lug_fleet_find(const struct lug_fleet *fleet, const char *name);
 struct lug_fleet_worker *lug_fleet_get(struct lug_fleet *fleet, const char *name, gint64 now_us);
 GPtrArray *lug_fleet_workers(const struct lug_fleet *fleet);
+double lug_fleet_openness(struct lug_fleet_worker *worker, const struct lug_interference *model);
 const struct lug_interference *lug_fleet_interference(const struct lug_fleet *fleet);
 gboolean lug_fleet_is_live(const struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_room(const struct lug_fleet_worker *worker, struct lug_resources *out);
--- a/liblug/workflow/interference.c
+++ b/liblug/workflow/interference.c
@@ -6,7 +6,7 @@
  * Prior of a pair's weight, mean and standard deviation. Half of the weights are at most 0.02, the
  * others 0.06 to 0.35.
  */
-#define WEIGHT_PRIOR 0.06
+#define WEIGHT_PRIOR 0.03
 #define WEIGHT_PRIOR_SD 0.08
 #define WEIGHT_MAX 2.0
 /* Process noise of a weight, standard deviation after 1 s. Weights drift by 0.1 in about 100 s. */
@@ -24,12 +24,14 @@
 #define STRENGTH_MIN 0.2
 #define STRENGTH_MAX 5.0
 /* Throttling a task of a smaller weight frees less utilisation than the load varies by. */
-#define THROTTLED_WEIGHT_MIN 0.03
+#define THROTTLED_WEIGHT_MIN 0.05
 /*
  * Prediction errors of more standard deviations are clipped. Bursts of requests to one serving task
  * cause such outliers.
  */
 #define ERROR_CLIP_SDS 3.0
+/* Slack beyond this makes no difference to a placement. */
+#define SLACK_MAX 0.5
 /* A pair in one worker's report counts with at most this information in the mean. */
 #define REPORT_INFORMATION_MAX 100.0
 /* Utilisation kept free below the limit for bursts of the load. */
@@ -374,27 +376,62 @@
 }
 
 /**
- * lug_interference_allowed_share - share that serving tasks leave to one more best-effort task
+ * lug_interference_assess - assess one more best-effort task beside a worker's serving tasks
  * @model: model
  * @image: image of the best-effort task, interned
  * @serving_tasks: serving tasks of the worker
  * @n: number of @serving_tasks
- *
- * Return: 0 to 1.
  */
-double lug_interference_allowed_share(const struct lug_interference *model, const char *image,
-				      const struct lug_interference_serving_task *serving_tasks,
-				      guint n)
+struct lug_interference_assessment
+lug_interference_assess(const struct lug_interference *model, const char *image,
+			const struct lug_interference_serving_task *serving_tasks, guint n)
 {
-	double share = 1;
+	struct lug_interference_assessment out = {1, SLACK_MAX, TRUE};
 
 	for (guint i = 0; i < n; i++) {
 		double weight = lug_interference_weight(model, serving_tasks[i].image, image);
+		double slack = lug_interference_slack(&serving_tasks[i]);
 
-		if (weight >= THROTTLED_WEIGHT_MIN && !is_overloaded_alone(&serving_tasks[i]))
-			share = MIN(share, lug_interference_slack(&serving_tasks[i]) / weight);
+		out.slack = MIN(out.slack, slack - weight);
+		if (weight < THROTTLED_WEIGHT_MIN)
+			continue;
+		out.harmless = FALSE;
+		if (!is_overloaded_alone(&serving_tasks[i]))
+			out.share = MIN(out.share, slack / weight);
 	}
-	return share < SHARE_MIN ? 0 : share;
+	if (out.share < SHARE_MIN)
+		out.share = 0;
+	return out;
+}
+
+/**
+ * lug_interference_openness - fraction of the known best-effort images that are harmless on a
+ * worker
+ * @model: model
+ * @serving_tasks: serving tasks of the worker
+ * @n: number of @serving_tasks
+ *
+ * Return: 0 to 1; 1 while no image is known.
+ */
+double lug_interference_openness(const struct lug_interference *model,
+				 const struct lug_interference_serving_task *serving_tasks, guint n)
+{
+	GHashTable *images = g_hash_table_new(NULL, NULL);
+	guint harmless = 0;
+	double openness = 1;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, model->pairs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_hash_table_add(images, (gpointer)((struct pair_key *)key)->best_effort_image);
+	g_hash_table_iter_init(&iter, images);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		harmless += lug_interference_assess(model, key, serving_tasks, n).harmless;
+	if (g_hash_table_size(images))
+		openness = (double)harmless / g_hash_table_size(images);
+	g_hash_table_unref(images);
+	return openness;
 }
 
 /*
--- a/liblug/workflow/interference.h
+++ b/liblug/workflow/interference.h
@@ -86,6 +86,18 @@
 	gint64 at_us;
 };
 
+/**
+ * struct lug_interference_assessment - what one more best-effort task would find on a worker
+ * @share: share that the serving tasks would leave to it, 0 to 1
+ * @slack: smallest slack of the serving tasks beside it at full share
+ * @harmless: it interferes with none of them
+ */
+struct lug_interference_assessment {
+	double share;
+	double slack;
+	gboolean harmless;
+};
+
 struct lug_interference *lug_interference_new(void);
 void lug_interference_free(struct lug_interference *model);
 double lug_interference_observe(struct lug_interference *model, struct lug_serving_load *own_load,
@@ -95,11 +107,14 @@
 double lug_interference_slack(const struct lug_interference_serving_task *serving);
 void lug_interference_merge(struct lug_interference *model,
 			    const struct lug_interference_pair *pair);
+double lug_interference_openness(const struct lug_interference *model,
+				 const struct lug_interference_serving_task *serving_tasks,
+				 guint n);
 double lug_interference_weight(const struct lug_interference *model, const char *serving_image,
 			       const char *best_effort_image);
-double lug_interference_allowed_share(const struct lug_interference *model, const char *image,
-				      const struct lug_interference_serving_task *serving_tasks,
-				      guint n);
+struct lug_interference_assessment
+lug_interference_assess(const struct lug_interference *model, const char *image,
+			const struct lug_interference_serving_task *serving_tasks, guint n);
 void lug_interference_plan(const struct lug_interference *model,
 			   struct lug_interference_serving_task *serving_tasks,
 			   guint n_serving_tasks, struct lug_interference_task *tasks,
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -10,7 +10,13 @@
 #define SPEED_WEIGHT 3.0
 /* Preferring workers whose serving tasks have slack evens out the pressure between workers. */
 #define SLACK_WEIGHT 2.0
-#define SLACK_MAX 0.5
+/*
+ * A best-effort task is best placed where it interferes with no serving task, and there on the
+ * worker that is open to the fewest other images: the others have fewer workers left to choose
+ * from.
+ */
+#define HARMLESS_WEIGHT 2.0
+#define OPENNESS_WEIGHT 2.0
 /*
  * Penalty per consecutive failure. It is bounded, so that a failing worker is used, and thereby
  * tried again, when the others are full.
@@ -19,8 +25,13 @@
 #define FAILURES_MAX 3
 /* Keeps penalties from making the score of an eligible worker negative. */
 #define SCORE_OFFSET 8.0
-/* A worker's rank for an image counts more than free cores. */
-#define IMAGE_RANK_WEIGHT 8.0
+/* Affinity of a worker to a serving task's image, see image_affinity(). */
+#define AFFINITY_SAME 8.0
+#define AFFINITY_EMPTY 6.0
+#define AFFINITY_SAME_AND_OTHERS 4.0
+#define AFFINITY_SEVERAL 2.0
+/* Less than a step between two affinities, more than the noise. */
+#define IMAGE_RANK_WEIGHT 1.5
 
 static gboolean has_label(const struct lug_fleet_worker *worker, const char *label)
 {
@@ -54,9 +65,8 @@
 }
 
 /*
- * Rank of a worker for serving tasks of an image, the same for all owners (rendezvous hashing).
- * Concentrating the serving tasks of one image on few workers leaves the others to best-effort
- * tasks that interfere with this image.
+ * Rank of a worker for serving tasks of an image, the same for all owners (rendezvous hashing), so
+ * that owners which place at the same time agree on the next empty worker.
  */
 static double image_rank(const char *image, const char *worker)
 {
@@ -69,35 +79,68 @@
 }
 
 /*
- * Share that a worker's serving tasks would leave to the requested task if the unconfirmed tasks
- * already ran. Sets @slack to the smallest slack of these serving tasks with the requested task.
+ * How well a worker suits a serving task of an image, judged by the serving tasks that it has. Best
+ * is a worker of this image alone, next an empty one, then one that has several images already, and
+ * last one of a single other image. With few images on a worker, the best-effort tasks that
+ * interfere with none of them can use its spare cores.
  */
-static double share_with_unconfirmed(const struct lug_placement_request *request,
-				     const struct lug_fleet_worker *worker, double *slack)
+static double image_affinity(const char *image, const struct lug_fleet_worker *worker)
+{
+	const char *interned = g_intern_string(image);
+	const char *other = NULL;
+	gboolean has_same = FALSE;
+	gboolean has_several = FALSE;
+	GPtrArray *images = g_ptr_array_new();
+
+	for (guint i = 0; i < worker->serving_tasks->len; i++)
+		g_ptr_array_add(images,
+				(gpointer)g_array_index(worker->serving_tasks,
+							struct lug_interference_serving_task, i)
+					.image);
+	for (guint i = 0; i < worker->unconfirmed->len; i++) {
+		const struct lug_fleet_unconfirmed *task =
+			&g_array_index(worker->unconfirmed, struct lug_fleet_unconfirmed, i);
+
+		if (!task->best_effort)
+			g_ptr_array_add(images, (gpointer)task->image);
+	}
+	for (guint i = 0; i < images->len; i++) {
+		const char *present = g_ptr_array_index(images, i);
+
+		has_same = has_same || present == interned;
+		if (present == interned)
+			continue;
+		has_several = has_several || (other && other != present);
+		other = present;
+	}
+	g_ptr_array_unref(images);
+	if (!other)
+		return has_same ? AFFINITY_SAME : AFFINITY_EMPTY;
+	if (has_same)
+		return AFFINITY_SAME_AND_OTHERS;
+	return has_several ? AFFINITY_SEVERAL : 0;
+}
+
+/* Assesses the requested task on a worker as if the unconfirmed tasks already ran. */
+static struct lug_interference_assessment
+assess_with_unconfirmed(const struct lug_placement_request *request,
+			const struct lug_fleet_worker *worker)
 {
-	const char *image = g_intern_string(request->step->image);
 	const struct lug_interference_serving_task *serving_tasks =
 		(const struct lug_interference_serving_task *)(void *)worker->serving_tasks->data;
 	struct lug_interference_serving_task *with_unconfirmed =
 		g_memdup2(serving_tasks, sizeof(*serving_tasks) * worker->serving_tasks->len);
-	double share;
+	struct lug_interference_assessment assessment;
 
 	for (guint i = 0; i < worker->serving_tasks->len; i++)
-		for (guint k = 0; k < worker->unconfirmed->len; k++)
-			with_unconfirmed[i].pressure += lug_interference_weight(
-				request->interference, with_unconfirmed[i].image,
-				g_array_index(worker->unconfirmed, struct lug_fleet_unconfirmed, k)
-					.image);
-	share = lug_interference_allowed_share(request->interference, image, with_unconfirmed,
-					       worker->serving_tasks->len);
-	*slack = SLACK_MAX;
-	for (guint i = 0; i < worker->serving_tasks->len; i++)
-		*slack = MIN(*slack,
-			     lug_interference_slack(&with_unconfirmed[i]) -
-				     lug_interference_weight(request->interference,
-							     with_unconfirmed[i].image, image));
+		LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)
+	with_unconfirmed[i].pressure += lug_interference_weight(
+		request->interference, with_unconfirmed[i].image, task->image);
+	assessment = lug_interference_assess(request->interference,
+					     g_intern_string(request->step->image),
+					     with_unconfirmed, worker->serving_tasks->len);
 	g_free(with_unconfirmed);
-	return share;
+	return assessment;
 }
 
 /* Fraction of its declared cores that a best-effort task would find unused on a worker. */
@@ -106,19 +149,18 @@
 {
 	gint64 spare = worker->spare_millicores;
 
-	for (guint k = 0; k < worker->unconfirmed->len; k++)
-		spare -= g_array_index(worker->unconfirmed, struct lug_fleet_unconfirmed, k)
-				 .millicores;
+	LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)
+	spare -= task->millicores;
 	return CLAMP((double)spare / (double)MAX(request->step->size.millicores, 1), 0, 1);
 }
 
 /* Score of a worker for a best-effort task; negative when the task should stay queued. */
 static double best_effort_score(const struct lug_placement_request *request,
-				const struct lug_fleet_worker *worker)
+				struct lug_fleet_worker *worker)
 {
-	double slack = 0;
-	double speed =
-		share_with_unconfirmed(request, worker, &slack) * spare_core_share(request, worker);
+	struct lug_interference_assessment assessment = assess_with_unconfirmed(request, worker);
+	double speed = assessment.share * spare_core_share(request, worker);
+	double score;
 
 	/*
 	 * Sharing the cores among more tasks would make all of them late. A queued task is
@@ -126,12 +168,16 @@
 	 */
 	if (speed < request->min_speed)
 		return -1;
-	return (double)worker->spare_millicores / (double)MAX(worker->capacity.millicores, 1) +
-	       SPEED_WEIGHT * speed + SLACK_WEIGHT * slack + SCORE_OFFSET;
+	score = (double)worker->spare_millicores / (double)MAX(worker->capacity.millicores, 1) +
+		SPEED_WEIGHT * speed + SLACK_WEIGHT * assessment.slack + SCORE_OFFSET;
+	if (assessment.harmless)
+		score += HARMLESS_WEIGHT -
+			 OPENNESS_WEIGHT * lug_fleet_openness(worker, request->interference);
+	return score;
 }
 
 static double worker_score(const struct lug_placement_request *request,
-			   const struct lug_fleet_worker *worker, GRand *rng)
+			   struct lug_fleet_worker *worker, GRand *rng)
 {
 	struct lug_resources room;
 	double score;
@@ -140,13 +186,15 @@
 		score = best_effort_score(request, worker);
 		if (score < 0)
 			return score;
+	} else if (request->step->target_ms) {
+		score = image_affinity(request->step->image, worker) +
+			IMAGE_RANK_WEIGHT * image_rank(request->step->image, worker->name) +
+			SCORE_OFFSET;
 	} else {
 		lug_fleet_room(worker, &room);
 		score = (double)room.millicores / (double)MAX(worker->capacity.millicores, 1) +
 			SCORE_OFFSET;
 	}
-	if (request->step->target_ms)
-		score += IMAGE_RANK_WEIGHT * image_rank(request->step->image, worker->name);
 	if (*request->step->data_rack && !has_label(worker, request->step->data_rack))
 		score -= REMOTE_PENALTY;
 	score -= FAILURE_PENALTY *
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -11,7 +11,7 @@
  * A job counts as infeasible when this part of its remaining critical path, as declared, would end
  * after its deadline.
  */
-#define FEASIBLE_WORK_FRACTION 0.6
+#define FEASIBLE_WORK_FRACTION 0.9
 #define SORT_INTERVAL_US (200 * 1000)
 /*
  * A best-effort task whose share stays below SLOW_SHARE_PERCENT for SLOW_DURATION_US is relocated
--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -160,6 +160,7 @@
 		g_strlcpy(worker->service, "pool", sizeof(worker->service));
 		worker->capacity = {millicores, 64LL << 30, 0};
 		worker->spare_millicores = millicores;
+		worker->openness = -1;
 		worker->ready = TRUE;
 		worker->incarnation = 1;
 		worker->last_beat_us = 1000000;
@@ -172,6 +173,15 @@
 		return worker;
 	}
 
+	static void add_serving(struct lug_fleet_worker *worker, const char *image)
+	{
+		struct lug_interference_serving_task serving = {g_intern_string(image), 0.4, 0.8,
+								0};
+
+		g_array_append_val(worker->serving_tasks, serving);
+		worker->openness = -1;
+	}
+
 	void SetUp() override
 	{
 		step.label = (char *)"";
@@ -315,4 +325,61 @@
 	for (int i = 0; i < 20; i++)
 		EXPECT_EQ(choose(), first);
 }
+
+/* Best is a worker of this image alone, then an empty one, then one that is mixed already. */
+TEST_F(PlacementTest, ServingTasksOfDifferentImagesAreKeptApart)
+{
+	struct lug_fleet_worker *same = add("a", 16000);
+	struct lug_fleet_worker *empty = add("b", 16000);
+	struct lug_fleet_worker *several = add("c", 16000);
+	struct lug_fleet_worker *other = add("d", 16000);
+
+	step.target_ms = 150;
+	add_serving(same, "i");
+	add_serving(several, "k");
+	add_serving(several, "l");
+	add_serving(other, "k");
+	EXPECT_EQ(choose(), same);
+	same->ready = FALSE;
+	EXPECT_EQ(choose(), empty);
+	/* A task of another image was placed there, which the heartbeat does not show yet. */
+	struct lug_step unconfirmed = step;
+
+	unconfirmed.image = (char *)"k";
+	lug_fleet_add_unconfirmed(empty, &unconfirmed);
+	EXPECT_EQ(choose(), several);
+	several->ready = FALSE;
+	lug_fleet_remove_unconfirmed(empty, &unconfirmed);
+	EXPECT_EQ(choose(), empty);
+	empty->ready = FALSE;
+	EXPECT_EQ(choose(), other);
+}
+
+/*
+ * Half of the images interfere with serving tasks of image k, none with those of image l. Where a
+ * harmless task takes a worker of image l, the others find none.
+ */
+TEST_F(PlacementTest, HarmlessTasksLeaveOpenWorkersToOthers)
+{
+	struct lug_fleet_worker *closed = add("a", 16000);
+	struct lug_fleet_worker *open = add("b", 16000);
+
+	add_serving(closed, "k");
+	add_serving(open, "l");
+	for (const char *image : {"heavy", "light"})
+		for (const char *serving : {"k", "l"}) {
+			struct lug_interference_pair pair = {g_intern_string(serving),
+							     g_intern_string(image), 0, 50};
+
+			if (!strcmp(image, "heavy") && !strcmp(serving, "k"))
+				pair.weight = 0.2;
+			lug_interference_merge(model, &pair);
+		}
+	step.best_effort = TRUE;
+	request.size.millicores = 0;
+	step.image = (char *)"light";
+	EXPECT_EQ(choose(), closed);
+	step.image = (char *)"heavy";
+	EXPECT_EQ(choose(), open);
+}
 } // namespace
