--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -15,6 +15,15 @@
 /* Workers silent for longer, and without claims, are removed from the fleet. */
 #define FORGET_US (120LL * G_USEC_PER_SEC)
 
+/*
+ * After AVOID_AFTER_FAILURES consecutive failed or refused runs a worker gets no tasks for
+ * AVOID_MIN_US. When it fails again after that, the time doubles, AVOID_DOUBLINGS_MAX times at
+ * most: tasks that fit only there must not wait long once it is sound again.
+ */
+#define AVOID_AFTER_FAILURES 3
+#define AVOID_MIN_US (1000 * 1000)
+#define AVOID_DOUBLINGS_MAX 2
+
 /*
  * struct lug_fleet - workers known to this process
  * @ctx: context
@@ -201,6 +210,27 @@
 		lug_resources_sub(&worker->confirmed, size);
 }
 
+/**
+ * lug_fleet_record_failure - note a failed or refused run, and avoid the worker after several
+ * @worker: worker
+ * @now_us: current time
+ *
+ * Runs that were started together fail together, so those that fail while the worker is avoided
+ * already say nothing new.
+ */
+void lug_fleet_record_failure(struct lug_fleet_worker *worker, gint64 now_us)
+{
+	guint32 doublings;
+
+	if (now_us < worker->avoid_until_us)
+		return;
+	worker->failures++;
+	if (worker->failures < AVOID_AFTER_FAILURES)
+		return;
+	doublings = MIN(worker->failures - AVOID_AFTER_FAILURES, AVOID_DOUBLINGS_MAX);
+	worker->avoid_until_us = now_us + ((gint64)AVOID_MIN_US << doublings);
+}
+
 /**
  * lug_fleet_add_unconfirmed - note a placed task that the agent hasn't confirmed
  * @worker: worker
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -132,6 +132,7 @@
 void lug_fleet_confirm(struct lug_fleet_worker *worker, const struct lug_resources *size);
 void lug_fleet_release(struct lug_fleet_worker *worker, const struct lug_resources *size,
 		       gboolean confirmed);
+void lug_fleet_record_failure(struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_add_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step);
 void lug_fleet_remove_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step);
 void lug_fleet_set_used(struct lug_fleet_worker *worker, const struct lug_resources *used);
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -4,13 +4,6 @@
 
 /* Delay between a failed run and the next claim of its task. */
 #define FAILED_RUN_RETRY_DELAY_US (50 * 1000)
-/*
- * After AVOID_AFTER_FAILURES consecutive failed or refused runs a worker gets no tasks for
- * AVOID_MIN_US. The time doubles with each further failure, up to AVOID_MAX_US.
- */
-#define AVOID_MIN_US (1000 * 1000)
-#define AVOID_MAX_US (16 * 1000 * 1000)
-#define AVOID_AFTER_FAILURES 3
 /* A start that the worker's agent has not received this long after it was sent is resent. */
 #define START_RESEND_US (700 * 1000)
 
@@ -90,26 +83,6 @@
 	task->checkpoint = g_strdup(checkpoint);
 }
 
-static void record_worker_failure(struct lug_fleet_worker *worker, gint64 now_us)
-{
-	guint32 doublings;
-
-	if (!worker)
-		return;
-	worker->failures++;
-	if (worker->failures < AVOID_AFTER_FAILURES)
-		return;
-	/* AVOID_MIN_US << 4 is AVOID_MAX_US; the bound keeps the shift from overflowing. */
-	doublings = MIN(worker->failures - AVOID_AFTER_FAILURES, 4);
-	worker->avoid_until_us = now_us + MIN((gint64)AVOID_MIN_US << doublings, AVOID_MAX_US);
-}
-
-static void reset_worker_failures(struct lug_fleet_worker *worker)
-{
-	if (worker)
-		worker->failures = 0;
-}
-
 /*
  * Removes the occurrence with its last task. The job is completed with its last occurrence.
  * @occ may be freed.
@@ -149,10 +122,11 @@
 	job->was_confirmed = TRUE;
 	if (task->state == SHARD_TASK_CLAIMED)
 		shard_release_claim(shard, job, task, step);
-	if (outcome == LUG_RUN_DONE)
-		reset_worker_failures(worker);
+	if (worker && outcome == LUG_RUN_DONE)
+		worker->failures = 0;
 	if (outcome == LUG_RUN_FAILED) {
-		record_worker_failure(worker, now_us);
+		if (worker)
+			lug_fleet_record_failure(worker, now_us);
 		task->failed_on = worker ? g_intern_string(worker->name) : NULL;
 	}
 	/* A long-running task waits for its next run, whatever the outcome. */
@@ -269,8 +243,8 @@
 		lug_count(shard->shared.ctx, TASKS_REFUSED, 1);
 		shard_release_claim(shard, job, task, &job->workflow->steps[id.step]);
 		/* A lack of room is no failure of the worker. */
-		if (answer->status != LUG_OVER_LIMIT)
-			record_worker_failure(fleet_worker, now_us);
+		if (fleet_worker && answer->status != LUG_OVER_LIMIT)
+			lug_fleet_record_failure(fleet_worker, now_us);
 		else if (fleet_worker && job->workflow->steps[id.step].best_effort)
 			fleet_worker->refused_best_effort = TRUE;
 		shard_job_mark_changed(shard, job);
--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -314,6 +314,26 @@
 	EXPECT_EQ(choose(), nullptr);
 }
 
+/*
+ * A worker that fails all that it starts for 6 s, while many tasks are placed on it together. Once
+ * it is sound again, a task that fits nowhere else must not wait for long.
+ */
+TEST_F(PlacementTest, WorkerThatFailsManyRunsAtOnceIsTriedAgainSoon)
+{
+	struct lug_fleet_worker *worker = add("a", 16000);
+	gint64 now_us = 1000000;
+
+	while (now_us < 7000000) {
+		for (int i = 0; i < 10; i++)
+			lug_fleet_record_failure(worker, now_us);
+		EXPECT_EQ(choose(now_us), nullptr) << now_us;
+		now_us = MAX(worker->avoid_until_us, now_us + 100000);
+		worker->last_beat_us = now_us;
+	}
+	EXPECT_LT(now_us, 7000000 + 4000001);
+	EXPECT_EQ(choose(now_us), worker);
+}
+
 TEST_F(PlacementTest, ServingTasksOfOneImageShareAWorker)
 {
 	for (const char *name : {"a", "b", "c", "d", "e", "f"})
