--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -9,8 +9,9 @@
 #define OWNER_TIMEOUT_US (250 * 1000)
 /* An owner counts as unreachable after three heartbeat intervals without a message from it. */
 #define OWNER_SILENT_US (1500 * 1000)
-/* Time for all owners to answer a count of pending jobs; shards without an answer count as 0. */
+/* Time for all owners to answer a count of pending jobs. */
 #define PENDING_TIMEOUT_US (300 * 1000)
+#define COUNT_UNKNOWN G_MAXUINT32
 
 static gboolean send_heartbeat_to_owner(void *data, struct lug_peer *peer)
 {
@@ -183,7 +184,7 @@
  * @fn: called once
  * @data: passed to @fn
  *
- * Shards without an answer in time are not counted.
+ * A count without all shards would tell that fewer jobs wait than do, so there is none then.
  */
 void lug_gateway_pending(struct lug_gateway *gateway, const char *queue, lug_gateway_pending_fn fn,
 			 void *data)
@@ -194,22 +195,35 @@
 	call->pending_fn = fn;
 	call->data = data;
 	call->counts = g_new0(guint32, gateway->n_shards);
-	call->unanswered = 0;
+	call->uncounted = gateway->n_shards;
 	call->answer_due_us = lug_now_us() + PENDING_TIMEOUT_US;
-	for (guint32 i = 0; i < gateway->n_shards; i++)
-		call->unanswered += gateway_send_call(call, i);
+	for (guint32 i = 0; i < gateway->n_shards; i++) {
+		call->counts[i] = COUNT_UNKNOWN;
+		gateway_send_call(call, i);
+	}
 }
 
 static void finish_pending(struct gateway_call *call)
 {
 	guint32 sum = 0;
 
-	for (guint32 i = 0; i < call->gateway->n_shards; i++)
+	for (guint32 i = 0; i < call->gateway->n_shards && !call->uncounted; i++)
 		sum += call->counts[i];
-	call->pending_fn(call->data, sum);
+	call->pending_fn(call->data, call->uncounted ? LUG_UNAVAILABLE : LUG_OK, sum);
 	gateway_call_free(call);
 }
 
+/* An owner that has lost or not yet loaded the shard answers without a count. */
+static void apply_count(struct gateway_call *call, const Lug__JobReply *reply)
+{
+	if (reply->status != LUG_OK || reply->shard >= call->gateway->n_shards ||
+	    call->counts[reply->shard] != COUNT_UNKNOWN)
+		return;
+	call->counts[reply->shard] = reply->pending;
+	if (!--call->uncounted)
+		finish_pending(call);
+}
+
 static struct gateway_call *find_call(struct lug_gateway *gateway, guint64 id)
 {
 	LUG_LIST_FOREACH (&gateway->calls, pos) {
@@ -224,10 +238,7 @@
 static void apply_reply(struct gateway_call *call, const Lug__JobReply *reply)
 {
 	if (call->kind == LUG_JOB_PENDING) {
-		if (reply->shard < call->gateway->n_shards)
-			call->counts[reply->shard] = reply->pending;
-		if (!--call->unanswered)
-			finish_pending(call);
+		apply_count(call, reply);
 		return;
 	}
 	if (call->kind == LUG_JOB_NEW && call->relay_in_flight) {
--- a/liblug/workflow/gateway.h
+++ b/liblug/workflow/gateway.h
@@ -37,8 +37,11 @@
 /* State of a job; LUG_NOT_FOUND without such a job, LUG_UNAVAILABLE when it can't be read. */
 typedef void (*lug_gateway_state_fn)(void *data, enum lug_status status,
 				     enum lug_workflow_state state);
-/* Number of a queue's stored jobs without a task that an agent has accepted. */
-typedef void (*lug_gateway_pending_fn)(void *data, guint32 pending);
+/*
+ * Number of a queue's stored jobs without a task that an agent has accepted; LUG_UNAVAILABLE when a
+ * shard's owner has not answered in time.
+ */
+typedef void (*lug_gateway_pending_fn)(void *data, enum lug_status status, guint32 pending);
 
 struct lug_gateway *lug_gateway_new(struct lug_ctx *ctx, struct lug_store *store,
 				    struct lug_link *link, struct lug_shard_map *shard_map);
--- a/liblug/workflow/gateway_priv.h
+++ b/liblug/workflow/gateway_priv.h
@@ -63,8 +63,8 @@
  * @outcome_unknown: an earlier attempt to store the job has an unknown outcome
  * @retry_us: time of the next attempt of a submission
  * @notify_until_us: time until which the owner is notified again
- * @unanswered: number of shards whose owners have not answered
- * @counts: pending jobs by shard
+ * @uncounted: number of shards whose owners have not counted their pending jobs
+ * @counts: pending jobs by shard, COUNT_UNKNOWN until the owner has answered
  */
 struct gateway_call {
 	struct lug_list node;
@@ -92,7 +92,7 @@
 	gboolean outcome_unknown;
 	gint64 retry_us;
 	gint64 notify_until_us;
-	guint32 unanswered;
+	guint32 uncounted;
 	guint32 *counts;
 };
 
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -337,6 +337,31 @@
         lambda: deployment.request("GET", "/jobs/")[1].get("pending") == 2, 2)
 
 
+def test_pending_is_not_told_without_the_count_of_a_silent_owner(start_deployment):
+    """A count that leaves out a shard tells that fewer jobs wait than do."""
+    deployment = start_deployment(workers=3, shards=4)
+    # No worker holds these tasks.
+    jobs = [next(JOB_IDS) for _ in range(12)]
+    for job in jobs:
+        assert deployment.submit(job, {"ms": 50}, [{"count": 1, "cpu": 64000}]) == 200
+
+    def pending():
+        return deployment.request("GET", "/jobs/")
+    assert deployment.wait_until(lambda: pending()[1].get("pending") == len(jobs), 2)
+    owner = deployment.owner_name("0")
+    deployment.signal_process(owner, signal.SIGSTOP)
+    answers = []
+    until_s = time.monotonic() + 5
+    while time.monotonic() < until_s:
+        answers.append(pending())
+        time.sleep(0.05)
+    deployment.signal_process(owner, signal.SIGCONT)
+    assert {status for status, _ in answers} <= {200, 503}
+    counts = {body["pending"] for status, body in answers if status == 200}
+    assert counts == {len(jobs)}, counts
+    assert answers[-1][0] == 200, "another agent has taken the shard over"
+
+
 def test_draining_worker_gets_no_tasks(start_deployment):
     deployment = start_deployment(workers=2, shards=1)
     deployment.workers["agent-1"].draining = True
