--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -11,6 +11,11 @@
 /* Longest time for releasing owned shards at shutdown. Tasks keep running without the agent. */
 #define RELEASE_TIMEOUT_US (1500 * 1000)
 
+/* Heartbeats per report of interference: one more for each WORKERS_PER_INTERVAL workers. */
+#define WORKERS_PER_INTERVAL 24
+#define INTERFERENCE_INTERVAL_MIN 3
+#define INTERFERENCE_INTERVAL_MAX 12
+
 struct queue_agent {
 	struct lug_ctx *ctx;
 	struct lug_loop_hooks hooks;
@@ -88,6 +93,15 @@
 					   &target, lug_now_us());
 }
 
+/* One heartbeat in so many contains interference, so that large fleets don't send it more often. */
+static guint32 interference_interval(const struct queue_agent *agent)
+{
+	guint32 workers = lug_fleet_workers(agent->fleet)->len;
+
+	return CLAMP(workers / WORKERS_PER_INTERVAL, INTERFERENCE_INTERVAL_MIN,
+		     INTERFERENCE_INTERVAL_MAX);
+}
+
 static void fill_interference(Lug__WorkerBeatAck *ack, GArray *pairs, Lug__HarmPair **items,
 			      Lug__HarmPair ***item_ptrs)
 {
@@ -108,7 +122,7 @@
 	guint32 n = lug_shard_map_count(agent->shard_map);
 	Lug__ShardOwner *owned = g_new0(Lug__ShardOwner, n);
 	Lug__ShardOwner **owned_ptrs = g_new0(Lug__ShardOwner *, n);
-	GArray *pairs = lug_interference_pairs(lug_fleet_interference(agent->fleet));
+	GArray *pairs = NULL;
 	Lug__HarmPair *pair_items = NULL;
 	Lug__HarmPair **pair_ptrs = NULL;
 	Lug__WorkerBeatAck ack = LUG__WORKER_BEAT_ACK__INIT;
@@ -135,8 +149,12 @@
 	 * Only some heartbeats carry pairs of interference ("harm" on the wire). The
 	 * acknowledgement of such a heartbeat carries this agent's pairs.
 	 */
-	if (beat->n_harm)
+	if (beat->n_harm) {
+		pairs = lug_interference_pairs(lug_fleet_interference(agent->fleet));
 		fill_interference(&ack, pairs, &pair_items, &pair_ptrs);
+	}
+	ack.has_interference_interval = 1;
+	ack.interference_interval = interference_interval(agent);
 	ack.has_stalled = 1;
 	ack.stalled = lug_shards_is_stalled(agent->shards, now_us);
 	lug_link_send(agent->link, route, &env);
@@ -144,7 +162,8 @@
 	g_free(owned_ptrs);
 	g_free(pair_items);
 	g_free(pair_ptrs);
-	g_array_unref(pairs);
+	if (pairs)
+		g_array_unref(pairs);
 }
 
 static void on_worker_beat(struct queue_agent *agent, const struct lug_route *route,
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -5038,7 +5038,7 @@
   (ProtobufCMessageInit) lug__shard_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__worker_beat_ack__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lug__worker_beat_ack__field_descriptors[5] =
 {
   {
     "beat",
@@ -5088,17 +5088,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interference_interval",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__WorkerBeatAck, has_interference_interval),
+    offsetof(Lug__WorkerBeatAck, interference_interval),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__worker_beat_ack__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = harm */
+  4,   /* field[4] = interference_interval */
   1,   /* field[1] = owned */
   2,   /* field[2] = stalled */
 };
 static const ProtobufCIntRange lug__worker_beat_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lug__worker_beat_ack__descriptor =
 {
@@ -5108,7 +5121,7 @@
   "Lug__WorkerBeatAck",
   "lug",
   sizeof(Lug__WorkerBeatAck),
-  4,
+  5,
   lug__worker_beat_ack__field_descriptors,
   lug__worker_beat_ack__field_indices_by_name,
   1,  lug__worker_beat_ack__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -68,6 +68,9 @@
   ProtobufCMessage base;
   protobuf_c_boolean has_millicores;
   int64_t millicores;
+  /*
+   * Bytes.
+   */
   protobuf_c_boolean has_memory;
   int64_t memory;
   protobuf_c_boolean has_accelerators;
@@ -78,6 +81,9 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * An attempt of a task of a team queue.
+ */
 struct  Lug__TaskId
 {
   ProtobufCMessage base;
@@ -92,18 +98,34 @@
     , NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Attempts of one team queue that an agent holds. The queue's owner compares them with the
+ * attempts that it has claimed for the agent.
+ */
 struct  Lug__QueueHeld
 {
   ProtobufCMessage base;
+  /*
+   * Team of the queue, here and in the other messages on team queues.
+   */
   char *queue;
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
+  /*
+   * Last sequence number accepted from the owner.
+   */
   protobuf_c_boolean has_last_seq;
   uint64_t last_seq;
   size_t n_held;
   Lug__TaskId **held;
+  /*
+   * Exclusive or of the hashes of all attempts held.
+   */
   protobuf_c_boolean has_digest;
   uint64_t digest;
+  /*
+   * The attempts are listed in `held`; otherwise the digest alone is sent.
+   */
   protobuf_c_boolean has_listed;
   protobuf_c_boolean listed;
 };
@@ -112,10 +134,16 @@
     , NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * A team queue that the sender owns.
+ */
 struct  Lug__QueueEpoch
 {
   ProtobufCMessage base;
   char *queue;
+  /*
+   * Epoch of the owner's lease.
+   */
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
 };
@@ -124,6 +152,9 @@
     , NULL, 0, 0 }
 
 
+/*
+ * Heartbeat of an agent to entries and owners of team queues.
+ */
 struct  Lug__Beat
 {
   ProtobufCMessage base;
@@ -131,35 +162,77 @@
   char *zone;
   char *rack;
   char *region;
+  /*
+   * The agent's address for internal connections.
+   */
   char *address;
+  /*
+   * Limit on requests running at the same time.
+   */
   protobuf_c_boolean has_slots;
   uint32_t slots;
   protobuf_c_boolean has_busy;
   uint32_t busy;
   protobuf_c_boolean has_queued;
   uint32_t queued;
+  /*
+   * The agent accepts no new work.
+   */
   protobuf_c_boolean has_leaving;
   protobuf_c_boolean leaving;
+  /*
+   * Moving average of the service time of the backend server.
+   */
   protobuf_c_boolean has_service_us;
   uint32_t service_us;
+  /*
+   * Free resources for tasks.
+   */
   Lug__Resources *room;
   Lug__Resources *capacity;
+  /*
+   * Queues that the sender owns; sent to entries.
+   */
   size_t n_queues;
   char **queues;
+  /*
+   * Sent to owners.
+   */
   size_t n_held;
   Lug__QueueHeld **held;
+  /*
+   * Epoch of the worker's lease, 0 without one.
+   */
   protobuf_c_boolean has_worker_epoch;
   uint64_t worker_epoch;
+  /*
+   * Number of times the sender opened this connection; older generations are ignored.
+   */
   protobuf_c_boolean has_generation;
   uint32_t generation;
+  /*
+   * Not used.
+   */
   protobuf_c_boolean has_stopped;
   protobuf_c_boolean stopped;
+  /*
+   * Not used.
+   */
   protobuf_c_boolean has_beat_seq;
   uint64_t beat_seq;
+  /*
+   * Number of tasks that the agent runs.
+   */
   protobuf_c_boolean has_tasks;
   uint32_t tasks;
+  /*
+   * Limit on requests running or queued.
+   */
   protobuf_c_boolean has_connections;
   uint32_t connections;
+  /*
+   * Time to the next heartbeat.
+   */
   protobuf_c_boolean has_interval_ms;
   uint32_t interval_ms;
 };
@@ -168,17 +241,35 @@
     , NULL, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Answer of an entry or an owner to a Beat.
+ */
 struct  Lug__BeatAck
 {
   ProtobufCMessage base;
+  /*
+   * The other entries' addresses for internal connections.
+   */
   size_t n_entries;
   char **entries;
+  /*
+   * Not used.
+   */
   protobuf_c_boolean has_beat_seq;
   uint64_t beat_seq;
+  /*
+   * Queues that the sender owns.
+   */
   size_t n_queues;
   Lug__QueueEpoch **queues;
+  /*
+   * Interval requested for further heartbeats.
+   */
   protobuf_c_boolean has_interval_ms;
   uint32_t interval_ms;
+  /*
+   * The next heartbeat shall list the attempts held.
+   */
   protobuf_c_boolean has_list_held;
   protobuf_c_boolean list_held;
 };
@@ -187,6 +278,9 @@
     , 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * One attempt at a request to a backend server, from an entry to an agent.
+ */
 struct  Lug__Request
 {
   ProtobufCMessage base;
@@ -199,12 +293,21 @@
   protobuf_c_boolean has_body;
   ProtobufCBinaryData body;
   char *content_type;
+  /*
+   * Time left until the deadline.
+   */
   protobuf_c_boolean has_timeout_ms;
   uint32_t timeout_ms;
   protobuf_c_boolean has_attempt;
   uint32_t attempt;
+  /*
+   * May be retried when the outcome of an attempt is unknown.
+   */
   protobuf_c_boolean has_idempotent;
   protobuf_c_boolean idempotent;
+  /*
+   * Generation of the agent's connection, from its latest heartbeat. Not used by agents.
+   */
   protobuf_c_boolean has_generation;
   uint32_t generation;
 };
@@ -213,14 +316,23 @@
     , 0, 0, NULL, NULL, NULL, NULL, 0, {0,NULL}, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Outcome of a Request, with the load of the backend server.
+ */
 struct  Lug__Reply
 {
   ProtobufCMessage base;
   protobuf_c_boolean has_id;
   uint64_t id;
+  /*
+   * enum lug_status: LUG_OK, LUG_NOT_RUN or LUG_UNKNOWN.
+   */
   protobuf_c_boolean has_status;
   uint32_t status;
   char *detail;
+  /*
+   * HTTP status of the backend server.
+   */
   protobuf_c_boolean has_http;
   uint32_t http;
   protobuf_c_boolean has_body;
@@ -240,6 +352,9 @@
     , 0, 0, 0, 0, NULL, 0, 0, 0, {0,NULL}, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Cancels an attempt that has no slot yet. Any other is answered with its outcome once it ends.
+ */
 struct  Lug__Cancel
 {
   ProtobufCMessage base;
@@ -253,23 +368,50 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Announces the waiting tasks of a team queue, from the queue's owner to agents.
+ */
 struct  Lug__Want
 {
   ProtobufCMessage base;
   char *queue;
+  /*
+   * Epoch of the owner's lease.
+   */
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
+  /*
+   * The owner's address for internal connections.
+   */
   char *address;
+  /*
+   * Number of tasks that wait and may start now.
+   */
   protobuf_c_boolean has_pending;
   uint32_t pending;
+  /*
+   * Minimum of each resource over these tasks.
+   */
   Lug__Resources *smallest;
+  /*
+   * Maximum of each resource over these tasks.
+   */
   Lug__Resources *largest;
   protobuf_c_boolean has_urgent;
   protobuf_c_boolean urgent;
+  /*
+   * Dominant share of the team's tasks divided by the team's weight.
+   */
   protobuf_c_boolean has_share;
   double share;
+  /*
+   * Longest time for which one of these tasks has waited.
+   */
   protobuf_c_boolean has_oldest_ms;
   uint32_t oldest_ms;
+  /*
+   * Not used, nor are the next two.
+   */
   size_t n_regions;
   char **regions;
   size_t n_zones;
@@ -282,21 +424,39 @@
     , NULL, 0, 0, NULL, 0, 0, NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Grants a worker's free resources to the owner of one team queue.
+ */
 struct  Lug__Offer
 {
   ProtobufCMessage base;
   char *queue;
   Lug__Resources *room;
+  /*
+   * Epoch of the worker's lease.
+   */
   protobuf_c_boolean has_worker_epoch;
   uint64_t worker_epoch;
   char *zone;
   char *region;
+  /*
+   * Increases with each offer of the agent; the reply repeats it.
+   */
   protobuf_c_boolean has_offer;
   uint64_t offer;
+  /*
+   * Kinds of tasks that the owner shall not start; no agent sets it.
+   */
   size_t n_avoid_kinds;
   char **avoid_kinds;
+  /*
+   * Maximum number of starts, 0 if unlimited.
+   */
   protobuf_c_boolean has_max_starts;
   uint32_t max_starts;
+  /*
+   * Least `share` among the other wants; the owner declines once its own is greater.
+   */
   protobuf_c_boolean has_next_share;
   double next_share;
 };
@@ -305,14 +465,24 @@
     , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Starts a claimed attempt.
+ */
 struct  Lug__Start
 {
   ProtobufCMessage base;
   char *queue;
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
+  /*
+   * Increases with each Start and Stop of an owner; the agent drops a message whose number is
+   * not above the last one accepted.
+   */
   protobuf_c_boolean has_seq;
   uint64_t seq;
+  /*
+   * Epoch of the worker's lease under which the attempt was claimed.
+   */
   protobuf_c_boolean has_worker_epoch;
   uint64_t worker_epoch;
   Lug__TaskId *task;
@@ -325,10 +495,19 @@
   protobuf_c_boolean idempotent;
   protobuf_c_boolean has_urgent;
   protobuf_c_boolean urgent;
+  /*
+   * Not used.
+   */
   protobuf_c_boolean has_offer;
   uint64_t offer;
+  /*
+   * Run time that the job declares.
+   */
   protobuf_c_boolean has_declared_ms;
   int64_t declared_ms;
+  /*
+   * Tasks of this kind have succeeded before.
+   */
   protobuf_c_boolean has_proven;
   protobuf_c_boolean proven;
 };
@@ -337,14 +516,26 @@
     , NULL, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Owner's reply to an Offer.
+ */
 struct  Lug__OfferReply
 {
   ProtobufCMessage base;
   char *queue;
+  /*
+   * The offer replied to.
+   */
   protobuf_c_boolean has_offer;
   uint64_t offer;
+  /*
+   * Number of starts that follow.
+   */
   protobuf_c_boolean has_starts;
   uint32_t starts;
+  /*
+   * Remaining demand of the queue; absent if there is none.
+   */
   Lug__Want *want;
 };
 #define LUG__OFFER_REPLY__INIT \
@@ -352,11 +543,17 @@
     , NULL, 0, 0, 0, 0, NULL }
 
 
+/*
+ * Agent's reply to a Start.
+ */
 struct  Lug__StartReply
 {
   ProtobufCMessage base;
   char *queue;
   Lug__TaskId *task;
+  /*
+   * enum lug_status.
+   */
   protobuf_c_boolean has_status;
   uint32_t status;
   char *detail;
@@ -366,6 +563,9 @@
     , NULL, NULL, 0, 0, NULL }
 
 
+/*
+ * Orders an agent to stop an attempt.
+ */
 struct  Lug__Stop
 {
   ProtobufCMessage base;
@@ -375,6 +575,9 @@
   protobuf_c_boolean has_seq;
   uint64_t seq;
   Lug__TaskId *task;
+  /*
+   * The task shall write a checkpoint first; no owner sets it.
+   */
   protobuf_c_boolean has_checkpoint;
   protobuf_c_boolean checkpoint;
 };
@@ -383,17 +586,32 @@
     , NULL, 0, 0, 0, 0, NULL, 0, 0 }
 
 
+/*
+ * End of an attempt, from its agent to the owner; resent until acknowledged.
+ */
 struct  Lug__Report
 {
   ProtobufCMessage base;
   char *queue;
   Lug__TaskId *task;
+  /*
+   * enum lug_outcome.
+   */
   protobuf_c_boolean has_outcome;
   uint32_t outcome;
   char *detail;
+  /*
+   * Reference to a checkpoint to resume from.
+   */
   char *checkpoint;
+  /*
+   * Metered core-milliseconds.
+   */
   protobuf_c_boolean has_used_ms;
   int64_t used_ms;
+  /*
+   * Epoch of the worker's lease.
+   */
   protobuf_c_boolean has_worker_epoch;
   uint64_t worker_epoch;
 };
@@ -402,6 +620,9 @@
     , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Acknowledges a Report once the outcome is committed.
+ */
 struct  Lug__ReportAck
 {
   ProtobufCMessage base;
@@ -414,6 +635,9 @@
     , NULL, NULL, NULL }
 
 
+/*
+ * Not used.
+ */
 struct  Lug__Probe
 {
   ProtobufCMessage base;
@@ -428,6 +652,9 @@
     , NULL, 0, 0, 0, 0 }
 
 
+/*
+ * From an entry to the owner of a team queue: new jobs are stored and can be read.
+ */
 struct  Lug__Poke
 {
   ProtobufCMessage base;
@@ -438,6 +665,9 @@
     , NULL }
 
 
+/*
+ * Requests the table of weights and limits from a peer with a newer version.
+ */
 struct  Lug__TableFetch
 {
   ProtobufCMessage base;
@@ -447,6 +677,9 @@
      }
 
 
+/*
+ * Table of weights and limits; answers TableFetch.
+ */
 struct  Lug__TableBody
 {
   ProtobufCMessage base;
@@ -459,13 +692,22 @@
     , 0, 0, NULL }
 
 
+/*
+ * Requests events of an agent's timeline.
+ */
 struct  Lug__EventsQuery
 {
   ProtobufCMessage base;
   protobuf_c_boolean has_id;
   uint64_t id;
+  /*
+   * Only events with a later stamp are returned.
+   */
   protobuf_c_boolean has_since;
   uint64_t since;
+  /*
+   * Only events whose subject or detail contains this text are returned.
+   */
   char *match;
   protobuf_c_boolean has_limit;
   uint32_t limit;
@@ -475,11 +717,20 @@
     , 0, 0, 0, 0, NULL, 0, 0 }
 
 
+/*
+ * An event of a timeline.
+ */
 struct  Lug__Event
 {
   ProtobufCMessage base;
+  /*
+   * Hybrid logical clock stamp; orders the events of all processes.
+   */
   protobuf_c_boolean has_stamp;
   uint64_t stamp;
+  /*
+   * enum lug_event_type.
+   */
   protobuf_c_boolean has_type;
   uint32_t type;
   char *subject;
@@ -490,6 +741,9 @@
     , 0, 0, 0, 0, NULL, NULL }
 
 
+/*
+ * Answers EventsQuery.
+ */
 struct  Lug__EventsReply
 {
   ProtobufCMessage base;
@@ -497,6 +751,9 @@
   uint64_t id;
   size_t n_events;
   Lug__Event **events;
+  /*
+   * Number of events dropped from the agent's timeline.
+   */
   protobuf_c_boolean has_dropped;
   uint64_t dropped;
 };
@@ -505,10 +762,16 @@
     , 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * Starts or ends the draining of a worker.
+ */
 struct  Lug__Drain
 {
   ProtobufCMessage base;
   char *worker;
+  /*
+   * Accept new work again.
+   */
   protobuf_c_boolean has_undo;
   protobuf_c_boolean undo;
 };
@@ -517,6 +780,9 @@
     , NULL, 0, 0 }
 
 
+/*
+ * One run of a task.
+ */
 struct  Lug__RunId
 {
   ProtobufCMessage base;
@@ -525,8 +791,14 @@
   uint32_t occurrence;
   protobuf_c_boolean has_step;
   uint32_t step;
+  /*
+   * Task within the step.
+   */
   protobuf_c_boolean has_index;
   uint32_t index;
+  /*
+   * Counts the runs of the task, from 1.
+   */
   protobuf_c_boolean has_run;
   uint32_t run;
 };
@@ -535,17 +807,33 @@
     , NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A run that an agent holds.
+ */
 struct  Lug__RunHeld
 {
   ProtobufCMessage base;
   Lug__RunId *id;
+  /*
+   * Progress of the task, percent.
+   */
   protobuf_c_boolean has_percent;
   uint32_t percent;
+  /*
+   * Reported metric: tail latency of a serving task in milliseconds, thousandths of a core in
+   * use for other tasks.
+   */
   protobuf_c_boolean has_figure;
   int64_t figure;
   char *checkpoint;
+  /*
+   * The agent restarted and needs the attributes of the run again, see RunStart.size_only.
+   */
   protobuf_c_boolean has_unsized;
   protobuf_c_boolean unsized;
+  /*
+   * Share of full speed, percent; for best-effort tasks only.
+   */
   protobuf_c_boolean has_share;
   uint32_t share;
 };
@@ -554,6 +842,10 @@
     , NULL, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Runs of one shard that an agent holds. The shard's owner compares them with the runs that it
+ * has claimed for the agent.
+ */
 struct  Lug__ShardHeld
 {
   ProtobufCMessage base;
@@ -561,6 +853,9 @@
   uint32_t shard;
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
+  /*
+   * Last sequence number accepted from the owner.
+   */
   protobuf_c_boolean has_last_seq;
   uint64_t last_seq;
   size_t n_held;
@@ -571,13 +866,28 @@
     , 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Learned interference of best-effort tasks of one image with serving tasks of another.
+ */
 struct  Lug__HarmPair
 {
   ProtobufCMessage base;
+  /*
+   * Image of the serving task.
+   */
   char *serving;
+  /*
+   * Image of the best-effort task.
+   */
   char *filler;
+  /*
+   * Utilisation that one best-effort task at full speed adds to that of the serving task.
+   */
   protobuf_c_boolean has_weight;
   float weight;
+  /*
+   * Information from samples (1 / variance) relative to that of the prior.
+   */
   protobuf_c_boolean has_count;
   float count;
 };
@@ -586,14 +896,26 @@
     , NULL, NULL, 0, 0, 0, 0 }
 
 
+/*
+ * A serving task on a worker.
+ */
 struct  Lug__Serving
 {
   ProtobufCMessage base;
   char *image;
+  /*
+   * Estimated utilisation by its own load.
+   */
   protobuf_c_boolean has_own_load;
   float own_load;
+  /*
+   * Utilisation at which its tail latency reaches its target.
+   */
   protobuf_c_boolean has_limit;
   float limit;
+  /*
+   * Estimated utilisation that best-effort tasks add to it.
+   */
   protobuf_c_boolean has_pressure;
   float pressure;
 };
@@ -602,9 +924,15 @@
     , NULL, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Heartbeat of an agent to owners of shards.
+ */
 struct  Lug__WorkerBeat
 {
   ProtobufCMessage base;
+  /*
+   * Increases with each heartbeat of the agent; the acknowledgement repeats it.
+   */
   protobuf_c_boolean has_beat;
   uint64_t beat;
   char *service;
@@ -612,27 +940,54 @@
   size_t n_labels;
   char **labels;
   Lug__Resources *capacity;
+  /*
+   * Resources reserved for the runs held.
+   */
   Lug__Resources *used;
   protobuf_c_boolean has_draining;
   protobuf_c_boolean draining;
+  /*
+   * The agent accepts starts.
+   */
   protobuf_c_boolean has_ready;
   protobuf_c_boolean ready;
+  /*
+   * Lease epoch under which the worker has answered a poll, 0 for none.
+   */
   protobuf_c_boolean has_lease_epoch;
   uint64_t lease_epoch;
+  /*
+   * Incarnation of the worker.
+   */
   protobuf_c_boolean has_life;
   uint64_t life;
   size_t n_shards;
   Lug__ShardHeld **shards;
+  /*
+   * Number of times the sender opened this connection; older generations are ignored.
+   */
   protobuf_c_boolean has_generation;
   uint32_t generation;
+  /*
+   * The agent is shutting down.
+   */
   protobuf_c_boolean has_stopping;
   protobuf_c_boolean stopping;
   size_t n_servings;
   Lug__Serving **servings;
+  /*
+   * Sent with some of the heartbeats.
+   */
   size_t n_harm;
   Lug__HarmPair **harm;
+  /*
+   * Cores that no task uses; serving tasks count at their estimated load.
+   */
   protobuf_c_boolean has_spare_millicores;
   int64_t spare_millicores;
+  /*
+   * Consecutive failed runs.
+   */
   protobuf_c_boolean has_failing;
   uint32_t failing;
 };
@@ -641,6 +996,9 @@
     , 0, 0, NULL, NULL, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Owner of a shard.
+ */
 struct  Lug__ShardOwner
 {
   ProtobufCMessage base;
@@ -648,6 +1006,9 @@
   uint32_t shard;
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
+  /*
+   * Address for internal connections.
+   */
   char *address;
 };
 #define LUG__SHARD_OWNER__INIT \
@@ -655,23 +1016,46 @@
     , 0, 0, 0, 0, NULL }
 
 
+/*
+ * Owner's answer to a WorkerBeat.
+ */
 struct  Lug__WorkerBeatAck
 {
   ProtobufCMessage base;
+  /*
+   * The heartbeat answered.
+   */
   protobuf_c_boolean has_beat;
   uint64_t beat;
+  /*
+   * Shards that the sender owns.
+   */
   size_t n_owned;
   Lug__ShardOwner **owned;
+  /*
+   * No commit to an owned shard has succeeded recently.
+   */
   protobuf_c_boolean has_stalled;
   protobuf_c_boolean stalled;
+  /*
+   * Interference learned by all agents; answers a heartbeat that reports some.
+   */
   size_t n_harm;
   Lug__HarmPair **harm;
+  /*
+   * One heartbeat in this many is to contain the learned interference.
+   */
+  protobuf_c_boolean has_interference_interval;
+  uint32_t interference_interval;
 };
 #define LUG__WORKER_BEAT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__worker_beat_ack__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * Starts a claimed run, from the owner of its shard to an agent.
+ */
 struct  Lug__RunStart
 {
   ProtobufCMessage base;
@@ -679,25 +1063,50 @@
   uint32_t shard;
   protobuf_c_boolean has_epoch;
   uint64_t epoch;
+  /*
+   * Increases with each RunStart of an owner; the agent drops a message whose number is not
+   * above the last one accepted.
+   */
   protobuf_c_boolean has_seq;
   uint64_t seq;
+  /*
+   * Epoch of the worker's lease under which the run was claimed.
+   */
   protobuf_c_boolean has_lease_epoch;
   uint64_t lease_epoch;
   Lug__RunId *id;
   Lug__Resources *size;
+  /*
+   * Text of the job's specification.
+   */
   char *spec;
   char *checkpoint;
+  /*
+   * Best-effort task: its cores are not reserved.
+   */
   protobuf_c_boolean has_fills;
   protobuf_c_boolean fills;
+  /*
+   * Long-running task: it runs until cancelled.
+   */
   protobuf_c_boolean has_lasts;
   protobuf_c_boolean lasts;
+  /*
+   * Target for the tail latency of a serving task, 0 for others.
+   */
   protobuf_c_boolean has_target_ms;
   uint32_t target_ms;
   protobuf_c_boolean has_priority;
   uint32_t priority;
+  /*
+   * The agent already holds the run and only sets its attributes; nothing is started.
+   */
   protobuf_c_boolean has_size_only;
   protobuf_c_boolean size_only;
   char *image;
+  /*
+   * Cores that a best-effort task can use, thousandths.
+   */
   protobuf_c_boolean has_fill_millicores;
   int64_t fill_millicores;
 };
@@ -706,15 +1115,27 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
 
 
+/*
+ * Agent's answer to a RunStart.
+ */
 struct  Lug__RunAnswer
 {
   ProtobufCMessage base;
   protobuf_c_boolean has_shard;
   uint32_t shard;
   Lug__RunId *id;
+  /*
+   * enum lug_status.
+   */
   protobuf_c_boolean has_status;
   uint32_t status;
+  /*
+   * Resources reserved for the runs held.
+   */
   Lug__Resources *used;
+  /*
+   * Last sequence number accepted from the owner.
+   */
   protobuf_c_boolean has_seq;
   uint64_t seq;
 };
@@ -723,6 +1144,9 @@
     , 0, 0, NULL, 0, 0, NULL, 0, 0 }
 
 
+/*
+ * Orders an agent to stop a run.
+ */
 struct  Lug__RunStop
 {
   ProtobufCMessage base;
@@ -737,17 +1161,29 @@
     , 0, 0, 0, 0, NULL }
 
 
+/*
+ * End of a run, from its agent to the owner; resent until acknowledged.
+ */
 struct  Lug__RunEnd
 {
   ProtobufCMessage base;
   protobuf_c_boolean has_shard;
   uint32_t shard;
   Lug__RunId *id;
+  /*
+   * enum lug_run_outcome.
+   */
   protobuf_c_boolean has_outcome;
   uint32_t outcome;
   char *checkpoint;
+  /*
+   * Epoch of the worker's lease.
+   */
   protobuf_c_boolean has_lease_epoch;
   uint64_t lease_epoch;
+  /*
+   * Resources reserved for the runs held.
+   */
   Lug__Resources *used;
 };
 #define LUG__RUN_END__INIT \
@@ -755,6 +1191,9 @@
     , 0, 0, NULL, 0, 0, NULL, 0, 0, NULL }
 
 
+/*
+ * Acknowledges a RunEnd once the outcome is committed.
+ */
 struct  Lug__RunEndAck
 {
   ProtobufCMessage base;
@@ -767,18 +1206,31 @@
     , 0, 0, NULL }
 
 
+/*
+ * Call of an entry to a shard's owner.
+ */
 struct  Lug__JobCall
 {
   ProtobufCMessage base;
   protobuf_c_boolean has_id;
   uint64_t id;
+  /*
+   * enum lug_job_call_kind.
+   */
   protobuf_c_boolean has_kind;
   uint32_t kind;
   protobuf_c_boolean has_shard;
   uint32_t shard;
   char *job;
   char *queue;
+  /*
+   * Text of the job's row: to be stored by the owner (LUG_JOB_STORE), or already stored by the
+   * entry (LUG_JOB_NEW, see version).
+   */
   char *body;
+  /*
+   * Version of the row that the entry stored, 0 if it stored none.
+   */
   protobuf_c_boolean has_version;
   int64_t version;
 };
@@ -787,19 +1239,34 @@
     , 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, 0, 0 }
 
 
+/*
+ * Answers JobCall.
+ */
 struct  Lug__JobReply
 {
   ProtobufCMessage base;
   protobuf_c_boolean has_id;
   uint64_t id;
+  /*
+   * enum lug_status.
+   */
   protobuf_c_boolean has_status;
   uint32_t status;
+  /*
+   * enum lug_workflow_state.
+   */
   protobuf_c_boolean has_state;
   uint32_t state;
+  /*
+   * Number of jobs of the queue that have not begun.
+   */
   protobuf_c_boolean has_pending;
   uint32_t pending;
   protobuf_c_boolean has_shard;
   uint32_t shard;
+  /*
+   * Shard map, in answers to an entry's heartbeat.
+   */
   size_t n_owners;
   Lug__ShardOwner **owners;
 };
@@ -842,16 +1309,34 @@
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LUG__ENVELOPE__BODY__CASE)
 } Lug__Envelope__BodyCase;
 
+/*
+ * Every message on an internal connection.
+ */
 struct  Lug__Envelope
 {
   ProtobufCMessage base;
+  /*
+   * Protocol version of the sender.
+   */
   protobuf_c_boolean has_proto;
   uint32_t proto;
+  /*
+   * Name of the sender.
+   */
   char *from;
+  /*
+   * Incarnation of the sender's process.
+   */
   protobuf_c_boolean has_incarnation;
   uint64_t incarnation;
+  /*
+   * Hybrid logical clock stamp of the sender.
+   */
   protobuf_c_boolean has_hlc;
   uint64_t hlc;
+  /*
+   * Version of the weights and limits in force at the sender.
+   */
   protobuf_c_boolean has_table_version;
   uint64_t table_version;
   Lug__Envelope__BodyCase body_case;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -205,6 +205,8 @@
  * @acked_end_number: ends up to this number are stored by the owners of their shards
  * @last_end_number: number of the latest end received
  * @sent_heartbeat_seq: number of the agent's latest heartbeat to owners
+ * @interference_interval: heartbeats per report of the learned interference, as an owner requests
+ *                         it, 0 for none yet
  * @failed_polls: consecutive failed polls
  * @failed_poll_sent_us: time at which the latest failed poll was sent
  * @expiry_seen_us: time at which the lease's expiry was noticed, before @granted_until_us when it
@@ -258,6 +260,7 @@
 	guint64 acked_end_number;
 	guint64 last_end_number;
 	guint64 sent_heartbeat_seq;
+	guint32 interference_interval;
 	guint failed_polls;
 	gint64 failed_poll_sent_us;
 	gint64 expiry_seen_us;
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -9,8 +9,8 @@
  * runs as lost.
  */
 #define MAX_HELD_RUNS 2000
-/* Heartbeats per report of the learned interference. */
-#define INTERFERENCE_BEAT_INTERVAL 3
+/* Heartbeats per report of the learned interference until an owner requests another number. */
+#define INTERFERENCE_INTERVAL_DEFAULT 3
 
 /**
  * exec_answer_start - send the outcome of a start to the shard's owner
@@ -189,6 +189,8 @@
 static void fill_interference(struct lug_executor *exec, Lug__WorkerBeat *beat, GArray *servings,
 			      GArray *pairs, struct beat_buffers *buffers)
 {
+	guint32 interval;
+
 	buffers->servings = g_new0(Lug__Serving, servings->len + 1);
 	buffers->serving_ptrs = g_new0(Lug__Serving *, servings->len + 1);
 	buffers->pairs = g_new0(Lug__HarmPair, pairs->len + 1);
@@ -210,8 +212,9 @@
 		wire->pressure = (float)item->pressure;
 		buffers->serving_ptrs[beat->n_servings++] = wire;
 	}
-	/* Only one heartbeat in INTERFERENCE_BEAT_INTERVAL contains the learned interference. */
-	if (exec->sent_heartbeat_seq % INTERFERENCE_BEAT_INTERVAL)
+	interval = exec->interference_interval ? exec->interference_interval
+					       : INTERFERENCE_INTERVAL_DEFAULT;
+	if (exec->sent_heartbeat_seq % interval)
 		return;
 	for (guint i = 0; i < pairs->len; i++) {
 		lug_interference_to_wire(&g_array_index(pairs, struct lug_interference_pair, i),
@@ -225,6 +228,7 @@
  */
 void lug_executor_merge_interference(struct lug_executor *exec, const Lug__WorkerBeatAck *ack)
 {
+	exec->interference_interval = ack->interference_interval;
 	for (gsize i = 0; i < ack->n_harm; i++) {
 		struct lug_interference_pair pair;
 
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -78,6 +78,30 @@
 	return hash / (double)G_MAXUINT;
 }
 
+/*
+ * Images of a worker's serving tasks
+ * @image: image of the task to place, interned like the others
+ * @has_same: a serving task has this image
+ * @other: another image that one has, NULL for none
+ * @has_several: they have several other images
+ */
+struct image_mix {
+	const char *image;
+	gboolean has_same;
+	const char *other;
+	gboolean has_several;
+};
+
+static void mix_add(struct image_mix *mix, const char *present)
+{
+	if (present == mix->image) {
+		mix->has_same = TRUE;
+		return;
+	}
+	mix->has_several = mix->has_several || (mix->other && mix->other != present);
+	mix->other = present;
+}
+
 /*
  * How well a worker suits a serving task of an image, judged by the serving tasks that it has. Best
  * is a worker of this image alone, next an empty one, then one that has several images already, and
@@ -86,59 +110,47 @@
  */
 static double image_affinity(const char *image, const struct lug_fleet_worker *worker)
 {
-	const char *interned = g_intern_string(image);
-	const char *other = NULL;
-	gboolean has_same = FALSE;
-	gboolean has_several = FALSE;
-	GPtrArray *images = g_ptr_array_new();
+	struct image_mix mix = {.image = image};
 
 	for (guint i = 0; i < worker->serving_tasks->len; i++)
-		g_ptr_array_add(images,
-				(gpointer)g_array_index(worker->serving_tasks,
-							struct lug_interference_serving_task, i)
-					.image);
+		mix_add(&mix, g_array_index(worker->serving_tasks,
+					    struct lug_interference_serving_task, i)
+				      .image);
 	for (guint i = 0; i < worker->unconfirmed->len; i++) {
 		const struct lug_fleet_unconfirmed *task =
 			&g_array_index(worker->unconfirmed, struct lug_fleet_unconfirmed, i);
 
 		if (!task->best_effort)
-			g_ptr_array_add(images, (gpointer)task->image);
+			mix_add(&mix, task->image);
 	}
-	for (guint i = 0; i < images->len; i++) {
-		const char *present = g_ptr_array_index(images, i);
-
-		has_same = has_same || present == interned;
-		if (present == interned)
-			continue;
-		has_several = has_several || (other && other != present);
-		other = present;
-	}
-	g_ptr_array_unref(images);
-	if (!other)
-		return has_same ? AFFINITY_SAME : AFFINITY_EMPTY;
-	if (has_same)
+	if (!mix.other)
+		return mix.has_same ? AFFINITY_SAME : AFFINITY_EMPTY;
+	if (mix.has_same)
 		return AFFINITY_SAME_AND_OTHERS;
-	return has_several ? AFFINITY_SEVERAL : 0;
+	return mix.has_several ? AFFINITY_SEVERAL : 0;
 }
 
 /* Assesses the requested task on a worker as if the unconfirmed tasks already ran. */
 static struct lug_interference_assessment
-assess_with_unconfirmed(const struct lug_placement_request *request,
+assess_with_unconfirmed(const struct lug_placement_request *request, const char *image,
 			const struct lug_fleet_worker *worker)
 {
 	const struct lug_interference_serving_task *serving_tasks =
 		(const struct lug_interference_serving_task *)(void *)worker->serving_tasks->data;
-	struct lug_interference_serving_task *with_unconfirmed =
-		g_memdup2(serving_tasks, sizeof(*serving_tasks) * worker->serving_tasks->len);
+	struct lug_interference_serving_task *with_unconfirmed;
 	struct lug_interference_assessment assessment;
 
+	if (!worker->unconfirmed->len)
+		return lug_interference_assess(request->interference, image, serving_tasks,
+					       worker->serving_tasks->len);
+	with_unconfirmed =
+		g_memdup2(serving_tasks, sizeof(*serving_tasks) * worker->serving_tasks->len);
 	for (guint i = 0; i < worker->serving_tasks->len; i++)
 		LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)
 	with_unconfirmed[i].pressure += lug_interference_weight(
 		request->interference, with_unconfirmed[i].image, task->image);
-	assessment = lug_interference_assess(request->interference,
-					     g_intern_string(request->step->image),
-					     with_unconfirmed, worker->serving_tasks->len);
+	assessment = lug_interference_assess(request->interference, image, with_unconfirmed,
+					     worker->serving_tasks->len);
 	g_free(with_unconfirmed);
 	return assessment;
 }
@@ -155,13 +167,17 @@
 }
 
 /* Score of a worker for a best-effort task; negative when the task should stay queued. */
-static double best_effort_score(const struct lug_placement_request *request,
+static double best_effort_score(const struct lug_placement_request *request, const char *image,
 				struct lug_fleet_worker *worker)
 {
-	struct lug_interference_assessment assessment = assess_with_unconfirmed(request, worker);
-	double speed = assessment.share * spare_core_share(request, worker);
+	struct lug_interference_assessment assessment;
+	double speed = spare_core_share(request, worker);
 	double score;
 
+	if (speed < request->min_speed)
+		return -1;
+	assessment = assess_with_unconfirmed(request, image, worker);
+	speed *= assessment.share;
 	/*
 	 * Sharing the cores among more tasks would make all of them late. A queued task is
 	 * placed when one of them ends.
@@ -176,20 +192,19 @@
 	return score;
 }
 
-static double worker_score(const struct lug_placement_request *request,
+static double worker_score(const struct lug_placement_request *request, const char *image,
 			   struct lug_fleet_worker *worker, GRand *rng)
 {
 	struct lug_resources room;
 	double score;
 
 	if (request->step->best_effort) {
-		score = best_effort_score(request, worker);
+		score = best_effort_score(request, image, worker);
 		if (score < 0)
 			return score;
 	} else if (request->step->target_ms) {
-		score = image_affinity(request->step->image, worker) +
-			IMAGE_RANK_WEIGHT * image_rank(request->step->image, worker->name) +
-			SCORE_OFFSET;
+		score = image_affinity(image, worker) +
+			IMAGE_RANK_WEIGHT * image_rank(image, worker->name) + SCORE_OFFSET;
 	} else {
 		lug_fleet_room(worker, &room);
 		score = (double)room.millicores / (double)MAX(worker->capacity.millicores, 1) +
@@ -215,6 +230,7 @@
 					      const struct lug_placement_request *request,
 					      GRand *rng, gint64 now_us)
 {
+	const char *image = g_intern_string(request->step->image);
 	struct lug_fleet_worker *best = NULL;
 	double best_score = 0;
 
@@ -225,7 +241,7 @@
 		if (!lug_placement_is_eligible(request, worker, now_us) ||
 		    (request->excluded_worker && !strcmp(request->excluded_worker, worker->name)))
 			continue;
-		score = worker_score(request, worker, rng);
+		score = worker_score(request, image, worker, rng);
 		if (score < 0 || (best && score <= best_score))
 			continue;
 		best = worker;
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -107,6 +107,23 @@
 	g_free(job);
 }
 
+/**
+ * shard_occurrence_identify - set what identifies each task of an occurrence
+ */
+void shard_occurrence_identify(struct shard_job *job, struct shard_occurrence *occ)
+{
+	for (guint32 s = 0; s < job->workflow->n_steps; s++)
+		for (guint32 i = job->first_task[s]; i < job->first_task[s + 1]; i++) {
+			struct shard_task *task = &occ->tasks[i];
+
+			lug_list_init(&task->claim_node);
+			task->job = job;
+			task->occurrence = occ->number;
+			task->step = s;
+			task->index = i - job->first_task[s];
+		}
+}
+
 struct shard_occurrence *shard_occurrence_begin(struct shard_job *job, guint32 number)
 {
 	struct shard_occurrence *occ = g_new0(struct shard_occurrence, 1);
@@ -116,6 +133,7 @@
 	occ->tasks = g_new0(struct shard_task, n);
 	occ->done_per_step = g_new0(guint32, job->workflow->n_steps);
 	occ->tasks_left = n;
+	shard_occurrence_identify(job, occ);
 	g_ptr_array_add(job->occurrences, occ);
 	return occ;
 }
@@ -279,6 +297,7 @@
 	shard->event_fn = fn;
 	shard->event_data = data;
 	shard->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	shard->claims = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	shard->placement_order = g_ptr_array_new();
 	shard->ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return shard;
@@ -350,6 +369,7 @@
 	lug_writer_free(shard->writer);
 	lug_store_free(shard->store);
 	g_hash_table_unref(shard->jobs);
+	g_hash_table_unref(shard->claims);
 	g_hash_table_unref(shard->ended_jobs);
 	g_ptr_array_unref(shard->placement_order);
 	g_free(shard);
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -24,6 +24,26 @@
 	return &job->workflow->steps[s];
 }
 
+static struct lug_list *find_claims(const struct lug_shard *shard, const char *worker)
+{
+	return g_hash_table_lookup(shard->claims, g_intern_string(worker));
+}
+
+/**
+ * shard_index_claim - add a claimed task to the claims for its worker
+ */
+void shard_index_claim(struct lug_shard *shard, struct shard_task *task)
+{
+	struct lug_list *claims = find_claims(shard, task->worker);
+
+	if (!claims) {
+		claims = g_new0(struct lug_list, 1);
+		lug_list_init(claims);
+		g_hash_table_insert(shard->claims, (gpointer)task->worker, claims);
+	}
+	lug_list_append(claims, &task->claim_node);
+}
+
 /**
  * shard_release_claim - release the resources of a claimed task and return it to waiting
  */
@@ -41,6 +61,7 @@
 		if (!task->confirmed)
 			lug_fleet_remove_unconfirmed(worker, step);
 	}
+	lug_list_remove(&task->claim_node);
 	task->state = SHARD_TASK_WAITING;
 	task->worker = NULL;
 	task->confirmed = FALSE;
@@ -276,33 +297,26 @@
 	return NULL;
 }
 
-/* Called for each task that is claimed for a worker. */
+/* Called for each task that is claimed for a worker; may release the claim. */
 typedef void (*claim_visitor_fn)(struct lug_shard *shard, struct shard_job *job,
 				 struct shard_task *task, const struct lug_run_id *id, void *data);
 
 static void for_each_claim(struct lug_shard *shard, const char *worker, claim_visitor_fn fn,
 			   void *data)
 {
-	/* Compared with task->worker as a pointer, which is interned too. */
-	const char *name = g_intern_string(worker);
-
-	SHARD_FOREACH_JOB(shard, job)
-	{
-		for (guint k = 0; k < job->occurrences->len; k++) {
-			struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
-
-			for (guint32 s = 0; s < job->workflow->n_steps; s++)
-				for (guint32 i = job->first_task[s]; i < job->first_task[s + 1];
-				     i++) {
-					struct lug_run_id id;
-
-					if (occ->tasks[i].state != SHARD_TASK_CLAIMED ||
-					    occ->tasks[i].worker != name)
-						continue;
-					shard_task_run_id(job, occ, s, i - job->first_task[s], &id);
-					fn(shard, job, &occ->tasks[i], &id, data);
-				}
-		}
+	struct lug_list *claims = find_claims(shard, worker);
+
+	if (!claims)
+		return;
+	LUG_LIST_FOREACH_SAFE (claims, pos, tmp) {
+		struct shard_task *task = LUG_CONTAINER_OF(pos, struct shard_task, claim_node);
+		struct lug_run_id id = {.occurrence = task->occurrence,
+					.step = task->step,
+					.index = task->index,
+					.run = task->run};
+
+		g_strlcpy(id.job, task->job->workflow->id, sizeof(id.job));
+		fn(shard, task->job, task, &id, data);
 	}
 }
 
@@ -443,24 +457,12 @@
 		for_each_claim(shard, worker, return_task_if_fenced, &lease_epoch);
 }
 
-static void count_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-			const struct lug_run_id *id, void *data)
-{
-	(void)shard;
-	(void)job;
-	(void)task;
-	(void)id;
-	(*(guint *)data)++;
-}
-
 /**
  * lug_shard_has_claims - whether any task is claimed for a worker
  */
 gboolean lug_shard_has_claims(const struct lug_shard *shard, const char *worker)
 {
-	guint n = 0;
+	const struct lug_list *claims = find_claims(shard, worker);
 
-	if (shard->load_phase == SHARD_LOAD_DONE)
-		for_each_claim((struct lug_shard *)shard, worker, count_claim, &n);
-	return n > 0;
+	return shard->load_phase == SHARD_LOAD_DONE && claims && !lug_list_empty(claims);
 }
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -248,6 +248,7 @@
 	task->shard_epoch = lug_shard_epoch(shard);
 	task->start_seq = 0;
 	task->confirmed = FALSE;
+	shard_index_claim(shard, task);
 	lug_fleet_claim(worker, &request->size);
 	lug_fleet_add_unconfirmed(worker, request->step);
 	job->was_claimed = TRUE;
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -1,6 +1,7 @@
 #ifndef LUG_WORKFLOW_SHARD_PRIV_H
 #define LUG_WORKFLOW_SHARD_PRIV_H
 
+#include "core/list.h"
 #include "workflow/shard.h"
 
 /*
@@ -28,8 +29,15 @@
 	SHARD_TASK_DONE,
 };
 
+struct shard_job;
+
 /**
  * struct shard_task - one task of one occurrence
+ * @claim_node: in the list of claims for @worker, see struct lug_shard; empty when not claimed
+ * @job: job
+ * @occurrence: number of the occurrence
+ * @step: step
+ * @index: index within the step
  * @state: state
  * @run: number of the latest run, 0 before the first
  * @failures: failed runs; lost and refused runs are not counted
@@ -49,6 +57,11 @@
  * @relocating: the run was stopped to continue on another worker
  */
 struct shard_task {
+	struct lug_list claim_node;
+	struct shard_job *job;
+	guint32 occurrence;
+	guint32 step;
+	guint32 index;
 	enum shard_task_state state;
 	guint32 run;
 	guint32 failures;
@@ -194,6 +207,7 @@
  * @event_data: passed to @event_fn
  * @owned: this process owns the shard, including while it is being released
  * @jobs: live jobs by id, struct shard_job *
+ * @claims: lists of claimed tasks by worker, whose name is interned; struct lug_list *, owned
  * @placement_order: live jobs in the order in which they are placed, owns them
  * @order_valid: @placement_order contains no job that was added after the last sort
  * @next_sort_us: next sort of @placement_order
@@ -222,6 +236,7 @@
 	void *event_data;
 	gboolean owned;
 	GHashTable *jobs;
+	GHashTable *claims;
 	GPtrArray *placement_order;
 	gboolean order_valid;
 	gint64 next_sort_us;
@@ -263,6 +278,7 @@
 void shard_notify_waiters(GArray *waiters, enum lug_status status);
 void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel);
 void shard_release_job_claims(struct lug_shard *shard, struct shard_job *job);
+void shard_occurrence_identify(struct shard_job *job, struct shard_occurrence *occ);
 struct shard_occurrence *shard_occurrence_begin(struct shard_job *job, guint32 number);
 void shard_occurrence_free(gpointer data);
 void shard_job_free(gpointer data);
@@ -293,6 +309,7 @@
 		     const struct lug_run_id *id);
 void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
 		    const struct lug_run_id *id);
+void shard_index_claim(struct lug_shard *shard, struct shard_task *task);
 void shard_release_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			 const struct lug_step *step);
 void shard_note_run(GString *runs, const struct lug_run_id *id, const char *worker,
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -263,7 +263,10 @@
 		struct shard_occurrence *occ =
 			shard_occurrence_begin(job, (guint32)lug_json_int(item, "k", 0));
 
-		if (!decode_tasks(job, occ, lug_json_str(item, "tasks", ""), workers))
+		gboolean ok = decode_tasks(job, occ, lug_json_str(item, "tasks", ""), workers);
+
+		shard_occurrence_identify(job, occ);
+		if (!ok)
 			return FALSE;
 		decode_checkpoints(job, occ, lug_json_arr(item, "saved"));
 		count_done(job, occ);
