--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -18,9 +18,9 @@
  * to a worker where it reaches RELOCATION_MIN_SPEED, a part of full speed. A task without
  * checkpoints is not relocated once its progress exceeds MAX_LOST_PROGRESS_PERCENT.
  */
-#define SLOW_SHARE_PERCENT 35
-#define SLOW_DURATION_US (900 * 1000)
-#define RELOCATION_MIN_SPEED 0.75
+#define SLOW_SHARE_PERCENT 50
+#define SLOW_DURATION_US (500 * 1000)
+#define RELOCATION_MIN_SPEED 0.7
 #define MAX_LOST_PROGRESS_PERCENT 15
 
 /**
