--- a/liblug/daemon/agent.c
+++ b/liblug/daemon/agent.c
@@ -336,8 +336,8 @@
 	struct agent_daemon *agent = data;
 
 	/* Once the entries route to this agent, one that comes or goes doesn't make it unready. */
-	agent->entries_reached = agent->entries_reached ||
-				 lug_peers_entries_reached(agent->peers, lug_now_us());
+	agent->entries_reached =
+		agent->entries_reached || lug_peers_entries_reached(agent->peers, lug_now_us());
 	return !agent->stopping && lug_lease_epoch(agent->lease) != 0 && agent->entries_reached;
 }
 
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -228,8 +228,9 @@
 
 /*
  * Whether agents have registered: one serves, and no further one has been seen for
- * AGENTS_SETTLED_US. Otherwise all requests would go to the first agents, or find none. A deployment
- * may have no agents yet, so an entry does not wait longer than AGENTS_TIMEOUT_US for them.
+ * AGENTS_SETTLED_US. Otherwise all requests would go to the first agents, or find none. A
+ * deployment may have no agents yet, so an entry does not wait longer than AGENTS_TIMEOUT_US for
+ * them.
  */
 static gboolean has_agents(const struct lug_entry *entry, gint64 now_us)
 {
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -129,11 +129,11 @@
 	}
 
 	/* Adds a job whose row an entry has stored. */
-	void add_stored_job(const char *job)
+	void add_stored_job(const char *job, const char *body = job_body)
 	{
-		store.put(std::string("0|live/") + job, job_body);
+		store.put(std::string("0|live/") + job, body);
 		store.put(std::string("0|inbox/") + job, "{}");
-		lug_shard_add_stored_job(shard, job, job_body,
+		lug_shard_add_stored_job(shard, job, body,
 					 store.version(std::string("0|live/") + job), lug_now_us());
 	}
 
@@ -154,10 +154,15 @@
 		guint32 step;
 		guint32 index;
 		guint32 run;
+		int share = -1; /* of a best-effort task, in percent */
 	};
 
-	/* Delivers a heartbeat of worker w1's agent, which holds the runs of @list. */
-	void send_beat(const std::vector<HeldRun> &list, guint64 last_seq, guint64 lease_epoch = 1)
+	/*
+	 * Delivers a heartbeat of a worker's agent, which holds the runs of @list.
+	 * @spare_millicores: cores that no task uses
+	 */
+	void send_beat(const std::vector<HeldRun> &list, guint64 last_seq, guint64 lease_epoch = 1,
+		       const char *worker_name = "w1", gint64 spare_millicores = 0)
 	{
 		std::vector<Lug__RunId> ids(list.size());
 		std::vector<Lug__RunHeld> held(list.size());
@@ -181,6 +186,8 @@
 			lug_run_to_wire(&id, &ids[i]);
 			ids[i].job = const_cast<char *>(list[i].job);
 			held[i].id = &ids[i];
+			held[i].has_share = list[i].share >= 0;
+			held[i].share = (guint32)MAX(list[i].share, 0);
 			ptrs[i] = &held[i];
 		}
 		of_shard.epoch = lug_shard_epoch(shard);
@@ -195,7 +202,8 @@
 		beat.lease_epoch = lease_epoch;
 		beat.n_shards = 1;
 		beat.shards = shards;
-		env.from = (char *)"w1";
+		beat.spare_millicores = spare_millicores;
+		env.from = const_cast<char *>(worker_name);
 		env.incarnation = lease_epoch;
 		env.body_case = LUG__ENVELOPE__BODY_WORKER_BEAT;
 		env.worker_beat = &beat;
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -49,6 +49,37 @@
 	EXPECT_NE(state_row("a").find("r2."), std::string::npos) << state_row("a");
 }
 
+/* A best-effort task that is throttled beside serving tasks holds up its whole job. */
+TEST_F(ShardTest, ThrottledTaskMovesToAWorkerWithSpareCores)
+{
+	const char *body = "{\"queue\":\"q\",\"spec\":\"s\",\"occurrences\":1,\"accepted_ms\":0,"
+			   "\"steps\":[{\"count\":1,\"millicores\":4000,\"memory\":1,"
+			   "\"image\":\"i\",\"fills\":1,\"checkpointing\":1}]}";
+	const guint64 *evicted = &ctx->metrics->counters[LUG_C_TASKS_EVICTED];
+	const HeldRun half = {"a", 0, 0, 1, 55};
+	const HeldRun slow = {"a", 0, 0, 1, 40};
+
+	take_shard();
+	run_rounds();
+	send_beat({}, 0, 1, "w1", 8000);
+	add_stored_job("a", body);
+	run_rounds();
+	ASSERT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 1u);
+	send_beat({slow}, 1, 1, "w1", 0);
+	/* Longer than SLOW_DURATION_US. */
+	g_usleep(550 * 1000);
+	send_beat({slow}, 1, 1, "w1", 0);
+	EXPECT_EQ(*evicted, 0u) << "no worker has room for it";
+	send_beat({}, 0, 1, "w2", 8000);
+	send_beat({half}, 1, 1, "w1", 0);
+	EXPECT_EQ(*evicted, 0u) << "half of the speed is enough";
+	send_beat({slow}, 1, 1, "w1", 0);
+	EXPECT_EQ(*evicted, 0u) << "it may have been slow for a moment";
+	g_usleep(550 * 1000);
+	send_beat({slow}, 1, 1, "w1", 0);
+	EXPECT_EQ(*evicted, 1u);
+}
+
 TEST_F(ShardTest, NothingStartsWhileTheStoreDoesNotAnswer)
 {
 	take_shard_with_worker();
