--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -22,7 +22,7 @@
 };
 
 /* Iterates over the unconfirmed best-effort tasks of a worker. The inner loop runs at most once. */
-#define LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)                                          \
+#define LUG_FLEET_FOREACH_BEST_EFFORT(worker, task)                                          \
 	for (guint task##_i = 0; task##_i < (worker)->unconfirmed->len; task##_i++)          \
 		for (const struct lug_fleet_unconfirmed *task = &g_array_index(              \
 			     (worker)->unconfirmed, struct lug_fleet_unconfirmed, task##_i); \
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -146,9 +146,9 @@
 	with_unconfirmed =
 		g_memdup2(serving_tasks, sizeof(*serving_tasks) * worker->serving_tasks->len);
 	for (guint i = 0; i < worker->serving_tasks->len; i++)
-		LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)
-	with_unconfirmed[i].pressure += lug_interference_weight(
-		request->interference, with_unconfirmed[i].image, task->image);
+		LUG_FLEET_FOREACH_BEST_EFFORT (worker, task)
+			with_unconfirmed[i].pressure += lug_interference_weight(
+				request->interference, with_unconfirmed[i].image, task->image);
 	assessment = lug_interference_assess(request->interference, image, with_unconfirmed,
 					     worker->serving_tasks->len);
 	g_free(with_unconfirmed);
@@ -161,8 +161,8 @@
 {
 	gint64 spare = worker->spare_millicores;
 
-	LUG_FLEET_FOREACH_UNCONFIRMED(worker, task)
-	spare -= task->millicores;
+	LUG_FLEET_FOREACH_BEST_EFFORT (worker, task)
+		spare -= task->millicores;
 	return CLAMP((double)spare / (double)MAX(request->step->size.millicores, 1), 0, 1);
 }
 
