--- a/liblug/daemon/api_service.c
+++ b/liblug/daemon/api_service.c
@@ -6,6 +6,7 @@
 
 #define KEY_HEADER "Idempotency-Key"
 #define KEY_MAX_BYTES 128
+#define KEY_READ_RETRY_MS 100
 #define TIMEOUT_HEADER "X-Timeout-Ms"
 #define TIMEOUT_MAX_MS (10 * 60 * 1000)
 /* Larger answers are not stored, so a resend with the same key gets a conflict. */
@@ -174,21 +175,40 @@
 	lug_api_end(api_call);
 }
 
+static void on_key_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		       gboolean more);
+
+static gboolean read_key_row(gpointer data)
+{
+	struct service_call *call = data;
+
+	call->timer = 0;
+	lug_store_scan(call->entry->store, "key", call->row_key, NULL, 1, on_key_row, call);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * The key is taken, so its request may have run: without the row the caller can't be told that it
+ * was not. The read is repeated until the caller's deadline.
+ */
 static void on_key_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		       gboolean more)
 {
 	struct service_call *call = data;
 
 	(void)more;
-	if (call->answered) {
-		service_call_free(call);
+	if (status != LUG_OK && lug_now_us() < call->deadline_us) {
+		call->timer = g_timeout_add(KEY_READ_RETRY_MS, read_key_row, call);
 		return;
 	}
-	if (status == LUG_OK && n_rows && !strcmp(rows[0].key, call->row_key))
+	if (status != LUG_OK)
+		lug_api_fail(call->api_call, LUG_UNKNOWN, "send it again with the same key",
+			     "the key's request may have run: its row can't be read now");
+	else if (n_rows && !strcmp(rows[0].key, call->row_key))
 		replay_answer(call, rows[0].data);
-	else
+	else /* The key was released, as its request was not run. */
 		lug_api_fail(call->api_call, LUG_NOT_RUN, "send it again with the same key",
-			     "the key's row can't be read now");
+			     "the request was not run: its key was free again");
 	service_call_free(call);
 }
 
@@ -204,7 +224,6 @@
 static void on_claim_result(void *data, enum lug_status status, gint64 version)
 {
 	struct service_call *call = data;
-	struct lug_entry *entry = call->entry;
 
 	call->key_version = version;
 	if (call->answered) {
@@ -221,7 +240,7 @@
 	if (status == LUG_OK && version) {
 		route_request(call, lug_now_us());
 	} else if (status == LUG_CONFLICT) {
-		lug_store_scan(entry->store, "key", call->row_key, NULL, 1, on_key_row, call);
+		read_key_row(call);
 	} else {
 		lug_api_fail(call->api_call, LUG_NOT_RUN, "send it again with the same key",
 			     "the request was not run: its key can't be claimed now");
--- a/tests/integration/test_regressions.py
+++ b/tests/integration/test_regressions.py
@@ -120,6 +120,23 @@
     assert status == 200 and headers["Idempotent-Replay"] == "true"
 
 
+def test_request_of_a_taken_key_is_not_reported_as_not_run(start_deployment):
+    """The key's row can't be read, for a moment and then for longer than the caller waits."""
+    deployment = start_deployment(workers=1)
+    headers = {"X-Team": "invoices", "Idempotency-Key": "may", "X-Timeout-Ms": "5000"}
+    path = "/service/atelier-desk/invoice?ms=5&key=may"
+    assert deployment.call("POST", path, "b", headers)[0] == 200
+    deployment.control_platform(refuse_key_scans=3)
+    status, answer_headers, _ = deployment.call("POST", path, "b", headers)
+    assert status == 200 and answer_headers["Idempotent-Replay"] == "true"
+    deployment.control_platform(refuse_key_scans=1000)
+    headers["X-Timeout-Ms"] = "600"
+    status, _, body = deployment.call("POST", path, "b", headers)
+    deployment.control_platform(refuse_key_scans=0)
+    assert status == 504 and not json.loads(body)["not_run"], body
+    assert len([e for e in deployment.history() if e.get("key") == "may"]) == 1
+
+
 def test_key_can_be_reused_after_not_run(start_deployment):
     """A request that was refused as "not run" must not block later requests with the same key."""
     deployment = start_deployment(workers=1)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -22,6 +22,7 @@
 	gint64 version; /* number of the last transaction */
 	gint64 delay_ms;
 	gint64 is_out;		    /* refuses all calls with status 503 */
+	gint64 refuse_key_scans;    /* number of further scans of table "key" that are refused */
 	gint64 lose_answer_percent; /* share of calls that take effect without an answer */
 	gint64 rate_per_s;	    /* limit of accepted calls; 0: no limit */
 	double tokens;
@@ -208,6 +209,7 @@
 	if (set) {
 		p->delay_ms = lug_json_int(set, "delay_ms", p->delay_ms);
 		p->is_out = lug_json_int(set, "outage", p->is_out);
+		p->refuse_key_scans = lug_json_int(set, "refuse_key_scans", p->refuse_key_scans);
 		p->lose_answer_percent = lug_json_int(set, "lose_percent", p->lose_answer_percent);
 		p->rate_per_s = lug_json_int(set, "rate", p->rate_per_s);
 		json_object_unref(set);
@@ -269,6 +271,15 @@
 		g_socket_shutdown(socket, TRUE, TRUE, NULL);
 }
 
+static gboolean refuse_key_scan(struct platform *p, const char *path, GHashTable *query)
+{
+	if (!p->refuse_key_scans || strcmp(path, "/v1/scan") != 0 ||
+	    strcmp(query_param(query, "t", ""), "key") != 0)
+		return FALSE;
+	p->refuse_key_scans--;
+	return TRUE;
+}
+
 static void on_request(SoupServer *server, SoupServerMessage *msg, const char *path,
 		       GHashTable *query, gpointer data)
 {
@@ -280,7 +291,7 @@
 		serve_control(p, msg);
 		return;
 	}
-	if (p->is_out || count_and_limit_call(p)) {
+	if (p->is_out || count_and_limit_call(p) || refuse_key_scan(p, path, query)) {
 		soup_server_message_set_status(msg, 503, NULL);
 		return;
 	}
