--- a/liblug/daemon/adapter.h
+++ b/liblug/daemon/adapter.h
@@ -10,7 +10,9 @@
  * @ctx: context
  * @gateway: gateway that submits, queries and cancels jobs
  * @config: operators' configuration, which defines the queues
+ * @last_call_us: when the latest call began or ended
  * @calls: open calls, counted by the server
+ * @last_call_us: when the latest request arrived or was answered, set by the server
  * @is_ready: returns TRUE while the load balancer may send new connections
  * @data: passed to @is_ready
  */
@@ -19,6 +21,7 @@
 	struct lug_gateway *gateway;
 	struct lug_config *config;
 	guint calls;
+	gint64 last_call_us;
 	gboolean (*is_ready)(void *data);
 	void *data;
 };
--- a/liblug/daemon/queue_entry.c
+++ b/liblug/daemon/queue_entry.c
@@ -7,9 +7,15 @@
 #define TICK_MS 50
 /*
  * Time between reporting "not ready" and the earliest exit: the load balancer polls readiness every
- * second and sends no new connections after two failed polls.
+ * second and sends no new connections after two failed polls. Requests of the last connections may
+ * need some time to arrive.
  */
-#define LEAVE_NOTICE_MS 2200
+#define LEAVE_NOTICE_MS 2700
+/*
+ * Time without a request arriving or being answered before a stopping entry exits: the last answer
+ * has to be written, and a request that is on its way has to be read.
+ */
+#define QUIET_BEFORE_EXIT_US (300 * 1000)
 
 struct queue_entry {
 	struct lug_ctx *ctx;
@@ -52,8 +58,10 @@
 
 static void advance_shutdown(struct queue_entry *entry, gint64 now_us)
 {
-	if (now_us < entry->notice_end_us ||
-	    (entry->submitters_env.calls && now_us < entry->stop_deadline_us))
+	gboolean busy = entry->submitters_env.calls ||
+			now_us - entry->submitters_env.last_call_us < QUIET_BEFORE_EXIT_US;
+
+	if (now_us < entry->notice_end_us || (busy && now_us < entry->stop_deadline_us))
 		return;
 	lug_count(entry->ctx, REQUESTS_ABORTED, entry->submitters_env.calls);
 	g_main_loop_quit(entry->ctx->loop);
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -4,8 +4,10 @@
 """
 
 import itertools
+import json
 import os
 import signal
+import socket
 import time
 
 import pytest
@@ -375,6 +377,25 @@
     assert deployment.workers["agent-1"].history == []
 
 
+def test_stopping_entry_answers_a_request_that_is_on_its_way(start_deployment):
+    """The load balancer sends new connections for 2 s after SIGTERM, and links may be slow."""
+    deployment = start_deployment(entries=2)
+    body = json.dumps({"spec": "{}", "steps": [{"count": 1, "cpu": 64000}]}).encode()
+    head = (f"POST /jobs/{next(JOB_IDS)} HTTP/1.1\r\nHost: hub.example\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n").encode()
+    deployment.processes["entry-2"].send_signal(signal.SIGTERM)
+    stopped_s = time.monotonic()
+    time.sleep(2)
+    with socket.create_connection((deployment.address(102, 0).split(":")[0], 8161)) as client:
+        client.settimeout(3)
+        client.sendall(head)
+        time.sleep(stopped_s + 2.4 - time.monotonic())
+        client.sendall(body)
+        assert client.recv(100).startswith(b"HTTP/1.1 200")
+    deployment.processes["entry-2"].wait(timeout=5)
+    assert "event=stopped cut=0" in deployment.log("entry-2")
+
+
 def test_idle_entry_stops_without_aborted_calls(start_deployment):
     deployment = start_deployment(entries=2)
     deployment.signal_process("entry-2", signal.SIGTERM)
