Log which runs a worker's restart ends and why a claim is given up

The hypotheses on the incident could not be told apart: a lost run was logged as "not held by its worker" for four different reasons, and a restart did not say what ran. worker_restarted now names both incarnations, whether the exit was announced, how long the worker had been silent and the runs with state and age (400 bytes at most); run_lost names its reason; worker_restarts counts restarts. No decision changes.

--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -43,6 +43,7 @@
 	X(TASKS_EVICTED, "tasks_evicted", "Batch task attempts evicted")                  \
 	X(TASKS_LOST, "tasks_lost", "Batch task attempts lost with their worker")         \
 	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
+	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
 	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")     \
 	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                   \
 	X(LEASES_LOST, "leases_lost", "Leases found held by another")                     \
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -41,34 +41,6 @@
 	return exec->clock_ms + (span_us - span_us / CLOCK_DRIFT_DIVISOR) / 1000;
 }
 
-/**
- * exec_update_incarnation - record the worker's incarnation; confirmed runs of an earlier one
- * are removed
- */
-void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us)
-{
-	(void)now_us;
-	if (!incarnation || incarnation == exec->worker_incarnation)
-		return;
-	if (exec->worker_incarnation) {
-		lug_warn(exec->ctx, "worker_restarted", "worker", exec->ctx->settings->name);
-		for (guint i = exec->runs->len; i-- > 0;) {
-			struct exec_run *run = g_ptr_array_index(exec->runs, i);
-
-			/* An unanswered start may still take effect in the new incarnation. */
-			if (run->state == EXEC_RUNNING || run->state == EXEC_STOPPED)
-				exec_remove_run(exec, run);
-		}
-	}
-	exec->worker_incarnation = incarnation;
-	exec->acked_end_number = 0;
-	exec->last_end_number = 0;
-	exec->clock_at_us = 0;
-	exec->confirmed_epoch = 0;
-	exec->granted_until_us = 0;
-	exec->failures = 0;
-}
-
 static void apply_running(struct lug_executor *exec, const struct lug_worker_running *item,
 			  gint64 now_us)
 {
@@ -78,6 +50,7 @@
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
 		run->start_completed = TRUE;
+		run->start_sent_us = now_us;
 		run->confirmed_us = now_us;
 	}
 	run->listed = TRUE;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -6,7 +6,8 @@
 
 /*
  * Shared by the files that implement struct lug_executor: executor.c (lifecycle, lease,
- * reservations), executor_poll.c (polls of the worker), executor_throttle.c (shares of best-effort
+ * reservations), executor_poll.c (polls of the worker), executor_restart.c (restarts of the
+ * worker), executor_throttle.c (shares of best-effort
  * tasks), executor_run.c (starts and stops) and executor_report.c (messages to owners).
  */
 
@@ -41,6 +42,7 @@
  * @start_completed: a start call has completed, with or without an answer, or the run was found in
  *                   the reply to a poll
  * @stopping: a stop was requested
+ * @start_sent_us: when the start was first sent, or when a poll first listed the run
  * @call_in_flight: a start or a stop is in flight
  * @unanswered_starts: starts without an answer
  * @spec: passed to the task
@@ -78,6 +80,7 @@
 	gboolean attributes_missing;
 	gboolean start_completed;
 	gboolean stopping;
+	gint64 start_sent_us;
 	gboolean call_in_flight;
 	guint unanswered_starts;
 	char *spec;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -252,6 +252,7 @@
 	set_attributes(run, start);
 	run->spec = g_strdup(start->spec ? start->spec : "");
 	run->checkpoint = g_strdup(start->checkpoint ? start->checkpoint : "");
+	run->start_sent_us = now_us;
 	send_start(exec, run);
 	exec_replan_shares(exec, run);
 }
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -370,6 +370,7 @@
 	const struct beat_check *check = data;
 	const Lug__RunHeld *held = find_held(check->held, id);
 	const struct lug_fleet_worker *worker = check->worker;
+	const char *reason = NULL;
 
 	if (held) {
 		confirm_start(shard, job, task, &job->workflow->steps[id->step]);
@@ -385,13 +386,14 @@
 	/* The claim is not yet committed, or its start not yet sent. */
 	if (task->shard_epoch == lug_shard_epoch(shard) && !task->start_seq)
 		return;
-	/*
-	 * The start was for an earlier lease or by an earlier owner, or the agent has received it
-	 * and does not hold the run.
-	 */
-	if (task->lease_epoch < worker->lease_epoch || task->shard_epoch < lug_shard_epoch(shard) ||
-	    task->start_seq <= check->held->last_seq) {
-		return_lost_task(shard, job, task, id, "not held by its worker");
+	if (task->lease_epoch < worker->lease_epoch)
+		reason = "claimed for an earlier lease of its worker";
+	else if (task->shard_epoch < lug_shard_epoch(shard))
+		reason = "claimed by an earlier owner and not held by its worker";
+	else if (task->start_seq <= check->held->last_seq)
+		reason = "received by its worker's agent, which does not hold it";
+	if (reason) {
+		return_lost_task(shard, job, task, id, reason);
 		return;
 	}
 	if (check->now_us - task->start_sent_us > START_RESEND_US)
