--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -11,9 +11,11 @@
 sys.path.insert(0, os.path.join(ROOT, "tests", "rig"))
 
 from deploy import OPERATOR_TOKEN, Deployment  # noqa: E402
+from hub import QueueDeployment  # noqa: E402
 
 # Second octets of the loopback addresses. A proxied deployment uses two: its own and the next one.
 FREE_NETS = itertools.count(40, 2)
+FREE_QUEUE_NETS = itertools.count(140)
 BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
 
 
@@ -42,6 +44,27 @@
     assert not bad_exits, f"daemons that did not stop cleanly: {bad_exits}"
 
 
+@pytest.fixture
+def start_queue_deployment(tmp_path):
+    """Returns a function that starts queue daemons and waits until all shards have owners."""
+    started = []
+
+    def start(**kwargs):
+        deployment = QueueDeployment(tmp_path / f"hub{len(started)}", BUILD, next(FREE_QUEUE_NETS),
+                                     **kwargs)
+        started.append(deployment)
+        assert deployment.wait_until(lambda: deployment.ready(), 8)
+        assert deployment.wait_until(
+            lambda: len([a for a in deployment.owners().values() if a]) == deployment.shards, 8)
+        return deployment
+
+    yield start
+    bad_exits = {}
+    for deployment in started:
+        bad_exits.update(deployment.close())
+    assert not bad_exits, f"daemons that did not stop cleanly: {bad_exits}"
+
+
 @pytest.fixture(scope="module")
 def shared(tmp_path_factory):
     """A small deployment shared by the tests of a module.
--- /dev/null
+++ b/tests/integration/test_crashes.py
@@ -0,0 +1,97 @@
+"""Queue daemons whose workers crash under a task, or change the room that they have."""
+
+import itertools
+import time
+
+from hub import wait_for_state
+
+JOB_IDS = (f"{number:016x}" for number in itertools.count(0xc0))
+# Starts of a task that crashes its worker: no more than two after the third crash.
+MAX_STARTS = 5
+
+
+def crash_count(deployment):
+    return sum(worker.crashes for worker in deployment.workers.values())
+
+
+def start_count(deployment, task):
+    return len([e for e in deployment.history() if e[0] == "start" and e[2] == task])
+
+
+def test_task_that_crashes_workers_is_given_up(start_queue_deployment):
+    """Guards against incident task-crashes-worker-after-worker."""
+    deployment = start_queue_deployment(workers=4)
+    beside = [next(JOB_IDS) for _ in range(4)]
+    for job in beside:
+        assert deployment.submit(job, {"ms": 1500}, [{"count": 3, "cpu": 500}]) == 200
+    crashing = next(JOB_IDS)
+    assert deployment.submit(crashing, {"ms": 300, "crashes": ["0.1"]},
+                             [{"count": 3, "cpu": 500}]) == 200
+    wait_for_state(deployment, crashing, 20, "failed")
+    assert 2 <= start_count(deployment, f"{crashing}.0.0.1") <= MAX_STARTS
+    for job in beside:
+        wait_for_state(deployment, job, 20)
+    crashes = crash_count(deployment)
+    time.sleep(3)
+    assert crash_count(deployment) == crashes
+    assert deployment.violations() == []
+
+
+def test_crashing_tasks_of_several_jobs_spare_the_other_jobs(start_queue_deployment):
+    deployment = start_queue_deployment(workers=4)
+    sound, crashing = [], []
+    for number in range(12):
+        job = next(JOB_IDS)
+        deadly = number % 4 == 1
+        (crashing if deadly else sound).append(job)
+        spec = {"ms": 400, "crashes": ["1.0"] if deadly else []}
+        steps = [{"count": 2, "cpu": 300}, {"count": 3, "cpu": 300, "after": [0]}]
+        assert deployment.submit(job, spec, steps) == 200
+        time.sleep(0.1)
+    for job in sound:
+        wait_for_state(deployment, job, 40)
+    for job in crashing:
+        wait_for_state(deployment, job, 20, "failed")
+        assert start_count(deployment, f"{job}.0.1.0") <= MAX_STARTS
+    assert deployment.violations() == []
+
+
+def test_jobs_count_as_pending_while_their_worker_is_down(start_queue_deployment):
+    """A start without an answer is no beginning of its job."""
+    deployment = start_queue_deployment(workers=1, shards=1)
+    first = next(JOB_IDS)
+    assert deployment.submit(first, {"ms": 50}) == 200
+    wait_for_state(deployment, first)
+    deployment.workers["agent-1"].down_until = time.monotonic() + 4
+    jobs = [next(JOB_IDS) for _ in range(3)]
+    for job in jobs:
+        assert deployment.submit(job, {"ms": 100}) == 200
+    until = time.monotonic() + 3
+    while time.monotonic() < until:
+        code, body = deployment.request("GET", "/jobs/")
+        assert code != 200 or body["pending"] == len(jobs)
+        time.sleep(0.1)
+    for job in jobs:
+        wait_for_state(deployment, job, 15)
+
+
+def test_starts_respect_a_room_that_shrinks_and_grows(start_queue_deployment):
+    deployment = start_queue_deployment(workers=2)
+    jobs = []
+    for number in range(40):
+        if number % 8 == 2:
+            deployment.workers["agent-1"].set_room((1000, 4000)[number // 8 % 2])
+        if number % 8 == 5:
+            deployment.workers["agent-2"].set_room((4000, 1500)[number // 8 % 2])
+        jobs.append(next(JOB_IDS))
+        spec = {"ms": 500, "cpu": 1000}
+        assert deployment.submit(jobs[-1], spec, [{"count": 2, "cpu": 1000}]) == 200
+        if number % 5 == 3:
+            deployment.request("DELETE", f"/jobs/{jobs.pop()}")
+        time.sleep(0.15)
+    for worker in deployment.workers.values():
+        worker.set_room(4000)
+    for job in jobs:
+        wait_for_state(deployment, job, 30)
+    assert [w.starts_over_room for w in deployment.workers.values()] == [[], []]
+    assert deployment.violations() == []
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -11,40 +11,15 @@
 import time
 
 import pytest
-from hub import QueueDeployment, call
+from hub import call, wait_for_state
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
-# Second octets of the loopback addresses of the deployments.
-FREE_NETS = itertools.count(140)
 JOB_IDS = (f"{number:016x}" for number in itertools.count(1))
 
 
 @pytest.fixture
-def start_deployment(tmp_path):
-    """Returns a function that starts queue daemons and waits until all shards have owners."""
-    started = []
-
-    def start(**kwargs):
-        deployment = QueueDeployment(tmp_path / f"hub{len(started)}", BUILD, next(FREE_NETS),
-                                     **kwargs)
-        started.append(deployment)
-        assert deployment.wait_until(lambda: deployment.ready(), 8)
-        assert deployment.wait_until(
-            lambda: len([a for a in deployment.owners().values() if a]) == deployment.shards, 8)
-        return deployment
-
-    yield start
-    bad_exits = {}
-    for deployment in started:
-        bad_exits.update(deployment.close())
-    assert not bad_exits, f"daemons that did not stop cleanly: {bad_exits}"
-
-
-def wait_for_state(deployment, job, seconds=10.0, state="completed", entry=1):
-    """Waits until a job reaches a state."""
-    assert deployment.wait_until(lambda: deployment.state(job, entry) == state, seconds), \
-        deployment.state(job, entry)
+def start_deployment(start_queue_deployment):
+    """The deployments of this module are those of the queue daemons."""
+    return start_queue_deployment
 
 
 def test_steps_run_in_order(start_deployment):
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -22,6 +22,11 @@
 CHANGE_RETENTION_S = 20
 LEASE_MAX_MS = 6000
 STOP_DELAY_MS = 200
+# From the start of a task that crashes its worker to the crash, and until the worker is back.
+CRASH_DELAY_S = 0.01
+CRASH_DOWN_S = 1.0
+# Time from a shrinking of a worker's room until starts must respect it.
+ROOM_NOTICE_S = 1.0
 
 
 PR_SET_PDEATHSIG = 1
@@ -219,17 +224,27 @@
 
 
 class Worker:
-    """Worker that runs tasks for the time in their spec; its own clock measures its lease."""
+    """Worker that runs tasks for the time in their spec; its own clock measures its lease.
+
+    Members of a spec: "ms", run time; "fails", number of runs that fail; "crashes", tasks
+    (STEP.INDEX) that crash each worker that starts them; "cpu", checked against the room.
+    """
 
     def __init__(self, number, address, heartbeat_address, cpu=4000):
         self.id = f"i-{number}"
         self.heartbeat_address = heartbeat_address
         self.cpu = cpu
+        # (time, room) of the latest changes of the room, and starts that exceeded it.
+        self.rooms = [(0.0, cpu)]
+        self.starts_over_room = []
         self.lock = threading.Condition()
         # "dark": ignores calls and sends no heartbeats; "mute": calls other than polls take effect
         # without an answer.
         self.mode = ""
         self.history = []
+        self.crashes = 0
+        # Time at which the crashed worker is back, 0 while it is up.
+        self.down_until = 0
         self.incarnation = 0
         self.start_incarnation()
         self.alive = True
@@ -243,6 +258,7 @@
         with self.lock:
             self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
             self.started_at = time.monotonic()
+            self.down_until = 0
             self.fencing_token = 0
             self.lease_expires_ms = 0
             # By task: (run, state with the times at which the run ends).
@@ -258,7 +274,7 @@
 
     def _send_heartbeats(self):
         while self.alive:
-            if self.mode != "dark":
+            if self.mode != "dark" and not self.down_until:
                 self.seq += 1
                 body = {"service": "pool", "address": "x", "zone": "z", "version": "v1",
                         "capacity": 8, "state": "draining" if self.draining else "ready",
@@ -279,7 +295,14 @@
     def _run_tasks(self):
         while self.alive:
             time.sleep(0.01)
+            if self.down_until and time.monotonic() >= self.down_until:
+                self.start_incarnation()
             with self.lock:
+                if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
+                       for _, state in self.running.values()):
+                    self._drop_runs()
+                    self.crashes += 1
+                    self.down_until = time.monotonic() + CRASH_DOWN_S
                 for task in list(self.running):
                     run, state = self.running[task]
                     if self.clock_ms() >= self.lease_expires_ms:
@@ -298,6 +321,9 @@
         except ValueError:
             return 400, {}
         with self.lock:
+            if self.down_until:
+                return None
+            incarnation = self.incarnation
             if body.get("fencing_token", 0) < self.fencing_token:
                 return 409, {"server_time_ms": self.clock_ms(), "reason": "fence"}
             self.fencing_token = body.get("fencing_token", 0)
@@ -309,6 +335,9 @@
                 answer = self._poll(body)
             else:
                 answer = 200, {"server_time_ms": self.clock_ms(), "born": self.incarnation}
+            # The worker has crashed during a call that waits.
+            if self.down_until or incarnation != self.incarnation:
+                return None
         if self.mode == "mute" and path != "/hold":
             time.sleep(1.0)
             return None
@@ -327,11 +356,30 @@
             return 409, dict(answer, reason="late")
         spec = json.loads(body["spec"] or "{}")
         fails = run <= spec.get("fails", 0)
-        self.running[task] = (run, {"until": time.monotonic() + spec.get("ms", 100) / 1000,
-                                    "how": "failed" if fails else "done", "stop_at": 0})
+        now = time.monotonic()
+        crashes = ".".join(task.split(".")[2:]) in spec.get("crashes", [])
+        self.running[task] = (run, {"until": now + spec.get("ms", 100) / 1000,
+                                    "how": "failed" if fails else "done", "stop_at": 0,
+                                    "crash_at": now + CRASH_DELAY_S if crashes else 0,
+                                    "cpu": spec.get("cpu", 0)})
+        self._check_room(task, now)
         self.history.append(("start", time.monotonic(), task, run, ""))
         return 200, answer
 
+    def set_room(self, cpu):
+        """Shrinks or extends the room, which the next heartbeat reports."""
+        with self.lock:
+            self.cpu = cpu
+            self.rooms.append((time.monotonic(), cpu))
+
+    def _check_room(self, task, now):
+        # The largest room of the last ROOM_NOTICE_S: that of the latest change before, or a later.
+        current = max(i for i, (at, _) in enumerate(self.rooms) if at <= now - ROOM_NOTICE_S)
+        room = max(cpu for _, cpu in self.rooms[current:])
+        used = sum(state["cpu"] for _, state in self.running.values())
+        if used > room:
+            self.starts_over_room.append(f"{task}: {used} of {room} in use")
+
     def _stop_run(self, body):
         task, run = body["task"], body["run"]
         if task in self.running and self.running[task][0] == run:
@@ -355,18 +403,23 @@
             if row[0] <= body["ack_seq"]:
                 self.history.append(("noted", time.monotonic(), row[1], row[2], row[3]))
         self.finished = [row for row in self.finished if row[0] > body["ack_seq"]]
-        while not self.finished and time.monotonic() < until_s and self.mode != "dark":
+        while not self.finished and time.monotonic() < until_s and self.mode != "dark" \
+                and not self.down_until:
             self.lock.wait(0.05)
         # task, run, checkpoint, percentage of progress, metric
         running = [[task, run, "", 50, 0] for task, (run, _) in self.running.items()]
         return 200, {"server_time_ms": self.clock_ms(), "born": self.incarnation,
                      "running": running, "finished": self.finished[:500]}
 
+    def _drop_runs(self):
+        for task, (run, _) in self.running.items():
+            self.history.append(("gone", time.monotonic(), task, run, ""))
+        self.running = {}
+
     def crash(self):
         """Drops all running tasks and starts a new incarnation under the same id."""
         with self.lock:
-            for task, (run, _) in self.running.items():
-                self.history.append(("gone", time.monotonic(), task, run, ""))
+            self._drop_runs()
         self.start_incarnation()
 
     def leave(self):
@@ -374,9 +427,7 @@
         call("DELETE", f"http://{self.heartbeat_address}/instances/{self.id}", timeout=1)
         self.mode = "dark"
         with self.lock:
-            for task, (run, _) in self.running.items():
-                self.history.append(("gone", time.monotonic(), task, run, ""))
-            self.running = {}
+            self._drop_runs()
 
     def close(self):
         self.alive = False
@@ -565,3 +616,9 @@
             worker.close()
         self.store.close()
         return bad_exits
+
+
+def wait_for_state(deployment, job, seconds=10.0, state="completed", entry=1):
+    """Waits until a job reaches a state."""
+    assert deployment.wait_until(lambda: deployment.state(job, entry) == state, seconds), \
+        deployment.state(job, entry)
