A job whose starts have no answer counts as pending

Cause: an agent lists each run that it holds in its heartbeats, those too whose start the worker has not answered, and the owner took a listed run for a begun one. While a worker is down, all starts sent to it are held for seconds. An agent also answered a repeated start as accepted when the first had no answer.

A held run now says whether its start is unconfirmed (RunHeld.unconfirmed); the owner still books the reservation but the job has begun only with a confirmed start, by answer or by a poll that lists the run. Older agents leave the field out and count as before.

--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -4394,7 +4394,7 @@
   (ProtobufCMessageInit) lug__run_id__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__run_held__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lug__run_held__field_descriptors[7] =
 {
   {
     "id",
@@ -4468,6 +4468,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unconfirmed",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__RunHeld, has_unconfirmed),
+    offsetof(Lug__RunHeld, unconfirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__run_held__field_indices_by_name[] = {
   3,   /* field[3] = checkpoint */
@@ -4475,12 +4487,13 @@
   0,   /* field[0] = id */
   1,   /* field[1] = percent */
   5,   /* field[5] = share */
+  6,   /* field[6] = unconfirmed */
   4,   /* field[4] = unsized */
 };
 static const ProtobufCIntRange lug__run_held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lug__run_held__descriptor =
 {
@@ -4490,7 +4503,7 @@
   "Lug__RunHeld",
   "lug",
   sizeof(Lug__RunHeld),
-  6,
+  7,
   lug__run_held__field_descriptors,
   lug__run_held__field_indices_by_name,
   1,  lug__run_held__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -836,10 +836,15 @@
    */
   protobuf_c_boolean has_share;
   uint32_t share;
+  /*
+   * The worker has not confirmed the start.
+   */
+  protobuf_c_boolean has_unconfirmed;
+  protobuf_c_boolean unconfirmed;
 };
 #define LUG__RUN_HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__run_held__descriptor) \
-    , NULL, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -49,11 +49,11 @@
 	if (!run) {
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
-		run->start_completed = TRUE;
 		run->start_sent_us = now_us;
 		run->confirmed_us = now_us;
 	}
 	run->listed = TRUE;
+	run->start_confirmed = TRUE;
 	run->progress_percent = item->progress_percent;
 	run->metric = item->metric;
 	if (g_strcmp0(run->checkpoint, item->checkpoint) != 0) {
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -39,8 +39,7 @@
  * @size: reserved resources
  * @attributes_missing: started by an earlier process of the agent; its owner has not yet sent its
  *                      attributes: size, image, target, best-effort or not
- * @start_completed: a start call has completed, with or without an answer, or the run was found in
- *                   the reply to a poll
+ * @start_confirmed: the worker has answered a start, or the reply to a poll listed the run
  * @stopping: a stop was requested
  * @start_sent_us: when the start was first sent, or when a poll first listed the run
  * @call_in_flight: a start or a stop is in flight
@@ -78,7 +77,7 @@
 	guint32 shard;
 	struct lug_resources size;
 	gboolean attributes_missing;
-	gboolean start_completed;
+	gboolean start_confirmed;
 	gboolean stopping;
 	gint64 start_sent_us;
 	gboolean call_in_flight;
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -150,6 +150,8 @@
 		held->checkpoint = run->checkpoint;
 		held->has_share = run->best_effort;
 		held->share = run->halted ? 0 : (guint32)(run->share * 100);
+		held->has_unconfirmed = !run->start_confirmed;
+		held->unconfirmed = !run->start_confirmed;
 		held->has_unsized = run->attributes_missing;
 		held->unsized = run->attributes_missing;
 	}
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -105,8 +105,8 @@
 	if (!run)
 		return;
 	run->call_in_flight = FALSE;
-	run->start_completed = TRUE;
 	if (result == LUG_ORDER_OK) {
+		run->start_confirmed = TRUE;
 		exec_record_shares(exec, lug_now_us());
 		run->state = EXEC_RUNNING;
 		run->confirmed_us = lug_now_us();
@@ -223,7 +223,7 @@
 		return;
 	run = exec_find_run(exec, &id);
 	if (run) {
-		if (run->start_completed)
+		if (run->start_confirmed)
 			exec_answer_start(exec, start->shard, &id, LUG_OK);
 		return;
 	}
--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -178,7 +178,7 @@
 }
 
 /**
- * lug_gateway_pending - count a queue's stored jobs without a task that an agent has accepted
+ * lug_gateway_pending - count a queue's stored jobs without a task that a worker has started
  * @gateway: gateway
  * @queue: name of the queue
  * @fn: called once
--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -122,7 +122,7 @@
 }
 
 /**
- * lug_shard_pending_jobs - count a queue's stored jobs without a task that an agent has accepted
+ * lug_shard_pending_jobs - count a queue's stored jobs without a task that a worker has started
  */
 guint32 lug_shard_pending_jobs(const struct lug_shard *shard, const char *queue)
 {
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -71,13 +71,13 @@
 	task->relocating = FALSE;
 }
 
-static void confirm_start(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-			  const struct lug_step *step)
+/* The agent reserves resources for the task, whether or not its worker has confirmed the start. */
+static void confirm_reservation(struct lug_shard *shard, struct shard_task *task,
+				const struct lug_step *step)
 {
 	struct lug_fleet_worker *worker = lug_fleet_find(shard->shared.fleet, task->worker);
 	struct lug_resources size;
 
-	job->was_confirmed = TRUE;
 	if (task->confirmed || !worker)
 		return;
 	task->confirmed = TRUE;
@@ -256,7 +256,8 @@
 		return;
 	}
 	if (answer->status == LUG_OK) {
-		confirm_start(shard, job, task, &job->workflow->steps[id.step]);
+		job->was_confirmed = TRUE;
+		confirm_reservation(shard, task, &job->workflow->steps[id.step]);
 	} else {
 		shard_note_run(job->refused_runs, &id, worker,
 			       lug_status_name((enum lug_status)answer->status),
@@ -373,7 +374,8 @@
 	const char *reason = NULL;
 
 	if (held) {
-		confirm_start(shard, job, task, &job->workflow->steps[id->step]);
+		job->was_confirmed = job->was_confirmed || !held->unconfirmed;
+		confirm_reservation(shard, task, &job->workflow->steps[id->step]);
 		task->progress_percent = held->percent;
 		task->metric = held->figure;
 		save_checkpoint(task, held->checkpoint);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -47,7 +47,7 @@
  * @start_seq: sequence number of the start message in this shard epoch, 0 when not sent
  * @claim_revision: job revision that contains the claim; the start is sent once it is committed
  * @start_sent_us: when the start was last sent
- * @confirmed: the worker's agent has accepted the start
+ * @confirmed: the worker's agent reserves resources for the run
  * @failed_on: worker of the latest failed run, interned, NULL for none
  * @checkpoint: checkpoint to resume from, NULL for none
  * @not_before_us: earliest time of the next claim
@@ -133,7 +133,7 @@
  * @deadline_us: end of the time that its queue's objective allows for the declared work
  * @infeasible: it can't meet its deadline
  * @was_claimed: a task has been claimed
- * @was_confirmed: an agent has accepted a start; a claim alone may still be refused
+ * @was_confirmed: a worker has confirmed a start, without which no task has begun
  * @end_state: final state once decided, LUG_WORKFLOW_UNKNOWN before
  * @revision: number of changes
  * @sent_revision: revision covered by the transaction in flight
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -8,7 +8,7 @@
  *
  *   next          first occurrence that has not begun
  *   started       1 when a task has been claimed
- *   begun         1 when an agent has accepted a start
+ *   begun         1 when a worker has confirmed a start
  *   workers       list of names of workers
  *   occurrences   list of the active occurrences, each an object:
  *     k           number of the occurrence
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -155,6 +155,7 @@
 		guint32 index;
 		guint32 run;
 		int share = -1; /* of a best-effort task, in percent */
+		bool unconfirmed = false;
 	};
 
 	/*
@@ -188,6 +189,7 @@
 			held[i].id = &ids[i];
 			held[i].has_share = list[i].share >= 0;
 			held[i].share = (guint32)MAX(list[i].share, 0);
+			held[i].unconfirmed = list[i].unconfirmed;
 			ptrs[i] = &held[i];
 		}
 		of_shard.epoch = lug_shard_epoch(shard);
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -303,4 +303,20 @@
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_UNKNOWN);
 	EXPECT_EQ(lug_fleet_find(fleet, "w1")->claimed.millicores, 0);
 }
+
+/* Incident task-crashes-worker-after-worker: an agent holds a run whose start is not answered. */
+TEST_F(ShardTest, JobWhoseStartIsUnconfirmedIsPending)
+{
+	HeldRun run = {"a", 0, 0, 1};
+
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	run.unconfirmed = true;
+	send_beat({run}, 2);
+	EXPECT_EQ(lug_shard_pending_jobs(shard, "q"), 1u);
+	run.unconfirmed = false;
+	send_beat({run}, 2);
+	EXPECT_EQ(lug_shard_pending_jobs(shard, "q"), 0u);
+}
 } // namespace
