--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -5141,7 +5141,7 @@
   (ProtobufCMessageInit) lug__worker_beat_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__run_start__field_descriptors[15] =
+static const ProtobufCFieldDescriptor lug__run_start__field_descriptors[16] =
 {
   {
     "shard",
@@ -5323,6 +5323,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "isolate",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__RunStart, has_isolate),
+    offsetof(Lug__RunStart, isolate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__run_start__field_indices_by_name[] = {
   7,   /* field[7] = checkpoint */
@@ -5331,6 +5343,7 @@
   8,   /* field[8] = fills */
   4,   /* field[4] = id */
   13,   /* field[13] = image */
+  15,   /* field[15] = isolate */
   9,   /* field[9] = lasts */
   3,   /* field[3] = lease_epoch */
   11,   /* field[11] = priority */
@@ -5344,7 +5357,7 @@
 static const ProtobufCIntRange lug__run_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor lug__run_start__descriptor =
 {
@@ -5354,7 +5367,7 @@
   "Lug__RunStart",
   "lug",
   sizeof(Lug__RunStart),
-  15,
+  16,
   lug__run_start__field_descriptors,
   lug__run_start__field_indices_by_name,
   1,  lug__run_start__number_ranges,
@@ -5515,7 +5528,7 @@
   (ProtobufCMessageInit) lug__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__run_end__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lug__run_end__field_descriptors[8] =
 {
   {
     "shard",
@@ -5589,6 +5602,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspected_jobs",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunEnd, has_suspected_jobs),
+    offsetof(Lug__RunEnd, suspected_jobs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unconfirmed",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__RunEnd, has_unconfirmed),
+    offsetof(Lug__RunEnd, unconfirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__run_end__field_indices_by_name[] = {
   3,   /* field[3] = checkpoint */
@@ -5596,12 +5633,14 @@
   4,   /* field[4] = lease_epoch */
   2,   /* field[2] = outcome */
   0,   /* field[0] = shard */
+  6,   /* field[6] = suspected_jobs */
+  7,   /* field[7] = unconfirmed */
   5,   /* field[5] = used */
 };
 static const ProtobufCIntRange lug__run_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lug__run_end__descriptor =
 {
@@ -5611,7 +5650,7 @@
   "Lug__RunEnd",
   "lug",
   sizeof(Lug__RunEnd),
-  6,
+  8,
   lug__run_end__field_descriptors,
   lug__run_end__field_indices_by_name,
   1,  lug__run_end__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -1114,10 +1114,15 @@
    */
   protobuf_c_boolean has_fill_millicores;
   int64_t fill_millicores;
+  /*
+   * Workers have crashed under the task, see crash.h: no other such task is started beside it.
+   */
+  protobuf_c_boolean has_isolate;
+  protobuf_c_boolean isolate;
 };
 #define LUG__RUN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__run_start__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -1190,10 +1195,21 @@
    * Resources reserved for the runs held.
    */
   Lug__Resources *used;
+  /*
+   * For a run whose worker crashed: number of jobs with a run that may be the cause, 0 when
+   * this run is none.
+   */
+  protobuf_c_boolean has_suspected_jobs;
+  uint32_t suspected_jobs;
+  /*
+   * For such a run: its worker had not confirmed the start.
+   */
+  protobuf_c_boolean has_unconfirmed;
+  protobuf_c_boolean unconfirmed;
 };
 #define LUG__RUN_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__run_end__descriptor) \
-    , 0, 0, NULL, 0, 0, NULL, 0, 0, NULL }
+    , 0, 0, NULL, 0, 0, NULL, 0, 0, NULL, 0, 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/liblug/workflow/crash.c
@@ -0,0 +1,94 @@
+#include "workflow/crash.h"
+
+/* A run started at most this long before the worker was last up is an early one. */
+#define EARLY_US (200 * 1000)
+/*
+ * A task counts as the cause of crashes by MIN_CRASHES and MIN_SUSPICION together, or by either of
+ * the limits: a task that was never suspected, or whose starts its workers never confirmed. Two
+ * crashes suffice when the runs of a single job were suspected in one of them.
+ */
+#define MIN_CRASHES 2
+#define MIN_SUSPICION 3
+#define CRASHES_LIMIT 5
+#define SUSPICION_LIMIT 9
+/* Crashes after which a task that was never suspected is isolated. */
+#define SUSPECT_CRASHES 3
+
+static guint count_suspected_jobs(const struct lug_crash_run *runs, guint n)
+{
+	GHashTable *jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	guint count;
+
+	for (guint i = 0; i < n; i++)
+		if (runs[i].suspected)
+			g_hash_table_add(jobs, (gpointer)runs[i].job);
+	count = g_hash_table_size(jobs);
+	g_hash_table_unref(jobs);
+	return count;
+}
+
+/*
+ * Early runs come first, among them isolated ones, then those that the worker had confirmed; a task
+ * that was isolated and crashes its worker late comes last. 0 for a run that is not suspected.
+ */
+static guint likelihood(const struct lug_crash_run *run, gint64 alive_us)
+{
+	if (run->started_us < alive_us - EARLY_US)
+		return run->isolated ? 1 : 0;
+	if (run->isolated)
+		return 4;
+	return run->confirmed ? 3 : 2;
+}
+
+/**
+ * lug_crash_find_suspects - find the runs that may have crashed their worker
+ * @runs: runs on the worker at the crash; member suspected is set
+ * @n: number of @runs
+ * @alive_us: when the worker was last up
+ *
+ * Load pattern: many tasks on the worker, one of which has crashed it right after its start.
+ * All runs of the highest likelihood are suspected, see likelihood().
+ *
+ * Return: number of jobs that the suspected runs belong to, 0 without a suspect.
+ */
+guint lug_crash_find_suspects(struct lug_crash_run *runs, guint n, gint64 alive_us)
+{
+	guint most_likely = 0;
+
+	for (guint i = 0; i < n; i++)
+		most_likely = MAX(most_likely, likelihood(&runs[i], alive_us));
+	for (guint i = 0; i < n; i++)
+		runs[i].suspected = most_likely && likelihood(&runs[i], alive_us) == most_likely;
+	return count_suspected_jobs(runs, n);
+}
+
+/**
+ * lug_crash_record - record a crash of the worker that ran the task
+ * @history: history of the task
+ * @suspected_jobs: number of jobs with suspected runs, 0 when the task's run is not suspected
+ * @confirmed: the worker had confirmed the start; else the task may not have been on it
+ */
+void lug_crash_record(struct lug_crash_history *history, guint suspected_jobs, gboolean confirmed)
+{
+	history->crashes += confirmed ? 1 : 0;
+	if (suspected_jobs)
+		history->suspicion += suspected_jobs == 1 ? 2 : 1;
+}
+
+/**
+ * lug_crash_is_suspect - whether the task has to be isolated at its next start
+ */
+gboolean lug_crash_is_suspect(const struct lug_crash_history *history)
+{
+	return history->suspicion || history->crashes >= SUSPECT_CRASHES;
+}
+
+/**
+ * lug_crash_is_culprit - whether the task crashes its workers and must not be started again
+ */
+gboolean lug_crash_is_culprit(const struct lug_crash_history *history)
+{
+	if (history->crashes >= MIN_CRASHES && history->suspicion >= MIN_SUSPICION)
+		return TRUE;
+	return history->crashes >= CRASHES_LIMIT || history->suspicion >= SUSPICION_LIMIT;
+}
--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -214,6 +214,23 @@
 	return run;
 }
 
+/**
+ * exec_add_end - record the end of a run on the worker's current incarnation
+ */
+struct exec_end *exec_add_end(struct lug_executor *exec, const struct lug_run_id *id,
+			      enum lug_run_outcome outcome, const char *checkpoint)
+{
+	struct exec_end *end = g_new0(struct exec_end, 1);
+
+	end->incarnation = exec->worker_incarnation;
+	end->id = *id;
+	end->shard = lug_workflow_shard(id->job, exec->n_shards);
+	end->outcome = outcome;
+	end->checkpoint = g_strdup(checkpoint);
+	g_ptr_array_add(exec->ends, end);
+	return end;
+}
+
 void exec_remove_run(struct lug_executor *exec, struct exec_run *run)
 {
 	g_ptr_array_remove_fast(exec->runs, run);
@@ -268,6 +285,8 @@
 	    (heartbeat->incarnation == exec->heartbeat_incarnation &&
 	     heartbeat->seq < exec->worker_heartbeat_seq))
 		return;
+	/* First, as it depends on what the former incarnation has announced. */
+	exec_update_incarnation(exec, heartbeat->incarnation, now_us);
 	exec->heartbeat_incarnation = heartbeat->incarnation;
 	exec->worker_heartbeat_seq = heartbeat->seq;
 	g_strlcpy(exec->service, heartbeat->service, sizeof(exec->service));
@@ -282,7 +301,6 @@
 	exec->capacity_known = TRUE;
 	g_strfreev(exec->labels);
 	exec->labels = g_strdupv(heartbeat->labels);
-	exec_update_incarnation(exec, heartbeat->incarnation, now_us);
 	if (!exec->poll_in_flight)
 		exec_poll(exec, now_us);
 }
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -5,6 +5,8 @@
 /* Time that a poll waits for an end; metrics are thus read four times a second. */
 #define POLL_WAIT_MS 250
 #define POLL_RETRY_US (150 * 1000)
+/* A poll that fails sooner has not timed out: its connection has broken. */
+#define BROKEN_POLL_US (500 * 1000)
 /*
  * The worker answers a poll at once while an end is not acknowledged. The next poll is therefore
  * sent when the owners have acknowledged all ends, or after this delay at the latest.
@@ -78,14 +80,8 @@
 	exec->last_end_number = item->number;
 	if (run)
 		exec_remove_run(exec, run);
-	end = g_new0(struct exec_end, 1);
+	end = exec_add_end(exec, &item->id, item->outcome, item->checkpoint);
 	end->number = item->number;
-	end->incarnation = exec->worker_incarnation;
-	end->id = item->id;
-	end->shard = lug_workflow_shard(item->id.job, exec->n_shards);
-	end->outcome = item->outcome;
-	end->checkpoint = g_strdup(item->checkpoint);
-	g_ptr_array_add(exec->ends, end);
 	lug_count(exec->ctx, TASKS_FINISHED, 1);
 	if (item->outcome == LUG_RUN_DONE)
 		exec->failures = 0;
@@ -95,7 +91,7 @@
 }
 
 /* Removes runs that were confirmed before the poll was sent and are missing from its reply. */
-static void drop_unlisted(struct lug_executor *exec)
+static void drop_unlisted(struct lug_executor *exec, gint64 now_us)
 {
 	for (guint i = exec->runs->len; i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
@@ -103,7 +99,10 @@
 		if (run->listed || run->call_in_flight || run->confirmed_us >= exec->poll_sent_us ||
 		    (run->state != EXEC_RUNNING && run->state != EXEC_STOPPED))
 			continue;
-		exec_remove_run(exec, run);
+		if (run->crashed)
+			exec_end_crashed_run(exec, run, now_us);
+		else
+			exec_remove_run(exec, run);
 	}
 }
 
@@ -125,10 +124,19 @@
 	for (guint i = 0; i < reply->finished->len; i++)
 		apply_finished(exec, &g_array_index(reply->finished, struct lug_worker_finished, i),
 			       now_us);
-	drop_unlisted(exec);
+	drop_unlisted(exec, now_us);
 	exec_throttle(exec, now_us);
 }
 
+/* A connection that breaks shows the time of a crash; a poll that times out does not. */
+static void note_silence(struct lug_executor *exec, gint64 now_us)
+{
+	gboolean broken = now_us - exec->poll_sent_us < BROKEN_POLL_US;
+
+	exec->silent_since_us = now_us;
+	exec->alive_until_us = broken ? now_us : exec->last_answer_us;
+}
+
 static void on_poll_reply(void *data, const struct lug_worker_poll_reply *reply)
 {
 	struct lug_executor *exec = data;
@@ -139,7 +147,8 @@
 		if (reply->result == LUG_ORDER_FENCED)
 			lug_warn(exec->ctx, "worker_fences", "remedy",
 				 "polling again; the lease is acquired anew once its row is lost");
-		exec->failed_polls++;
+		if (!exec->failed_polls++)
+			note_silence(exec, now_us);
 		exec->failed_poll_sent_us = exec->poll_sent_us;
 		exec->fallback_poll_us = now_us + POLL_RETRY_US;
 		return;
@@ -150,8 +159,9 @@
 		exec_schedule_poll(exec, 0, now_us);
 		return;
 	}
-	exec->failed_polls = 0;
 	apply_poll_reply(exec, reply, now_us);
+	exec->failed_polls = 0;
+	exec->silent_since_us = 0;
 	exec_schedule_poll(exec, exec_has_unacked_ends(exec) ? UNACKED_POLL_US : 0, now_us);
 }
 
@@ -270,6 +280,8 @@
 	if (exec->failed_poll_sent_us <= exec->granted_until_us &&
 	    now_us - exec->expiry_seen_us < EXPIRED_ANSWER_TIMEOUT_US)
 		return;
+	/* A worker that stays silent for the whole lease has crashed, as far as can be known. */
 	lug_warn(exec->ctx, "runs_lapsed", "reason", "the worker's lease has expired");
+	exec_end_crashed_runs(exec, now_us);
 	g_ptr_array_set_size(exec->runs, 0);
 }
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -44,6 +44,10 @@
  * @start_sent_us: when the start was first sent, or when a poll first listed the run
  * @call_in_flight: a start or a stop is in flight
  * @unanswered_starts: starts without an answer
+ * @isolated: its task is suspected to crash its workers
+ * @crashed: the worker has crashed, and the run may have been on it; it is kept until it can't
+ * start in the worker's next incarnation
+ * @suspected_jobs: of a crashed run, see struct exec_end
  * @spec: passed to the task
  * @checkpoint: latest checkpoint
  * @progress_percent: reported progress of the task, in percent of its work
@@ -82,6 +86,9 @@
 	gint64 start_sent_us;
 	gboolean call_in_flight;
 	guint unanswered_starts;
+	gboolean isolated;
+	gboolean crashed;
+	guint suspected_jobs;
 	char *spec;
 	char *checkpoint;
 	guint32 progress_percent;
@@ -132,11 +139,13 @@
 
 /**
  * struct exec_end - the end of a run, kept until its owner has stored it
- * @number: number of the end, assigned by the worker
+ * @number: number of the end, assigned by the worker, 0 for a run whose worker crashed
  * @incarnation: incarnation of the worker
  * @id: run
  * @shard: shard of its job
  * @outcome: outcome
+ * @suspected_jobs: number of jobs with runs suspected of the worker's crash, 0 when this one is not
+ * @unconfirmed: the worker had not confirmed the start of a run that ended by its crash
  * @checkpoint: last checkpoint
  * @is_stored: the owner has acknowledged that it has stored the end
  * @sent_us: last time that the end was sent to the owner
@@ -147,6 +156,8 @@
 	struct lug_run_id id;
 	guint32 shard;
 	enum lug_run_outcome outcome;
+	guint suspected_jobs;
+	gboolean unconfirmed;
 	char *checkpoint;
 	gboolean is_stored;
 	gint64 sent_us;
@@ -210,6 +221,8 @@
  * @interference_interval: heartbeats per report of the learned interference, as an owner requests
  *                         it, 0 for none yet
  * @failed_polls: consecutive failed polls
+ * @silent_since_us: when the first of the consecutive failed polls failed, 0 for none
+ * @alive_until_us: with @silent_since_us, when the worker was last up
  * @failed_poll_sent_us: time at which the latest failed poll was sent
  * @expiry_seen_us: time at which the lease's expiry was noticed, before @granted_until_us when it
  *                  has not been
@@ -264,6 +277,8 @@
 	guint64 sent_heartbeat_seq;
 	guint32 interference_interval;
 	guint failed_polls;
+	gint64 silent_since_us;
+	gint64 alive_until_us;
 	gint64 failed_poll_sent_us;
 	gint64 expiry_seen_us;
 	guint32 failures;
@@ -277,6 +292,8 @@
 void exec_poll(struct lug_executor *exec, gint64 now_us);
 void exec_schedule_poll(struct lug_executor *exec, gint64 after_us, gint64 now_us);
 gboolean exec_has_unacked_ends(const struct lug_executor *exec);
+void exec_end_crashed_runs(struct lug_executor *exec, gint64 now_us);
+void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us);
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
@@ -287,6 +304,8 @@
 struct exec_run *exec_find_run(const struct lug_executor *exec, const struct lug_run_id *id);
 struct exec_run *exec_add_run(struct lug_executor *exec, const struct lug_run_id *id,
 			      enum exec_state state);
+struct exec_end *exec_add_end(struct lug_executor *exec, const struct lug_run_id *id,
+			      enum lug_run_outcome outcome, const char *checkpoint);
 void exec_remove_run(struct lug_executor *exec, struct exec_run *run);
 struct exec_run *exec_run_by_local_id(const struct lug_executor *exec, guint64 local_id);
 void exec_stop_run(struct lug_executor *exec, struct exec_run *run);
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -58,6 +58,10 @@
 	report.has_outcome = 1;
 	report.outcome = (guint32)end->outcome;
 	report.checkpoint = end->checkpoint;
+	report.has_suspected_jobs = end->suspected_jobs > 0;
+	report.suspected_jobs = end->suspected_jobs;
+	report.has_unconfirmed = end->unconfirmed;
+	report.unconfirmed = end->unconfirmed;
 	report.has_lease_epoch = 1;
 	report.lease_epoch = lug_writer_epoch(exec->writer);
 	report.used = &wire;
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -1,3 +1,4 @@
+#include "workflow/crash.h"
 #include "workflow/executor_priv.h"
 
 /* Length at which the list of runs in the log line of a restart is cut. */
@@ -47,9 +48,94 @@
 	g_string_free(runs, TRUE);
 }
 
+/* A start that was sent after the worker fell silent did not reach it. */
+static gboolean may_have_run(const struct lug_executor *exec, const struct exec_run *run)
+{
+	return !exec->silent_since_us || run->start_sent_us <= exec->silent_since_us;
+}
+
+/* Marks the runs that were on the worker when it crashed. */
+static void mark_crashed_runs(struct lug_executor *exec)
+{
+	GArray *crashed = g_array_new(FALSE, FALSE, sizeof(struct lug_crash_run));
+	guint suspected_jobs;
+
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+		struct lug_crash_run item = {run->id.job, run->start_sent_us, run->isolated,
+					     run->start_confirmed, FALSE};
+
+		if (run->crashed || !may_have_run(exec, run))
+			continue;
+		g_array_append_val(crashed, item);
+	}
+	suspected_jobs = lug_crash_find_suspects(
+		(struct lug_crash_run *)(void *)crashed->data, crashed->len,
+		exec->silent_since_us ? exec->alive_until_us : exec->last_answer_us);
+	for (guint i = 0, k = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (run->crashed || !may_have_run(exec, run))
+			continue;
+		run->crashed = TRUE;
+		run->suspected_jobs = g_array_index(crashed, struct lug_crash_run, k).suspected
+					      ? suspected_jobs
+					      : 0;
+		k++;
+	}
+	g_array_unref(crashed);
+}
+
+/**
+ * exec_end_crashed_run - report the end of a run whose worker crashed, and remove the run
+ */
+void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us)
+{
+	struct exec_end *end =
+		exec_add_end(exec, &run->id, LUG_RUN_WORKER_CRASHED, run->checkpoint);
+
+	end->suspected_jobs = run->suspected_jobs;
+	end->unconfirmed = !run->start_confirmed;
+	exec_remove_run(exec, run);
+	exec_report_end(exec, end, now_us);
+}
+
+/**
+ * exec_end_crashed_runs - report the ends of all runs that were on a crashed worker
+ */
+void exec_end_crashed_runs(struct lug_executor *exec, gint64 now_us)
+{
+	mark_crashed_runs(exec);
+	for (guint i = exec->runs->len; i-- > 0;) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (run->crashed)
+			exec_end_crashed_run(exec, run, now_us);
+	}
+}
+
+static void end_former_runs(struct lug_executor *exec, gint64 now_us)
+{
+	gboolean announced = exec->worker_exiting || exec->draining;
+
+	if (!announced)
+		mark_crashed_runs(exec);
+	for (guint i = exec->runs->len; i-- > 0;) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		/* An unanswered start may still take effect in the new incarnation. */
+		if (run->state != EXEC_RUNNING && run->state != EXEC_STOPPED)
+			continue;
+		if (run->crashed)
+			exec_end_crashed_run(exec, run, now_us);
+		else
+			exec_remove_run(exec, run);
+	}
+}
+
 /**
  * exec_update_incarnation - record the worker's incarnation; confirmed runs of an earlier one
- * are removed
+ * are removed, and reported as crashed unless it had announced its exit
  */
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us)
 {
@@ -58,13 +144,7 @@
 	if (exec->worker_incarnation) {
 		log_restart(exec, incarnation, now_us);
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
-		for (guint i = exec->runs->len; i-- > 0;) {
-			struct exec_run *run = g_ptr_array_index(exec->runs, i);
-
-			/* An unanswered start may still take effect in the new incarnation. */
-			if (run->state == EXEC_RUNNING || run->state == EXEC_STOPPED)
-				exec_remove_run(exec, run);
-		}
+		end_former_runs(exec, now_us);
 	}
 	exec->worker_incarnation = incarnation;
 	exec->acked_end_number = 0;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -1,3 +1,4 @@
+#include "workflow/crash.h"
 #include "workflow/executor_priv.h"
 
 #include <string.h>
@@ -196,6 +197,21 @@
 	return FALSE;
 }
 
+/* Whether a suspected task of another job was started so lately that it may yet crash the worker.
+ */
+static gboolean isolates_another_job(const struct lug_executor *exec, const char *job,
+				     gint64 now_us)
+{
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (run->isolated && now_us - run->start_sent_us < LUG_CRASH_ISOLATION_US &&
+		    strcmp(run->id.job, job) != 0)
+			return TRUE;
+	}
+	return FALSE;
+}
+
 /**
  * lug_executor_on_start - handle an owner's request to start a run
  * @exec: executor
@@ -237,7 +253,8 @@
 		exec_answer_start(exec, start->shard, &id, LUG_NOT_RUN);
 		return;
 	}
-	if (!has_room(exec, &size)) {
+	if (!has_room(exec, &size) ||
+	    (start->isolate && isolates_another_job(exec, id.job, now_us))) {
 		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
@@ -252,6 +269,7 @@
 	set_attributes(run, start);
 	run->spec = g_strdup(start->spec ? start->spec : "");
 	run->checkpoint = g_strdup(start->checkpoint ? start->checkpoint : "");
+	run->isolated = start->isolate;
 	run->start_sent_us = now_us;
 	send_start(exec, run);
 	exec_replan_shares(exec, run);
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "workflow/crash.h"
 #include "workflow/run.h"
 #include "store/writer.h"
 
@@ -231,6 +232,18 @@
 	worker->avoid_until_us = now_us + ((gint64)AVOID_MIN_US << doublings);
 }
 
+/**
+ * lug_fleet_isolate - note that a worker is given a task that may crash it
+ * @worker: worker
+ * @job: id of the task's job, "" when it is not known
+ * @now_us: current time
+ */
+void lug_fleet_isolate(struct lug_fleet_worker *worker, const char *job, gint64 now_us)
+{
+	worker->isolated_until_us = now_us + LUG_CRASH_ISOLATION_US;
+	g_strlcpy(worker->isolated_job, job, sizeof(worker->isolated_job));
+}
+
 /**
  * lug_fleet_add_unconfirmed - note a placed task that the agent hasn't confirmed
  * @worker: worker
@@ -381,6 +394,8 @@
 	for (gsize i = 0; i < beat->n_labels; i++)
 		worker->labels[i] = g_strdup(beat->labels[i]);
 	lug_resources_from_wire(beat->capacity, &worker->capacity);
+	if (beat->life != worker->worker_incarnation)
+		worker->exit_announced = worker->draining;
 	worker->draining = beat->draining || beat->stopping;
 	worker->ready = beat->ready;
 	apply_interference(worker, beat);
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -57,6 +57,9 @@
  * @failures: consecutive failed runs that this process placed there
  * @reported_failures: consecutive failed runs of all owners, as its agent counts them
  * @avoid_until_us: no tasks are placed there before this time
+ * @isolated_until_us: until then a suspected task of @isolated_job may yet crash the worker
+ * @isolated_job: id of that task's job, "" when it is not known
+ * @exit_announced: the former incarnation of the worker had announced its exit
  * @lease_row_version: version of the lease's row while the agent is silent
  * @lease_row_since_us: time since which the row has had that version
  * @next_lease_read_us: earliest time of the next read of the row
@@ -89,6 +92,9 @@
 	guint32 failures;
 	guint32 reported_failures;
 	gint64 avoid_until_us;
+	gint64 isolated_until_us;
+	char isolated_job[LUG_WORKFLOW_ID_MAX + 1];
+	gboolean exit_announced;
 	gint64 lease_row_version;
 	gint64 lease_row_since_us;
 	gint64 next_lease_read_us;
@@ -116,6 +122,7 @@
  */
 struct lug_fleet;
 
+void lug_fleet_isolate(struct lug_fleet_worker *worker, const char *job, gint64 now_us);
 struct lug_fleet *lug_fleet_new(struct lug_ctx *ctx, struct lug_store *store,
 				const struct lug_fleet_hooks *hooks);
 void lug_fleet_free(struct lug_fleet *fleet);
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -30,6 +30,10 @@
 #define AFFINITY_EMPTY 6.0
 #define AFFINITY_SAME_AND_OTHERS 4.0
 #define AFFINITY_SEVERAL 2.0
+/* Keeps the suspected tasks of one job together. */
+#define ISOLATED_JOB_BONUS 4.0
+/* Makes a worker that may crash in a moment the last choice of other tasks. */
+#define ISOLATION_PENALTY 6.0
 /* Less than a step between two affinities, more than the noise. */
 #define IMAGE_RANK_WEIGHT 1.5
 
@@ -55,6 +59,9 @@
 		return FALSE;
 	if (step->best_effort && worker->refused_best_effort)
 		return FALSE;
+	if (request->isolate && now_us < worker->isolated_until_us &&
+	    strcmp(worker->isolated_job, request->job) != 0)
+		return FALSE;
 	if (*step->label && !has_label(worker, step->label))
 		return FALSE;
 	lug_fleet_room(worker, &room);
@@ -192,8 +199,29 @@
 	return score;
 }
 
+/* Fraction of a worker that no task needs: what a crash of the worker spares. */
+static double idle_fraction(const struct lug_fleet_worker *worker)
+{
+	double millicores = (double)MAX(worker->capacity.millicores, 1);
+	struct lug_resources room;
+
+	lug_fleet_room(worker, &room);
+	return MIN((double)room.millicores, (double)worker->spare_millicores) / millicores;
+}
+
+/*
+ * Score of a worker for a task that may crash it: the emptiest one, or the one to which tasks of
+ * the same job are isolated.
+ */
+static double isolation_score(const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	double score = SCORE_OFFSET + idle_fraction(worker);
+
+	return now_us < worker->isolated_until_us ? score + ISOLATED_JOB_BONUS : score;
+}
+
 static double worker_score(const struct lug_placement_request *request, const char *image,
-			   struct lug_fleet_worker *worker, GRand *rng)
+			   struct lug_fleet_worker *worker, GRand *rng, gint64 now_us)
 {
 	struct lug_resources room;
 	double score;
@@ -210,6 +238,10 @@
 		score = (double)room.millicores / (double)MAX(worker->capacity.millicores, 1) +
 			SCORE_OFFSET;
 	}
+	if (request->isolate)
+		return isolation_score(worker, now_us);
+	if (now_us < worker->isolated_until_us)
+		score -= ISOLATION_PENALTY;
 	if (*request->step->data_rack && !has_label(worker, request->step->data_rack))
 		score -= REMOTE_PENALTY;
 	score -= FAILURE_PENALTY *
@@ -241,7 +273,7 @@
 		if (!lug_placement_is_eligible(request, worker, now_us) ||
 		    (request->excluded_worker && !strcmp(request->excluded_worker, worker->name)))
 			continue;
-		score = worker_score(request, image, worker, rng);
+		score = worker_score(request, image, worker, rng, now_us);
 		if (score < 0 || (best && score <= best_score))
 			continue;
 		best = worker;
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -13,6 +13,8 @@
  * @min_speed: a best-effort task stays queued when no worker lets it run at this part of its
  * full speed
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
+ * @isolate: the task is suspected to crash its workers
+ * @job: id of its job
  * @count_on_worker: counts the tasks of the same step and occurrence on a worker
  * @data: passed to @count_on_worker
  */
@@ -23,6 +25,8 @@
 	const struct lug_interference *interference;
 	double min_speed;
 	const char *excluded_worker;
+	gboolean isolate;
+	const char *job;
 	guint32 (*count_on_worker)(void *data, const char *worker);
 	void *data;
 };
--- a/liblug/workflow/run.c
+++ b/liblug/workflow/run.c
@@ -11,9 +11,9 @@
 const char *lug_run_outcome_name(enum lug_run_outcome outcome)
 {
 	static const char *const names[] = {"unknown", "done",	 "failed", "stopped",
-					    "lapsed",  "broken", "alone"};
+					    "lapsed",  "broken", "alone",  "crashed"};
 
-	return outcome <= LUG_RUN_GANG_INCOMPLETE ? names[outcome] : names[0];
+	return outcome <= LUG_RUN_WORKER_CRASHED ? names[outcome] : names[0];
 }
 
 /**
--- a/liblug/workflow/run.h
+++ b/liblug/workflow/run.h
@@ -34,6 +34,7 @@
  * @LUG_RUN_LEASE_EXPIRED: the lease of its worker expired
  * @LUG_RUN_GANG_ENDED: another member of its gang ended
  * @LUG_RUN_GANG_INCOMPLETE: the other members of its gang didn't start in time
+ * @LUG_RUN_WORKER_CRASHED: its worker crashed; told by the agent, never by a worker
  */
 enum lug_run_outcome {
 	LUG_RUN_DONE = 1,
@@ -42,6 +43,7 @@
 	LUG_RUN_LEASE_EXPIRED,
 	LUG_RUN_GANG_ENDED,
 	LUG_RUN_GANG_INCOMPLETE,
+	LUG_RUN_WORKER_CRASHED,
 };
 
 const char *lug_run_outcome_name(enum lug_run_outcome outcome);
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -6,6 +6,8 @@
 #define FAILED_RUN_RETRY_DELAY_US (50 * 1000)
 /* A start that the worker's agent has not received this long after it was sent is resent. */
 #define START_RESEND_US (700 * 1000)
+/* A long-running task that has run for this long is no longer suspected of earlier crashes. */
+#define CRASH_FORGET_US (10 * G_USEC_PER_SEC)
 
 /**
  * shard_task_step - step of a task
@@ -65,12 +67,20 @@
 	task->state = SHARD_TASK_WAITING;
 	task->worker = NULL;
 	task->confirmed = FALSE;
+	task->begun = FALSE;
 	task->start_seq = 0;
 	task->progress_percent = 0;
 	task->slow_since_us = 0;
 	task->relocating = FALSE;
 }
 
+/* The worker has started the task, which is the beginning of its job if it is the first. */
+static void mark_begun(struct shard_job *job, struct shard_task *task)
+{
+	task->begun = TRUE;
+	job->was_confirmed = TRUE;
+}
+
 /* The agent reserves resources for the task, whether or not its worker has confirmed the start. */
 static void confirm_reservation(struct lug_shard *shard, struct shard_task *task,
 				const struct lug_step *step)
@@ -133,14 +143,45 @@
 	return NULL;
 }
 
+/* Gives the job up when the task crashes its workers, else delays the next start of a suspect. */
+static void record_crash(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
+			 const struct lug_run_id *id, guint suspected_jobs, gboolean confirmed,
+			 gint64 now_us)
+{
+	char name[LUG_RUN_NAME_SIZE];
+	char crashes[16];
+	char suspicion[16];
+
+	lug_crash_record(&task->crash, suspected_jobs, confirmed);
+	lug_run_name(id, name, sizeof(name));
+	g_snprintf(crashes, sizeof(crashes), "%u", task->crash.crashes);
+	g_snprintf(suspicion, sizeof(suspicion), "%u", task->crash.suspicion);
+	if (lug_crash_is_culprit(&task->crash)) {
+		lug_warn(shard->shared.ctx, "task_given_up", "job", id->job, "run", name, "crashes",
+			 crashes, "suspicion", suspicion, "reason",
+			 "it crashes the workers that start it");
+		lug_count(shard->shared.ctx, TASKS_GIVEN_UP, 1);
+		shard_set_end_state(shard, job, LUG_WORKFLOW_FAILED);
+	} else if (lug_crash_is_suspect(&task->crash)) {
+		lug_info(shard->shared.ctx, "task_suspected", "job", id->job, "run", name,
+			 "crashes", crashes, "suspicion", suspicion);
+		task->not_before_us = now_us + LUG_CRASH_RETRY_DELAY_US;
+	}
+}
+
 static void apply_run_end(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-			  const struct lug_run_id *id, enum lug_run_outcome outcome, gint64 now_us)
+			  const struct lug_run_id *id, const Lug__RunEnd *end, gint64 now_us)
 {
+	enum lug_run_outcome outcome = (enum lug_run_outcome)end->outcome;
 	const struct lug_step *step = &job->workflow->steps[id->step];
 	struct lug_fleet_worker *worker =
 		task->worker ? lug_fleet_find(shard->shared.fleet, task->worker) : NULL;
 
-	job->was_confirmed = TRUE;
+	/* A run whose start was not confirmed may be reported as crashed. */
+	if (outcome == LUG_RUN_WORKER_CRASHED)
+		record_crash(shard, job, task, id, end->suspected_jobs, !end->unconfirmed, now_us);
+	else
+		job->was_confirmed = TRUE;
 	if (task->state == SHARD_TASK_CLAIMED)
 		shard_release_claim(shard, job, task, step);
 	if (worker && outcome == LUG_RUN_DONE)
@@ -203,8 +244,7 @@
 			       now_us - job->accepted_us);
 		job->has_incomplete_run = job->has_incomplete_run || end->outcome != LUG_RUN_DONE;
 		save_checkpoint(task, end->checkpoint);
-		apply_run_end(shard, job, task, &ack.id, (enum lug_run_outcome)end->outcome,
-			      now_us);
+		apply_run_end(shard, job, task, &ack.id, end, now_us);
 	} else if (!job || job->revision == job->committed_revision) {
 		/* The report is repeated or obsolete, and all changes of the job are stored. */
 		shard_send_ack(shard, route, &ack.id);
@@ -256,7 +296,7 @@
 		return;
 	}
 	if (answer->status == LUG_OK) {
-		job->was_confirmed = TRUE;
+		mark_begun(job, task);
 		confirm_reservation(shard, task, &job->workflow->steps[id.step]);
 	} else {
 		shard_note_run(job->refused_runs, &id, worker,
@@ -267,6 +307,8 @@
 		/* A lack of room is no failure of the worker. */
 		if (fleet_worker && answer->status != LUG_OVER_LIMIT)
 			lug_fleet_record_failure(fleet_worker, now_us);
+		else if (fleet_worker && lug_crash_is_suspect(&task->crash))
+			lug_fleet_isolate(fleet_worker, "", now_us);
 		else if (fleet_worker && job->workflow->steps[id.step].best_effort)
 			fleet_worker->refused_best_effort = TRUE;
 		shard_job_mark_changed(shard, job);
@@ -365,6 +407,17 @@
 	lug_link_send(shard->shared.link, route, &env);
 }
 
+/*
+ * Whether the agent was restarted together with its worker, and so can't report the crash of the
+ * worker under the task.
+ */
+static gboolean was_lost_with_agent(const struct shard_task *task,
+				    const struct lug_fleet_worker *worker)
+{
+	return task->worker_incarnation && task->lease_epoch < worker->lease_epoch &&
+	       task->worker_incarnation < worker->worker_incarnation && !worker->exit_announced;
+}
+
 static void check_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			const struct lug_run_id *id, void *data)
 {
@@ -374,10 +427,15 @@
 	const char *reason = NULL;
 
 	if (held) {
-		job->was_confirmed = job->was_confirmed || !held->unconfirmed;
+		if (!held->unconfirmed)
+			mark_begun(job, task);
 		confirm_reservation(shard, task, &job->workflow->steps[id->step]);
 		task->progress_percent = held->percent;
 		task->metric = held->figure;
+		/* A run that has lasted is not the cause of earlier crashes. */
+		if (task->crash.crashes && job->workflow->steps[id->step].long_running &&
+		    task->start_seq && check->now_us - task->start_sent_us > CRASH_FORGET_US)
+			task->crash = (struct lug_crash_history){0};
 		save_checkpoint(task, held->checkpoint);
 		if (held->unsized)
 			send_run_attributes(shard, &worker->route, job, id);
@@ -395,6 +453,8 @@
 	else if (task->start_seq <= check->held->last_seq)
 		reason = "received by its worker's agent, which does not hold it";
 	if (reason) {
+		if (was_lost_with_agent(task, worker))
+			record_crash(shard, job, task, id, 0, task->begun, check->now_us);
 		return_lost_task(shard, job, task, id, reason);
 		return;
 	}
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -67,6 +67,8 @@
 	start.target_ms = (guint32)step->target_ms;
 	start.has_priority = 1;
 	start.priority = job->priority;
+	start.has_isolate = lug_crash_is_suspect(&task->crash);
+	start.isolate = start.has_isolate;
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
@@ -244,6 +246,7 @@
 	task->state = SHARD_TASK_CLAIMED;
 	task->run++;
 	task->worker = g_intern_string(worker->name);
+	task->worker_incarnation = worker->worker_incarnation;
 	task->lease_epoch = worker->lease_epoch;
 	task->shard_epoch = lug_shard_epoch(shard);
 	task->start_seq = 0;
@@ -294,6 +297,7 @@
 						.interference =
 							lug_fleet_interference(shard->shared.fleet),
 						.min_speed = RELOCATION_MIN_SPEED,
+						.job = job->workflow->id,
 						.count_on_worker = count_on_worker,
 						.data = &count};
 	struct lug_fleet_worker *other;
@@ -327,6 +331,7 @@
 						.interference =
 							lug_fleet_interference(shard->shared.fleet),
 						.min_speed = MIN_SPEED,
+						.job = job->workflow->id,
 						.count_on_worker = count_on_worker,
 						.data = &count};
 
@@ -338,10 +343,15 @@
 		if (task->state != SHARD_TASK_WAITING || now_us < task->not_before_us)
 			continue;
 		request.excluded_worker = task->failed_on;
+		request.isolate = lug_crash_is_suspect(&task->crash);
 		worker = choose_worker(shard, &request, now_us);
+		if (!worker && request.isolate)
+			continue;
 		if (!worker)
 			return;
 		claim_task(shard, job, task, worker, &request);
+		if (request.isolate)
+			lug_fleet_isolate(worker, job->workflow->id, now_us);
 		(*claims_left)--;
 	}
 }
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -2,6 +2,7 @@
 #define LUG_WORKFLOW_SHARD_PRIV_H
 
 #include "core/list.h"
+#include "workflow/crash.h"
 #include "workflow/shard.h"
 
 /*
@@ -41,13 +42,16 @@
  * @state: state
  * @run: number of the latest run, 0 before the first
  * @failures: failed runs; lost and refused runs are not counted
+ * @crash: crashes of workers under the task
  * @worker: worker of the claim, interned, NULL when not claimed
+ * @worker_incarnation: incarnation of the worker at the claim, 0 for one by an earlier owner
  * @lease_epoch: epoch of the worker's lease at the claim
  * @shard_epoch: epoch of the shard at the claim
  * @start_seq: sequence number of the start message in this shard epoch, 0 when not sent
  * @claim_revision: job revision that contains the claim; the start is sent once it is committed
  * @start_sent_us: when the start was last sent
  * @confirmed: the worker's agent reserves resources for the run
+ * @begun: the worker has confirmed the start
  * @failed_on: worker of the latest failed run, interned, NULL for none
  * @checkpoint: checkpoint to resume from, NULL for none
  * @not_before_us: earliest time of the next claim
@@ -65,13 +69,16 @@
 	enum shard_task_state state;
 	guint32 run;
 	guint32 failures;
+	struct lug_crash_history crash;
 	const char *worker;
+	guint64 worker_incarnation;
 	guint64 lease_epoch;
 	guint64 shard_epoch;
 	guint64 start_seq;
 	guint64 claim_revision;
 	gint64 start_sent_us;
 	gboolean confirmed;
+	gboolean begun;
 	const char *failed_on;
 	char *checkpoint;
 	gint64 not_before_us;
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -20,13 +20,14 @@
  *   w                               waiting, never claimed
  *   wRUN.FAILS                      waiting after RUN runs, FAILS of which have failed
  *   rRUN.FAILS.WORKER.LEASE.EPOCH   claimed under a lease epoch and a shard epoch
+ *   ...CRASHES.SUSPICION            appended to both when workers have crashed under the task
  *   d                               done
  *   WORD*N                          N equal words
  *
  * WORKER is an index into workers.
  */
 
-#define WORD_MAX_BYTES 96
+#define WORD_MAX_BYTES 128
 
 static guint worker_index(GPtrArray *workers, const char *name)
 {
@@ -39,19 +40,25 @@
 
 static void encode_task(const struct shard_task *task, GPtrArray *workers, char *out)
 {
+	char crashes[24] = "";
+
+	if (task->crash.crashes || task->crash.suspicion)
+		g_snprintf(crashes, sizeof(crashes), ".%u.%u", task->crash.crashes,
+			   task->crash.suspicion);
 	switch (task->state) {
 	case SHARD_TASK_DONE:
 		g_strlcpy(out, "d", WORD_MAX_BYTES);
 		return;
 	case SHARD_TASK_CLAIMED:
 		g_snprintf(out, WORD_MAX_BYTES,
-			   "r%u.%u.%u.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, task->run,
+			   "r%u.%u.%u.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "%s", task->run,
 			   task->failures, worker_index(workers, task->worker), task->lease_epoch,
-			   task->shard_epoch);
+			   task->shard_epoch, crashes);
 		return;
 	default:
 		if (task->run)
-			g_snprintf(out, WORD_MAX_BYTES, "w%u.%u", task->run, task->failures);
+			g_snprintf(out, WORD_MAX_BYTES, "w%u.%u%s", task->run, task->failures,
+				   crashes);
 		else
 			g_strlcpy(out, "w", WORD_MAX_BYTES);
 	}
@@ -162,6 +169,13 @@
 	return value;
 }
 
+/* Both numbers are 0 when they are left out. */
+static void decode_crashes(const char **next, struct shard_task *task)
+{
+	task->crash.crashes = (guint32)next_number(next, '.');
+	task->crash.suspicion = (guint32)next_number(next, '.');
+}
+
 /* Decodes one word; see the format at the top of the file. */
 static gboolean decode_task(const char *word, JsonArray *workers, struct shard_task *task,
 			    guint32 *repeat)
@@ -183,8 +197,10 @@
 		return *word == 'w';
 	task->run = (guint32)next_number(&next, '.');
 	task->failures = (guint32)next_number(&next, '.');
-	if (*word == 'w')
+	if (*word == 'w') {
+		decode_crashes(&next, task);
 		return TRUE;
+	}
 	index = next_number(&next, '.');
 	if (!workers || index >= json_array_get_length(workers))
 		return FALSE;
@@ -192,6 +208,7 @@
 	task->worker = g_intern_string(json_array_get_string_element(workers, (guint)index));
 	task->lease_epoch = next_number(&next, '.');
 	task->shard_epoch = next_number(&next, '.');
+	decode_crashes(&next, task);
 	return task->worker != NULL;
 }
 
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -1,5 +1,7 @@
 #include "lug.h"
 
+#include <map>
+
 #include "fake_store.h"
 
 extern "C" {
@@ -77,8 +79,12 @@
 	struct lug_executor *exec = nullptr;
 	std::vector<std::pair<std::string, enum lug_status>> answers;
 	std::vector<std::string> ends;
+	/* Number of suspected jobs by run, of the runs reported as crashed. */
+	std::map<std::string, guint32> crashed;
 	guint64 seq = 0;
 	guint64 incarnation = 100;
+	gint64 heartbeat_seq = 0;
+	gint64 capacity_millicores = 4000;
 	/* What polls return: runs with their progress in percent, and numbered ends. */
 	std::vector<std::pair<struct lug_run_id, guint32>> running;
 	std::vector<std::pair<guint64, struct lug_run_id>> finished;
@@ -98,6 +104,9 @@
 						   (enum lug_status)env->run_answer->status);
 		if (env->body_case == LUG__ENVELOPE__BODY_RUN_END)
 			test->ends.push_back(text(env->run_end->id));
+		if (env->body_case == LUG__ENVELOPE__BODY_RUN_END &&
+		    env->run_end->outcome == LUG_RUN_WORKER_CRASHED)
+			test->crashed[text(env->run_end->id)] = env->run_end->suspected_jobs;
 		return TRUE;
 	}
 
@@ -117,7 +126,7 @@
 		lug_ctx_free(ctx);
 	}
 
-	void send_heartbeat()
+	void send_heartbeat(bool draining = false)
 	{
 		struct lug_worker_heartbeat heartbeat = {};
 		char *labels[] = {nullptr};
@@ -126,8 +135,9 @@
 		heartbeat.service = "pool";
 		heartbeat.zone = "z";
 		heartbeat.incarnation = incarnation;
-		heartbeat.seq = 1;
-		heartbeat.capacity = {4000, 1LL << 30, 0};
+		heartbeat.seq = ++heartbeat_seq;
+		heartbeat.draining = draining;
+		heartbeat.capacity = {capacity_millicores, 1LL << 30, 0};
 		heartbeat.labels = labels;
 		lug_executor_on_worker_heartbeat(exec, &heartbeat, lug_now_us());
 	}
@@ -206,7 +216,7 @@
 	}
 
 	void start(const char *job, gint64 millicores = 1000, guint64 lease_epoch = 1,
-		   guint64 epoch = 1, gint64 later_us = 0)
+		   guint64 epoch = 1, gint64 later_us = 0, bool isolate = false)
 	{
 		struct lug_run_id run = id(job);
 		struct lug_resources size = {millicores, 1, 0};
@@ -222,6 +232,7 @@
 		message.id = &wire;
 		message.size = &wire_size;
 		message.spec = (char *)"s";
+		message.isolate = isolate;
 		lug_executor_on_start(exec, &message, lug_now_us() + later_us);
 	}
 
@@ -420,4 +431,78 @@
 	start("c", 3000);
 	EXPECT_EQ(worker.orders.back().id.job, std::string("c"));
 }
+
+/* Incident task-crashes-worker-after-worker: owners must learn which runs a crash ended. */
+TEST_F(ExecutorTest, ReportsTheRunsOfACrashedWorkerAndSuspectsTheLastStarted)
+{
+	start("old");
+	worker.answer(LUG_ORDER_OK);
+	/* Longer than EARLY_US in crash.c. */
+	g_usleep(250 * 1000);
+	start("new");
+	worker.answer(LUG_ORDER_OK);
+	answer_poll(LUG_ORDER_UNKNOWN);
+	incarnation = 200;
+	send_heartbeat();
+	ASSERT_EQ(crashed.size(), 2u);
+	EXPECT_EQ(crashed["old#1"], 0u);
+	EXPECT_EQ(crashed["new#1"], 1u);
+}
+
+TEST_F(ExecutorTest, AWorkerThatHasAnnouncedItsExitDoesNotCrash)
+{
+	start("a");
+	worker.answer(LUG_ORDER_OK);
+	send_heartbeat(/* draining */ true);
+	incarnation = 200;
+	send_heartbeat();
+	EXPECT_TRUE(crashed.empty());
+}
+
+/* The worker is down for longer than the lease: its runs are gone before it is back. */
+TEST_F(ExecutorTest, ReportsTheRunsOfAWorkerThatStaysSilentAsCrashed)
+{
+	gint64 later_us = lug_now_us() + 20 * G_USEC_PER_SEC;
+
+	start("a");
+	worker.answer(LUG_ORDER_OK);
+	answer_poll(LUG_ORDER_UNKNOWN);
+	lug_executor_tick(exec, later_us);
+	/* Longer than EXPIRED_ANSWER_TIMEOUT_US. */
+	lug_executor_tick(exec, later_us + 1600 * 1000);
+	EXPECT_EQ(crashed.count("a#1"), 1u);
+}
+
+TEST_F(ExecutorTest, StartsOneSuspectedJobAtATime)
+{
+	start("a", 1000, 1, 1, 0, /* isolate */ true);
+	start("b", 1000, 1, 1, 0, /* isolate */ true);
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
+	start("c", 1000);
+	ASSERT_EQ(worker.orders.size(), 2u);
+	EXPECT_STREQ(worker.orders[1].id.job, "c");
+	/* Longer than LUG_CRASH_ISOLATION_US. */
+	start("b", 1000, 1, 1, 700 * 1000, /* isolate */ true);
+	EXPECT_STREQ(worker.orders.back().id.job, "b");
+}
+
+/* Rule LIMIT: the room of a worker changes while it runs, and what is being stopped counts. */
+TEST_F(ExecutorTest, StartsRespectARoomThatShrinksAndGrows)
+{
+	start("a", 2000);
+	worker.answer(LUG_ORDER_OK);
+	capacity_millicores = 2500;
+	send_heartbeat();
+	start("b", 1000);
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
+	capacity_millicores = 1000;
+	send_heartbeat();
+	start("c", 1);
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("c#1"), LUG_OVER_LIMIT));
+	capacity_millicores = 3000;
+	send_heartbeat();
+	start("d", 1000);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_STREQ(worker.orders[0].id.job, "d");
+}
 } // namespace
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -217,7 +217,7 @@
 	}
 
 	void end_run(const char *job, guint32 step, guint32 index, guint32 run_number,
-		     enum lug_run_outcome outcome)
+		     enum lug_run_outcome outcome, guint32 suspected_jobs = 0)
 	{
 		Lug__RunEnd message = LUG__RUN_END__INIT;
 		struct lug_run_id id = {};
@@ -231,6 +231,7 @@
 		lug_run_to_wire(&id, &wire);
 		message.id = &wire;
 		message.outcome = outcome;
+		message.suspected_jobs = suspected_jobs;
 		lug_shard_on_run_end(shard, &route, "w1", &message, lug_now_us());
 	}
 
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -319,4 +319,55 @@
 	send_beat({run}, 2);
 	EXPECT_EQ(lug_shard_pending_jobs(shard, "q"), 0u);
 }
+
+/* Incident task-crashes-worker-after-worker. */
+TEST_F(ShardTest, TaskThatCrashesItsWorkersIsGivenUp)
+{
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	end_run("a", 0, 0, 1, LUG_RUN_WORKER_CRASHED, 2);
+	run_rounds();
+	EXPECT_NE(state_row("a").find("w1.0.1.1"), std::string::npos) << state_row("a");
+	/* Longer than LUG_CRASH_RETRY_DELAY_US. */
+	g_usleep(650 * 1000);
+	run_rounds();
+	EXPECT_NE(state_row("a").find("r2.0."), std::string::npos) << state_row("a");
+	end_run("a", 0, 0, 2, LUG_RUN_WORKER_CRASHED, 1);
+	run_rounds();
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_GIVEN_UP], 1u);
+}
+
+TEST_F(ShardTest, TaskBesideACrashIsPlacedAgainAtOnce)
+{
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	for (guint32 run = 1; run <= 2; run++) {
+		end_run("a", 0, 0, run, LUG_RUN_WORKER_CRASHED, 0);
+		run_rounds();
+	}
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_RUNNING);
+	EXPECT_NE(state_row("a").find("r3.0."), std::string::npos) << state_row("a");
+}
+
+TEST_F(ShardTest, CrashesAreRememberedByTheNextOwner)
+{
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	end_run("a", 0, 0, 1, LUG_RUN_WORKER_CRASHED, 2);
+	run_rounds();
+	lug_shard_release(shard, lug_now_us());
+	run_rounds();
+	take_shard_with_worker();
+	/* Longer than LUG_CRASH_RETRY_DELAY_US. */
+	g_usleep(650 * 1000);
+	send_beat({}, 0);
+	run_rounds();
+	end_run("a", 0, 0, 2, LUG_RUN_WORKER_CRASHED, 1);
+	run_rounds();
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
+}
 } // namespace
