Starts sent to a worker that is down no longer outlive it

Cause: an agent accepted starts for 1.4 s after its worker's last answer, also when the connection had broken. An unanswered start was kept through the worker's restart, since it could still take effect there; it was settled by a stop and a poll, which a worker that crashes again first never answers.

Change: a start names the worker that it is meant for (Expected-Instance), so that a successor under another id refuses it; with such a heartbeat all unanswered starts end at once. A worker that keeps its id is treated as before. While a poll's connection is broken and none was answered since, starts are refused; a poll that times out does not count, so late orders change nothing.

Suspected, not seen: an order of a former incarnation that starts its task in the next one. The name excludes it for workers with a new id.

The three unit tests fail before.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -73,6 +73,7 @@
 	exec->store = lug_store_partition(store, ctx->settings->name);
 	exec->writer = lug_writer_new(ctx, exec->store, &config);
 	exec->worker = worker;
+	exec->worker_id = g_strdup("");
 	exec->n_shards = n_shards;
 	exec->interference = lug_interference_new();
 	exec->task_shares = g_array_new(FALSE, FALSE, sizeof(struct exec_task_shares));
@@ -110,6 +111,7 @@
 	g_ptr_array_unref(exec->runs);
 	g_ptr_array_unref(exec->ends);
 	g_strfreev(exec->labels);
+	g_free(exec->worker_id);
 	lug_interference_free(exec->interference);
 	g_array_unref(exec->task_shares);
 	g_free(exec->owners);
@@ -255,7 +257,7 @@
  */
 gboolean exec_is_accepting(const struct lug_executor *exec, gint64 now_us)
 {
-	if (exec->shutting_down || exec->draining || exec->worker_exiting ||
+	if (exec->shutting_down || exec->draining || exec->worker_exiting || exec->worker_down ||
 	    !exec->worker_incarnation || !exec->capacity_known ||
 	    exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
 	    !lug_writer_is_held(exec->writer) ||
@@ -287,6 +289,7 @@
 		return;
 	/* First, as it depends on what the former incarnation has announced. */
 	exec_update_incarnation(exec, heartbeat->incarnation, now_us);
+	exec_update_worker_id(exec, heartbeat->id, now_us);
 	exec->heartbeat_incarnation = heartbeat->incarnation;
 	exec->worker_heartbeat_seq = heartbeat->seq;
 	g_strlcpy(exec->service, heartbeat->service, sizeof(exec->service));
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -131,10 +131,9 @@
 /* A connection that breaks shows the time of a crash; a poll that times out does not. */
 static void note_silence(struct lug_executor *exec, gint64 now_us)
 {
-	gboolean broken = now_us - exec->poll_sent_us < BROKEN_POLL_US;
-
+	exec->worker_down = now_us - exec->poll_sent_us < BROKEN_POLL_US;
 	exec->silent_since_us = now_us;
-	exec->alive_until_us = broken ? now_us : exec->last_answer_us;
+	exec->alive_until_us = exec->worker_down ? now_us : exec->last_answer_us;
 }
 
 static void on_poll_reply(void *data, const struct lug_worker_poll_reply *reply)
@@ -162,6 +161,7 @@
 	apply_poll_reply(exec, reply, now_us);
 	exec->failed_polls = 0;
 	exec->silent_since_us = 0;
+	exec->worker_down = FALSE;
 	exec_schedule_poll(exec, exec_has_unacked_ends(exec) ? UNACKED_POLL_US : 0, now_us);
 }
 
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -190,6 +190,7 @@
  * @lease_held: the latest lease event was LUG_WRITER_TAKEN; unlike lug_writer_is_held(), still TRUE
  *              while the release is being committed
  * @next_acquire_us: earliest time of the next attempt to acquire the lease
+ * @worker_id: id in the worker's latest heartbeat, "" before the first
  * @heartbeat_incarnation: incarnation in the worker's latest heartbeat
  * @worker_heartbeat_seq: number of the worker's latest heartbeat to the agent
  * @worker_incarnation: current incarnation of the worker, 0 for not known
@@ -222,6 +223,7 @@
  *                         it, 0 for none yet
  * @failed_polls: consecutive failed polls
  * @silent_since_us: when the first of the consecutive failed polls failed, 0 for none
+ * @worker_down: a poll's connection has broken, and no later poll was answered
  * @alive_until_us: with @silent_since_us, when the worker was last up
  * @failed_poll_sent_us: time at which the latest failed poll was sent
  * @expiry_seen_us: time at which the lease's expiry was noticed, before @granted_until_us when it
@@ -248,6 +250,7 @@
 	gboolean acquiring_lease;
 	gboolean lease_held;
 	gint64 next_acquire_us;
+	char *worker_id;
 	guint64 heartbeat_incarnation;
 	gint64 worker_heartbeat_seq;
 	guint64 worker_incarnation;
@@ -278,6 +281,7 @@
 	guint32 interference_interval;
 	guint failed_polls;
 	gint64 silent_since_us;
+	gboolean worker_down;
 	gint64 alive_until_us;
 	gint64 failed_poll_sent_us;
 	gint64 expiry_seen_us;
@@ -294,6 +298,7 @@
 gboolean exec_has_unacked_ends(const struct lug_executor *exec);
 void exec_end_crashed_runs(struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
+void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us);
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us);
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -1,6 +1,9 @@
-#include "workflow/crash.h"
 #include "workflow/executor_priv.h"
 
+#include <string.h>
+
+#include "workflow/crash.h"
+
 /* Length at which the list of runs in the log line of a restart is cut. */
 #define RUN_LIST_MAX_BYTES 400
 
@@ -133,6 +136,26 @@
 	}
 }
 
+/**
+ * exec_update_worker_id - record the worker's id; starts sent under another one can't take effect
+ * any more, as they name the worker that they were meant for
+ */
+void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us)
+{
+	gboolean is_first = !*exec->worker_id;
+
+	if (!strcmp(id, exec->worker_id))
+		return;
+	g_free(exec->worker_id);
+	exec->worker_id = g_strdup(id);
+	for (guint i = exec->runs->len; !is_first && i-- > 0;) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (run->state == EXEC_STARTING || run->state == EXEC_UNKNOWN)
+			exec_end_crashed_run(exec, run, now_us);
+	}
+}
+
 /**
  * exec_update_incarnation - record the worker's incarnation; confirmed runs of an earlier one
  * are removed, and reported as crashed unless it had announced its exit
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -137,6 +137,7 @@
 
 	init_order(exec, run, &order);
 	order.expires_ms = exec_lease_expires_ms(exec);
+	order.worker = exec->worker_id;
 	order.spec = run->spec;
 	order.checkpoint = run->checkpoint;
 	exec->granted_until_us =
--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -9,6 +9,8 @@
  * @id: run
  * @token: fencing token; the worker rejects tokens lower than the highest it has seen
  * @expires_ms: end of the lease on the worker's clock (start only)
+ * @worker: id of the worker that it is meant for; another one, or the same machine's worker under a
+ *          new id, refuses it (start only)
  * @spec: passed to the task (start only)
  * @checkpoint: checkpoint to resume from, "" for none (start only)
  * @percent: share at which the task works, in percent (throttle only)
@@ -17,6 +19,7 @@
 	struct lug_run_id id;
 	guint64 token;
 	gint64 expires_ms;
+	const char *worker;
 	const char *spec;
 	const char *checkpoint;
 	guint32 percent;
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -49,7 +49,8 @@
     def _call(self):
         length = int(self.headers.get("Content-Length") or 0)
         raw = self.rfile.read(length)
-        answer = self.server.standin.serve(self.command, self.path, raw, self.client_address[0])
+        answer = self.server.standin.serve(self.command, self.path, raw, self.client_address[0],
+                                           self.headers)
         if answer is None:
             self.close_connection = True
             return
@@ -143,7 +144,7 @@
             row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
         return row
 
-    def serve(self, method, path, raw, caller):
+    def serve(self, method, path, raw, caller, headers):
         mode = self.mode
         if mode == "busy" or caller in self.refused_callers:
             return 503, {}
@@ -231,6 +232,7 @@
     """
 
     def __init__(self, number, address, heartbeat_address, cpu=4000):
+        self.number = number
         self.id = f"i-{number}"
         self.heartbeat_address = heartbeat_address
         self.cpu = cpu
@@ -297,6 +299,7 @@
             time.sleep(0.01)
             if self.down_until and time.monotonic() >= self.down_until:
                 self.start_incarnation()
+                self.id = f"i-{self.number}-{self.incarnation}"
             with self.lock:
                 if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
                        for _, state in self.running.values()):
@@ -312,7 +315,7 @@
                     elif time.monotonic() >= state["until"]:
                         self._end_run(task, state["how"])
 
-    def serve(self, method, path, raw, caller):
+    def serve(self, method, path, raw, caller, headers):
         if self.mode == "dark":
             time.sleep(1.5)
             return None
@@ -324,6 +327,8 @@
             if self.down_until:
                 return None
             incarnation = self.incarnation
+            if headers.get("Expected-Instance", self.id) != self.id:
+                return 421, {"server_time_ms": self.clock_ms()}
             if body.get("fencing_token", 0) < self.fencing_token:
                 return 409, {"server_time_ms": self.clock_ms(), "reason": "fence"}
             self.fencing_token = body.get("fencing_token", 0)
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -19,6 +19,7 @@
 		guint64 token;
 		gint64 expires_ms;
 		guint32 percent;
+		std::string worker;
 		lug_order_fn fn;
 		void *data;
 	};
@@ -34,8 +35,8 @@
 			 const struct lug_worker_order *order, lug_order_fn fn, void *data)
 	{
 		reinterpret_cast<FakeWorker *>(worker)->orders.push_back(
-			{kind, order->id, order->token, order->expires_ms, order->percent, fn,
-			 data});
+			{kind, order->id, order->token, order->expires_ms, order->percent,
+			 order->worker ? order->worker : "", fn, data});
 	}
 
 	FakeWorker()
@@ -83,6 +84,7 @@
 	std::map<std::string, guint32> crashed;
 	guint64 seq = 0;
 	guint64 incarnation = 100;
+	const char *worker_id = "i";
 	gint64 heartbeat_seq = 0;
 	gint64 capacity_millicores = 4000;
 	/* What polls return: runs with their progress in percent, and numbered ends. */
@@ -131,7 +133,7 @@
 		struct lug_worker_heartbeat heartbeat = {};
 		char *labels[] = {nullptr};
 
-		heartbeat.id = "i";
+		heartbeat.id = worker_id;
 		heartbeat.service = "pool";
 		heartbeat.zone = "z";
 		heartbeat.incarnation = incarnation;
@@ -505,4 +507,42 @@
 	ASSERT_EQ(worker.orders.size(), 1u);
 	EXPECT_STREQ(worker.orders[0].id.job, "d");
 }
+
+/*
+ * Incident task-crashes-worker-after-worker: an unanswered start was kept through several restarts
+ * of the worker, while its task waited.
+ */
+TEST_F(ExecutorTest, UnansweredStartsEndWithTheWorkerThatTheyName)
+{
+	start("a", 3000);
+	EXPECT_EQ(worker.orders[0].worker, "i");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	incarnation = 200;
+	worker_id = "i-next";
+	send_heartbeat();
+	EXPECT_EQ(crashed.count("a#1"), 1u);
+	answer_poll();
+	if (!worker.polls.empty())
+		answer_poll();
+	start("b", 3000);
+	EXPECT_EQ(worker.orders.back().id.job, std::string("b"));
+	EXPECT_EQ(worker.orders.back().worker, "i-next");
+}
+
+TEST_F(ExecutorTest, UnansweredStartsAreStoppedFirstWhenTheWorkerKeepsItsId)
+{
+	start("a", 3000);
+	worker.answer(LUG_ORDER_UNKNOWN);
+	incarnation = 200;
+	send_heartbeat();
+	EXPECT_EQ(crashed.count("a#1"), 0u) << "the start may still take effect";
+}
+
+TEST_F(ExecutorTest, RefusesStartsWhenTheConnectionToTheWorkerHasBroken)
+{
+	answer_poll(LUG_ORDER_UNKNOWN);
+	start("a");
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("a#1"), LUG_NOT_RUN));
+	EXPECT_TRUE(worker.orders.empty());
+}
 } // namespace
