A team's task under which workers crash is given up

The same cause in the teams' queues: an idempotent task lost with its worker was started again without a limit, since only failed attempts counted. An agent now reports with each attempt that a restart of its worker ended how many jobs have an attempt that may be the cause; the owner stores crashes and suspicion in the task's row. The limits are those of the workflows. Suspected tasks are not isolated here (offers choose the worker), so no crash identifies a task alone: three crashes with the task as a suspect are needed, or five.

crash.c moves to colocate, as both kinds of queues use it.

test_team_task_under_which_workers_crash_is_given_up kills the worker under the task: six times without an end before, at most five now.

--- a/liblug/workflow/crash.c
+++ b/liblug/colocate/crash.c
@@ -1,4 +1,4 @@
-#include "workflow/crash.h"
+#include "colocate/crash.h"
 
 /* A run started at most this long before the worker was last up is an early one. */
 #define EARLY_US (200 * 1000)
--- a/liblug/workflow/crash.h
+++ b/liblug/colocate/crash.h
@@ -1,5 +1,5 @@
-#ifndef LUG_WORKFLOW_CRASH_H
-#define LUG_WORKFLOW_CRASH_H
+#ifndef LUG_COLOCATE_CRASH_H
+#define LUG_COLOCATE_CRASH_H
 
 #include <glib.h>
 
--- a/liblug/job/outcome.c
+++ b/liblug/job/outcome.c
@@ -97,7 +97,8 @@
 		return LUG_TASK_CANCELLED;
 	if (outcome == LUG_OUTCOME_EVICTED && has_checkpoint)
 		return LUG_TASK_PENDING;
-	if (!job->idempotent || task->failures >= FAILURES_MAX)
+	if (!job->idempotent || task->failures >= FAILURES_MAX ||
+	    lug_crash_is_culprit(&task->crash))
 		return LUG_TASK_FAILED;
 	return LUG_TASK_PENDING;
 }
@@ -113,6 +114,16 @@
 	}
 	if (report->outcome == LUG_OUTCOME_LOST)
 		g_strlcpy(task->job->reason, "lost with its worker", sizeof(task->job->reason));
+	/* Suspected tasks are not isolated here, so one job alone is no stronger evidence. */
+	if (report->outcome == LUG_OUTCOME_LOST && report->has_suspected_jobs)
+		lug_crash_record(&task->crash,
+				 report->suspected_jobs ? MAX(report->suspected_jobs, 2) : 0, TRUE);
+	if (lug_crash_is_culprit(&task->crash)) {
+		lug_count(owner->env.ctx, TASKS_GIVEN_UP, 1);
+		g_strlcpy(task->job->reason,
+			  "workers crashed under it; test the task before submitting it again",
+			  sizeof(task->job->reason));
+	}
 	if (report->outcome == LUG_OUTCOME_DONE && task->confirmed && !task->checkpoint)
 		lug_queue_observe_run(owner->queue, task->job->job->kind,
 				      (now_us - task->started_us) / 1000, now_us);
--- a/liblug/job/queue.h
+++ b/liblug/job/queue.h
@@ -1,6 +1,7 @@
 #ifndef LUG_JOB_QUEUE_H
 #define LUG_JOB_QUEUE_H
 
+#include "colocate/crash.h"
 #include "core/list.h"
 #include "job/job.h"
 
@@ -49,6 +50,7 @@
  * @index: index within the job
  * @attempt: number of the latest attempt, 0 before the first
  * @failures: attempts in which the task itself failed
+ * @crash: crashes of workers under the task
  * @state: its state in the owner's memory
  * @worker: worker of the latest attempt
  * @worker_epoch: epoch of that worker's lease
@@ -69,6 +71,7 @@
 	guint32 index;
 	guint32 attempt;
 	guint32 failures;
+	struct lug_crash_history crash;
 	enum lug_task_state state;
 	char worker[LUG_JOB_ID_MAX + 1];
 	guint64 worker_epoch;
--- a/liblug/job/runner.c
+++ b/liblug/job/runner.c
@@ -185,6 +185,8 @@
 	report.checkpoint = attempt->checkpoint;
 	LUG_SET(&report, used_ms, attempt->used_core_ms);
 	LUG_SET(&report, worker_epoch, lug_lease_epoch(runner->env.lease));
+	if (attempt->crashed)
+		LUG_SET(&report, suspected_jobs, attempt->suspected_jobs);
 	lug_runner_send(runner, attempt->queue, &env);
 }
 
--- a/liblug/job/runner.h
+++ b/liblug/job/runner.h
@@ -45,6 +45,8 @@
  * @sent_us: time of the last call or report about it
  * @call_pending: a call to the worker is pending
  * @stop_with_checkpoint: the worker is to write a checkpoint on stop
+ * @crashed: it was lost in a crash of the worker
+ * @suspected_jobs: of a crashed attempt, see lug_crash_find_suspects(); 0 when not suspected
  *
  * Each team has one queue, and a queue is identified by its team.
  */
@@ -68,6 +70,8 @@
 	gint64 sent_us;
 	gboolean call_pending;
 	gboolean stop_with_checkpoint;
+	gboolean crashed;
+	guint suspected_jobs;
 };
 
 /**
--- a/liblug/job/runner_priv.h
+++ b/liblug/job/runner_priv.h
@@ -30,6 +30,7 @@
  *	again
  * @polling: a poll of the worker is pending
  * @next_poll_us: the next poll is not sent before this time
+ * @last_answer_us: time of the worker's last answer to a poll
  * @state_loaded: the worker's state was loaded
  * @draining: running attempts are checkpointed and starts refused
  * @throttle_percent: percent of their cores that batch tasks may use
@@ -47,6 +48,7 @@
 	guint64 event_seq;
 	gboolean polling;
 	gint64 next_poll_us;
+	gint64 last_answer_us;
 	gboolean state_loaded;
 	gboolean draining;
 	gint64 throttle_percent;
--- a/liblug/job/worker.c
+++ b/liblug/job/worker.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "colocate/crash.h"
+
 #include "team/charge.h"
 
 #define CALL_TIMEOUT_MS 2000
@@ -234,12 +236,47 @@
 }
 
 /* Attempts that are starting are left out: the answer to the pending call decides on them. */
+static gboolean is_lost_by_restart(const struct lug_attempt *attempt)
+{
+	return attempt->state != LUG_ATTEMPT_ENDED && attempt->state != LUG_ATTEMPT_STARTING;
+}
+
+/* Marks the attempts that were on the worker when it crashed, and those that may be the cause. */
+static void mark_crashed_attempts(struct lug_runner *runner)
+{
+	GArray *crashed = g_array_new(FALSE, FALSE, sizeof(struct lug_crash_run));
+	struct lug_crash_run *run;
+	guint suspected_jobs;
+
+	LUG_LIST_FOREACH (&runner->attempts, pos) {
+		struct lug_attempt *attempt = LUG_CONTAINER_OF(pos, struct lug_attempt, node);
+		struct lug_crash_run item = {
+			.job = attempt->job, .started_us = attempt->started_us, .confirmed = TRUE};
+
+		if (is_lost_by_restart(attempt))
+			g_array_append_val(crashed, item);
+	}
+	run = (struct lug_crash_run *)(void *)crashed->data;
+	suspected_jobs = lug_crash_find_suspects(run, crashed->len, runner->last_answer_us);
+	LUG_LIST_FOREACH (&runner->attempts, pos) {
+		struct lug_attempt *attempt = LUG_CONTAINER_OF(pos, struct lug_attempt, node);
+
+		if (!is_lost_by_restart(attempt))
+			continue;
+		attempt->crashed = TRUE;
+		attempt->suspected_jobs = run->suspected ? suspected_jobs : 0;
+		run++;
+	}
+	g_array_unref(crashed);
+}
+
 static void end_running_as_lost(struct lug_runner *runner, gint64 now_us)
 {
+	mark_crashed_attempts(runner);
 	LUG_LIST_FOREACH_SAFE (&runner->attempts, pos, tmp) {
 		struct lug_attempt *attempt = LUG_CONTAINER_OF(pos, struct lug_attempt, node);
 
-		if (attempt->state != LUG_ATTEMPT_ENDED && attempt->state != LUG_ATTEMPT_STARTING)
+		if (is_lost_by_restart(attempt))
 			attempt_end(runner, attempt, LUG_OUTCOME_LOST, "the worker restarted",
 				    now_us);
 	}
@@ -318,6 +355,7 @@
 		return;
 	}
 	apply_incarnation(runner, lug_json_str(body, "boot", ""), now_us);
+	runner->last_answer_us = now_us;
 	events = lug_json_arr(body, "events");
 	for (guint i = 0; events && i < json_array_get_length(events); i++)
 		apply_event(runner, json_array_get_object_element(events, i), now_us);
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -3684,7 +3684,7 @@
   (ProtobufCMessageInit) lug__stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lug__report__field_descriptors[8] =
 {
   {
     "queue",
@@ -3770,12 +3770,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspected_jobs",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__Report, has_suspected_jobs),
+    offsetof(Lug__Report, suspected_jobs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__report__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   3,   /* field[3] = detail */
   2,   /* field[2] = outcome */
   0,   /* field[0] = queue */
+  7,   /* field[7] = suspected_jobs */
   1,   /* field[1] = task */
   5,   /* field[5] = used_ms */
   6,   /* field[6] = worker_epoch */
@@ -3783,7 +3796,7 @@
 static const ProtobufCIntRange lug__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lug__report__descriptor =
 {
@@ -3793,7 +3806,7 @@
   "Lug__Report",
   "lug",
   sizeof(Lug__Report),
-  7,
+  8,
   lug__report__field_descriptors,
   lug__report__field_indices_by_name,
   1,  lug__report__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -614,10 +614,16 @@
    */
   protobuf_c_boolean has_worker_epoch;
   uint64_t worker_epoch;
+  /*
+   * The worker crashed: number of jobs with an attempt that may be the cause, 0 when this
+   * attempt is none.
+   */
+  protobuf_c_boolean has_suspected_jobs;
+  uint32_t suspected_jobs;
 };
 #define LUG__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__report__descriptor) \
-    , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0, 0 }
+    , NULL, NULL, 0, 0, NULL, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "workflow/crash.h"
+#include "colocate/crash.h"
 
 /* Length at which the list of runs in the log line of a restart is cut. */
 #define RUN_LIST_MAX_BYTES 400
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -1,4 +1,4 @@
-#include "workflow/crash.h"
+#include "colocate/crash.h"
 #include "workflow/executor_priv.h"
 
 #include <string.h>
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "workflow/crash.h"
+#include "colocate/crash.h"
 #include "workflow/run.h"
 #include "store/writer.h"
 
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -2,7 +2,7 @@
 #define LUG_WORKFLOW_SHARD_PRIV_H
 
 #include "core/list.h"
-#include "workflow/crash.h"
+#include "colocate/crash.h"
 #include "workflow/shard.h"
 
 /*
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -3,7 +3,9 @@
 import itertools
 import time
 
+from deploy import wait_for
 from hub import wait_for_state
+from jobs import submit
 
 JOB_IDS = (f"{number:016x}" for number in itertools.count(0xc0))
 # Starts of a task that crashes its worker: no more than two after the third crash.
@@ -95,3 +97,29 @@
         wait_for_state(deployment, job, 30)
     assert [w.starts_over_room for w in deployment.workers.values()] == [[], []]
     assert deployment.violations() == []
+
+
+def test_team_task_under_which_workers_crash_is_given_up(start_deployment):
+    """The tasks of teams' queues have the same bound, whatever kills their workers."""
+    deployment = start_deployment(workers=3)
+    job = submit(deployment, work_ms=60000, idempotent=True)[1]["id"]
+
+    def starts():
+        return [e for e in deployment.history() if e["event"] == "start" and e["job"] == job]
+
+    def state():
+        return deployment.get(f"/jobs/{job}?team=renderings")["state"]
+
+    crashes = 0
+    while state() not in ("failed", "done") and crashes < MAX_STARTS + 1:
+        wait_for(lambda: len(starts()) > crashes or state() == "failed", 20, "next attempt")
+        if state() == "failed":
+            break
+        # The attempt is confirmed and no longer an early one.
+        time.sleep(0.8)
+        worker = starts()[-1]["worker"]
+        deployment.kill(worker)
+        deployment.start(worker)
+        crashes += 1
+    wait_for(lambda: state() == "failed", 10, "end of the job")
+    assert crashes <= MAX_STARTS
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -1,7 +1,7 @@
 #include "lug.h"
 
 extern "C" {
-#include "workflow/crash.h"
+#include "colocate/crash.h"
 }
 
 namespace
