A request that breaks its servers is sent to two at most

An attempt of unknown outcome, by the agent's report or its silence, now counts, and after the second the caller is told that the outcome is unknown. Attempts that were not run count as before.

test_request_that_breaks_its_servers_does_not_reach_a_third kills each server that has the request: four before, two now.

--- a/liblug/route/router.c
+++ b/liblug/route/router.c
@@ -7,6 +7,8 @@
 #include "wire/pack.h"
 
 #define MAX_ATTEMPTS 4
+/* Attempts of unknown outcome. A request that breaks its servers must not reach them all. */
+#define MAX_UNKNOWN_ATTEMPTS 2
 /* Time after the deadline for which the router waits for the agent to report the outcome. */
 #define CANCEL_TIMEOUT_US (500 * 1000)
 #define CANCEL_RESEND_US (100 * 1000)
@@ -40,6 +42,7 @@
  * @spec: copy of the caller's request
  * @state: progress of the latest attempt
  * @attempt: number of the latest attempt, from 1
+ * @unknown_attempts: attempts of unknown outcome
  * @agent: agent that the latest attempt was sent to
  * @agent_incarnation: incarnation of that agent
  * @in_agent_inflight: included in the agent's number of requests in flight
@@ -62,6 +65,7 @@
 	struct lug_request_spec spec;
 	enum request_state state;
 	guint32 attempt;
+	guint32 unknown_attempts;
 	char agent[LUG_NAME_MAX + 1];
 	guint64 agent_incarnation;
 	gboolean in_agent_inflight;
@@ -274,6 +278,12 @@
 	finish_request(req, LUG_NOT_RUN, "no backend server can be reached", NULL, now_us);
 }
 
+/* Counts an attempt of unknown outcome; TRUE when the request may be sent once more. */
+static gboolean may_retry_unknown(struct request *req)
+{
+	return ++req->unknown_attempts < MAX_UNKNOWN_ATTEMPTS && req->spec.idempotent;
+}
+
 static gboolean acquire_retry(struct request *req, gint64 now_us)
 {
 	struct lug_ctx *ctx = req->router->ctx;
@@ -361,7 +371,7 @@
 static void retry_or_finish_unknown(struct request *req, const char *detail, gint64 now_us)
 {
 	req->may_have_run = TRUE;
-	if (req->spec.idempotent && acquire_retry(req, now_us))
+	if (may_retry_unknown(req) && acquire_retry(req, now_us))
 		start_attempt(req, now_us);
 	else
 		finish_request(req, LUG_UNKNOWN, detail, NULL, now_us);
@@ -439,7 +449,7 @@
 		req->agent_unresponsive = TRUE;
 		if (agent)
 			lug_choose_observe_result(agent, FALSE, now_us);
-		if (req->spec.idempotent && acquire_retry(req, now_us)) {
+		if (may_retry_unknown(req) && acquire_retry(req, now_us)) {
 			req->may_have_run = TRUE;
 			start_attempt(req, now_us);
 			return;
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -1,6 +1,7 @@
 """Queue daemons whose workers crash under a task, or change the room that they have."""
 
 import itertools
+import threading
 import time
 
 from deploy import wait_for
@@ -123,3 +124,26 @@
         crashes += 1
     wait_for(lambda: state() == "failed", 10, "end of the job")
     assert crashes <= MAX_STARTS
+
+
+def test_request_that_breaks_its_servers_does_not_reach_a_third(start_deployment):
+    deployment = start_deployment(workers=5)
+    answers = []
+
+    def call():
+        answers.append(deployment.call("GET", "/service/atelier-desk/long?ms=30000", headers={
+            "X-Team": "quotes", "X-Timeout-Ms": "20000"})[0])
+
+    caller = threading.Thread(target=call)
+    caller.start()
+    broken = 0
+    until = time.monotonic() + 15
+    while not answers and time.monotonic() < until:
+        requests = [e for e in deployment.history() if e["event"] == "request"]
+        if len(requests) > broken:
+            time.sleep(0.3)
+            deployment.kill(requests[-1]["worker"])
+            broken += 1
+        time.sleep(0.05)
+    caller.join()
+    assert (answers, broken) == ([504], 2)
