Heartbeats of a new incarnation are applied when a poll has shown it first

Cause: when the answer to a poll shows a restart before the worker's first heartbeat does, the agent took over the incarnation but kept the number of the former one's last heartbeat. Heartbeats are numbered anew, so all were ignored as outdated until their number had caught up. It showed once starts named the worker's id, which then was that of the former incarnation.

Ruled out: the isolation of suspected tasks (the refusals came from the worker, none of them for want of room).

Change: the number starts anew with the incarnation, and starts are accepted only once a heartbeat of the incarnation has told its id and room.

The unit test fails before (a heartbeat with a smaller room is ignored).

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -258,7 +258,7 @@
 gboolean exec_is_accepting(const struct lug_executor *exec, gint64 now_us)
 {
 	if (exec->shutting_down || exec->draining || exec->worker_exiting || exec->worker_down ||
-	    !exec->worker_incarnation || !exec->capacity_known ||
+	    !exec->worker_incarnation || exec->id_incarnation != exec->worker_incarnation ||
 	    exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
 	    !lug_writer_is_held(exec->writer) ||
 	    !lug_writer_is_valid(exec->writer, now_us + START_LEASE_MARGIN_US) ||
@@ -301,7 +301,6 @@
 	exec->worker_exiting =
 		exec->worker_exiting && heartbeat->incarnation == exec->exiting_incarnation;
 	exec->capacity = heartbeat->capacity;
-	exec->capacity_known = TRUE;
 	g_strfreev(exec->labels);
 	exec->labels = g_strdupv(heartbeat->labels);
 	if (!exec->poll_in_flight)
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -191,6 +191,7 @@
  *              while the release is being committed
  * @next_acquire_us: earliest time of the next attempt to acquire the lease
  * @worker_id: id in the worker's latest heartbeat, "" before the first
+ * @id_incarnation: incarnation that has that id
  * @heartbeat_incarnation: incarnation in the worker's latest heartbeat
  * @worker_heartbeat_seq: number of the worker's latest heartbeat to the agent
  * @worker_incarnation: current incarnation of the worker, 0 for not known
@@ -200,7 +201,6 @@
  * @exit_announced_us: time of that announcement
  * @exiting_incarnation: incarnation that has announced its exit
  * @shutting_down: the agent is shutting down
- * @capacity_known: @capacity is valid
  * @capacity: total resources for tasks
  * @labels: kind and rack of the worker
  * @poll_in_flight: a poll is in flight
@@ -251,6 +251,7 @@
 	gboolean lease_held;
 	gint64 next_acquire_us;
 	char *worker_id;
+	guint64 id_incarnation;
 	guint64 heartbeat_incarnation;
 	gint64 worker_heartbeat_seq;
 	guint64 worker_incarnation;
@@ -260,7 +261,6 @@
 	gint64 exit_announced_us;
 	guint64 exiting_incarnation;
 	gboolean shutting_down;
-	gboolean capacity_known;
 	struct lug_resources capacity;
 	char **labels;
 	gboolean poll_in_flight;
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -144,6 +144,7 @@
 {
 	gboolean is_first = !*exec->worker_id;
 
+	exec->id_incarnation = exec->worker_incarnation;
 	if (!strcmp(id, exec->worker_id))
 		return;
 	g_free(exec->worker_id);
@@ -170,6 +171,8 @@
 		end_former_runs(exec, now_us);
 	}
 	exec->worker_incarnation = incarnation;
+	/* Its heartbeats are numbered anew, also when a poll shows it first. */
+	exec->worker_heartbeat_seq = 0;
 	exec->acked_end_number = 0;
 	exec->last_end_number = 0;
 	exec->clock_at_us = 0;
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -545,4 +545,28 @@
 	EXPECT_EQ(answers.back(), std::make_pair(std::string("a#1"), LUG_NOT_RUN));
 	EXPECT_TRUE(worker.orders.empty());
 }
+
+/* The worker's heartbeats count anew in each incarnation, which a poll may be the first to show. */
+TEST_F(ExecutorTest, HeartbeatsAfterARestartThatAPollHasShownAreApplied)
+{
+	heartbeat_seq = 50;
+	send_heartbeat();
+	incarnation = 200;
+	answer_poll();
+	heartbeat_seq = 0;
+	capacity_millicores = 1500;
+	worker_id = "i-next";
+	start("early", 1000);
+	ASSERT_FALSE(answers.empty());
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("early#1"), LUG_NOT_RUN))
+		<< "the id of the new incarnation is not known";
+	send_heartbeat();
+	if (!worker.polls.empty())
+		answer_poll();
+	start("a", 1000);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders[0].worker, "i-next");
+	start("b", 1000);
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
+}
 } // namespace
