A task that crashes its workers before they answer has the same bound

Callers saw six starts of such a task where five are allowed (BUDGET): no crash counts as one under the task, since its start was never confirmed, and the bound on suspicion alone allowed six. The first crash may even go unreported, when another run of the job was the likelier cause or when the agent was restarted with its worker.

Ruled out: runs that were not on the worker; the stand-in lists each start.

Change: three crashes in which only runs of its job were suspected suffice (SUSPICION_LIMIT 6, was 9).

--- a/liblug/colocate/crash.c
+++ b/liblug/colocate/crash.c
@@ -10,7 +10,7 @@
 #define MIN_CRASHES 2
 #define MIN_SUSPICION 3
 #define CRASHES_LIMIT 5
-#define SUSPICION_LIMIT 9
+#define SUSPICION_LIMIT 6
 /* Crashes after which a task that was never suspected is isolated. */
 #define SUSPECT_CRASHES 3
 
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -40,6 +40,19 @@
     assert deployment.violations() == []
 
 
+def test_task_that_crashes_workers_before_they_answer_is_given_up(start_queue_deployment):
+    """No start of the task is ever confirmed, so no crash is known to be one under it."""
+    deployment = start_queue_deployment(workers=4)
+    sound, crashing = next(JOB_IDS), next(JOB_IDS)
+    assert deployment.submit(sound, {"ms": 1500}, [{"count": 3, "cpu": 500}]) == 200
+    assert deployment.submit(crashing, {"ms": 300, "crashes": ["0.1"], "crash_ms": 0},
+                             [{"count": 3, "cpu": 500}]) == 200
+    wait_for_state(deployment, crashing, 30, "failed")
+    assert 2 <= start_count(deployment, f"{crashing}.0.0.1") <= MAX_STARTS
+    wait_for_state(deployment, sound, 20)
+    assert deployment.violations() == []
+
+
 def test_crashing_tasks_of_several_jobs_spare_the_other_jobs(start_queue_deployment):
     deployment = start_queue_deployment(workers=4)
     sound, crashing = [], []
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -23,7 +23,7 @@
 LEASE_MAX_MS = 6000
 STOP_DELAY_MS = 200
 # From the start of a task that crashes its worker to the crash, and until the worker is back.
-CRASH_DELAY_S = 0.01
+CRASH_DELAY_MS = 10
 CRASH_DOWN_S = 1.0
 # Time from a shrinking of a worker's room until starts must respect it.
 ROOM_NOTICE_S = 1.0
@@ -228,7 +228,8 @@
     """Worker that runs tasks for the time in their spec; its own clock measures its lease.
 
     Members of a spec: "ms", run time; "fails", number of runs that fail; "crashes", tasks
-    (STEP.INDEX) that crash each worker that starts them; "cpu", checked against the room.
+    (STEP.INDEX) that crash each worker that starts them; "crash_ms", time until that crash, 0
+    before the start is answered; "cpu", checked against the room.
     """
 
     def __init__(self, number, address, heartbeat_address, cpu=4000):
@@ -303,9 +304,7 @@
             with self.lock:
                 if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
                        for _, state in self.running.values()):
-                    self._drop_runs()
-                    self.crashes += 1
-                    self.down_until = time.monotonic() + CRASH_DOWN_S
+                    self._go_down()
                 for task in list(self.running):
                     run, state = self.running[task]
                     if self.clock_ms() >= self.lease_expires_ms:
@@ -363,12 +362,15 @@
         fails = run <= spec.get("fails", 0)
         now = time.monotonic()
         crashes = ".".join(task.split(".")[2:]) in spec.get("crashes", [])
+        crash_ms = spec.get("crash_ms", CRASH_DELAY_MS)
         self.running[task] = (run, {"until": now + spec.get("ms", 100) / 1000,
                                     "how": "failed" if fails else "done", "stop_at": 0,
-                                    "crash_at": now + CRASH_DELAY_S if crashes else 0,
+                                    "crash_at": now + crash_ms / 1000 if crashes else 0,
                                     "cpu": spec.get("cpu", 0)})
         self._check_room(task, now)
         self.history.append(("start", time.monotonic(), task, run, ""))
+        if crashes and not crash_ms:
+            self._go_down()
         return 200, answer
 
     def set_room(self, cpu):
@@ -421,6 +423,12 @@
             self.history.append(("gone", time.monotonic(), task, run, ""))
         self.running = {}
 
+    def _go_down(self):
+        """Crashes under a task; the next incarnation is up after CRASH_DOWN_S."""
+        self._drop_runs()
+        self.crashes += 1
+        self.down_until = time.monotonic() + CRASH_DOWN_S
+
     def crash(self):
         """Drops all running tasks and starts a new incarnation under the same id."""
         with self.lock:
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -111,6 +111,19 @@
 	}
 }
 
+/* The agent was restarted with its worker at the first crash, and no start is ever confirmed. */
+TEST(CrashTest, ACrashThatNobodyReportedLeavesTheBoundInForce)
+{
+	struct lug_crash_history history = {};
+	int starts = 1;
+
+	for (guint jobs = 3; !lug_crash_is_culprit(&history); jobs = 1) {
+		starts++;
+		lug_crash_record(&history, jobs, FALSE);
+	}
+	EXPECT_LT(starts, 3 + 3);
+}
+
 TEST(CrashTest, ATaskNeverSuspectedIsIsolatedAfterThreeCrashes)
 {
 	struct lug_crash_history history = {};
