A run that the worker's next incarnation lists has not crashed

Cause: the worker had restarted under the same id 50 ms before a start reached it, and took the start. The agent learned of the restart 230 ms later, reported all confirmed runs as crashed, and the owner placed the task again while run 1 went on. Since the agent reports crashes by itself, the poll that lists the run came too late to correct it; before, the run was dropped and listed again, with a window up to the next heartbeat.

Ruled out: a late order (the start was answered within 20 ms), two owners.

Change: a restart only marks the runs. A poll of the new incarnation settles them: a run that it lists goes on, one that was confirmed before the poll was sent and is not listed has crashed. Until then nothing is reported, as heartbeats list no runs before that poll. Ends of crashed runs belong to no incarnation, so that they neither delay polls nor reset the acknowledged number.

ARunThatTheNextIncarnationListsHasNotCrashed failed before.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -55,6 +55,7 @@
 		run->confirmed_us = now_us;
 	}
 	run->listed = TRUE;
+	run->crashed = FALSE;
 	run->start_confirmed = TRUE;
 	run->progress_percent = item->progress_percent;
 	run->metric = item->metric;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -45,8 +45,8 @@
  * @call_in_flight: a start or a stop is in flight
  * @unanswered_starts: starts without an answer
  * @isolated: its task is suspected to crash its workers
- * @crashed: the worker has crashed, and the run may have been on it; it is kept until it can't
- * start in the worker's next incarnation
+ * @crashed: the worker has crashed, and the run may have been on it; it is kept until a poll of the
+ *           next incarnation shows whether it runs there
  * @suspected_jobs: of a crashed run, see struct exec_end
  * @spec: passed to the task
  * @checkpoint: latest checkpoint
@@ -140,7 +140,7 @@
 /**
  * struct exec_end - the end of a run, kept until its owner has stored it
  * @number: number of the end, assigned by the worker, 0 for a run whose worker crashed
- * @incarnation: incarnation of the worker
+ * @incarnation: incarnation of the worker that numbered the end, 0 for a run whose worker crashed
  * @id: run
  * @shard: shard of its job
  * @outcome: outcome
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -97,6 +97,7 @@
 	struct exec_end *end =
 		exec_add_end(exec, &run->id, LUG_RUN_WORKER_CRASHED, run->checkpoint);
 
+	end->incarnation = 0;
 	end->suspected_jobs = run->suspected_jobs;
 	end->unconfirmed = !run->start_confirmed;
 	exec_remove_run(exec, run);
@@ -117,25 +118,6 @@
 	}
 }
 
-static void end_former_runs(struct lug_executor *exec, gint64 now_us)
-{
-	gboolean announced = exec->worker_exiting || exec->draining;
-
-	if (!announced)
-		mark_crashed_runs(exec);
-	for (guint i = exec->runs->len; i-- > 0;) {
-		struct exec_run *run = g_ptr_array_index(exec->runs, i);
-
-		/* An unanswered start may still take effect in the new incarnation. */
-		if (run->state != EXEC_RUNNING && run->state != EXEC_STOPPED)
-			continue;
-		if (run->crashed)
-			exec_end_crashed_run(exec, run, now_us);
-		else
-			exec_remove_run(exec, run);
-	}
-}
-
 /**
  * exec_update_worker_id - record the worker's id; starts sent under another one can't take effect
  * any more, as they name the worker that they were meant for
@@ -158,8 +140,10 @@
 }
 
 /**
- * exec_update_incarnation - record the worker's incarnation; confirmed runs of an earlier one
- * are removed, and reported as crashed unless it had announced its exit
+ * exec_update_incarnation - record the worker's incarnation
+ *
+ * Runs of an earlier one end with the next poll, and are reported as crashed unless it had
+ * announced its exit: if the worker has kept its id, the new one may have started some of them.
  */
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us)
 {
@@ -168,7 +152,8 @@
 	if (exec->worker_incarnation) {
 		log_restart(exec, incarnation, now_us);
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
-		end_former_runs(exec, now_us);
+		if (!exec->worker_exiting && !exec->draining)
+			mark_crashed_runs(exec);
 	}
 	exec->worker_incarnation = incarnation;
 	/* Its heartbeats are numbered anew, also when a poll shows it first. */
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -446,11 +446,31 @@
 	answer_poll(LUG_ORDER_UNKNOWN);
 	incarnation = 200;
 	send_heartbeat();
+	answer_poll();
 	ASSERT_EQ(crashed.size(), 2u);
 	EXPECT_EQ(crashed["old#1"], 0u);
 	EXPECT_EQ(crashed["new#1"], 1u);
 }
 
+/*
+ * Seed 1006 of the soak: a worker that keeps its id had restarted unnoticed and taken the start.
+ * The run was reported as crashed and started again elsewhere while it went on.
+ */
+TEST_F(ExecutorTest, ARunThatTheNextIncarnationListsHasNotCrashed)
+{
+	start("a", 3000);
+	worker.answer(LUG_ORDER_OK);
+	incarnation = 200;
+	send_heartbeat();
+	running = {{id("a"), 10}};
+	answer_poll();
+	if (!worker.polls.empty())
+		answer_poll();
+	EXPECT_TRUE(crashed.empty());
+	start("b", 3000);
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
+}
+
 TEST_F(ExecutorTest, AWorkerThatHasAnnouncedItsExitDoesNotCrash)
 {
 	start("a");
@@ -458,6 +478,8 @@
 	send_heartbeat(/* draining */ true);
 	incarnation = 200;
 	send_heartbeat();
+	answer_poll();
+	answer_poll();
 	EXPECT_TRUE(crashed.empty());
 }
 
