Soak: tasks that crash their workers

Three jobs in a hundred contain a task that crashes each worker that starts it; the checker bounds its starts, and its job must fail. Another job may be given up only if two workers have crashed under one of its tasks.

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -25,7 +25,9 @@
 FAULT_GAP_S = (0.2, 1.2)
 FAULT_HOLD_S = (0.3, 4.0)
 SUBMIT_GAP_S = 0.15
-CANCELLED_SHARE, RESUBMITTED_SHARE, FAILING_SHARE = 0.1, 0.2, 0.1
+CANCELLED_SHARE, RESUBMITTED_SHARE, FAILING_SHARE, CRASHING_SHARE = 0.1, 0.2, 0.1, 0.03
+# Starts of a task that crashes its workers: fewer than three after the third crash.
+CRASHING_STARTS_MAX = 5
 
 
 class Faults:
@@ -146,6 +148,7 @@
         shutil.rmtree(directory, ignore_errors=True)
         self.deployment = QueueDeployment(directory, BUILD, net, workers=WORKERS, entries=ENTRIES)
         self.accepted, self.cancelled, self.failing, self.refused = {}, set(), set(), set()
+        self.crashing = set()
         self.job_ids = (f"{seed & 0xffffffff:08x}{n:08x}" for n in itertools.count(1))
         self.load_ended = threading.Event()
         self.tally = {}
@@ -158,6 +161,9 @@
         if rng.random() < 0.5:
             steps.append({"count": rng.randint(1, 3), "cpu": 800, "after": [0]})
         spec = {"ms": rng.randint(20, 600), "fails": failing_runs}
+        if rng.random() < CRASHING_SHARE:
+            spec["crashes"] = ["0.0"]
+            self.crashing.add(job)
         codes = [self.deployment.submit(job, spec, steps, rng.randint(1, ENTRIES))]
         if codes[0] != 200 or rng.random() < RESUBMITTED_SHARE:
             codes.append(self.deployment.submit(job, spec, steps, rng.randint(1, ENTRIES)))
@@ -197,8 +203,18 @@
     def _is_expected_state(self, job, state):
         if job in self.cancelled:
             return state in ("cancelled", "completed", "failed")
+        if job in self.crashing:
+            return state == "failed"
+        # A job may be given up when workers have crashed twice under one of its tasks.
+        if state == "failed" and self._max_crashes(job) >= 2:
+            return True
         return state == ("failed" if job in self.failing else "completed")
 
+    def _max_crashes(self, job):
+        """Largest number of crashes under one task of a job."""
+        crashed = [e[2] for e in self.deployment.history() if e[0] == "gone" and job in e[2]]
+        return max((crashed.count(task) for task in crashed), default=0)
+
     def _jobs_in_unexpected_state(self):
         return {job: state for job in self.accepted
                 if not self._is_expected_state(job, state := self.deployment.state(job, 1))}
@@ -220,6 +236,10 @@
         started = {event[2].split(".")[0] for event in self.deployment.history()
                    if event[0] == "start"}
         violations += [f"{job}: refused, but started" for job in sorted(self.refused & started)]
+        starts = [event[2] for event in self.deployment.history() if event[0] == "start"]
+        violations += [f"{job}: started {starts.count(f'{job}.0.0.0')} times, crashes its workers"
+                       for job in sorted(self.crashing)
+                       if starts.count(f"{job}.0.0.0") > CRASHING_STARTS_MAX]
         return violations + self.deployment.violations()
 
     def run(self):
