An attempt that the restarted worker runs is not lost

Callers saw an attempt of a team's task start while the one before it ran on the same worker, and workers beyond their capacity.

Cause: an agent that learned of a restart of its worker ended all attempts as lost, those too that the new incarnation had started in between: a renewed lease and a start can reach it before the next poll does. Ends of the new incarnation up to the former one's last number were also skipped.

Change: attempts that the reply lists, or that were started after the poll was sent, are not lost; the poll after a restart requests all ends.

--- a/liblug/job/runner_priv.h
+++ b/liblug/job/runner_priv.h
@@ -29,6 +29,7 @@
  * @event_seq: sequence number of the last event applied; 0 makes the worker send all its events
  *	again
  * @polling: a poll of the worker is pending
+ * @poll_sent_us: time at which the latest poll was sent
  * @next_poll_us: the next poll is not sent before this time
  * @last_answer_us: time of the worker's last answer to a poll
  * @state_loaded: the worker's state was loaded
@@ -47,6 +48,7 @@
 	char *worker_incarnation;
 	guint64 event_seq;
 	gboolean polling;
+	gint64 poll_sent_us;
 	gint64 next_poll_us;
 	gint64 last_answer_us;
 	gboolean state_loaded;
--- a/liblug/job/worker.c
+++ b/liblug/job/worker.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "colocate/crash.h"
-
 #include "team/charge.h"
 
 #define CALL_TIMEOUT_MS 2000
@@ -235,14 +234,31 @@
 		    lug_json_str(event, "detail", ""), now_us);
 }
 
-/* Attempts that are starting are left out: the answer to the pending call decides on them. */
-static gboolean is_lost_by_restart(const struct lug_attempt *attempt)
+static gboolean is_listed(JsonArray *tasks, const struct lug_attempt *attempt)
+{
+	char name[LUG_JOB_ID_MAX + 32];
+
+	g_snprintf(name, sizeof(name), "%s/%u/%u", attempt->job, attempt->index, attempt->number);
+	for (guint i = 0; i < json_array_get_length(tasks); i++)
+		if (!g_strcmp0(json_array_get_string_element(tasks, i), name))
+			return TRUE;
+	return FALSE;
+}
+
+/*
+ * Whether a restart has ended the attempt. The new incarnation may have started it already, before
+ * the restart was known: it lists such an attempt, unless the worker took the start after it had
+ * sent the reply. Attempts that are starting are left out: the pending call decides on them.
+ */
+static gboolean is_lost_by_restart(const struct lug_runner *runner, JsonArray *tasks,
+				   const struct lug_attempt *attempt)
 {
-	return attempt->state != LUG_ATTEMPT_ENDED && attempt->state != LUG_ATTEMPT_STARTING;
+	return attempt->state != LUG_ATTEMPT_ENDED && attempt->state != LUG_ATTEMPT_STARTING &&
+	       attempt->started_us < runner->poll_sent_us && !(tasks && is_listed(tasks, attempt));
 }
 
 /* Marks the attempts that were on the worker when it crashed, and those that may be the cause. */
-static void mark_crashed_attempts(struct lug_runner *runner)
+static void mark_crashed_attempts(struct lug_runner *runner, JsonArray *tasks)
 {
 	GArray *crashed = g_array_new(FALSE, FALSE, sizeof(struct lug_crash_run));
 	struct lug_crash_run *run;
@@ -253,7 +269,7 @@
 		struct lug_crash_run item = {
 			.job = attempt->job, .started_us = attempt->started_us, .confirmed = TRUE};
 
-		if (is_lost_by_restart(attempt))
+		if (is_lost_by_restart(runner, tasks, attempt))
 			g_array_append_val(crashed, item);
 	}
 	run = (struct lug_crash_run *)(void *)crashed->data;
@@ -261,7 +277,7 @@
 	LUG_LIST_FOREACH (&runner->attempts, pos) {
 		struct lug_attempt *attempt = LUG_CONTAINER_OF(pos, struct lug_attempt, node);
 
-		if (!is_lost_by_restart(attempt))
+		if (!is_lost_by_restart(runner, tasks, attempt))
 			continue;
 		attempt->crashed = TRUE;
 		attempt->suspected_jobs = run->suspected ? suspected_jobs : 0;
@@ -270,41 +286,33 @@
 	g_array_unref(crashed);
 }
 
-static void end_running_as_lost(struct lug_runner *runner, gint64 now_us)
+static void end_running_as_lost(struct lug_runner *runner, JsonArray *tasks, gint64 now_us)
 {
-	mark_crashed_attempts(runner);
+	mark_crashed_attempts(runner, tasks);
 	LUG_LIST_FOREACH_SAFE (&runner->attempts, pos, tmp) {
 		struct lug_attempt *attempt = LUG_CONTAINER_OF(pos, struct lug_attempt, node);
 
-		if (is_lost_by_restart(attempt))
+		if (is_lost_by_restart(runner, tasks, attempt))
 			attempt_end(runner, attempt, LUG_OUTCOME_LOST, "the worker restarted",
 				    now_us);
 	}
 }
 
-static void apply_incarnation(struct lug_runner *runner, const char *incarnation, gint64 now_us)
+/* Returns TRUE when the worker has restarted since the last poll. */
+static gboolean apply_incarnation(struct lug_runner *runner, const char *incarnation,
+				  JsonArray *tasks, gint64 now_us)
 {
 	if (!g_strcmp0(runner->worker_incarnation, incarnation))
-		return;
+		return FALSE;
 	if (runner->worker_incarnation) {
 		lug_warn(runner->env.ctx, "worker_restarted", "boot", incarnation);
-		end_running_as_lost(runner, now_us);
+		end_running_as_lost(runner, tasks, now_us);
 		lug_lease_resend(runner->env.lease);
 	}
 	g_free(runner->worker_incarnation);
 	runner->worker_incarnation = g_strdup(incarnation);
 	runner->event_seq = 0;
-}
-
-static gboolean is_listed(JsonArray *tasks, const struct lug_attempt *attempt)
-{
-	char name[LUG_JOB_ID_MAX + 32];
-
-	g_snprintf(name, sizeof(name), "%s/%u/%u", attempt->job, attempt->index, attempt->number);
-	for (guint i = 0; i < json_array_get_length(tasks); i++)
-		if (!g_strcmp0(json_array_get_string_element(tasks, i), name))
-			return TRUE;
-	return FALSE;
+	return TRUE;
 }
 
 /*
@@ -345,6 +353,8 @@
 	JsonObject *body = NULL;
 	gint64 now_us = lug_now_us();
 	JsonArray *events;
+	JsonArray *tasks;
+	gboolean restarted;
 
 	g_free(call);
 	runner->polling = FALSE;
@@ -354,13 +364,16 @@
 		runner->next_poll_us = now_us + POLL_RETRY_US;
 		return;
 	}
-	apply_incarnation(runner, lug_json_str(body, "boot", ""), now_us);
+	tasks = lug_json_arr(body, "tasks");
+	restarted = apply_incarnation(runner, lug_json_str(body, "boot", ""), tasks, now_us);
 	runner->last_answer_us = now_us;
 	events = lug_json_arr(body, "events");
 	for (guint i = 0; events && i < json_array_get_length(events); i++)
 		apply_event(runner, json_array_get_object_element(events, i), now_us);
-	runner->event_seq = (guint64)lug_json_int(body, "seq", 0);
-	end_unlisted_attempts(runner, lug_json_arr(body, "tasks"), now_us);
+	/* Ends of a new incarnation are numbered anew; the next poll requests them all. */
+	if (!restarted)
+		runner->event_seq = (guint64)lug_json_int(body, "seq", 0);
+	end_unlisted_attempts(runner, tasks, now_us);
 	update_usage(runner, body);
 	json_object_unref(body);
 	worker_poll(runner, now_us);
@@ -380,6 +393,7 @@
 	if (runner->polling || now_us < runner->next_poll_us)
 		return;
 	runner->polling = TRUE;
+	runner->poll_sent_us = now_us;
 	g_snprintf(path, sizeof(path), "/v1/events?after=%" G_GUINT64_FORMAT "&wait_ms=%d",
 		   runner->event_seq, POLL_WAIT_MS);
 	lug_http_send(runner->env.worker, &call, on_events, call_new(runner, NULL));
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -1,12 +1,14 @@
 """Queue daemons whose workers crash under a task, or change the room that they have."""
 
 import itertools
+import signal
 import threading
 import time
 
+import checker
 from deploy import wait_for
 from hub import wait_for_state
-from jobs import submit
+from jobs import submit, wait_for_job_end
 
 JOB_IDS = (f"{number:016x}" for number in itertools.count(0xc0))
 # Starts of a task that crashes its worker: no more than two after the third crash.
@@ -139,6 +141,33 @@
     assert crashes <= MAX_STARTS
 
 
+def test_attempt_that_a_restarted_worker_has_started_goes_on(start_deployment):
+    """The worker restarts while its agent is stopped, and takes starts before the agent knows."""
+    deployment = start_deployment(workers=2)
+    jobs = []
+
+    def submit_jobs():
+        for work_ms in (2500, 30):
+            jobs.append(submit(deployment, work_ms=work_ms, idempotent=True, count=3)[1]["id"])
+
+    for _ in range(5):
+        submit_jobs()
+        time.sleep(0.8)
+        worker = [e for e in deployment.history() if e["event"] == "start"][-1]["worker"]
+        deployment.signal(deployment.agent(worker), signal.SIGSTOP)
+        deployment.kill(worker)
+        deployment.start(worker)
+        submit_jobs()
+        time.sleep(0.5)
+        deployment.signal(deployment.agent(worker), signal.SIGCONT)
+        time.sleep(1)
+    for job in jobs:
+        wait_for_job_end(deployment, "renderings", job)
+    run = {"history": deployment.history()}
+    assert checker.never_in_two_places(run) == []
+    assert checker.never_over_capacity(run) == []
+
+
 def test_request_that_breaks_its_servers_does_not_reach_a_third(start_deployment):
     deployment = start_deployment(workers=5)
     answers = []
