A task that is lost with instance after instance is given up

Callers would see a task that takes down the whole instance, agent and worker, started on one after the other without an end.

Ruled out: that the incarnations of the worker show it; they do only while the claim still stands when the agent is back.

Change: a run whose start was confirmed and whose lease ended without notice counts as a loss under its task. Losses are stored beside crashes and fill the same limit of five; they are no suspicion, so that one that was merely cut off never makes a job fail after two.

TaskLostWithFiveInstancesIsGivenUp (8 runs and more before, 5 now) and test_team_task_under_which_workers_crash_is_given_up[instance] (no end before) fail without the change. The count by incarnations has a test, too.

--- a/liblug/colocate/crash.c
+++ b/liblug/colocate/crash.c
@@ -11,7 +11,7 @@
 #define MIN_SUSPICION 3
 #define CRASHES_LIMIT 5
 #define SUSPICION_LIMIT 6
-/* Crashes after which a task that was never suspected is isolated. */
+/* Crashes and losses after which a task that was never suspected is isolated. */
 #define SUSPECT_CRASHES 3
 
 static guint count_suspected_jobs(const struct lug_crash_run *runs, guint n)
@@ -75,12 +75,23 @@
 		history->suspicion += suspected_jobs == 1 ? 2 : 1;
 }
 
+/**
+ * lug_crash_record_loss - record a run that was lost together with its worker and the agent
+ * @history: history of the task
+ *
+ * Load pattern: a task that takes down the whole instance, which nobody is left to report.
+ */
+void lug_crash_record_loss(struct lug_crash_history *history)
+{
+	history->losses++;
+}
+
 /**
  * lug_crash_is_suspect - whether the task has to be isolated at its next start
  */
 gboolean lug_crash_is_suspect(const struct lug_crash_history *history)
 {
-	return history->suspicion || history->crashes >= SUSPECT_CRASHES;
+	return history->suspicion || history->crashes + history->losses >= SUSPECT_CRASHES;
 }
 
 /**
@@ -90,5 +101,6 @@
 {
 	if (history->crashes >= MIN_CRASHES && history->suspicion >= MIN_SUSPICION)
 		return TRUE;
-	return history->crashes >= CRASHES_LIMIT || history->suspicion >= SUSPICION_LIMIT;
+	return history->crashes + history->losses >= CRASHES_LIMIT ||
+	       history->suspicion >= SUSPICION_LIMIT;
 }
--- a/liblug/colocate/crash.h
+++ b/liblug/colocate/crash.h
@@ -36,14 +36,17 @@
  * @crashes: crashes while the task ran, as far as the worker had confirmed its start
  * @suspicion: 1 for each crash in which runs of several jobs were suspected, this task's among
  *             them; 2 for each in which only runs of its own job were
+ * @losses: runs lost together with their worker and its agent, so that no agent reported a crash
  */
 struct lug_crash_history {
 	guint32 crashes;
 	guint32 suspicion;
+	guint32 losses;
 };
 
 guint lug_crash_find_suspects(struct lug_crash_run *runs, guint n, gint64 alive_us);
 void lug_crash_record(struct lug_crash_history *history, guint suspected_jobs, gboolean confirmed);
+void lug_crash_record_loss(struct lug_crash_history *history);
 gboolean lug_crash_is_suspect(const struct lug_crash_history *history);
 gboolean lug_crash_is_culprit(const struct lug_crash_history *history);
 
--- a/liblug/job/dispatch.c
+++ b/liblug/job/dispatch.c
@@ -258,6 +258,7 @@
 	json_object_set_int_member(row, "failures", task->failures);
 	json_object_set_int_member(row, "crashes", task->crash.crashes);
 	json_object_set_int_member(row, "suspicion", task->crash.suspicion);
+	json_object_set_int_member(row, "losses", task->crash.losses);
 	json_object_set_string_member(row, "worker", task->worker);
 	json_object_set_int_member(row, "worker_epoch", (gint64)task->worker_epoch);
 	json_object_set_string_member(row, "checkpoint", checkpoint ? checkpoint : "");
--- a/liblug/job/load.c
+++ b/liblug/job/load.c
@@ -33,6 +33,7 @@
 	task->failures = (guint32)lug_json_int(row, "failures", 0);
 	task->crash.crashes = (guint32)lug_json_int(row, "crashes", 0);
 	task->crash.suspicion = (guint32)lug_json_int(row, "suspicion", 0);
+	task->crash.losses = (guint32)lug_json_int(row, "losses", 0);
 	task->used_core_ms = lug_json_int(row, "used_ms", 0);
 	task->worker_epoch = (guint64)lug_json_int(row, "worker_epoch", 0);
 	g_strlcpy(task->worker, lug_json_str(row, "worker", ""), sizeof(task->worker));
--- a/liblug/job/outcome.c
+++ b/liblug/job/outcome.c
@@ -103,6 +103,14 @@
 	return LUG_TASK_PENDING;
 }
 
+static void record_give_up(struct lug_owner *owner, struct lug_task *task)
+{
+	lug_count(owner->env.ctx, TASKS_GIVEN_UP, 1);
+	g_strlcpy(task->job->reason,
+		  "workers crashed under it; test the task before submitting it again",
+		  sizeof(task->job->reason));
+}
+
 static void record_report(struct lug_owner *owner, struct lug_task *task, const Lug__Report *report,
 			  const char *worker, gint64 now_us)
 {
@@ -118,12 +126,8 @@
 	if (report->outcome == LUG_OUTCOME_LOST && report->has_suspected_jobs)
 		lug_crash_record(&task->crash,
 				 report->suspected_jobs ? MAX(report->suspected_jobs, 2) : 0, TRUE);
-	if (lug_crash_is_culprit(&task->crash)) {
-		lug_count(owner->env.ctx, TASKS_GIVEN_UP, 1);
-		g_strlcpy(task->job->reason,
-			  "workers crashed under it; test the task before submitting it again",
-			  sizeof(task->job->reason));
-	}
+	if (lug_crash_is_culprit(&task->crash))
+		record_give_up(owner, task);
 	if (report->outcome == LUG_OUTCOME_DONE && task->confirmed && !task->checkpoint)
 		lug_queue_observe_run(owner->queue, task->job->job->kind,
 				      (now_us - task->started_us) / 1000, now_us);
@@ -201,6 +205,13 @@
 		lug_queue_set_state(owner->queue, task, LUG_TASK_CANCELLED, now_us);
 		return;
 	}
+	if (may_have_run)
+		lug_crash_record_loss(&task->crash);
+	if (lug_crash_is_culprit(&task->crash)) {
+		record_give_up(owner, task);
+		commit_outcome(owner, task, LUG_TASK_FAILED, task->checkpoint, 0, NULL, now_us);
+		return;
+	}
 	lug_queue_set_state(owner->queue, task, LUG_TASK_PENDING, now_us);
 	owner->next_want_us = 0;
 }
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -144,27 +144,27 @@
 }
 
 /* Gives the job up when the task crashes its workers, else delays the next start of a suspect. */
-static void record_crash(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-			 const struct lug_run_id *id, guint suspected_jobs, gboolean confirmed,
-			 gint64 now_us)
+static void check_crash_history(struct lug_shard *shard, struct shard_job *job,
+				struct shard_task *task, const struct lug_run_id *id, gint64 now_us)
 {
 	char name[LUG_RUN_NAME_SIZE];
 	char crashes[16];
 	char suspicion[16];
+	char losses[16];
 
-	lug_crash_record(&task->crash, suspected_jobs, confirmed);
 	lug_run_name(id, name, sizeof(name));
 	g_snprintf(crashes, sizeof(crashes), "%u", task->crash.crashes);
 	g_snprintf(suspicion, sizeof(suspicion), "%u", task->crash.suspicion);
+	g_snprintf(losses, sizeof(losses), "%u", task->crash.losses);
 	if (lug_crash_is_culprit(&task->crash)) {
 		lug_warn(shard->shared.ctx, "task_given_up", "job", id->job, "run", name, "crashes",
-			 crashes, "suspicion", suspicion, "reason",
+			 crashes, "suspicion", suspicion, "losses", losses, "reason",
 			 "it crashes the workers that start it");
 		lug_count(shard->shared.ctx, TASKS_GIVEN_UP, 1);
 		shard_set_end_state(shard, job, LUG_WORKFLOW_FAILED);
 	} else if (lug_crash_is_suspect(&task->crash)) {
 		lug_info(shard->shared.ctx, "task_suspected", "job", id->job, "run", name,
-			 "crashes", crashes, "suspicion", suspicion);
+			 "crashes", crashes, "suspicion", suspicion, "losses", losses);
 		task->not_before_us = now_us + LUG_CRASH_RETRY_DELAY_US;
 	}
 }
@@ -178,10 +178,12 @@
 		task->worker ? lug_fleet_find(shard->shared.fleet, task->worker) : NULL;
 
 	/* A run whose start was not confirmed may be reported as crashed. */
-	if (outcome == LUG_RUN_WORKER_CRASHED)
-		record_crash(shard, job, task, id, end->suspected_jobs, !end->unconfirmed, now_us);
-	else
+	if (outcome == LUG_RUN_WORKER_CRASHED) {
+		lug_crash_record(&task->crash, end->suspected_jobs, !end->unconfirmed);
+		check_crash_history(shard, job, task, id, now_us);
+	} else {
 		job->was_confirmed = TRUE;
+	}
 	if (task->state == SHARD_TASK_CLAIMED)
 		shard_release_claim(shard, job, task, step);
 	if (worker && outcome == LUG_RUN_DONE)
@@ -433,8 +435,8 @@
 		task->progress_percent = held->percent;
 		task->metric = held->figure;
 		/* A run that has lasted is not the cause of earlier crashes. */
-		if (task->crash.crashes && job->workflow->steps[id->step].long_running &&
-		    task->start_seq && check->now_us - task->start_sent_us > CRASH_FORGET_US)
+		if (job->workflow->steps[id->step].long_running && task->start_seq &&
+		    check->now_us - task->start_sent_us > CRASH_FORGET_US)
 			task->crash = (struct lug_crash_history){0};
 		save_checkpoint(task, held->checkpoint);
 		if (held->unsized)
@@ -453,8 +455,10 @@
 	else if (task->start_seq <= check->held->last_seq)
 		reason = "received by its worker's agent, which does not hold it";
 	if (reason) {
-		if (was_lost_with_agent(task, worker))
-			record_crash(shard, job, task, id, 0, task->begun, check->now_us);
+		if (was_lost_with_agent(task, worker)) {
+			lug_crash_record(&task->crash, 0, task->begun);
+			check_crash_history(shard, job, task, id, check->now_us);
+		}
 		return_lost_task(shard, job, task, id, reason);
 		return;
 	}
@@ -499,11 +503,30 @@
 	}
 }
 
+/*
+ * struct lease_end - context of returning the tasks of a worker whose lease has ended
+ * @epoch: epoch of the lease
+ * @announced: the worker or its agent had announced that it leaves
+ * @now_us: current time
+ */
+struct lease_end {
+	guint64 epoch;
+	gboolean announced;
+	gint64 now_us;
+};
+
 static void return_task_if_fenced(struct lug_shard *shard, struct shard_job *job,
 				  struct shard_task *task, const struct lug_run_id *id, void *data)
 {
-	if (task->lease_epoch <= *(const guint64 *)data)
-		return_lost_task(shard, job, task, id, "lease of its worker fenced");
+	const struct lease_end *end = data;
+
+	if (task->lease_epoch > end->epoch)
+		return;
+	if (task->begun && !end->announced) {
+		lug_crash_record_loss(&task->crash);
+		check_crash_history(shard, job, task, id, end->now_us);
+	}
+	return_lost_task(shard, job, task, id, "lease of its worker fenced");
 }
 
 /**
@@ -516,9 +539,15 @@
 void lug_shard_worker_lost(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
 			   gint64 now_us)
 {
-	(void)now_us;
+	const struct lug_fleet_worker *fleet_worker = lug_fleet_find(shard->shared.fleet, worker);
+	struct lease_end end = {
+		.epoch = lease_epoch,
+		.announced = fleet_worker && fleet_worker->draining,
+		.now_us = now_us,
+	};
+
 	if (shard->load_phase == SHARD_LOAD_DONE)
-		for_each_claim(shard, worker, return_task_if_fenced, &lease_epoch);
+		for_each_claim(shard, worker, return_task_if_fenced, &end);
 }
 
 /**
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -20,7 +20,7 @@
  *   w                               waiting, never claimed
  *   wRUN.FAILS                      waiting after RUN runs, FAILS of which have failed
  *   rRUN.FAILS.WORKER.LEASE.EPOCH   claimed under a lease epoch and a shard epoch
- *   ...CRASHES.SUSPICION            appended to both when workers have crashed under the task
+ *   ...CRASHES.SUSPICION.LOSSES     appended to both when workers have crashed under the task
  *   d                               done
  *   WORD*N                          N equal words
  *
@@ -40,11 +40,12 @@
 
 static void encode_task(const struct shard_task *task, GPtrArray *workers, char *out)
 {
-	char crashes[24] = "";
+	const struct lug_crash_history *crash = &task->crash;
+	char crashes[40] = "";
 
-	if (task->crash.crashes || task->crash.suspicion)
-		g_snprintf(crashes, sizeof(crashes), ".%u.%u", task->crash.crashes,
-			   task->crash.suspicion);
+	if (crash->crashes || crash->suspicion || crash->losses)
+		g_snprintf(crashes, sizeof(crashes), ".%u.%u.%u", crash->crashes, crash->suspicion,
+			   crash->losses);
 	switch (task->state) {
 	case SHARD_TASK_DONE:
 		g_strlcpy(out, "d", WORD_MAX_BYTES);
@@ -169,11 +170,12 @@
 	return value;
 }
 
-/* Both numbers are 0 when they are left out. */
+/* Numbers that are left out are 0. */
 static void decode_crashes(const char **next, struct shard_task *task)
 {
 	task->crash.crashes = (guint32)next_number(next, '.');
 	task->crash.suspicion = (guint32)next_number(next, '.');
+	task->crash.losses = (guint32)next_number(next, '.');
 }
 
 /* Decodes one word; see the format at the top of the file. */
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import pytest
+
 import checker
 from deploy import wait_for
 from hub import wait_for_state
@@ -115,7 +117,8 @@
     assert deployment.violations() == []
 
 
-def test_team_task_under_which_workers_crash_is_given_up(start_deployment):
+@pytest.mark.parametrize("agent_too", [False, True], ids=["worker", "instance"])
+def test_team_task_under_which_workers_crash_is_given_up(start_deployment, agent_too):
     """The tasks of teams' queues have the same bound, whatever kills their workers."""
     deployment = start_deployment(workers=3)
     job = submit(deployment, work_ms=60000, idempotent=True)[1]["id"]
@@ -134,8 +137,11 @@
         # The attempt is confirmed and no longer an early one.
         time.sleep(0.8)
         worker = starts()[-1]["worker"]
-        deployment.kill(worker)
-        deployment.start(worker)
+        crashed = [worker] + [deployment.agent(worker)] * agent_too
+        for name in crashed:
+            deployment.kill(name)
+        for name in crashed:
+            deployment.start(name)
         crashes += 1
     wait_for(lambda: state() == "failed", 10, "end of the job")
     assert crashes <= MAX_STARTS
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -134,4 +134,16 @@
 	lug_crash_record(&history, 0, TRUE);
 	EXPECT_TRUE(lug_crash_is_suspect(&history));
 }
+
+TEST(CrashTest, LossesAloneNeverIdentifyATaskBeforeTheFifth)
+{
+	struct lug_crash_history history = {};
+
+	for (int i = 0; i < 4; i++)
+		lug_crash_record_loss(&history);
+	EXPECT_TRUE(lug_crash_is_suspect(&history));
+	EXPECT_FALSE(lug_crash_is_culprit(&history));
+	lug_crash_record_loss(&history);
+	EXPECT_TRUE(lug_crash_is_culprit(&history));
+}
 } // namespace
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -161,9 +161,11 @@
 	/*
 	 * Delivers a heartbeat of a worker's agent, which holds the runs of @list.
 	 * @spare_millicores: cores that no task uses
+	 * @life: incarnation of the worker
 	 */
 	void send_beat(const std::vector<HeldRun> &list, guint64 last_seq, guint64 lease_epoch = 1,
-		       const char *worker_name = "w1", gint64 spare_millicores = 0)
+		       const char *worker_name = "w1", gint64 spare_millicores = 0,
+		       guint64 life = 0)
 	{
 		std::vector<Lug__RunId> ids(list.size());
 		std::vector<Lug__RunHeld> held(list.size());
@@ -202,6 +204,7 @@
 		beat.capacity = &capacity;
 		beat.ready = TRUE;
 		beat.lease_epoch = lease_epoch;
+		beat.life = life;
 		beat.n_shards = 1;
 		beat.shards = shards;
 		beat.spare_millicores = spare_millicores;
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -328,7 +328,7 @@
 	run_rounds();
 	end_run("a", 0, 0, 1, LUG_RUN_WORKER_CRASHED, 2);
 	run_rounds();
-	EXPECT_NE(state_row("a").find("w1.0.1.1"), std::string::npos) << state_row("a");
+	EXPECT_NE(state_row("a").find("w1.0.1.1.0"), std::string::npos) << state_row("a");
 	/* Longer than LUG_CRASH_RETRY_DELAY_US. */
 	g_usleep(650 * 1000);
 	run_rounds();
@@ -370,4 +370,51 @@
 	run_rounds();
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
 }
+
+/* A task that takes down the whole instance: no agent is left to report the crash. */
+TEST_F(ShardTest, TaskLostWithFiveInstancesIsGivenUp)
+{
+	guint32 runs = 0;
+
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	while (lug_shard_job_state(shard, "a") == LUG_WORKFLOW_RUNNING && runs < 8) {
+		runs++;
+		answer_start("a", 0, runs, LUG_OK);
+		lug_shard_worker_lost(shard, "w1", runs, lug_now_us());
+		/* Longer than LUG_CRASH_RETRY_DELAY_US. */
+		g_usleep(650 * 1000);
+		send_beat({}, 0, runs + 1);
+	}
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
+	EXPECT_EQ(runs, 5u);
+}
+
+TEST_F(ShardTest, LossesUnderALeaseThatWasReleasedDoNotCount)
+{
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	answer_start("a", 0, 1, LUG_OK);
+	lug_fleet_find(fleet, "w1")->draining = TRUE;
+	lug_shard_worker_lost(shard, "w1", 1, lug_now_us());
+	run_rounds();
+	EXPECT_NE(state_row("a").find("w1.0"), std::string::npos) << state_row("a");
+	EXPECT_EQ(state_row("a").find("w1.0."), std::string::npos) << state_row("a");
+}
+
+/* An agent that was restarted with its worker can't report the crash; the incarnations show it. */
+TEST_F(ShardTest, ACrashWithTheAgentCountsByTheIncarnationsOfTheWorker)
+{
+	take_shard();
+	run_rounds();
+	send_beat({}, 0, /* lease_epoch */ 1, "w1", 0, /* life */ 100);
+	add_stored_job("a");
+	run_rounds();
+	answer_start("a", 0, 1, LUG_OK);
+	send_beat({}, 0, /* lease_epoch */ 2, "w1", 0, /* life */ 200);
+	EXPECT_NE(state_row("a").find(".1.0.0"), std::string::npos) << state_row("a");
+}
+
 } // namespace
