Each owner receives the learned interference once in an interval

Callers saw best-effort tasks beside serving tasks that suffer from them: some owners placed tasks by their own agent's samples alone.

Cause: one heartbeat in an interval contains the learned interference, counted over the heartbeats to all owners together.

Change: the heartbeats are counted by receiver (lug_peer.n_beats). The executor gets its receiver as a struct with a send function, so that a test sees the messages without a connection.

--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -70,7 +70,7 @@
 /* Receiver of a heartbeat. The heartbeat lists the tasks of the shards that the receiver owns. */
 struct beat_target {
 	struct queue_agent *agent;
-	const char *address;
+	struct lug_peer *peer;
 };
 
 static gboolean is_owned_by_target(void *data, guint32 shard)
@@ -78,19 +78,31 @@
 	const struct beat_target *target = data;
 
 	return !strcmp(lug_shard_map_owner(target->agent->shard_map, shard)->address,
-		       target->address);
+		       lug_dial_address(target->peer->dial));
 }
 
-static gboolean send_beat(void *data, struct lug_peer *peer)
+static gboolean send_to_target(void *data, Lug__Envelope *env)
 {
-	struct queue_agent *agent = data;
-	struct beat_target target = {agent, lug_dial_address(peer->dial)};
+	const struct beat_target *target = data;
 	struct lug_route route;
 
-	lug_dial_route(peer->dial, &route);
-	return lug_executor_send_heartbeat(agent->executor, agent->link, &route,
-					   lug_dial_generation(peer->dial), is_owned_by_target,
-					   &target, lug_now_us());
+	lug_dial_route(target->peer->dial, &route);
+	return lug_link_send(target->agent->link, &route, env);
+}
+
+static gboolean send_beat(void *data, struct lug_peer *peer)
+{
+	struct queue_agent *agent = data;
+	struct beat_target receiver = {agent, peer};
+	struct lug_heartbeat_target target = {
+		.generation = lug_dial_generation(peer->dial),
+		.n_sent = peer->n_beats,
+		.is_owner = is_owned_by_target,
+		.send = send_to_target,
+		.data = &receiver,
+	};
+
+	return lug_executor_send_heartbeat(agent->executor, &target, lug_now_us());
 }
 
 /* One heartbeat in so many contains interference, so that large fleets don't send it more often. */
--- a/liblug/member/peers.c
+++ b/liblug/member/peers.c
@@ -158,6 +158,7 @@
 			peer->send_failing_since_us = now_us;
 		return;
 	}
+	peer->n_beats++;
 	peer->send_failing_since_us = 0;
 	peer->interval_start_us = now_us;
 	if (!peer->first_unanswered_us)
--- a/liblug/member/peers.h
+++ b/liblug/member/peers.h
@@ -17,6 +17,7 @@
  * @active: this agent has a team queue that the peer owns, so heartbeats are sent at the full rate
  * @interval_ms: time between heartbeats that the peer requests, 0 for that of the settings
  * @list_held: the next heartbeat lists the held tasks instead of sending only their digest
+ * @n_beats: heartbeats sent to it
  * @added_us: time at which it was added
  * @heard_us: time of the last message from it
  * @interval_start_us: start of the interval to the next heartbeat: time of the last heartbeat, or
@@ -33,6 +34,7 @@
 	gboolean active;
 	gint64 interval_ms;
 	gboolean list_held;
+	guint64 n_beats;
 	gint64 added_us;
 	gint64 heard_us;
 	gint64 interval_start_us;
--- a/liblug/workflow/executor.h
+++ b/liblug/workflow/executor.h
@@ -20,6 +20,22 @@
 /* Sends an envelope to the owner of a shard; FALSE when the owner is not reachable. */
 typedef gboolean (*lug_owner_send_fn)(void *data, guint32 shard, Lug__Envelope *env);
 
+/**
+ * struct lug_heartbeat_target - a process that owns shards, and gets heartbeats
+ * @generation: generation of the connection to it
+ * @n_sent: heartbeats sent to it before
+ * @is_owner: returns whether it owns a shard
+ * @send: sends a heartbeat to it; FALSE when it was not sent
+ * @data: passed to @is_owner and @send
+ */
+struct lug_heartbeat_target {
+	guint32 generation;
+	guint64 n_sent;
+	gboolean (*is_owner)(void *data, guint32 shard);
+	gboolean (*send)(void *data, Lug__Envelope *env);
+	void *data;
+};
+
 struct lug_executor *lug_executor_new(struct lug_ctx *ctx, struct lug_store *store,
 				      struct lug_worker *worker, guint32 n_shards,
 				      lug_owner_send_fn send, void *data);
@@ -34,10 +50,8 @@
 void lug_executor_on_stop(struct lug_executor *executor, const Lug__RunStop *stop, gint64 now_us);
 void lug_executor_ack_end(struct lug_executor *executor, const Lug__RunEndAck *ack);
 void lug_executor_merge_interference(struct lug_executor *executor, const Lug__WorkerBeatAck *ack);
-gboolean lug_executor_send_heartbeat(struct lug_executor *executor, struct lug_link *link,
-				     const struct lug_route *route, guint32 generation,
-				     gboolean (*is_owner)(void *data, guint32 shard), void *data,
-				     gint64 now_us);
+gboolean lug_executor_send_heartbeat(struct lug_executor *executor,
+				     const struct lug_heartbeat_target *target, gint64 now_us);
 void lug_executor_resend_ends(struct lug_executor *executor, gint64 now_us);
 void lug_executor_tick(struct lug_executor *executor, gint64 now_us);
 void lug_executor_shut_down(struct lug_executor *executor);
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -192,7 +192,8 @@
 	beat->spare_millicores = exec_spare_millicores(exec);
 }
 
-static void fill_interference(struct lug_executor *exec, Lug__WorkerBeat *beat, GArray *servings,
+static void fill_interference(struct lug_executor *exec, Lug__WorkerBeat *beat,
+			      const struct lug_heartbeat_target *target, GArray *servings,
 			      GArray *pairs, struct beat_buffers *buffers)
 {
 	guint32 interval;
@@ -220,7 +221,7 @@
 	}
 	interval = exec->interference_interval ? exec->interference_interval
 					       : INTERFERENCE_INTERVAL_DEFAULT;
-	if (exec->sent_heartbeat_seq % interval)
+	if (target->n_sent % interval)
 		return;
 	for (guint i = 0; i < pairs->len; i++) {
 		lug_interference_to_wire(&g_array_index(pairs, struct lug_interference_pair, i),
@@ -246,19 +247,13 @@
 /**
  * lug_executor_send_heartbeat - report the worker's state and runs to an owner's process
  * @exec: executor
- * @link: inner connections
- * @route: connection to the owner's process
- * @generation: generation of the connection
- * @is_owner: returns whether that process owns a shard
- * @data: passed to @is_owner
+ * @target: that process
  * @now_us: current time
  *
  * Return: FALSE when the heartbeat was not sent.
  */
-gboolean lug_executor_send_heartbeat(struct lug_executor *exec, struct lug_link *link,
-				     const struct lug_route *route, guint32 generation,
-				     gboolean (*is_owner)(void *data, guint32 shard), void *data,
-				     gint64 now_us)
+gboolean lug_executor_send_heartbeat(struct lug_executor *exec,
+				     const struct lug_heartbeat_target *target, gint64 now_us)
 {
 	guint max = exec->runs->len + exec->ends->len + 1;
 	struct beat_buffers buffers = {.shards = g_new0(Lug__ShardHeld, exec->n_shards),
@@ -281,18 +276,18 @@
 	beat.used = &used_wire;
 	beat.capacity = &capacity_wire;
 	beat.has_generation = 1;
-	beat.generation = generation;
+	beat.generation = target->generation;
 	/* The runs are not known until the worker has answered a poll under the current lease. */
 	for (guint32 i = 0; i < exec->n_shards && exec->confirmed_epoch; i++) {
-		if (!is_owner(data, i))
+		if (!target->is_owner(target->data, i))
 			continue;
 		fill_shard(exec, i, &buffers.shards[beat.n_shards], &buffers);
 		buffers.shard_ptrs[beat.n_shards] = &buffers.shards[beat.n_shards];
 		beat.n_shards++;
 	}
 	beat.shards = buffers.shard_ptrs;
-	fill_interference(exec, &beat, servings, pairs, &buffers);
-	sent = lug_link_send(link, route, &env);
+	fill_interference(exec, &beat, target, servings, pairs, &buffers);
+	sent = target->send(target->data, &env);
 	for (guint i = 0; i < beat.n_shards; i++)
 		g_free(buffers.shards[i].held);
 	g_array_unref(servings);
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -1,11 +1,12 @@
 #include "lug.h"
 
+#include <functional>
 #include <map>
 
 #include "fake_store.h"
 
 extern "C" {
-#include "workflow/executor.h"
+#include "workflow/executor_priv.h"
 }
 
 namespace
@@ -239,6 +240,22 @@
 	}
 
 	/* Acknowledges the end of a job's first run as its owner. */
+	/* Sends the heartbeat number @n_sent to an owner; returns its message. */
+	void send_beat_to_owner(guint64 n_sent, std::function<void(const Lug__WorkerBeat &)> fn)
+	{
+		struct lug_heartbeat_target target = {};
+
+		target.n_sent = n_sent;
+		target.is_owner = [](void *, guint32) -> gboolean { return TRUE; };
+		target.send = [](void *data, Lug__Envelope *env) -> gboolean {
+			(*static_cast<std::function<void(const Lug__WorkerBeat &)> *>(data))(
+				*env->worker_beat);
+			return TRUE;
+		};
+		target.data = &fn;
+		lug_executor_send_heartbeat(exec, &target, lug_now_us());
+	}
+
 	void ack(const char *job)
 	{
 		struct lug_run_id run = id(job);
@@ -591,4 +608,27 @@
 	start("b", 1000);
 	EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
 }
+
+/* With four owners and an interval of 10, every second owner received no report. */
+TEST_F(ExecutorTest, EachOwnerReceivesOneReportOfInterferenceInAnInterval)
+{
+	Lug__WorkerBeatAck ack = LUG__WORKER_BEAT_ACK__INIT;
+	const struct lug_interference_pair pair = {"s", "f", 0.1, 10};
+	g_autoptr(GArray) report = g_array_new(FALSE, FALSE, sizeof(pair));
+	g_autoptr(GPtrArray) reports_of_workers = g_ptr_array_new();
+	guint reports[4] = {};
+
+	g_array_append_val(report, pair);
+	g_ptr_array_add(reports_of_workers, report);
+	lug_interference_average(exec->interference, reports_of_workers);
+	ack.interference_interval = 10;
+	lug_executor_merge_interference(exec, &ack);
+	for (guint64 n = 0; n < 20; n++)
+		for (guint owner = 0; owner < 4; owner++)
+			send_beat_to_owner(n, [&](const Lug__WorkerBeat &beat) {
+				reports[owner] += beat.n_harm > 0;
+			});
+	for (guint owner = 0; owner < 4; owner++)
+		EXPECT_EQ(reports[owner], 2u) << owner;
+}
 } // namespace
