An end whose start was not confirmed does not begin its job

Change: such an end is listed as unconfirmed, as such a run is.

HeartbeatsListAnEndWhoseStartWasNotConfirmedAsUnconfirmed failed before.

--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -114,16 +114,19 @@
 	guint n_held;
 };
 
-static void add_held(struct beat_buffers *buffers, Lug__ShardHeld *shard,
-		     const struct lug_run_id *id)
+static Lug__RunHeld *add_held(struct beat_buffers *buffers, Lug__ShardHeld *shard,
+			      const struct lug_run_id *id, gboolean unconfirmed)
 {
 	Lug__RunHeld *held = &buffers->held[buffers->n_held];
 
 	lug__run_held__init(held);
 	lug_run_to_wire(id, &buffers->ids[buffers->n_held]);
 	held->id = &buffers->ids[buffers->n_held];
+	held->has_unconfirmed = unconfirmed;
+	held->unconfirmed = unconfirmed;
 	shard->held[shard->n_held++] = held;
 	buffers->n_held++;
+	return held;
 }
 
 static void fill_shard(const struct lug_executor *exec, guint32 number, Lug__ShardHeld *shard,
@@ -145,8 +148,7 @@
 
 		if (run->shard != number)
 			continue;
-		add_held(buffers, shard, &run->id);
-		held = shard->held[shard->n_held - 1];
+		held = add_held(buffers, shard, &run->id, !run->start_confirmed);
 		held->has_percent = 1;
 		held->percent = run->progress_percent;
 		held->has_figure = 1;
@@ -154,8 +156,6 @@
 		held->checkpoint = run->checkpoint;
 		held->has_share = run->best_effort;
 		held->share = run->halted ? 0 : (guint32)(run->share * 100);
-		held->has_unconfirmed = !run->start_confirmed;
-		held->unconfirmed = !run->start_confirmed;
 		held->has_unsized = run->attributes_missing;
 		held->unsized = run->attributes_missing;
 	}
@@ -164,7 +164,7 @@
 		const struct exec_end *end = g_ptr_array_index(exec->ends, i);
 
 		if (end->shard == number && !end->is_stored)
-			add_held(buffers, shard, &end->id);
+			add_held(buffers, shard, &end->id, end->unconfirmed);
 	}
 }
 
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -631,4 +631,24 @@
 	for (guint owner = 0; owner < 4; owner++)
 		EXPECT_EQ(reports[owner], 2u) << owner;
 }
+
+/* Owners took the job of a task that never ran as begun. */
+TEST_F(ExecutorTest, HeartbeatsListAnEndWhoseStartWasNotConfirmedAsUnconfirmed)
+{
+	bool unconfirmed = false;
+
+	start("a", 3000);
+	worker.answer(LUG_ORDER_UNKNOWN);
+	incarnation = 200;
+	worker_id = "i-next";
+	send_heartbeat();
+	answer_poll();
+	ASSERT_EQ(crashed.count("a#1"), 1u);
+	send_beat_to_owner(0, [&](const Lug__WorkerBeat &beat) {
+		ASSERT_EQ(beat.n_shards, 1u);
+		ASSERT_EQ(beat.shards[0]->n_held, 1u);
+		unconfirmed = beat.shards[0]->held[0]->unconfirmed;
+	});
+	EXPECT_TRUE(unconfirmed);
+}
 } // namespace
