--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -152,6 +152,9 @@
 	char suspicion[16];
 	char losses[16];
 
+	/* Given up for another task. */
+	if (job->end_state != LUG_WORKFLOW_UNKNOWN)
+		return;
 	lug_run_name(id, name, sizeof(name));
 	g_snprintf(crashes, sizeof(crashes), "%u", task->crash.crashes);
 	g_snprintf(suspicion, sizeof(suspicion), "%u", task->crash.suspicion);
