A poll after a failed one acknowledges nothing

Cause: the worker had restarted under the same id and its next incarnation had run the task to its end. The agent, suspended meanwhile, repeated its broken poll with the former incarnation's acknowledgement. Ends are numbered anew in each incarnation, so the new one forgot the end that it had not even reported, and the agent took the run for crashed.

Ruled out: that the HTTP client resends the poll (the stand-in's log of polls shows none within 150 ms of a crash).

A restart always breaks the connection, and a poll is in flight nearly all the time.

A crash of the stand-in worker now closes its connections, and the soak checks each acknowledgement.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -241,6 +241,9 @@
 	    exec->worker_exiting)
 		return;
 	poll.acked_end_number = prune_acked_ends(exec);
+	/* It may reach another incarnation, which would forget ends of its own. */
+	if (exec->failed_polls)
+		poll.acked_end_number = 0;
 	if (exec->failed_polls < MAX_FAILED_POLLS)
 		poll.expires_ms = exec_lease_expires_ms(exec);
 	if (poll.expires_ms)
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -95,6 +95,23 @@
         wait_for_state(deployment, job, 15)
 
 
+def test_ends_are_acknowledged_to_the_incarnation_that_listed_them(start_queue_deployment):
+    """Guards against seed 2015 of the soak: a resent poll made the next incarnation forget ends."""
+    deployment = start_queue_deployment(workers=2)
+    worker = deployment.workers["agent-1"]
+    jobs = []
+    for number in range(30):
+        jobs.append(next(JOB_IDS))
+        assert deployment.submit(jobs[-1], {"ms": 60}, [{"count": 2, "cpu": 300}]) == 200
+        if number % 3 == 2:
+            time.sleep(0.2)
+            worker.crash()
+    for job in jobs:
+        wait_for_state(deployment, job, 20)
+    assert worker.acks_of_others == []
+    assert deployment.violations() == []
+
+
 def test_starts_respect_a_room_that_shrinks_and_grows(start_queue_deployment):
     deployment = start_queue_deployment(workers=2)
     jobs = []
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -10,6 +10,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -76,8 +77,25 @@
         host, port = address.split(":")
         super().__init__((host, int(port)), Handler)
         self.standin = standin
+        self.connections = set()
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def break_connections(self):
+        """Closes all open connections, as the crash of a server does."""
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def handle_error(self, request, client_address):
         pass
 
@@ -240,6 +258,8 @@
         # (time, room) of the latest changes of the room, and starts that exceeded it.
         self.rooms = [(0.0, cpu)]
         self.starts_over_room = []
+        # Acknowledgements of ends that the incarnation has not listed: they were for another one.
+        self.acks_of_others = []
         self.lock = threading.Condition()
         # "dark": ignores calls and sends no heartbeats; "mute": calls other than polls take effect
         # without an answer.
@@ -406,6 +426,8 @@
             self.lease_expires_ms = max(self.lease_expires_ms,
                                         min(body["expires_ms"], self.clock_ms() + LEASE_MAX_MS))
         until_s = time.monotonic() + body.get("wait_ms", 0) / 1000
+        if body["ack_seq"] > self.end_seq:
+            self.acks_of_others.append(f"{body['ack_seq']} of {self.end_seq}")
         for row in self.finished:
             if row[0] <= body["ack_seq"]:
                 self.history.append(("noted", time.monotonic(), row[1], row[2], row[3]))
@@ -426,6 +448,7 @@
     def _go_down(self):
         """Crashes under a task; the next incarnation is up after CRASH_DOWN_S."""
         self._drop_runs()
+        self.server.break_connections()
         self.crashes += 1
         self.down_until = time.monotonic() + CRASH_DOWN_S
 
@@ -434,6 +457,7 @@
         with self.lock:
             self._drop_runs()
         self.start_incarnation()
+        self.server.break_connections()
 
     def leave(self):
         """Unregisters the worker at its agent, drops all running tasks and stops answering."""
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -248,6 +248,9 @@
         violations += [f"{job}: started {starts.count(f'{job}.0.0.0')} times, crashes its workers"
                        for job in sorted(self.crashing)
                        if starts.count(f"{job}.0.0.0") > CRASHING_STARTS_MAX]
+        violations += [f"{name}: an end was acknowledged to another incarnation: {ack}"
+                       for name, worker in self.deployment.workers.items()
+                       for ack in worker.acks_of_others]
         return violations + self.deployment.violations()
 
     def run(self):
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -469,6 +469,31 @@
 	EXPECT_EQ(crashed["new#1"], 1u);
 }
 
+/*
+ * Seed 2015 of the soak: the poll after a broken one acknowledged ends to the next incarnation,
+ * which forgot the end of its own run; the task was started again after it was done.
+ */
+TEST_F(ExecutorTest, APollAfterAFailedOneAcknowledgesNothing)
+{
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	/* Longer than UNACKED_POLL_US. */
+	g_usleep(100 * 1000);
+	tick();
+	ASSERT_FALSE(worker.polls.empty());
+	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
+	answer_poll(LUG_ORDER_UNKNOWN);
+	/* Longer than POLL_RETRY_US. */
+	g_usleep(200 * 1000);
+	tick();
+	ASSERT_FALSE(worker.polls.empty());
+	EXPECT_EQ(worker.polls.front().request.acked_end_number, 0u);
+	answer_poll();
+	ASSERT_FALSE(worker.polls.empty());
+	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
+}
+
 /*
  * Seed 1006 of the soak: a worker that keeps its id had restarted unnoticed and taken the start.
  * The run was reported as crashed and started again elsewhere while it went on.
