Starts are refused when the worker's room is not known any more

Callers would see a worker brought over its room (LIMIT) when its room shrinks while the agent is suspended or gets no heartbeats.

Cause: the room is known from heartbeats alone, and an agent kept starting tasks by the latest one, however old, as long as polls were answered. After a suspension it also reads heartbeats that have waited for it.

Change: starts are refused when the latest heartbeat is older than 3.5 s, by the time of its arrival and by the worker's clock, whose present value is at most the latest poll's answer and the time since that poll was sent. The bound of the rule is contact_ms and one heartbeat: 4.1 s on the smallest deployments.

RefusesStartsWhenTheRoomIsOutdated failed before.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -10,6 +10,11 @@
  * within 0.5 s, including the wait of POLL_WAIT_MS.
  */
 #define WORKER_SILENT_US (1400 * 1000)
+/*
+ * Starts are refused when the worker's capacity is older: more than two of the longest heartbeat
+ * intervals (1.5 s), so that one heartbeat may be lost. The platform allows 4.1 s at least.
+ */
+#define CAPACITY_MAX_AGE_MS 3500
 
 static void run_free(gpointer data)
 {
@@ -252,6 +257,21 @@
 	return NULL;
 }
 
+/*
+ * Whether the capacity is recent enough for a start. A heartbeat may have waited for a suspended
+ * agent, so its age is measured by the worker's clock too, which is at most the latest answer's
+ * clock and the time since that poll was sent.
+ */
+static gboolean is_capacity_recent(const struct lug_executor *exec, gint64 now_us)
+{
+	gint64 clock_ms = exec->clock_ms + (now_us - exec->clock_requested_us) / 1000;
+
+	if (now_us - exec->capacity_at_us > CAPACITY_MAX_AGE_MS * 1000)
+		return FALSE;
+	return !exec->capacity_clock_ms ||
+	       clock_ms - exec->capacity_clock_ms <= CAPACITY_MAX_AGE_MS;
+}
+
 /**
  * exec_is_accepting - check whether a start can be accepted
  */
@@ -262,7 +282,7 @@
 	    exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
 	    !lug_writer_is_held(exec->writer) ||
 	    !lug_writer_is_valid(exec->writer, now_us + START_LEASE_MARGIN_US) ||
-	    now_us - exec->last_answer_us > WORKER_SILENT_US)
+	    now_us - exec->last_answer_us > WORKER_SILENT_US || !is_capacity_recent(exec, now_us))
 		return FALSE;
 	for (guint i = 0; i < exec->runs->len; i++) {
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
@@ -301,6 +321,8 @@
 	exec->worker_exiting =
 		exec->worker_exiting && heartbeat->incarnation == exec->exiting_incarnation;
 	exec->capacity = heartbeat->capacity;
+	exec->capacity_at_us = now_us;
+	exec->capacity_clock_ms = heartbeat->clock_ms;
 	g_strfreev(exec->labels);
 	exec->labels = g_strdupv(heartbeat->labels);
 	if (!exec->poll_in_flight)
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -114,6 +114,7 @@
 	exec->heartbeat_incarnation = MAX(exec->heartbeat_incarnation, reply->incarnation);
 	exec->clock_ms = reply->clock_ms;
 	exec->clock_at_us = now_us;
+	exec->clock_requested_us = exec->poll_sent_us;
 	exec->last_answer_us = now_us;
 	exec->confirmed_epoch = exec->poll_epoch;
 	exec_record_shares(exec, now_us);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -201,7 +201,9 @@
  * @exit_announced_us: time of that announcement
  * @exiting_incarnation: incarnation that has announced its exit
  * @shutting_down: the agent is shutting down
- * @capacity: total resources for tasks
+ * @capacity: total resources for tasks, as of the latest heartbeat
+ * @capacity_at_us: time at which that heartbeat was received
+ * @capacity_clock_ms: the worker's clock when it was sent, 0 for not known
  * @labels: kind and rack of the worker
  * @poll_in_flight: a poll is in flight
  * @fallback_poll_us: time from which the tick sends a poll, after a failed poll or when @poll_timer
@@ -214,6 +216,7 @@
  * @confirmed_epoch: lease epoch under which the worker has answered a poll, 0 for none
  * @clock_ms: the worker's clock at @clock_at_us
  * @clock_at_us: time at which @clock_ms was received, 0 for not known
+ * @clock_requested_us: time at which the poll was sent whose answer contained @clock_ms
  * @granted_until_us: time after which no lease sent to the worker is valid
  * @last_answer_us: time of the latest answer to a poll
  * @acked_end_number: ends up to this number are stored by the owners of their shards
@@ -262,6 +265,8 @@
 	guint64 exiting_incarnation;
 	gboolean shutting_down;
 	struct lug_resources capacity;
+	gint64 capacity_at_us;
+	gint64 capacity_clock_ms;
 	char **labels;
 	gboolean poll_in_flight;
 	gint64 fallback_poll_us;
@@ -273,6 +278,7 @@
 	guint64 confirmed_epoch;
 	gint64 clock_ms;
 	gint64 clock_at_us;
+	gint64 clock_requested_us;
 	gint64 granted_until_us;
 	gint64 last_answer_us;
 	guint64 acked_end_number;
--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -146,6 +146,7 @@
  * @incarnation: number of the worker's incarnation, higher after each restart
  * @seq: number of the heartbeat within the incarnation
  * @draining: the worker shuts down soon and takes no new runs
+ * @clock_ms: the worker's clock when it sent the heartbeat, 0 when it is not known
  * @capacity: total resources for tasks
  * @labels: kind and rack, NULL-terminated
  */
@@ -156,6 +157,7 @@
 	guint64 incarnation;
 	gint64 seq;
 	gboolean draining;
+	gint64 clock_ms;
 	struct lug_resources capacity;
 	char **labels;
 };
--- a/tests/integration/test_crashes.py
+++ b/tests/integration/test_crashes.py
@@ -134,6 +134,29 @@
     assert deployment.violations() == []
 
 
+def test_starts_end_when_the_room_is_not_known_any_more(start_queue_deployment):
+    """Rule LIMIT: a room that has shrunk counts some seconds later, also without a heartbeat."""
+    deployment = start_queue_deployment(workers=1, shards=1)
+    worker = deployment.workers["agent-1"]
+    first = next(JOB_IDS)
+    assert deployment.submit(first, {"ms": 50, "cpu": 1000}, [{"count": 1, "cpu": 1000}]) == 200
+    wait_for_state(deployment, first)
+    worker.room_notice_s = 4.1
+    worker.sends_heartbeats = False
+    worker.set_room(500)
+    jobs = []
+    for _ in range(40):
+        jobs.append(next(JOB_IDS))
+        assert deployment.submit(jobs[-1], {"ms": 150, "cpu": 1000},
+                                 [{"count": 1, "cpu": 1000}]) == 200
+        time.sleep(0.15)
+    assert worker.starts_over_room == []
+    worker.set_room(4000)
+    worker.sends_heartbeats = True
+    for job in jobs:
+        wait_for_state(deployment, job, 20)
+
+
 @pytest.mark.parametrize("agent_too", [False, True], ids=["worker", "instance"])
 def test_team_task_under_which_workers_crash_is_given_up(start_deployment, agent_too):
     """The tasks of teams' queues have the same bound, whatever kills their workers."""
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -258,6 +258,9 @@
         # (time, room) of the latest changes of the room, and starts that exceeded it.
         self.rooms = [(0.0, cpu)]
         self.starts_over_room = []
+        self.room_notice_s = ROOM_NOTICE_S
+        # Whether the agent receives the heartbeats.
+        self.sends_heartbeats = True
         # Acknowledgements of ends that the incarnation has not listed: they were for another one.
         self.acks_of_others = []
         self.lock = threading.Condition()
@@ -297,7 +300,7 @@
 
     def _send_heartbeats(self):
         while self.alive:
-            if self.mode != "dark" and not self.down_until:
+            if self.mode != "dark" and not self.down_until and self.sends_heartbeats:
                 self.seq += 1
                 body = {"service": "pool", "address": "x", "zone": "z", "version": "v1",
                         "capacity": 8, "state": "draining" if self.draining else "ready",
@@ -400,8 +403,8 @@
             self.rooms.append((time.monotonic(), cpu))
 
     def _check_room(self, task, now):
-        # The largest room of the last ROOM_NOTICE_S: that of the latest change before, or a later.
-        current = max(i for i, (at, _) in enumerate(self.rooms) if at <= now - ROOM_NOTICE_S)
+        # The largest room of the last room_notice_s: that of the latest change before, or a later.
+        current = max(i for i, (at, _) in enumerate(self.rooms) if at <= now - self.room_notice_s)
         room = max(cpu for _, cpu in self.rooms[current:])
         used = sum(state["cpu"] for _, state in self.running.values())
         if used > room:
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -87,6 +87,7 @@
 	guint64 incarnation = 100;
 	const char *worker_id = "i";
 	gint64 heartbeat_seq = 0;
+	gint64 clock_ms = 5000;
 	gint64 capacity_millicores = 4000;
 	/* What polls return: runs with their progress in percent, and numbered ends. */
 	std::vector<std::pair<struct lug_run_id, guint32>> running;
@@ -140,6 +141,7 @@
 		heartbeat.incarnation = incarnation;
 		heartbeat.seq = ++heartbeat_seq;
 		heartbeat.draining = draining;
+		heartbeat.clock_ms = clock_ms;
 		heartbeat.capacity = {capacity_millicores, 1LL << 30, 0};
 		heartbeat.labels = labels;
 		lug_executor_on_worker_heartbeat(exec, &heartbeat, lug_now_us());
@@ -164,7 +166,7 @@
 		worker.polls.pop_front();
 		answer.result = result;
 		answer.incarnation = incarnation;
-		answer.clock_ms = 5000;
+		answer.clock_ms = clock_ms;
 		answer.running = g_array_new(FALSE, TRUE, sizeof(struct lug_worker_running));
 		answer.finished = g_array_new(FALSE, TRUE, sizeof(struct lug_worker_finished));
 		for (const auto &item : running) {
@@ -572,6 +574,26 @@
 	EXPECT_STREQ(worker.orders[0].id.job, "d");
 }
 
+/* Rule LIMIT: an agent that was suspended reads old heartbeats, and starts by the room in them. */
+TEST_F(ExecutorTest, RefusesStartsWhenTheRoomIsOutdated)
+{
+	clock_ms += 4000;
+	answer_poll();
+	start("a");
+	ASSERT_FALSE(answers.empty());
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("a#1"), LUG_NOT_RUN));
+	clock_ms -= 4000;
+	send_heartbeat();
+	clock_ms += 4000;
+	start("b");
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_NOT_RUN))
+		<< "the heartbeat arrived late";
+	send_heartbeat();
+	start("c");
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_STREQ(worker.orders[0].id.job, "c");
+}
+
 /*
  * Incident task-crashes-worker-after-worker: an unanswered start was kept through several restarts
  * of the worker, while its task waited.
