A poll long after the latest answer acknowledges nothing

An agent that was suspended between two polls, or that waited to send the next one, acknowledged ends to the incarnation that its worker had meanwhile.

Change: ends are acknowledged within 200 ms of the latest answer only. Polls follow each other within 150 ms, and a worker is down for longer when it restarts.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -5,6 +5,8 @@
 /* Time that a poll waits for an end; metrics are thus read four times a second. */
 #define POLL_WAIT_MS 250
 #define POLL_RETRY_US (150 * 1000)
+/* A worker is down for longer than this when it restarts. */
+#define RESTART_MIN_US (200 * 1000)
 /* A poll that fails sooner has not timed out: its connection has broken. */
 #define BROKEN_POLL_US (500 * 1000)
 /*
@@ -242,8 +244,8 @@
 	    exec->worker_exiting)
 		return;
 	poll.acked_end_number = prune_acked_ends(exec);
-	/* It may reach another incarnation, which would forget ends of its own. */
-	if (exec->failed_polls)
+	/* The poll may reach another incarnation, which would forget ends of its own. */
+	if (exec->failed_polls || now_us - exec->last_answer_us > RESTART_MIN_US)
 		poll.acked_end_number = 0;
 	if (exec->failed_polls < MAX_FAILED_POLLS)
 		poll.expires_ms = exec_lease_expires_ms(exec);
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -496,6 +496,22 @@
 	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
 }
 
+/* Seed 5002 of the soak: the agent was suspended between two polls while its worker restarted. */
+TEST_F(ExecutorTest, APollLongAfterTheLatestAnswerAcknowledgesNothing)
+{
+	finished = {{1, id("a")}};
+	answer_poll();
+	/* Longer than RESTART_MIN_US. */
+	g_usleep(300 * 1000);
+	ack("a");
+	tick();
+	ASSERT_FALSE(worker.polls.empty());
+	EXPECT_EQ(worker.polls.front().request.acked_end_number, 0u);
+	answer_poll();
+	ASSERT_FALSE(worker.polls.empty());
+	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
+}
+
 /*
  * Seed 1006 of the soak: a worker that keeps its id had restarted unnoticed and taken the start.
  * The run was reported as crashed and started again elsewhere while it went on.
