--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -1,8 +1,9 @@
-#include "colocate/crash.h"
 #include "workflow/executor_priv.h"
 
 #include <string.h>
 
+#include "colocate/crash.h"
+
 /* Number of unanswered starts after which a run is stopped. Repeating a start is safe. */
 #define MAX_START_ATTEMPTS 3
 #define STOP_RETRY_US (500 * 1000)
@@ -198,8 +199,7 @@
 	return FALSE;
 }
 
-/* Whether a suspected task of another job was started so lately that it may yet crash the worker.
- */
+/* Whether a suspected task of another job was started so lately that it may crash the worker. */
 static gboolean isolates_another_job(const struct lug_executor *exec, const char *job,
 				     gint64 now_us)
 {
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -122,7 +122,6 @@
  */
 struct lug_fleet;
 
-void lug_fleet_isolate(struct lug_fleet_worker *worker, const char *job, gint64 now_us);
 struct lug_fleet *lug_fleet_new(struct lug_ctx *ctx, struct lug_store *store,
 				const struct lug_fleet_hooks *hooks);
 void lug_fleet_free(struct lug_fleet *fleet);
@@ -140,6 +139,7 @@
 void lug_fleet_release(struct lug_fleet_worker *worker, const struct lug_resources *size,
 		       gboolean confirmed);
 void lug_fleet_record_failure(struct lug_fleet_worker *worker, gint64 now_us);
+void lug_fleet_isolate(struct lug_fleet_worker *worker, const char *job, gint64 now_us);
 void lug_fleet_add_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step);
 void lug_fleet_remove_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step);
 void lug_fleet_set_used(struct lug_fleet_worker *worker, const struct lug_resources *used);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -1,8 +1,8 @@
 #ifndef LUG_WORKFLOW_SHARD_PRIV_H
 #define LUG_WORKFLOW_SHARD_PRIV_H
 
-#include "core/list.h"
 #include "colocate/crash.h"
+#include "core/list.h"
 #include "workflow/shard.h"
 
 /*
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -11,7 +11,8 @@
 import time
 
 import pytest
-from hub import call, wait_for_state
+from hub import wait_for_state
+from standins import call
 
 JOB_IDS = (f"{number:016x}" for number in itertools.count(1))
 
--- /dev/null
+++ b/tests/rig/standins.py
@@ -0,0 +1,485 @@
+"""Stand-ins for the users' table service and workers, as HTTP servers in threads of the test process.
+
+Tests set their faults: the table service can leave calls unanswered, refuse them, lose answers or
+delay calls. A worker can ignore calls, leave them unanswered after they took effect, or crash.
+"""
+
+import base64
+import json
+import socket
+import threading
+import time
+import urllib.error
+import urllib.parse
+import urllib.request
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+CHANGE_RETENTION_S = 20
+LEASE_MAX_MS = 6000
+STOP_DELAY_MS = 200
+# From the start of a task that crashes its worker to the crash, and until the worker is back.
+CRASH_DELAY_MS = 10
+CRASH_DOWN_S = 1.0
+# A worker is down for at least this long when it restarts.
+RESTART_MIN_S = 0.3
+# Time from a shrinking of a worker's room until starts must respect it.
+ROOM_NOTICE_S = 1.0
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Passes each call to serve() of a stand-in.
+
+    serve() returns (status code, body), or None to close the connection without an answer.
+    """
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def _call(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        raw = self.rfile.read(length)
+        answer = self.server.standin.serve(self.command, self.path, raw, self.client_address[0],
+                                           self.headers)
+        if answer is None:
+            self.close_connection = True
+            return
+        code, body = answer
+        data = json.dumps(body).encode()
+        self.send_response(code)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _call
+
+    def log_message(self, *args):
+        pass
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, address, standin):
+        host, port = address.split(":")
+        super().__init__((host, int(port)), Handler)
+        self.standin = standin
+        self.connections = set()
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def break_connections(self):
+        """Closes all open connections, as the crash of a server does."""
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def handle_error(self, request, client_address):
+        pass
+
+
+class Store:
+    """Table service: rows by table, part and key, conditional transactions and change feeds.
+
+    A part is a partition of the rows; each transaction is confined to one.
+    """
+
+    def __init__(self, address):
+        self.lock = threading.Condition()
+        # (value, version) by row id, which is (table, part, key).
+        self.rows = {}
+        # History of the change feed: (version, row id, value, time).
+        self.changes = []
+        self.ver = 0
+        # "busy": refuses all calls; "silent": leaves them unanswered for longer than the timeout
+        # of the daemons.
+        self.mode = ""
+        # IP addresses of callers whose calls are refused.
+        self.refused_callers = set()
+        self.lost_answer_share = 0.0
+        self.delay_s = 0.004
+        self.commits = 0
+        self.server = Server(address, self)
+
+    def put(self, table, key, value, part=""):
+        with self.lock:
+            self._write_rows({(table, part, key): value})
+
+    def value(self, table, key, part=""):
+        with self.lock:
+            row = self.rows.get((table, part, key))
+            return row[0] if row else None
+
+    def table(self, name):
+        with self.lock:
+            return {k: v[0] for k, v in self.rows.items() if k[0] == name}
+
+    def discard_feed_history(self):
+        """Drops the changes recorded so far; the rows stay."""
+        with self.lock:
+            self.changes = []
+
+    def _write_rows(self, changes):
+        self.ver += 1
+        for row_id, value in changes.items():
+            if value is None:
+                self.rows.pop(row_id, None)
+            else:
+                self.rows[row_id] = (value, self.ver)
+            self.changes.append((self.ver, row_id, value, time.monotonic()))
+        while self.changes and time.monotonic() - self.changes[0][3] > CHANGE_RETENTION_S:
+            self.changes.pop(0)
+        self.lock.notify_all()
+
+    @staticmethod
+    def _encode_row(row_id, value, ver):
+        row = {"table": row_id[0], "part": row_id[1], "key": row_id[2], "ver": ver}
+        if value is None:
+            row["tombstone"] = True
+        else:
+            row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+        return row
+
+    def serve(self, method, path, raw, caller, headers):
+        mode = self.mode
+        if mode == "busy" or caller in self.refused_callers:
+            return 503, {}
+        if mode == "silent":
+            time.sleep(1.5)
+            return None
+        time.sleep(self.delay_s)
+        url = urllib.parse.urlsplit(path)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if url.path == "/rows-tx":
+            return self._commit(json.loads(raw))
+        if url.path == "/rows-get":
+            return self._read_rows(query)
+        if url.path == "/rows-feed":
+            return self._read_feed(query)
+        return 404, {}
+
+    def _commit(self, body):
+        def row_id(item):
+            return (item["table"], item["part"], item["key"])
+
+        # The platform accepts at most 100 rows in a transaction, all of one part, and no writes to
+        # the tables "op" and "servers".
+        items = body["expected_rev"] + body["set_keys"] + body["remove"]
+        if len(items) > 100 or len({item["part"] for item in items}) > 1:
+            return 400, {}
+        if any(item["table"] in ("op", "servers") for item in body["set_keys"] + body["remove"]):
+            return 403, {}
+        with self.lock:
+            for item in body["expected_rev"]:
+                row = self.rows.get(row_id(item))
+                if (row[1] if row else 0) != item["ver"]:
+                    current_rows = [self._encode_row(row_id(i), *self.rows[row_id(i)])
+                                    for i in body["expected_rev"] if row_id(i) in self.rows]
+                    return 412, {"rows": current_rows, "ver": self.ver, "now_ms": 0}
+            changes = {row_id(i): json.loads(base64.b64decode(i["value"]))
+                       for i in body["set_keys"]}
+            changes.update({row_id(i): None for i in body["remove"]})
+            self._write_rows(changes)
+            self.commits += 1
+            ver = self.ver
+            # Multiples of the golden ratio spread the lost answers evenly.
+            answer_lost = self.lost_answer_share and \
+                (self.commits * 0.618) % 1 < self.lost_answer_share
+        return None if answer_lost else (200, {"ver": ver, "now_ms": 0})
+
+    def _read_rows(self, query):
+        start, end = query.get("range_start", ""), query.get("to", "")
+        limit = min(int(query.get("limit", 500)), 500)
+        with self.lock:
+            row_ids = sorted(row_id for row_id in self.rows
+                             if row_id[0] == query["table"] and row_id[1] == query.get("part", "")
+                             and row_id[2] >= start and (not end or row_id[2] < end))
+            rows = [self._encode_row(row_id, *self.rows[row_id]) for row_id in row_ids[:limit]]
+            return 200, {"rows": rows, "has_more": len(row_ids) > limit, "ver": self.ver,
+                         "now_ms": 0}
+
+    def _read_feed(self, query):
+        after = int(query["after"])
+        until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        with self.lock:
+            while True:
+                oldest = self.changes[0][0] if self.changes else self.ver + 1
+                # The history lacks changes after the requested version.
+                if after + 1 < oldest and after < self.ver:
+                    return 410, {}
+                rows = [self._encode_row(row_id, value, ver)
+                        for ver, row_id, value, _ in self.changes
+                        if ver > after and row_id[0] == query["table"]]
+                remaining_s = until_s - time.monotonic()
+                if rows or remaining_s <= 0:
+                    return 200, {"rows": rows, "ver": self.ver, "now_ms": 0}
+                self.lock.wait(min(remaining_s, 0.2))
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Worker:
+    """Worker that runs tasks for the time in their spec; its own clock measures its lease.
+
+    Members of a spec: "ms", run time; "fails", number of runs that fail; "crashes", tasks
+    (STEP.INDEX) that crash each worker that starts them; "crash_ms", time until that crash, 0
+    before the start is answered; "cpu", checked against the room.
+    """
+
+    def __init__(self, number, address, heartbeat_address, cpu=4000):
+        self.number = number
+        self.id = f"i-{number}"
+        self.heartbeat_address = heartbeat_address
+        self.cpu = cpu
+        # (time, room) of the latest changes of the room, and starts that exceeded it.
+        self.rooms = [(0.0, cpu)]
+        self.starts_over_room = []
+        self.room_notice_s = ROOM_NOTICE_S
+        # Whether the agent receives the heartbeats.
+        self.sends_heartbeats = True
+        # Acknowledgements of ends that the incarnation has not listed: they were for another one.
+        self.acks_of_others = []
+        self.lock = threading.Condition()
+        # "dark": ignores calls and sends no heartbeats; "mute": calls other than polls take effect
+        # without an answer.
+        self.mode = ""
+        self.history = []
+        self.crashes = 0
+        # Time at which the crashed worker is back, 0 while it is up, and its id then, "" for a new one.
+        self.down_until = 0
+        self.next_id = ""
+        self.incarnation = 0
+        self.start_incarnation()
+        self.alive = True
+        self.draining = False
+        self.server = Server(address, self)
+        threading.Thread(target=self._send_heartbeats, daemon=True).start()
+        threading.Thread(target=self._run_tasks, daemon=True).start()
+
+    def start_incarnation(self):
+        """Starts a new incarnation that keeps no state of the earlier one."""
+        with self.lock:
+            self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
+            self.started_at = time.monotonic()
+            self.down_until = 0
+            self.fencing_token = 0
+            self.lease_expires_ms = 0
+            # By task: (run, state with the times at which the run ends).
+            self.running = {}
+            # By task: number of the last run that ended or must not start.
+            self.last_ended_run = {}
+            self.finished = []
+            self.end_seq = 0
+            self.seq = 0
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.started_at) * 1000)
+
+    def _send_heartbeats(self):
+        while self.alive:
+            if self.mode != "dark" and not self.down_until and self.sends_heartbeats:
+                self.seq += 1
+                body = {"service": "pool", "address": "x", "zone": "z", "version": "v1",
+                        "capacity": 8, "state": "draining" if self.draining else "ready",
+                        "cold_remaining_ms": 0, "labels": ["a", "r1"], "seq": self.seq,
+                        "room": {"cpu": self.cpu, "mem_mb": 4096, "gpu": 0},
+                        "server_time_ms": self.clock_ms(), "born": self.incarnation}
+                call("PUT", f"http://{self.heartbeat_address}/instances/{self.id}", body, 0.5)
+            time.sleep(0.4)
+
+    def _end_run(self, task, outcome):
+        run, _ = self.running.pop(task)
+        self.end_seq += 1
+        self.last_ended_run[task] = run
+        self.finished.append([self.end_seq, task, run, outcome, ""])
+        self.history.append(("end", time.monotonic(), task, run, outcome))
+        self.lock.notify_all()
+
+    def _run_tasks(self):
+        while self.alive:
+            time.sleep(0.01)
+            if self.down_until and time.monotonic() >= self.down_until:
+                self.start_incarnation()
+                self.id = self.next_id or f"i-{self.number}-{self.incarnation}"
+            with self.lock:
+                if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
+                       for _, state in self.running.values()):
+                    self._crash_under_task()
+                for task in list(self.running):
+                    run, state = self.running[task]
+                    if self.clock_ms() >= self.lease_expires_ms:
+                        self._end_run(task, "lapsed")
+                    elif state["stop_at"] and time.monotonic() >= state["stop_at"]:
+                        self._end_run(task, "stopped")
+                    elif time.monotonic() >= state["until"]:
+                        self._end_run(task, state["how"])
+
+    def serve(self, method, path, raw, caller, headers):
+        if self.mode == "dark":
+            time.sleep(1.5)
+            return None
+        try:
+            body = json.loads(raw)
+        except ValueError:
+            return 400, {}
+        with self.lock:
+            if self.down_until:
+                return None
+            incarnation = self.incarnation
+            if headers.get("Expected-Instance", self.id) != self.id:
+                return 421, {"server_time_ms": self.clock_ms()}
+            if body.get("fencing_token", 0) < self.fencing_token:
+                return 409, {"server_time_ms": self.clock_ms(), "reason": "fence"}
+            self.fencing_token = body.get("fencing_token", 0)
+            if path == "/run-start":
+                answer = self._start_run(body)
+            elif path == "/run-stop":
+                answer = self._stop_run(body)
+            elif path == "/hold":
+                answer = self._poll(body)
+            else:
+                answer = 200, {"server_time_ms": self.clock_ms(), "born": self.incarnation}
+            # The worker has crashed during a call that waits.
+            if self.down_until or incarnation != self.incarnation:
+                return None
+        if self.mode == "mute" and path != "/hold":
+            time.sleep(1.0)
+            return None
+        return answer
+
+    def _start_run(self, body):
+        task, run = body["task"], body["run"]
+        answer = {"server_time_ms": self.clock_ms()}
+        self.lease_expires_ms = max(self.lease_expires_ms,
+                                    min(body["expires_ms"], self.clock_ms() + LEASE_MAX_MS))
+        if task in self.running and self.running[task][0] == run:
+            return 200, answer
+        if run <= self.last_ended_run.get(task, 0):
+            return 409, dict(answer, reason="old")
+        if body["expires_ms"] <= self.clock_ms():
+            return 409, dict(answer, reason="late")
+        spec = json.loads(body["spec"] or "{}")
+        fails = run <= spec.get("fails", 0)
+        now = time.monotonic()
+        crashes = ".".join(task.split(".")[2:]) in spec.get("crashes", [])
+        crash_ms = spec.get("crash_ms", CRASH_DELAY_MS)
+        self.running[task] = (run, {"until": now + spec.get("ms", 100) / 1000,
+                                    "how": "failed" if fails else "done", "stop_at": 0,
+                                    "crash_at": now + crash_ms / 1000 if crashes else 0,
+                                    "cpu": spec.get("cpu", 0)})
+        self._check_room(task, now)
+        self.history.append(("start", time.monotonic(), task, run, ""))
+        if crashes and not crash_ms:
+            self._crash_under_task()
+        return 200, answer
+
+    def set_room(self, cpu):
+        """Shrinks or extends the room, which the next heartbeat reports."""
+        with self.lock:
+            self.cpu = cpu
+            self.rooms.append((time.monotonic(), cpu))
+
+    def _check_room(self, task, now):
+        # The largest room of the last room_notice_s: that of the latest change before, or a later.
+        current = max(i for i, (at, _) in enumerate(self.rooms) if at <= now - self.room_notice_s)
+        room = max(cpu for _, cpu in self.rooms[current:])
+        used = sum(state["cpu"] for _, state in self.running.values())
+        if used > room:
+            self.starts_over_room.append(f"{task}: {used} of {room} in use")
+
+    def _stop_run(self, body):
+        task, run = body["task"], body["run"]
+        if task in self.running and self.running[task][0] == run:
+            if not self.running[task][1]["stop_at"]:
+                self.running[task][1]["stop_at"] = time.monotonic() + STOP_DELAY_MS / 1000
+        else:
+            # A start of this run that arrives later must be refused.
+            self.last_ended_run[task] = max(self.last_ended_run.get(task, 0), run)
+        return 200, {"server_time_ms": self.clock_ms()}
+
+    def _poll(self, body):
+        """Renews the lease, drops acknowledged ends and returns running and ended runs.
+
+        A row of self.finished is (sequence number, task, run, outcome, checkpoint).
+        """
+        if body.get("expires_ms"):
+            self.lease_expires_ms = max(self.lease_expires_ms,
+                                        min(body["expires_ms"], self.clock_ms() + LEASE_MAX_MS))
+        until_s = time.monotonic() + body.get("wait_ms", 0) / 1000
+        if body["ack_seq"] > self.end_seq:
+            self.acks_of_others.append(f"{body['ack_seq']} of {self.end_seq}")
+        for row in self.finished:
+            if row[0] <= body["ack_seq"]:
+                self.history.append(("noted", time.monotonic(), row[1], row[2], row[3]))
+        self.finished = [row for row in self.finished if row[0] > body["ack_seq"]]
+        while not self.finished and time.monotonic() < until_s and self.mode != "dark" \
+                and not self.down_until:
+            self.lock.wait(0.05)
+        # task, run, checkpoint, percentage of progress, metric
+        running = [[task, run, "", 50, 0] for task, (run, _) in self.running.items()]
+        return 200, {"server_time_ms": self.clock_ms(), "born": self.incarnation,
+                     "running": running, "finished": self.finished[:500]}
+
+    def _drop_runs(self):
+        for task, (run, _) in self.running.items():
+            self.history.append(("gone", time.monotonic(), task, run, ""))
+        self.running = {}
+
+    def _go_down(self, down_s=CRASH_DOWN_S, next_id=""):
+        self._drop_runs()
+        self.server.break_connections()
+        self.next_id = next_id
+        self.down_until = time.monotonic() + down_s
+
+    def _crash_under_task(self):
+        """Crashes; the next incarnation has another id."""
+        self.crashes += 1
+        self._go_down()
+
+    def crash(self):
+        """Drops all running tasks; the next incarnation is up after a moment, under the same id."""
+        with self.lock:
+            self._go_down(RESTART_MIN_S, self.id)
+
+    def leave(self):
+        """Unregisters the worker at its agent, drops all running tasks and stops answering."""
+        call("DELETE", f"http://{self.heartbeat_address}/instances/{self.id}", timeout=1)
+        self.mode = "dark"
+        with self.lock:
+            self._drop_runs()
+
+    def close(self):
+        self.alive = False
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def call(method, url, body=None, timeout=3.0, headers=None):
+    """Makes an HTTP call; returns status code and decoded body, or code 0 without an answer."""
+    data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+    request = urllib.request.Request(url, data=data, method=method,
+                                     headers={"Content-Type": "application/json",
+                                              **(headers or {})})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, json.loads(answer.read() or b"{}")
+    except urllib.error.HTTPError as error:
+        raw = error.read()
+        try:
+            return error.code, json.loads(raw or b"{}")
+        except ValueError:
+            return error.code, {}
+    except (OSError, ValueError):
+        return 0, {}
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -34,7 +34,7 @@
 	EXPECT_TRUE(runs[1].suspected);
 }
 
-TEST(CrashTest, ACrashLongAfterAllStartsBlamesOnlyIsolatedRuns)
+TEST(CrashTest, ACrashLongAfterAllStartsSuspectsOnlyIsolatedRuns)
 {
 	struct lug_crash_run none[] = {run("a", 4000), run("b", 3000)};
 	struct lug_crash_run late[] = {run("a", 4000), run("b", 3000, true)};
