--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -243,6 +243,12 @@
 	}
 
 	/* Acknowledges the end of a job's first run as its owner. */
+	void expect_next_poll_to_acknowledge(guint64 number)
+	{
+		ASSERT_FALSE(worker.polls.empty());
+		EXPECT_EQ(worker.polls.front().request.acked_end_number, number);
+	}
+
 	/* Sends the heartbeat number @n_sent to an owner; returns its message. */
 	void send_beat_to_owner(guint64 n_sent, std::function<void(const Lug__WorkerBeat &)> fn)
 	{
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -46,20 +46,15 @@
 	finished = {{1, id("a")}};
 	answer_poll();
 	ack("a");
-	/* Longer than UNACKED_POLL_US. */
-	g_usleep(100 * 1000);
 	tick();
-	ASSERT_FALSE(worker.polls.empty());
-	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
+	expect_next_poll_to_acknowledge(1);
 	answer_poll(LUG_ORDER_UNKNOWN);
 	/* Longer than POLL_RETRY_US. */
 	g_usleep(200 * 1000);
 	tick();
-	ASSERT_FALSE(worker.polls.empty());
-	EXPECT_EQ(worker.polls.front().request.acked_end_number, 0u);
+	expect_next_poll_to_acknowledge(0);
 	answer_poll();
-	ASSERT_FALSE(worker.polls.empty());
-	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
+	expect_next_poll_to_acknowledge(1);
 }
 
 /* Seed 5002 of the soak: the agent was suspended between two polls while its worker restarted. */
@@ -71,11 +66,9 @@
 	g_usleep(300 * 1000);
 	ack("a");
 	tick();
-	ASSERT_FALSE(worker.polls.empty());
-	EXPECT_EQ(worker.polls.front().request.acked_end_number, 0u);
+	expect_next_poll_to_acknowledge(0);
 	answer_poll();
-	ASSERT_FALSE(worker.polls.empty());
-	EXPECT_EQ(worker.polls.front().request.acked_end_number, 1u);
+	expect_next_poll_to_acknowledge(1);
 }
 
 /*
