Names for the likelihoods and weights of suspected runs

The last reading of the change stumbled over the numbers 0 to 4 and 1 and 2 in crash.c; they are an enum and two constants now.

--- a/liblug/colocate/crash.c
+++ b/liblug/colocate/crash.c
@@ -7,6 +7,8 @@
  * as its suspicion is MIN_SUSPICION then. Where crashes can't be confirmed it is given up after
  * LOSSES_LIMIT crashes and losses with LOSSES_SUSPICION, and after CRASHES_LIMIT in any case.
  */
+#define SUSPICION_OF_SEVERAL_JOBS 1
+#define SUSPICION_OF_ONE_JOB 2
 #define MIN_CRASHES 2
 #define MIN_SUSPICION 3
 #define LOSSES_LIMIT 4
@@ -28,17 +30,22 @@
 	return count;
 }
 
-/*
- * Early runs come first, among them isolated ones, then those that the worker had confirmed; a task
- * that was isolated and crashes its worker late comes last. 0 for a run that is not suspected.
- */
-static guint likelihood(const struct lug_crash_run *run, gint64 alive_us)
+/* How likely a run is the cause of a crash, least first. */
+enum likelihood {
+	NOT_SUSPECTED,
+	LATE_ISOLATED,
+	EARLY_UNCONFIRMED,
+	EARLY_CONFIRMED,
+	EARLY_ISOLATED,
+};
+
+static enum likelihood run_likelihood(const struct lug_crash_run *run, gint64 alive_us)
 {
 	if (run->started_us < alive_us - EARLY_US)
-		return run->isolated ? 1 : 0;
+		return run->isolated ? LATE_ISOLATED : NOT_SUSPECTED;
 	if (run->isolated)
-		return 4;
-	return run->confirmed ? 3 : 2;
+		return EARLY_ISOLATED;
+	return run->confirmed ? EARLY_CONFIRMED : EARLY_UNCONFIRMED;
 }
 
 /**
@@ -48,18 +55,19 @@
  * @alive_us: when the worker was last up
  *
  * Load pattern: many tasks on the worker, one of which has crashed it right after its start.
- * All runs of the highest likelihood are suspected, see likelihood().
+ * All runs of the highest likelihood are suspected, see enum likelihood.
  *
  * Return: number of jobs that the suspected runs belong to, 0 without a suspect.
  */
 guint lug_crash_find_suspects(struct lug_crash_run *runs, guint n, gint64 alive_us)
 {
-	guint most_likely = 0;
+	enum likelihood highest = NOT_SUSPECTED;
 
 	for (guint i = 0; i < n; i++)
-		most_likely = MAX(most_likely, likelihood(&runs[i], alive_us));
+		highest = MAX(highest, run_likelihood(&runs[i], alive_us));
 	for (guint i = 0; i < n; i++)
-		runs[i].suspected = most_likely && likelihood(&runs[i], alive_us) == most_likely;
+		runs[i].suspected =
+			highest != NOT_SUSPECTED && run_likelihood(&runs[i], alive_us) == highest;
 	return count_suspected_jobs(runs, n);
 }
 
@@ -77,7 +85,8 @@
 	else
 		history->losses++;
 	if (suspected_jobs)
-		history->suspicion += suspected_jobs == 1 ? 2 : 1;
+		history->suspicion +=
+			suspected_jobs == 1 ? SUSPICION_OF_ONE_JOB : SUSPICION_OF_SEVERAL_JOBS;
 }
 
 /**
