--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -294,8 +294,15 @@
 static void on_owner_changed(void *data, guint32 shard)
 {
 	struct queue_agent *agent = data;
+	const struct lug_shard_owner *owner = lug_shard_map_owner(agent->shard_map, shard);
 	struct lug_peer *peer;
+	char number[16];
+	char epoch[24];
 
+	g_snprintf(number, sizeof(number), "%u", shard);
+	g_snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, owner->epoch);
+	lug_info(agent->ctx, "shard_owner", "shard", number, "epoch", epoch, "address",
+		 owner->address);
 	if (!agent->executor)
 		return;
 	peer = add_owner_peer(agent, shard);
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -334,6 +334,7 @@
 		shard_job_free(job);
 	}
 	g_ptr_array_unref(order);
+	g_hash_table_remove_all(shard->claims);
 	shard->load_phase = SHARD_LOAD_NONE;
 	shard->scanning = FALSE;
 	shard->reading_inbox = FALSE;
@@ -526,4 +527,5 @@
 	shard_begin_due_occurrences(shard, now_us);
 	shard_place_tasks(shard, now_us);
 	shard_commit_changes(shard, now_us);
+	shard_report_delays(shard, now_us);
 }
--- a/liblug/workflow/shard_load.c
+++ b/liblug/workflow/shard_load.c
@@ -40,7 +40,7 @@
 				continue;
 			worker = lug_fleet_get(shard->shared.fleet, task->worker, now_us);
 			shard_step_size(shard_task_step(job, t, NULL), &size);
-			shard_index_claim(shard, task);
+			shard_index_claim(shard, task, now_us);
 			lug_fleet_claim(worker, &size);
 			lug_fleet_add_unconfirmed(worker, shard_task_step(job, t, NULL));
 		}
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -26,7 +26,7 @@
 	return &job->workflow->steps[s];
 }
 
-static struct lug_list *find_claims(const struct lug_shard *shard, const char *worker)
+static struct shard_claims *find_claims(const struct lug_shard *shard, const char *worker)
 {
 	return g_hash_table_lookup(shard->claims, g_intern_string(worker));
 }
@@ -34,16 +34,21 @@
 /**
  * shard_index_claim - add a claimed task to the claims for its worker
  */
-void shard_index_claim(struct lug_shard *shard, struct shard_task *task)
+void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us)
 {
-	struct lug_list *claims = find_claims(shard, task->worker);
+	struct shard_claims *claims = find_claims(shard, task->worker);
 
 	if (!claims) {
-		claims = g_new0(struct lug_list, 1);
-		lug_list_init(claims);
+		claims = g_new0(struct shard_claims, 1);
+		lug_list_init(&claims->tasks);
 		g_hash_table_insert(shard->claims, (gpointer)task->worker, claims);
 	}
-	lug_list_append(claims, &task->claim_node);
+	/* While nothing is claimed, lists are not awaited. */
+	if (lug_list_empty(&claims->tasks)) {
+		claims->listed_us = now_us;
+		claims->overdue = FALSE;
+	}
+	lug_list_append(&claims->tasks, &task->claim_node);
 }
 
 /**
@@ -352,11 +357,11 @@
 static void for_each_claim(struct lug_shard *shard, const char *worker, claim_visitor_fn fn,
 			   void *data)
 {
-	struct lug_list *claims = find_claims(shard, worker);
+	struct shard_claims *claims = find_claims(shard, worker);
 
 	if (!claims)
 		return;
-	LUG_LIST_FOREACH_SAFE (claims, pos, tmp) {
+	LUG_LIST_FOREACH_SAFE (&claims->tasks, pos, tmp) {
 		struct shard_task *task = LUG_CONTAINER_OF(pos, struct shard_task, claim_node);
 		struct lug_run_id id = {.occurrence = task->occurrence,
 					.step = task->step,
@@ -493,9 +498,12 @@
 		       const Lug__ShardHeld *held, gint64 now_us)
 {
 	struct beat_check check = {worker, held, now_us};
+	struct shard_claims *claims = find_claims(shard, worker->name);
 
 	if (shard->load_phase != SHARD_LOAD_DONE || held->epoch != lug_shard_epoch(shard))
 		return;
+	if (claims)
+		shard_note_list(shard, worker->name, claims, now_us);
 	for_each_claim(shard, worker->name, check_claim, &check);
 	for (gsize i = 0; i < held->n_held; i++) {
 		struct lug_run_id id;
@@ -558,7 +566,7 @@
  */
 gboolean lug_shard_has_claims(const struct lug_shard *shard, const char *worker)
 {
-	const struct lug_list *claims = find_claims(shard, worker);
+	const struct shard_claims *claims = find_claims(shard, worker);
 
-	return shard->load_phase == SHARD_LOAD_DONE && claims && !lug_list_empty(claims);
+	return shard->load_phase == SHARD_LOAD_DONE && claims && !lug_list_empty(&claims->tasks);
 }
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -241,7 +241,8 @@
 }
 
 static void claim_task(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-		       struct lug_fleet_worker *worker, const struct lug_placement_request *request)
+		       struct lug_fleet_worker *worker, const struct lug_placement_request *request,
+		       gint64 now_us)
 {
 	task->state = SHARD_TASK_CLAIMED;
 	task->run++;
@@ -251,7 +252,7 @@
 	task->shard_epoch = lug_shard_epoch(shard);
 	task->start_seq = 0;
 	task->confirmed = FALSE;
-	shard_index_claim(shard, task);
+	shard_index_claim(shard, task, now_us);
 	lug_fleet_claim(worker, &request->size);
 	lug_fleet_add_unconfirmed(worker, request->step);
 	job->was_claimed = TRUE;
@@ -349,7 +350,7 @@
 			continue;
 		if (!worker)
 			return;
-		claim_task(shard, job, task, worker, &request);
+		claim_task(shard, job, task, worker, &request, now_us);
 		if (request.isolate)
 			lug_fleet_isolate(worker, job->workflow->id, now_us);
 		(*claims_left)--;
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -8,8 +8,8 @@
 /*
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_row.c (encoding of job
- * state), shard_place.c (placement and starts), shard_outcome.c (ended and lost runs) and
- * shard_commit.c (transactions).
+ * state), shard_place.c (placement and starts), shard_outcome.c (ended and lost runs),
+ * shard_report.c (log of what is overdue) and shard_commit.c (transactions).
  */
 
 /*
@@ -55,6 +55,8 @@
  * @failed_on: worker of the latest failed run, interned, NULL for none
  * @checkpoint: checkpoint to resume from, NULL for none
  * @not_before_us: earliest time of the next claim
+ * @waiting_since_us: when a long-running task was last seen to begin waiting, 0 while it is claimed
+ * @delay_logged: the present delay of the task was logged
  * @progress_percent: latest reported progress, in percent of the task's work
  * @metric: latest reported tail latency of a serving task in ms, millicores in use for other tasks
  * @slow_since_us: start of the current period of slow work, 0 when not slow
@@ -82,12 +84,26 @@
 	const char *failed_on;
 	char *checkpoint;
 	gint64 not_before_us;
+	gint64 waiting_since_us;
+	gboolean delay_logged;
 	guint32 progress_percent;
 	gint64 metric;
 	gint64 slow_since_us;
 	gboolean relocating;
 };
 
+/**
+ * struct shard_claims - the tasks claimed for one worker
+ * @tasks: list of struct shard_task
+ * @listed_us: when the worker's agent last listed its runs of the shard, or the claims were loaded
+ * @overdue: it was logged that the list is overdue
+ */
+struct shard_claims {
+	struct lug_list tasks;
+	gint64 listed_us;
+	gboolean overdue;
+};
+
 /**
  * struct shard_occurrence - one pass through a job's steps
  * @number: number, counted from 0
@@ -214,7 +230,7 @@
  * @event_data: passed to @event_fn
  * @owned: this process owns the shard, including while it is being released
  * @jobs: live jobs by id, struct shard_job *
- * @claims: lists of claimed tasks by worker, whose name is interned; struct lug_list *, owned
+ * @claims: claimed tasks by worker, whose name is interned; struct shard_claims *, owned
  * @placement_order: live jobs in the order in which they are placed, owns them
  * @order_valid: @placement_order contains no job that was added after the last sort
  * @next_sort_us: next sort of @placement_order
@@ -232,6 +248,7 @@
  * @last_commit_us: when the latest successful commit was sent, less the clock drift allowed for
  * @generation: number of ownership changes; a struct shard_ref of an earlier one is invalid
  * @next_sweep_us: next deletion of rows of ended jobs
+ * @next_report_us: next search for claims and waiting tasks to log
  */
 struct lug_shard {
 	struct lug_shard_env shared;
@@ -261,6 +278,7 @@
 	gint64 last_commit_us;
 	guint generation;
 	gint64 next_sweep_us;
+	gint64 next_report_us;
 };
 
 /**
@@ -316,7 +334,10 @@
 		     const struct lug_run_id *id);
 void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
 		    const struct lug_run_id *id);
-void shard_index_claim(struct lug_shard *shard, struct shard_task *task);
+void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us);
+void shard_note_list(const struct lug_shard *shard, const char *worker, struct shard_claims *claims,
+		     gint64 now_us);
+void shard_report_delays(struct lug_shard *shard, gint64 now_us);
 void shard_release_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			 const struct lug_step *step);
 void shard_note_run(GString *runs, const struct lug_run_id *id, const char *worker,
