Failing tests: shards without an owner, agents that report to a former one

After a restart of all agents the process named in the row learns from the lease row of the last owner, which is alive again and itself trusts the former one: nobody takes the shard.

--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -379,3 +379,54 @@
     job = next(JOB_IDS)
     assert deployment.submit(job, {"ms": 50}) == 200
     wait_for_state(deployment, job)
+
+
+def replace_owner(deployment):
+    """Kills the owner of shard 0; returns its name and that of its successor."""
+    former = deployment.owner_name()
+    deployment.signal_process(former)
+    assert deployment.wait_until(lambda: deployment.owner_name() not in (None, former))
+    deployment.start(former)
+    return former, deployment.owner_name()
+
+
+def test_late_write_of_a_former_owner_does_not_leave_a_shard_without_an_owner(start_deployment):
+    deployment = start_deployment(workers=3, shards=1)
+    late_callers = set()
+
+    def is_first_announcement(body, caller):
+        if caller in late_callers or all(i["table"] != "owner" for i in body["set_keys"]):
+            return False
+        late_callers.add(caller)
+        return True
+
+    assert deployment.wait_until(deployment.owner_name)
+    deployment.store.is_late = is_first_announcement
+    _, late_owner = replace_owner(deployment)
+    deployment.store.is_late = lambda body, caller: False
+    assert deployment.store.late
+    assert replace_owner(deployment)[0] == late_owner
+    deployment.store.perform_late()
+    for name in deployment.workers:
+        deployment.signal_process(name)
+    for name in deployment.workers:
+        deployment.start(name)
+    job = next(JOB_IDS)
+    assert deployment.wait_until(lambda: deployment.submit(job, {"ms": 100}) == 200)
+    wait_for_state(deployment, job)
+
+
+def test_agent_that_starts_with_an_outdated_owner_finds_the_present_one(start_deployment):
+    deployment = start_deployment(workers=3, shards=1)
+    assert deployment.wait_until(deployment.owner_name)
+    outdated = deployment.store.table("owner").popitem()
+    former, owner = replace_owner(deployment)
+    third = next(name for name in deployment.workers if name not in (former, owner))
+    deployment.signal_process(third)
+    deployment.store.put("owner", "0", outdated[1], part=outdated[0][1])
+    deployment.start(third)
+    job = next(JOB_IDS)
+    # Each task needs a whole worker.
+    assert deployment.submit(job, {"ms": 60000}, [{"count": 3, "cpu": 4000,
+                                                   "long_running": True}]) == 200
+    assert deployment.wait_until(lambda: all(w.running for w in deployment.workers.values()))
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -109,6 +109,10 @@
         self.lost_answer_share = 0.0
         self.delay_s = 0.004
         self.commits = 0
+        # Called with the body and the caller of each transaction: whether it is left without an
+        # answer until perform_late().
+        self.is_late = lambda body, caller: False
+        self.late = []
         self.server = Server(address, self)
 
     def put(self, table, key, value, part=""):
@@ -124,6 +128,11 @@
         with self.lock:
             return {k: v[0] for k, v in self.rows.items() if k[0] == name}
 
+    def perform_late(self):
+        """Carries out the transactions that were left without an answer, if their checks hold."""
+        late, self.late = self.late, []
+        return [self._commit(body) for body in late]
+
     def discard_feed_history(self):
         """Drops the changes recorded so far; the rows stay."""
         with self.lock:
@@ -161,7 +170,11 @@
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         if url.path == "/rows-tx":
-            return self._commit(json.loads(raw))
+            body = json.loads(raw)
+            if self.is_late(body, caller):
+                self.late.append(body)
+                return None
+            return self._commit(body)
         if url.path == "/rows-get":
             return self._read_rows(query)
         if url.path == "/rows-feed":
