An owner confirms its shards, being alive is not enough

An agent took any process that answered its heartbeats for alive as the owner of a shard, also one that had lost the shard. With an outdated owner row, agents that started later reported to such a process; after a restart of all agents two processes each took the other for the owner, and nobody took the shard.

Answers to heartbeats have always listed the shards that the sender owns. An owner that does not confirm a shard for 0.9 s now counts as silent for that shard: the agent reads the lease row, which names the present owner, or takes the shard over once the row has stopped changing. This holds for every source of an outdated owner.

Ruled out: a stalled shard load (other owners' rows were never read), a lack of room.

--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -217,6 +217,9 @@
 		lug_executor_update_owner(agent->executor, owner->shard, owner->epoch);
 		lug_shard_map_update(agent->shard_map, owner->shard, owner->epoch,
 				     owner->address ? owner->address : "");
+		if (lug_shard_map_is_owner(agent->shard_map, owner->shard, owner->epoch,
+					   lug_dial_address(dial)))
+			lug_shards_confirm_owner(agent->shards, owner->shard, now_us);
 	}
 }
 
@@ -303,8 +306,9 @@
 	g_snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, owner->epoch);
 	lug_info(agent->ctx, "shard_owner", "shard", number, "epoch", epoch, "address",
 		 owner->address);
-	if (!agent->executor)
+	if (!agent->shards)
 		return;
+	lug_shards_confirm_owner(agent->shards, shard, lug_now_us());
 	peer = add_owner_peer(agent, shard);
 	if (peer)
 		peer->interval_start_us = 0;
--- a/liblug/workflow/shard_map.c
+++ b/liblug/workflow/shard_map.c
@@ -106,6 +106,20 @@
 	return TRUE;
 }
 
+/**
+ * lug_shard_map_is_owner - whether a process is known as the owner of a shard in an epoch
+ * @shard_map: map
+ * @shard: shard; there is no owner for an invalid number
+ * @epoch: epoch of the ownership
+ * @address: inner address of the process
+ */
+gboolean lug_shard_map_is_owner(const struct lug_shard_map *shard_map, guint32 shard, guint64 epoch,
+				const char *address)
+{
+	return shard < shard_map->n_shards && shard_map->owners[shard].epoch == epoch &&
+	       !strcmp(shard_map->owners[shard].address, address);
+}
+
 static void apply_owner_row(struct lug_shard_map *shard_map, const struct lug_row *row)
 {
 	if (row->data)
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -3,7 +3,10 @@
 #include <string.h>
 
 #define OWNER_TABLE "owner"
-/* Owners answer heartbeats twice a second; the lease row of a silent one is checked. */
+/*
+ * Owners confirm their shards in answers to heartbeats, twice a second. The lease row of a shard
+ * that is not confirmed is checked.
+ */
 #define OWNER_SILENT_US (900 * 1000)
 /* A lease row unchanged for this long, twice RENEW_INTERVAL_MS in shard.c, is taken over. */
 #define LEASE_ROW_UNCHANGED_US (800 * 1000)
@@ -32,6 +35,7 @@
  * @announcing: the owner row is being written
  * @announce_us: earliest time of the next write of the owner row
  * @last_reached_us: when this process, as the owner, last knew a live worker
+ * @confirmed_us: when the owner last confirmed that it owns the shard, or became known
  */
 struct shard_watch {
 	struct lug_shards *shards;
@@ -46,6 +50,7 @@
 	gboolean announcing;
 	gint64 announce_us;
 	gint64 last_reached_us;
+	gint64 confirmed_us;
 };
 
 /*
@@ -236,8 +241,11 @@
 	lug_shard_take(watch->shard, row, now_us);
 }
 
-/* Whether the owner's answers to heartbeats, or their absence, suggest that it is unavailable. */
-static gboolean may_need_takeover(struct shard_watch *watch, gint64 now_us)
+/*
+ * Whether the shard may have no owner, or another one. A process that answers without confirming
+ * the shard has lost it: its answers say nothing about the present owner.
+ */
+static gboolean may_need_takeover(const struct shard_watch *watch, gint64 now_us)
 {
 	struct lug_shards *shards = watch->shards;
 	const struct lug_shard_owner *owner = lug_shard_map_owner(shards->shard_map, watch->number);
@@ -249,7 +257,7 @@
 	peer = lug_peers_find(shards->peers, owner->address);
 	if (!peer)
 		return FALSE;
-	return peer->stalled || now_us - MAX(peer->heard_us, peer->added_us) > OWNER_SILENT_US;
+	return peer->stalled || now_us - MAX(watch->confirmed_us, peer->added_us) > OWNER_SILENT_US;
 }
 
 static void check_owner(struct shard_watch *watch, gint64 now_us)
@@ -300,6 +308,19 @@
 	lug_shard_release(watch->shard, now_us);
 }
 
+/**
+ * lug_shards_confirm_owner - record that the owner known for a shard has become known, or has
+ * confirmed that it owns the shard
+ * @shards: shards
+ * @number: shard; an invalid number is ignored
+ * @now_us: current time
+ */
+void lug_shards_confirm_owner(struct lug_shards *shards, guint32 number, gint64 now_us)
+{
+	if (number < shards->n_shards)
+		shards->watches[number].confirmed_us = now_us;
+}
+
 /**
  * lug_shards_tick - serve the owned shards and check the owners of the others
  */
--- a/liblug/workflow/shards.h
+++ b/liblug/workflow/shards.h
@@ -8,8 +8,8 @@
 /**
  * struct lug_shards - all shards in one agent, owned by it or watched for a takeover
  *
- * A shard whose owner is silent, stalled or has released it is taken over by compare-and-set on its
- * lease row, once the row has stopped changing.
+ * A shard whose owner does not confirm it, is stalled or has released it is taken over by
+ * compare-and-set on its lease row, once the row has stopped changing.
  */
 struct lug_shards;
 
@@ -19,6 +19,7 @@
 void lug_shards_free(struct lug_shards *shards);
 struct lug_shard *lug_shards_find_active(const struct lug_shards *shards, guint32 number);
 guint32 lug_shards_count_active(const struct lug_shards *shards);
+void lug_shards_confirm_owner(struct lug_shards *shards, guint32 number, gint64 now_us);
 void lug_shards_tick(struct lug_shards *shards, gint64 now_us);
 void lug_shards_wake(struct lug_shards *shards);
 void lug_shards_worker_lost(struct lug_shards *shards, const char *worker, guint64 lease_epoch,
