The epoch of a known owner rises with its next ownership

An owner that lost a shard and took it again while nobody was seen in between kept its former epoch in the map, so that an announcement of the epoch in between replaced it. ShardMapTest.OwnerOfALaterEpochIsNotReplacedByAnEarlierOne failed before.

--- a/liblug/workflow/shard_map.c
+++ b/liblug/workflow/shard_map.c
@@ -95,10 +95,11 @@
 		return FALSE;
 	owner = &shard_map->owners[shard];
 	/* Within an epoch only a release, which has no address, changes the owner. */
-	if (epoch < owner->epoch || (epoch == owner->epoch && *address) ||
-	    !strcmp(owner->address, address))
+	if (epoch < owner->epoch || (epoch == owner->epoch && *address))
 		return FALSE;
 	owner->epoch = epoch;
+	if (!strcmp(owner->address, address))
+		return FALSE;
 	g_free(owner->address);
 	owner->address = g_strdup(address);
 	if (shard_map->changed)
