Owner rows change in the transaction that takes or releases the lease

A new owner wrote its row of the owner table in a transaction of its own, without a check, and repeated it until one was answered. A repetition whose answer was lost could take effect seconds later and replace the row of the next owner, for good, as owners announce themselves once. Besides, the answer to an announcement ended a later one that had become due meanwhile.

The row is now part of the lease's own transaction, in the shard's partition: it takes effect exactly when the lease changes hands, and a late one fails the check of the lease row. The announcements with their retries are gone; a takeover takes one transaction less. Agents and entries read one row a shard when they start, and watch the table as before.

test_late_write_of_a_former_owner_does_not_replace_the_present_one and ShardStoreTest.OwnerRowChangesInTheTransactionsOfTheLease failed before. Weighed and dropped: a check of the owner row's version, which needs a read before each write.

--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -217,10 +217,9 @@
 	return total;
 }
 
-static void put_leased_row(struct lug_writer *writer)
+static void put_leased_row(struct lug_writer *writer, gboolean releasing)
 {
 	const struct lug_ctx *ctx = writer->ctx;
-	gboolean releasing = writer->phase == PHASE_RELEASING;
 	JsonObject *row = json_object_new();
 	char incarnation[24];
 
@@ -240,13 +239,17 @@
 
 static void build_txn(struct lug_writer *writer)
 {
+	gboolean releasing = writer->phase == PHASE_RELEASING;
+
 	lug_txn_clear(&writer->txn);
 	lug_txn_init(&writer->txn);
 	g_snprintf(writer->txn_id, sizeof(writer->txn_id),
 		   "%" G_GINT64_MODIFIER "x.%" G_GINT64_MODIFIER "x", writer->ctx->incarnation,
 		   ++writer->txn_count);
 	lug_txn_check(&writer->txn, writer->table, writer->key, writer->version);
-	put_leased_row(writer);
+	put_leased_row(writer, releasing);
+	if (writer->config.add_writes && (releasing || writer->phase == PHASE_ACQUIRING))
+		writer->config.add_writes(writer->config.data, &writer->txn, releasing);
 	LUG_LIST_FOREACH (&writer->in_flight, pos)
 		append_txn(&writer->txn, &LUG_CONTAINER_OF(pos, struct lug_writer_op, node)->txn);
 }
--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -43,6 +43,8 @@
  * @ttl_ms: duration of the lease
  * @renew_ms: longest time between commits, 0 for a third of @ttl_ms
  * @fill_row: adds members to the row at each commit, may be NULL
+ * @add_writes: adds writes to the transaction that takes the lease, or with @releasing to the one
+ *              that releases it, may be NULL
  * @on_event: called on each change of the lease
  * @data: passed to the callbacks
  */
@@ -52,6 +54,7 @@
 	gint64 ttl_ms;
 	gint64 renew_ms;
 	void (*fill_row)(void *data, JsonObject *row);
+	void (*add_writes)(void *data, struct lug_txn *txn, gboolean releasing);
 	void (*on_event)(void *data, enum lug_writer_event event);
 	void *data;
 };
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -1,3 +1,4 @@
+#include "workflow/shard_map.h"
 #include "workflow/shard_priv.h"
 
 #include <string.h>
@@ -250,6 +251,22 @@
 	json_object_set_string_member(row, "address", shard->shared.ctx->settings->advertise);
 }
 
+/*
+ * The owner row changes with the lease, so that a write which takes effect late can't replace the
+ * row of a later owner.
+ */
+static void add_owner_row(void *data, struct lug_txn *txn, gboolean releasing)
+{
+	struct lug_shard *shard = data;
+	JsonObject *row = json_object_new();
+
+	json_object_set_int_member(row, "epoch", (gint64)lug_shard_epoch(shard));
+	json_object_set_string_member(row, "address",
+				      releasing ? "" : shard->shared.ctx->settings->advertise);
+	lug_txn_put(txn, LUG_SHARD_OWNER_TABLE, shard->name, row);
+	json_object_unref(row);
+}
+
 static void on_lease_event(void *data, enum lug_writer_event event)
 {
 	struct lug_shard *shard = data;
@@ -285,6 +302,7 @@
 					   .ttl_ms = shared->ctx->settings->queue_lease_ms,
 					   .renew_ms = RENEW_INTERVAL_MS,
 					   .fill_row = fill_lease_row,
+					   .add_writes = add_owner_row,
 					   .on_event = on_lease_event,
 					   .data = shard};
 
--- a/liblug/workflow/shard_map.c
+++ b/liblug/workflow/shard_map.c
@@ -3,9 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define OWNER_TABLE "owner"
 /*
- * Longest time that the table service holds a watch before it answers. Owners also announce
+ * Longest time that the table service holds a watch before it answers. Owners also name
  * themselves in answers to heartbeats, so an unresponsive connection does less harm here than for
  * the configuration.
  */
@@ -16,24 +15,26 @@
  * struct lug_shard_map - owners of all shards
  * @ctx: context
  * @store: client of the table service
+ * @partitions: clients for the partitions of the shards
  * @n_shards: number of shards
  * @owners: by shard
  * @changed: called when a shard's owner changes, may be NULL
  * @data: passed to @changed
  * @watch_version: version of the owner table after which the next watch reports changes
- * @known: the owner table has been read, so changes are watched
+ * @n_read: owner rows that have been read, in order of the shards; changes are watched once all are
  * @request_in_flight: a read or a watch is in flight
  * @next_request_us: earliest time of the next read or watch
  */
 struct lug_shard_map {
 	struct lug_ctx *ctx;
 	struct lug_store *store;
+	struct lug_store **partitions;
 	guint32 n_shards;
 	struct lug_shard_owner *owners;
 	void (*changed)(void *data, guint32 shard);
 	void *data;
 	gint64 watch_version;
-	gboolean known;
+	guint32 n_read;
 	gboolean request_in_flight;
 	gint64 next_request_us;
 };
@@ -56,8 +57,14 @@
 	shard_map->store = store;
 	shard_map->n_shards = n_shards;
 	shard_map->owners = g_new0(struct lug_shard_owner, n_shards);
-	for (guint32 i = 0; i < n_shards; i++)
+	shard_map->partitions = g_new0(struct lug_store *, n_shards);
+	for (guint32 i = 0; i < n_shards; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "%u", i);
 		shard_map->owners[i].address = g_strdup("");
+		shard_map->partitions[i] = lug_store_partition(store, name);
+	}
 	shard_map->changed = changed;
 	shard_map->data = data;
 	return shard_map;
@@ -71,8 +78,11 @@
 {
 	if (!shard_map)
 		return;
-	for (guint32 i = 0; i < shard_map->n_shards; i++)
+	for (guint32 i = 0; i < shard_map->n_shards; i++) {
 		g_free(shard_map->owners[i].address);
+		lug_store_free(shard_map->partitions[i]);
+	}
+	g_free(shard_map->partitions);
 	g_free(shard_map->owners);
 	g_free(shard_map);
 }
@@ -129,6 +139,8 @@
 				     lug_json_str(row->data, "address", ""));
 }
 
+static void read_next_row(struct lug_shard_map *shard_map);
+
 static void on_scan(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		    gboolean more)
 {
@@ -142,8 +154,21 @@
 	}
 	for (guint i = 0; i < n_rows; i++)
 		apply_owner_row(shard_map, &rows[i]);
-	shard_map->watch_version = shard_map->store->version;
-	shard_map->known = TRUE;
+	/* Changes during the later reads are seen by a watch from the first one on. */
+	if (!shard_map->n_read)
+		shard_map->watch_version = shard_map->partitions[0]->version;
+	if (++shard_map->n_read < shard_map->n_shards)
+		read_next_row(shard_map);
+}
+
+static void read_next_row(struct lug_shard_map *shard_map)
+{
+	char key[16];
+
+	shard_map->request_in_flight = TRUE;
+	g_snprintf(key, sizeof(key), "%u", shard_map->n_read);
+	lug_store_scan(shard_map->partitions[shard_map->n_read], LUG_SHARD_OWNER_TABLE, key, NULL,
+		       1, on_scan, shard_map);
 }
 
 static void on_watch(void *data, const struct lug_watch_result *result)
@@ -153,7 +178,7 @@
 	shard_map->request_in_flight = FALSE;
 	if (result->status == LUG_NOT_FOUND) {
 		/* The table service has dropped the changes since the last watch: read again. */
-		shard_map->known = FALSE;
+		shard_map->n_read = 0;
 		shard_map->next_request_us = lug_now_us() + REQUEST_RETRY_US;
 		return;
 	}
@@ -167,7 +192,7 @@
 }
 
 /**
- * lug_shard_map_tick - keep a read or a watch of the owner table in flight
+ * lug_shard_map_tick - keep a read of an owner row or a watch of their table in flight
  * @shard_map: map
  * @now_us: current time
  */
@@ -175,21 +200,21 @@
 {
 	if (shard_map->request_in_flight || now_us < shard_map->next_request_us)
 		return;
+	if (!lug_shard_map_is_known(shard_map)) {
+		read_next_row(shard_map);
+		return;
+	}
 	shard_map->request_in_flight = TRUE;
-	if (shard_map->known)
-		lug_store_watch(shard_map->store, OWNER_TABLE, shard_map->watch_version,
-				WATCH_TIMEOUT_MS, on_watch, shard_map);
-	else
-		lug_store_scan(shard_map->store, OWNER_TABLE, "", NULL, shard_map->n_shards,
-			       on_scan, shard_map);
+	lug_store_watch(shard_map->store, LUG_SHARD_OWNER_TABLE, shard_map->watch_version,
+			WATCH_TIMEOUT_MS, on_watch, shard_map);
 }
 
 /**
- * lug_shard_map_is_known - whether the owner table has been read
+ * lug_shard_map_is_known - whether the owners of all shards have been read
  */
 gboolean lug_shard_map_is_known(const struct lug_shard_map *shard_map)
 {
-	return shard_map->known;
+	return shard_map->n_read == shard_map->n_shards;
 }
 
 /**
--- a/liblug/workflow/shard_map.h
+++ b/liblug/workflow/shard_map.h
@@ -4,6 +4,9 @@
 #include "core/context.h"
 #include "store/store.h"
 
+/* Table with a row for each shard, in the shard's partition, which names its latest owner. */
+#define LUG_SHARD_OWNER_TABLE "owner"
+
 /**
  * struct lug_shard_owner - owner of a shard, as known to this process
  * @epoch: epoch of the ownership, 0 when unknown
@@ -17,7 +20,7 @@
 /**
  * struct lug_shard_map - owners of all shards
  *
- * Owners announce themselves in a table that every process watches, and in their answers to
+ * Owners are named in a table that every process watches, and name themselves in their answers to
  * heartbeats. A known owner is replaced only by one of a higher epoch, or by its own release.
  */
 struct lug_shard_map;
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#define OWNER_TABLE "owner"
 /*
  * Owners confirm their shards in answers to heartbeats, twice a second. The lease row of a shard
  * that is not confirmed is checked.
@@ -14,7 +13,6 @@
 /* Candidates try at different times, those that own fewer shards first. */
 #define CANDIDATE_JITTER_US (150 * 1000)
 #define CANDIDATE_DELAY_PER_SHARD_US (250 * 1000)
-#define ANNOUNCE_RETRY_US (300 * 1000)
 /*
  * An owner that has received no worker's heartbeat for this long, not even that of the worker
  * beside it, releases its shards.
@@ -31,9 +29,6 @@
  * @reading: a read of the lease row is in flight
  * @seen_version: version of the lease row as last read, 0 for none
  * @seen_since_us: when that version was first read
- * @announce: the owner row does not yet reflect the latest change of ownership by this process
- * @announcing: the owner row is being written
- * @announce_us: earliest time of the next write of the owner row
  * @last_reached_us: when this process, as the owner, last knew a live worker
  * @confirmed_us: when the owner last confirmed that it owns the shard, or became known
  */
@@ -46,9 +41,6 @@
 	gboolean reading;
 	gint64 seen_version;
 	gint64 seen_since_us;
-	gboolean announce;
-	gboolean announcing;
-	gint64 announce_us;
 	gint64 last_reached_us;
 	gint64 confirmed_us;
 };
@@ -89,9 +81,6 @@
 		lug_warn(ctx, event == LUG_SHARD_LOST ? "shard_lost" : "shard_released", "shard",
 			 text);
 	lug_gauge(ctx, QUEUES_OWNED, lug_shards_count_active(shards));
-	/* When the shard is lost, its new owner announces itself. */
-	watch->announce = event != LUG_SHARD_LOST;
-	watch->announce_us = now_us;
 	lug_shard_map_update(shards->shard_map, number, lug_shard_epoch(watch->shard),
 			     event == LUG_SHARD_TAKEN ? ctx->settings->advertise : "");
 	if (event == LUG_SHARD_TAKEN)
@@ -169,39 +158,6 @@
 	return n;
 }
 
-static void on_announced(void *data, const struct lug_txn_result *result)
-{
-	struct shard_watch *watch = data;
-
-	watch->announcing = FALSE;
-	if (result->status == LUG_OK)
-		watch->announce = FALSE;
-}
-
-static void announce_ownership(struct shard_watch *watch, gint64 now_us)
-{
-	struct lug_shards *shards = watch->shards;
-	gboolean held = lug_shard_is_active(watch->shard);
-	JsonObject *row;
-	struct lug_txn txn;
-	char key[16];
-
-	if (!watch->announce || watch->announcing || now_us < watch->announce_us)
-		return;
-	watch->announce_us = now_us + ANNOUNCE_RETRY_US;
-	watch->announcing = TRUE;
-	row = json_object_new();
-	json_object_set_int_member(row, "epoch", (gint64)lug_shard_epoch(watch->shard));
-	json_object_set_string_member(row, "address",
-				      held ? shards->shared.ctx->settings->advertise : "");
-	g_snprintf(key, sizeof(key), "%u", watch->number);
-	lug_txn_init(&txn);
-	lug_txn_put(&txn, OWNER_TABLE, key, row);
-	lug_store_txn(shards->shared.store, &txn, on_announced, watch);
-	lug_txn_clear(&txn);
-	json_object_unref(row);
-}
-
 static gboolean is_own_row(const struct shard_watch *watch, const struct lug_row *row)
 {
 	const struct lug_settings *settings = watch->shards->shared.ctx->settings;
@@ -330,7 +286,6 @@
 		struct shard_watch *watch = &shards->watches[i];
 
 		lug_shard_tick(watch->shard, now_us);
-		announce_ownership(watch, now_us);
 		release_if_unreached(watch, now_us);
 		if (!lug_shard_is_active(watch->shard) && !shards->leaving &&
 		    lug_shard_map_is_known(shards->shard_map))
@@ -397,12 +352,12 @@
 }
 
 /**
- * lug_shards_all_released - whether all shards are released and the owner table shows it
+ * lug_shards_all_released - whether this process owns no shard any more
  */
 gboolean lug_shards_all_released(const struct lug_shards *shards)
 {
 	for (guint32 i = 0; i < shards->n_shards; i++)
-		if (lug_shard_is_owned(shards->watches[i].shard) || shards->watches[i].announce)
+		if (lug_shard_is_owned(shards->watches[i].shard))
 			return FALSE;
 	return TRUE;
 }
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -386,12 +386,15 @@
     former = deployment.owner_name()
     deployment.signal_process(former)
     assert deployment.wait_until(lambda: deployment.owner_name() not in (None, former))
+    starts = deployment.log(former).count("event=started")
     deployment.start(former)
+    assert deployment.wait_until(
+        lambda: deployment.log(former).count("event=started") > starts)
     return former, deployment.owner_name()
 
 
-def test_late_write_of_a_former_owner_does_not_leave_a_shard_without_an_owner(start_deployment):
-    deployment = start_deployment(workers=3, shards=1)
+def replace_owner_whose_announcement_is_late(deployment):
+    """Replaces an owner, then lets its announcement take effect; returns the present owner."""
     late_callers = set()
 
     def is_first_announcement(body, caller):
@@ -405,8 +408,21 @@
     _, late_owner = replace_owner(deployment)
     deployment.store.is_late = lambda body, caller: False
     assert deployment.store.late
-    assert replace_owner(deployment)[0] == late_owner
+    former, owner = replace_owner(deployment)
+    assert former == late_owner
     deployment.store.perform_late()
+    return owner
+
+
+def test_late_write_of_a_former_owner_does_not_replace_the_present_one(start_deployment):
+    deployment = start_deployment(workers=3, shards=1)
+    owner = replace_owner_whose_announcement_is_late(deployment)
+    assert deployment.owner_name() == owner
+
+
+def test_late_write_of_a_former_owner_does_not_leave_a_shard_without_an_owner(start_deployment):
+    deployment = start_deployment(workers=3, shards=1)
+    replace_owner_whose_announcement_is_late(deployment)
     for name in deployment.workers:
         deployment.signal_process(name)
     for name in deployment.workers:
--- a/tests/unit/shard_store_test.cc
+++ b/tests/unit/shard_store_test.cc
@@ -98,4 +98,19 @@
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
 	EXPECT_FALSE(has_row("inbox/a"));
 }
+TEST_F(ShardStoreTest, OwnerRowChangesInTheTransactionsOfTheLease)
+{
+	int commits = store.commits;
+
+	take_shard();
+	EXPECT_EQ(store.commits, commits + 1);
+	EXPECT_EQ(store.rows["0|owner/0"].data, "{\"epoch\":1,\"address\":\"127.0.0.1:0\"}");
+	EXPECT_EQ(store.rows["0|owner/0"].version, store.rows["0|shard/0"].version);
+	run_rounds();
+	lug_shard_release(shard, lug_now_us());
+	run_rounds();
+	EXPECT_EQ(store.rows["0|owner/0"].data, "{\"epoch\":1,\"address\":\"\"}");
+	EXPECT_EQ(store.rows["0|owner/0"].version, store.rows["0|shard/0"].version);
+}
+
 } // namespace
