A displaced owner does not acknowledge ends of its successor's runs

Their agent had started them for the new owner of the shard 10 ms after the takeover, but still took the former owner, which was cut off from the table service and did not know of the takeover, for the owner, and reported the ends there. The former owner did not know the job and acknowledged at once, as it does for repeated reports. The agent forgot the ends, and the new owner read in the next heartbeat that the agent had received the starts and did not hold the runs.

Such an acknowledgement now waits for a commit that was sent after the report: a displaced owner has none, and the agent reports to the new one. Same class as the owners that were trusted because they were alive: a belief about the ownership that nothing had confirmed. Both new tests of ShardTest failed before. Ruled out: the acknowledgement of an end that applies, which always waited for its commit.

--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -42,6 +42,7 @@
 	X(TASKS_FAILED, "tasks_failed", "Batch task attempts that failed")                \
 	X(TASKS_EVICTED, "tasks_evicted", "Batch task attempts evicted")                  \
 	X(TASKS_LOST, "tasks_lost", "Batch task attempts lost with their worker")         \
+	X(ENDS_ACKNOWLEDGED, "ends_acknowledged", "Acknowledged ends of runs")            \
 	X(TASKS_GIVEN_UP, "tasks_given_up", "Tasks given up because they crash workers")  \
 	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
 	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -656,6 +656,18 @@
 	return writer->phase == PHASE_HELD;
 }
 
+/**
+ * lug_writer_renewed_us - time at which the last committed transaction was first sent
+ * @writer: writer
+ *
+ * Return: microseconds since boot, 0 before the first commit. No other process has taken the lease
+ * before that time.
+ */
+gint64 lug_writer_renewed_us(const struct lug_writer *writer)
+{
+	return writer->renewed_us;
+}
+
 /**
  * lug_writer_valid_until_us - time until which no other process can take the lease
  * @writer: writer
--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -100,6 +100,7 @@
 void lug_writer_tick(struct lug_writer *writer, gint64 now_us);
 gboolean lug_writer_is_held(const struct lug_writer *writer);
 gboolean lug_writer_is_valid(const struct lug_writer *writer, gint64 now_us);
+gint64 lug_writer_renewed_us(const struct lug_writer *writer);
 gint64 lug_writer_valid_until_us(const struct lug_writer *writer);
 guint64 lug_writer_epoch(const struct lug_writer *writer);
 gint64 lug_writer_total(const struct lug_writer *writer);
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -317,6 +317,7 @@
 	shard->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	shard->claims = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	shard->placement_order = g_ptr_array_new();
+	shard->obsolete_ends = g_array_new(FALSE, FALSE, sizeof(struct shard_obsolete_end));
 	shard->ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return shard;
 }
@@ -353,6 +354,7 @@
 	}
 	g_ptr_array_unref(order);
 	g_hash_table_remove_all(shard->claims);
+	g_array_set_size(shard->obsolete_ends, 0);
 	shard->load_phase = SHARD_LOAD_NONE;
 	shard->scanning = FALSE;
 	shard->reading_inbox = FALSE;
@@ -390,6 +392,7 @@
 	g_hash_table_unref(shard->jobs);
 	g_hash_table_unref(shard->claims);
 	g_hash_table_unref(shard->ended_jobs);
+	g_array_unref(shard->obsolete_ends);
 	g_ptr_array_unref(shard->placement_order);
 	g_free(shard);
 }
@@ -537,6 +540,7 @@
 			MAX(shard->last_commit_us,
 			    lug_writer_valid_until_us(shard->writer) -
 				    shard->shared.ctx->settings->queue_lease_ms * 1000);
+	shard_ack_obsolete_ends(shard);
 	shard_load_tick(shard, now_us);
 	if (shard->load_phase != SHARD_LOAD_DONE)
 		return;
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -106,6 +106,7 @@
 	ack.has_shard = 1;
 	ack.shard = shard->number;
 	ack.id = &run;
+	lug_count(shard->shared.ctx, ENDS_ACKNOWLEDGED, 1);
 	lug_link_send(shard->shared.link, route, &env);
 }
 
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -130,6 +130,18 @@
 	guint64 revision;
 };
 
+/**
+ * struct shard_obsolete_end - reported end of a run that changes nothing
+ * @route: destination of the acknowledgement
+ * @id: run
+ * @received_us: when the report arrived
+ */
+struct shard_obsolete_end {
+	struct lug_route route;
+	struct lug_run_id id;
+	gint64 received_us;
+};
+
 /**
  * struct shard_waiter - caller that waits for a job to be stored or cancelled
  * @fn: called once with the outcome
@@ -234,6 +246,7 @@
  * @placement_order: live jobs in the order in which they are placed, owns them
  * @order_valid: @placement_order contains no job that was added after the last sort
  * @next_sort_us: next sort of @placement_order
+ * @obsolete_ends: ends to acknowledge after the next commit, array of struct shard_obsolete_end
  * @ended_jobs: recently ended jobs by id, struct shard_ended *
  * @load_phase: progress of loading
  * @scanning: a scan for loading is in flight
@@ -264,6 +277,7 @@
 	GPtrArray *placement_order;
 	gboolean order_valid;
 	gint64 next_sort_us;
+	GArray *obsolete_ends;
 	GHashTable *ended_jobs;
 	enum shard_load_phase load_phase;
 	gboolean scanning;
@@ -334,6 +348,7 @@
 		     const struct lug_run_id *id);
 void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
 		    const struct lug_run_id *id);
+void shard_ack_obsolete_ends(struct lug_shard *shard);
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us);
 void shard_note_list(const struct lug_shard *shard, const char *worker, struct shard_claims *claims,
 		     gint64 now_us);
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -417,4 +417,28 @@
 	EXPECT_NE(state_row("a").find(".1.0.0"), std::string::npos) << state_row("a");
 }
 
+TEST_F(ShardTest, EndOfAnUnknownRunIsAcknowledgedAfterACommitOnly)
+{
+	const guint64 *acks = &ctx->metrics->counters[LUG_C_ENDS_ACKNOWLEDGED];
+
+	take_shard_with_worker();
+	end_run("x", 0, 0, 1, LUG_RUN_DONE);
+	run_rounds();
+	EXPECT_EQ(*acks, 0u);
+	add_stored_job("a");
+	run_rounds();
+	EXPECT_EQ(*acks, 1u);
+}
+
+TEST_F(ShardTest, DisplacedOwnerDoesNotAcknowledgeItsSuccessorsRuns)
+{
+	take_shard_with_worker();
+	store.put("0|shard/0", "{\"owner\":\"other\",\"epoch\":9,\"ttl_ms\":8000,\"txn\":\"y\"}");
+	end_run("x", 0, 0, 1, LUG_RUN_DONE);
+	add_stored_job("a");
+	run_rounds();
+	EXPECT_EQ(events.back(), LUG_SHARD_LOST);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_ENDS_ACKNOWLEDGED], 0u);
+}
+
 } // namespace
