Restarted agent whose worker is gone: state that it holds no runs

Callers saw tasks that stayed claimed, and did not run, for as long as the agent of their worker lived.

Cause: an agent that has restarted lists no runs in its heartbeats until its worker has answered a poll under the new lease. A worker that is gone never does. Owners take the agent's heartbeats as a sign of life, so they neither read the worker's lease, which the agent renews anyway, nor compare the claims with a list.

Ruled out: fencing by the owner, as the row of the lease changes with each renewal.

No lease that a former process has sent to the worker lasts longer than the row that the new process took over, and polls without an answer grant nothing. Once that time and the longest wait for an answer have passed, the agent confirms its lease epoch without an answer; for a worker that has announced its exit, when it has exited. Owners then return the claims for earlier leases. Starts remain refused until the worker answers, and runs and ends that it lists later are reported as before. The time counts with the former holder's lease duration, which may be longer than the configured one.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -33,6 +33,17 @@
 	g_free(end);
 }
 
+/*
+ * Time after which no lease that a former process sent to the worker is valid. No such lease lasts
+ * longer than the row that this process has taken over just now.
+ */
+static gint64 former_grants_end_us(const struct lug_executor *exec)
+{
+	gint64 ttl_us = MAX(exec->ctx->settings->worker_lease_ms, exec->former_ttl_ms) * 1000;
+
+	return lug_now_us() + ttl_us + ttl_us / EXEC_CLOCK_DRIFT_DIVISOR;
+}
+
 static void on_lease_event(void *data, enum lug_writer_event event)
 {
 	struct lug_executor *exec = data;
@@ -50,6 +61,7 @@
 	 * once a poll has brought it the new lease epoch, which is the fencing token.
 	 */
 	exec->confirmed_epoch = 0;
+	exec->granted_until_us = MAX(exec->granted_until_us, former_grants_end_us(exec));
 	exec_poll(exec, lug_now_us());
 }
 
@@ -136,6 +148,7 @@
 		exec->acquiring_lease = FALSE;
 		return;
 	}
+	exec->former_ttl_ms = found ? lug_json_int(rows[0].data, "ttl_ms", 0) : 0;
 	lug_writer_take(exec->writer, found ? &rows[0] : &none, lug_now_us());
 }
 
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -14,8 +14,6 @@
  * sent when the owners have acknowledged all ends, or after this delay at the latest.
  */
 #define UNACKED_POLL_US (80 * 1000)
-/* The worker's clock may run up to 2 % slow. */
-#define CLOCK_DRIFT_DIVISOR 50
 /* Consecutive failed polls after which polls stop renewing the lease. */
 #define MAX_FAILED_POLLS 2
 /*
@@ -42,7 +40,7 @@
 
 	if (!lug_writer_is_held(exec->writer) || !exec->clock_at_us || span_us <= 0)
 		return 0;
-	return exec->clock_ms + (span_us - span_us / CLOCK_DRIFT_DIVISOR) / 1000;
+	return exec->clock_ms + (span_us - span_us / EXEC_CLOCK_DRIFT_DIVISOR) / 1000;
 }
 
 static void apply_running(struct lug_executor *exec, const struct lug_worker_running *item,
@@ -262,33 +260,71 @@
 	exec->worker->ops->poll(exec->worker, &poll, on_poll_reply, exec);
 }
 
+static gboolean has_exited(const struct lug_executor *exec, gint64 now_us)
+{
+	return exec->worker_exiting && now_us - exec->exit_announced_us > WORKER_EXIT_US;
+}
+
+/*
+ * Whether the lease sent to the worker has expired and the worker has not answered since. A run may
+ * have ended as done before the expiry, which an agent that was suspended meanwhile learns from the
+ * next poll only: that poll must have been answered or have failed.
+ */
+static gboolean is_expired(struct lug_executor *exec, gint64 now_us)
+{
+	if (!exec->granted_until_us || now_us <= exec->granted_until_us)
+		return FALSE;
+	/* A poll answered after that time has listed the runs that are left. */
+	if (exec->last_answer_us > exec->granted_until_us)
+		return FALSE;
+	if (exec->expiry_seen_us < exec->granted_until_us)
+		exec->expiry_seen_us = now_us;
+	return exec->failed_poll_sent_us > exec->granted_until_us ||
+	       now_us - exec->expiry_seen_us >= EXPIRED_ANSWER_TIMEOUT_US;
+}
+
+static gboolean is_confirmation_missing(const struct lug_executor *exec)
+{
+	return lug_writer_is_held(exec->writer) &&
+	       exec->confirmed_epoch != lug_writer_epoch(exec->writer);
+}
+
+/*
+ * States to owners that no run of an earlier lease is left. Starts remain refused until the worker
+ * answers, see exec_is_accepting().
+ */
+static void confirm_without_answer(struct lug_executor *exec)
+{
+	char epoch[24];
+
+	exec->confirmed_epoch = lug_writer_epoch(exec->writer);
+	g_snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, exec->confirmed_epoch);
+	lug_warn(exec->ctx, "worker_unheard", "lease_epoch", epoch, "reason",
+		 "no answer since the lease was taken; no earlier run can be left");
+}
+
 /**
  * exec_drop_expired - remove the runs of a worker that has exited or whose lease has expired
  *
  * No lease expiry sent to the worker is later than @granted_until_us, so no run is left after that
- * time, even if the worker does not answer. A run may have ended as done before, though, which an
- * agent that was suspended meanwhile learns from the next poll only. The runs are therefore kept
- * until a poll that was sent after the expiry has been answered or has failed.
+ * time, even if the worker does not answer. Owners are told so although the worker has not answered
+ * under the agent's present lease: they would wait for an answer that a worker that is gone never
+ * gives.
  */
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us)
 {
-	if (exec->worker_exiting && exec->runs->len &&
-	    now_us - exec->exit_announced_us > WORKER_EXIT_US) {
-		g_ptr_array_set_size(exec->runs, 0);
-		return;
-	}
-	if (!exec->granted_until_us || now_us <= exec->granted_until_us || !exec->runs->len)
+	gboolean exited = has_exited(exec, now_us);
+
+	if (!exec->runs->len && !is_confirmation_missing(exec))
 		return;
-	/* A poll answered after that time has listed the runs that are left. */
-	if (exec->last_answer_us > exec->granted_until_us)
-		return;
-	if (exec->expiry_seen_us < exec->granted_until_us)
-		exec->expiry_seen_us = now_us;
-	if (exec->failed_poll_sent_us <= exec->granted_until_us &&
-	    now_us - exec->expiry_seen_us < EXPIRED_ANSWER_TIMEOUT_US)
+	if (!exited && !is_expired(exec, now_us))
 		return;
 	/* A worker that stays silent for the whole lease has crashed, as far as can be known. */
-	lug_warn(exec->ctx, "runs_lapsed", "reason", "the worker's lease has expired");
-	exec_end_crashed_runs(exec, now_us);
+	if (!exited && exec->runs->len) {
+		lug_warn(exec->ctx, "runs_lapsed", "reason", "the worker's lease has expired");
+		exec_end_crashed_runs(exec, now_us);
+	}
 	g_ptr_array_set_size(exec->runs, 0);
+	if (is_confirmation_missing(exec))
+		confirm_without_answer(exec);
 }
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -13,6 +13,8 @@
 
 /* Minimum remaining lease time for accepting a start. */
 #define START_LEASE_MARGIN_US (1000 * 1000)
+/* The worker's clock may run up to 2 % slow. */
+#define EXEC_CLOCK_DRIFT_DIVISOR 50
 
 /**
  * enum exec_state - state of a run
@@ -189,6 +191,7 @@
  * @acquiring_lease: an attempt to acquire the lease is in flight
  * @lease_held: the latest lease event was LUG_WRITER_TAKEN; unlike lug_writer_is_held(), still TRUE
  *              while the release is being committed
+ * @former_ttl_ms: duration of the lease of the former holder, 0 for none
  * @next_acquire_us: earliest time of the next attempt to acquire the lease
  * @worker_id: id in the worker's latest heartbeat, "" before the first
  * @id_incarnation: incarnation that has that id
@@ -213,11 +216,13 @@
  * @poll_sent_us: time at which the latest poll was sent
  * @poll_epoch: lease epoch of the latest poll
  * @poll_incarnation: @worker_incarnation when the latest poll was sent
- * @confirmed_epoch: lease epoch under which the worker has answered a poll, 0 for none
+ * @confirmed_epoch: lease epoch under which the runs on the worker are known: it has answered a
+ *                   poll, or no earlier run can be left on it; 0 for none
  * @clock_ms: the worker's clock at @clock_at_us
  * @clock_at_us: time at which @clock_ms was received, 0 for not known
  * @clock_requested_us: time at which the poll was sent whose answer contained @clock_ms
- * @granted_until_us: time after which no lease sent to the worker is valid
+ * @granted_until_us: time after which no lease sent to the worker, by this process or a former
+ *                    one, is valid
  * @last_answer_us: time of the latest answer to a poll
  * @acked_end_number: ends up to this number are stored by the owners of their shards
  * @last_end_number: number of the latest end received
@@ -252,6 +257,7 @@
 	guint64 last_local_id;
 	gboolean acquiring_lease;
 	gboolean lease_held;
+	gint64 former_ttl_ms;
 	gint64 next_acquire_us;
 	char *worker_id;
 	guint64 id_incarnation;
