--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -291,7 +291,8 @@
 gboolean exec_is_accepting(const struct lug_executor *exec, gint64 now_us)
 {
 	if (exec->shutting_down || exec->draining || exec->worker_exiting || exec->worker_down ||
-	    !exec->worker_incarnation || exec->id_incarnation != exec->worker_incarnation ||
+	    !exec->clock_at_us || !exec->worker_incarnation ||
+	    exec->id_incarnation != exec->worker_incarnation ||
 	    exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
 	    !lug_writer_is_held(exec->writer) ||
 	    !lug_writer_is_valid(exec->writer, now_us + START_LEASE_MARGIN_US) ||
--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -111,4 +111,44 @@
 	EXPECT_EQ(beat().lists, 1u);
 	EXPECT_EQ(beat().lease_epoch, 2u);
 }
+
+TEST_F(ExecutorUnheardTest, RunsOfAWorkerThatIsGoneAfterItsRestartEndAsCrashed)
+{
+	start("a");
+	worker.answer(LUG_ORDER_OK);
+	incarnation = 200;
+	send_heartbeat();
+	expire_lease();
+	EXPECT_EQ(crashed.count("a#1"), 1u);
+	EXPECT_EQ(beat().lists, 1u);
+	EXPECT_EQ(beat().held, 1u) << "the end is listed until its owner has stored it";
+	EXPECT_EQ(beat().lease_epoch, 1u);
+	ack("a");
+	EXPECT_EQ(beat().held, 0u);
+}
+
+TEST_F(ExecutorUnheardTest, RunsOfARestartedWorkerAreKeptUntilTheLeaseTimeHasPassed)
+{
+	start("a");
+	worker.answer(LUG_ORDER_OK);
+	incarnation = 200;
+	send_heartbeat();
+	lug_executor_tick(exec, lug_now_us() + 3 * G_USEC_PER_SEC);
+	lug_executor_tick(exec, lug_now_us() + 5 * G_USEC_PER_SEC);
+	EXPECT_TRUE(crashed.empty()) << "the next incarnation may have taken the start";
+	running = {{id("a"), 10}};
+	answer_poll();
+	EXPECT_EQ(beat().held, 1u);
+	EXPECT_TRUE(crashed.empty());
+}
+
+TEST_F(ExecutorUnheardTest, AnAgentWhoseWorkerIsGoneAfterItsFirstHeartbeatStatesThatItHoldsNoRuns)
+{
+	restart_agent();
+	send_heartbeat();
+	expire_lease();
+	EXPECT_EQ(beat().lists, 1u);
+	EXPECT_EQ(beat().lease_epoch, 2u);
+	EXPECT_FALSE(beat().ready);
+}
 } // namespace
