Agent that does not know its worker's runs: keep the lease at exit

Callers could see a task run twice: an agent that got SIGTERM shortly after its start, before its worker had answered a poll, released the worker's lease while runs of its former process went on.

Cause: the lease is released when the agent knows of no run, also while no answer has shown which runs there are. Owners take a released lease as the end of all runs under it and start the tasks elsewhere, while the worker keeps the runs until the lease sent to it expires.

Ruled out: an agent that knows its runs; it keeps the lease while it has any.

The lease is released only under a confirmed epoch. Otherwise the agent exits after its usual time limit and the lease expires.

The test failed before: the row was released without an answer.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -394,6 +394,9 @@
 
 static void release_idle_lease(struct lug_executor *exec, gint64 now_us)
 {
+	/* The worker may have runs that a former process has started. */
+	if (exec->confirmed_epoch != lug_writer_epoch(exec->writer))
+		return;
 	/*
 	 * Entries of exec->ends are removed only by polls, which need the lease. It is kept until
 	 * none is left, or until the worker exits, after which no poll is sent.
--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -151,4 +151,19 @@
 	EXPECT_EQ(beat().lease_epoch, 2u);
 	EXPECT_FALSE(beat().ready);
 }
+
+TEST_F(ExecutorUnheardTest, AnAgentThatDoesNotKnowTheRunsKeepsTheLeaseAtItsExit)
+{
+	restart_agent();
+	lug_executor_shut_down(exec);
+	tick();
+	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"owner\":\"w1\""), std::string::npos);
+	/* Longer than POLL_RETRY_US. */
+	g_usleep(200 * 1000);
+	tick();
+	answer_poll();
+	tick();
+	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"owner\":\"\""), std::string::npos);
+	EXPECT_TRUE(lug_executor_can_exit(exec));
+}
 } // namespace
