Agent that lives without listing its runs: watch the worker's lease

Callers saw tasks that stayed claimed, and did not run, while the agent of their worker lived without the worker's lease, for example because the table service turned its machine away after a restart of the agent.

Cause: the owner reads the row of the lease only while the agent is silent, and each heartbeat began the observation of the row anew, also one without a list of runs. Such heartbeats show that the agent lives; they say nothing about the claims or the lease.

Ruled out: fencing a worker whose agent lists its runs to the owner of another shard only. It renews its row, and a row that changes is not fenced.

A worker is watched when tasks are claimed for it and its agent is silent or has not listed its runs of one of these shards for as long as it takes to count as silent. A list ends the observation, a heartbeat does not. The fence still requires the whole lease time and its margin without a change of the row. The fleet's hook returns the time since the latest list; it counts claims of a shard that is being loaded too, so that their worker is not forgotten meanwhile.

One of the five tests failed before (row not fenced, task still claimed). The others guard a renewed row, a list before and during the read, and that nothing is read while the runs are listed.

--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -283,11 +283,18 @@
 	lug_shards_worker_lost(agent->shards, worker, lease_epoch, lug_now_us());
 }
 
-static gboolean worker_has_claims(void *data, const char *worker)
+static gint64 worker_unlisted_us(void *data, const char *worker, gint64 now_us)
 {
 	struct queue_agent *agent = data;
+	gint64 longest_us = -1;
 
-	return lug_shards_has_claims(agent->shards, worker);
+	for (guint32 i = 0; i < lug_shard_map_count(agent->shard_map); i++) {
+		const struct lug_shard *shard = lug_shards_find_active(agent->shards, i);
+
+		if (shard)
+			longest_us = MAX(longest_us, lug_shard_unlisted_us(shard, worker, now_us));
+	}
+	return longest_us;
 }
 
 /*
@@ -361,7 +368,7 @@
 static void create_owner_components(struct queue_agent *agent)
 {
 	struct lug_fleet_hooks hooks = {
-		.lease_ended = on_worker_lost, .has_claims = worker_has_claims, .data = agent};
+		.lease_ended = on_worker_lost, .unlisted_us = worker_unlisted_us, .data = agent};
 	struct lug_shard_env env = {.ctx = agent->ctx,
 				    .store = agent->store,
 				    .link = agent->link,
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -9,7 +9,7 @@
 #define LEASE_TABLE "worker"
 /* Three heartbeat intervals; no tasks are placed on a worker whose agent has been silent longer. */
 #define SILENT_US (1500 * 1000)
-#define LEASE_READ_INTERVAL_US (500 * 1000)
+#define LEASE_CHECK_INTERVAL_US (500 * 1000)
 /* Added to the lease time: the delay of a renewal on its way through the table service. */
 #define FENCE_MARGIN_US (300 * 1000)
 #define AVERAGE_INTERVAL_US (1000 * 1000)
@@ -386,7 +386,6 @@
 	worker->generation = beat->generation;
 	worker->route = *route;
 	worker->last_beat_us = now_us;
-	worker->lease_row_version = 0;
 	g_strlcpy(worker->service, beat->service ? beat->service : "", sizeof(worker->service));
 	g_strlcpy(worker->zone, beat->zone ? beat->zone : "", sizeof(worker->zone));
 	g_strfreev(worker->labels);
@@ -500,6 +499,21 @@
 		fence_lease(fleet, worker, row);
 }
 
+static gint64 unlisted_us(const struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
+			  gint64 now_us)
+{
+	return fleet->hooks.unlisted_us(fleet->hooks.data, worker->name, now_us);
+}
+
+/* The agent of a worker with claims is silent, or lives but does not list its runs. */
+static gboolean is_list_awaited(const struct lug_fleet *fleet,
+				const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	gint64 since_us = unlisted_us(fleet, worker, now_us);
+
+	return since_us >= 0 && MAX(since_us, now_us - worker->last_beat_us) >= SILENT_US;
+}
+
 static void on_lease_row(void *data, enum lug_status status, const struct lug_row *rows,
 			 guint n_rows, gboolean more)
 {
@@ -511,7 +525,7 @@
 	(void)more;
 	if (worker) {
 		worker->lease_call_in_flight = FALSE;
-		if (status == LUG_OK && now_us - worker->last_beat_us >= SILENT_US)
+		if (status == LUG_OK && is_list_awaited(call->fleet, worker, now_us))
 			check_lease_row(call->fleet, worker,
 					n_rows && !strcmp(rows[0].key, worker->name) ? &rows[0]
 										     : &none,
@@ -520,21 +534,27 @@
 	g_free(call);
 }
 
-static void check_silent_worker(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
-				gint64 now_us)
+static void check_worker(struct lug_fleet *fleet, struct lug_fleet_worker *worker, gint64 now_us)
 {
-	if (now_us - worker->last_beat_us < SILENT_US || worker->lease_call_in_flight ||
-	    now_us < worker->next_lease_read_us ||
-	    !fleet->hooks.has_claims(fleet->hooks.data, worker->name))
+	gint64 silent_at_us = worker->last_beat_us + SILENT_US;
+
+	if (worker->lease_call_in_flight || now_us < worker->next_lease_check_us)
 		return;
+	worker->next_lease_check_us = now_us + LEASE_CHECK_INTERVAL_US;
+	if (!is_list_awaited(fleet, worker, now_us)) {
+		worker->lease_row_version = 0;
+		/* Silence, and claims for a silent worker, are noticed at once. */
+		worker->next_lease_check_us = MIN(worker->next_lease_check_us, silent_at_us);
+		return;
+	}
 	worker->lease_call_in_flight = TRUE;
-	worker->next_lease_read_us = now_us + LEASE_READ_INTERVAL_US;
 	lug_store_scan(get_partition(fleet, worker->name), LEASE_TABLE, worker->name, NULL, 1,
 		       on_lease_row, lease_call_new(fleet, worker->name, 0));
 }
 
 /**
- * lug_fleet_tick - check the leases of silent workers, remove workers silent for long
+ * lug_fleet_tick - check the leases of workers that don't list their runs, remove workers silent
+ * for long
  * @fleet: fleet
  * @now_us: current time
  */
@@ -545,11 +565,11 @@
 		struct lug_fleet_worker *worker = g_ptr_array_index(fleet->list, i);
 
 		if (now_us - worker->last_beat_us > FORGET_US && !worker->lease_call_in_flight &&
-		    !fleet->hooks.has_claims(fleet->hooks.data, worker->name)) {
+		    unlisted_us(fleet, worker, now_us) < 0) {
 			g_hash_table_remove(fleet->by_name, worker->name);
 			g_ptr_array_remove_index_fast(fleet->list, i);
 			continue;
 		}
-		check_silent_worker(fleet, worker, now_us);
+		check_worker(fleet, worker, now_us);
 	}
 }
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -60,9 +60,9 @@
  * @isolated_until_us: until then a suspected task of @isolated_job may yet crash the worker
  * @isolated_job: id of that task's job, "" when it is not known
  * @exit_announced: the former incarnation of the worker had announced its exit
- * @lease_row_version: version of the lease's row while the agent is silent
+ * @lease_row_version: version of the lease's row while a list of the worker's runs is awaited
  * @lease_row_since_us: time since which the row has had that version
- * @next_lease_read_us: earliest time of the next read of the row
+ * @next_lease_check_us: earliest time to check whether a list is awaited, and read the row if so
  * @lease_call_in_flight: a read or a write of the row is in flight
  * @max_fenced_epoch: highest lease epoch that was reported as ended
  */
@@ -97,7 +97,7 @@
 	gboolean exit_announced;
 	gint64 lease_row_version;
 	gint64 lease_row_since_us;
-	gint64 next_lease_read_us;
+	gint64 next_lease_check_us;
 	gboolean lease_call_in_flight;
 	guint64 max_fenced_epoch;
 };
@@ -105,20 +105,23 @@
 /**
  * struct lug_fleet_hooks - callbacks to the owners in this process
  * @lease_ended: called when no run under this lease epoch or a lower one can be left on the worker
- * @has_claims: returns whether any owner has claimed a task for the worker
+ * @unlisted_us: returns for how long the worker's agent has not listed its runs to one of the
+ *               owners that have claimed a task for the worker, the longest such time in
+ *               microseconds, or -1 when no task is claimed for it
  * @data: passed to the callbacks
  */
 struct lug_fleet_hooks {
 	void (*lease_ended)(void *data, const char *worker, guint64 lease_epoch);
-	gboolean (*has_claims)(void *data, const char *worker);
+	gint64 (*unlisted_us)(void *data, const char *worker, gint64 now_us);
 	void *data;
 };
 
 /**
  * struct lug_fleet - the workers known to one process, shared by the shards that it owns
  *
- * For a silent worker with claimed tasks the fleet reads the row of its lease. Once the row has not
- * changed for the lease time, the fleet fences the lease and reports its end.
+ * When tasks are claimed for a worker and its agent is silent or does not list its runs, the fleet
+ * reads the row of the worker's lease. Once the row has not changed for the lease time, the fleet
+ * fences the lease and reports its end. Heartbeats alone say nothing about the lease.
  */
 struct lug_fleet;
 
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -598,11 +598,27 @@
 }
 
 /**
- * lug_shard_has_claims - whether any task is claimed for a worker
+ * lug_shard_unlisted_us - time for which a worker's agent has not listed its runs of the shard
+ * @shard: shard
+ * @worker: worker
+ * @now_us: current time
+ *
+ * Return: microseconds since the latest list, or since its claims were loaded; -1 when no task is
+ * claimed for the worker.
  */
-gboolean lug_shard_has_claims(const struct lug_shard *shard, const char *worker)
+gint64 lug_shard_unlisted_us(const struct lug_shard *shard, const char *worker, gint64 now_us)
 {
 	const struct shard_claims *claims = find_claims(shard, worker);
 
-	return shard->load_phase == SHARD_LOAD_DONE && claims && !lug_list_empty(&claims->tasks);
+	if (!claims || lug_list_empty(&claims->tasks))
+		return -1;
+	return MAX(now_us - claims->listed_us, 0);
+}
+
+/**
+ * lug_shard_has_claims - whether any task is claimed for a worker
+ */
+gboolean lug_shard_has_claims(const struct lug_shard *shard, const char *worker)
+{
+	return shard->load_phase == SHARD_LOAD_DONE && lug_shard_unlisted_us(shard, worker, 0) >= 0;
 }
--- /dev/null
+++ b/tests/unit/fleet_test.cc
@@ -0,0 +1,142 @@
+#include "shard_fixture.h"
+
+extern "C" {
+#include "workflow/shard_priv.h"
+}
+
+/* Incident long-running-task-not-started-again: the life of an agent settles no claims. */
+namespace
+{
+/* Longer than SILENT_US. */
+constexpr gint64 UNLISTED_US = 2000 * 1000;
+/* The lease of 6 s, the clock drift and FENCE_MARGIN_US, and a little more. */
+constexpr gint64 LAPSED_US = 6500 * 1000;
+
+struct FleetTest : public ShardFixture {
+	/* Puts the row of w1's lease and claims the tasks of job a for w1. */
+	void claim_tasks()
+	{
+		store.put("w1|worker/w1", lease_row);
+		take_shard_with_worker();
+		add_stored_job("a");
+		run_rounds();
+		ASSERT_NE(state_row("a").find("r1."), std::string::npos);
+	}
+
+	struct lug_fleet_worker *w1()
+	{
+		return lug_fleet_find(fleet, "w1");
+	}
+
+	void set_listed_us(gint64 listed_us)
+	{
+		auto *claims = static_cast<struct shard_claims *>(
+			g_hash_table_lookup(shard->claims, g_intern_string("w1")));
+
+		claims->listed_us = listed_us;
+	}
+
+	/* Delivers a heartbeat without lists; returns whether it was applied. */
+	bool send_beat_without_lists(guint64 lease_epoch, guint64 incarnation = 2)
+	{
+		Lug__WorkerBeat beat = LUG__WORKER_BEAT__INIT;
+		Lug__Envelope env = LUG__ENVELOPE__INIT;
+		struct lug_route route = {};
+
+		beat.lease_epoch = lease_epoch;
+		env.from = (char *)"w1";
+		env.incarnation = incarnation;
+		env.body_case = LUG__ENVELOPE__BODY_WORKER_BEAT;
+		env.worker_beat = &beat;
+		return lug_fleet_on_beat(fleet, &route, &env, lug_now_us()) != nullptr;
+	}
+
+	void check_leases()
+	{
+		if (w1())
+			w1()->next_lease_check_us = 0;
+		lug_fleet_tick(fleet, lug_now_us());
+		store.settle();
+	}
+
+	bool is_fenced()
+	{
+		return store.rows["w1|worker/w1"].data.find("\"owner\":\"\"") != std::string::npos;
+	}
+
+	bool is_claimed()
+	{
+		run_rounds();
+		return state_row("a").find("r1.") != std::string::npos;
+	}
+
+	const char *lease_row = "{\"owner\":\"w1\",\"epoch\":1,\"ttl_ms\":6000,\"txn\":\"x\"}";
+};
+
+TEST_F(FleetTest, WorkerWhoseAgentLivesWithoutListsAndWithoutALeaseIsFenced)
+{
+	claim_tasks();
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	EXPECT_TRUE(send_beat_without_lists(0));
+	check_leases();
+	EXPECT_TRUE(send_beat_without_lists(0));
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US + 600 * 1000;
+	check_leases();
+	EXPECT_FALSE(is_fenced()) << "the lease of 6 s has not expired";
+	EXPECT_TRUE(send_beat_without_lists(0));
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	check_leases();
+	EXPECT_TRUE(is_fenced());
+	EXPECT_FALSE(is_claimed()) << state_row("a");
+}
+
+TEST_F(FleetTest, WorkerWhoseLeaseIsRenewedIsNotFenced)
+{
+	claim_tasks();
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	send_beat_without_lists(0);
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	store.put("w1|worker/w1", lease_row);
+	check_leases();
+	EXPECT_FALSE(is_fenced());
+	EXPECT_TRUE(is_claimed());
+}
+
+TEST_F(FleetTest, AListStartsTheObservationOfTheLeaseAnew)
+{
+	claim_tasks();
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	send_beat_without_lists(0);
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	set_listed_us(lug_now_us());
+	check_leases();
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	check_leases();
+	EXPECT_FALSE(is_fenced());
+	EXPECT_TRUE(is_claimed());
+}
+
+TEST_F(FleetTest, AListDuringTheReadOfTheLeasePreventsTheFence)
+{
+	claim_tasks();
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	send_beat_without_lists(0);
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	w1()->next_lease_check_us = 0;
+	lug_fleet_tick(fleet, lug_now_us());
+	set_listed_us(lug_now_us());
+	store.settle();
+	EXPECT_FALSE(is_fenced());
+	EXPECT_TRUE(is_claimed());
+}
+
+TEST_F(FleetTest, TheLeaseOfAWorkerThatListsItsRunsIsNotRead)
+{
+	claim_tasks();
+	lug_fleet_tick(fleet, lug_now_us());
+	EXPECT_TRUE(store.calls.empty());
+}
+} // namespace
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -50,11 +50,11 @@
 		lug_shard_worker_lost(test->shard, worker, lease_epoch, lug_now_us());
 	}
 
-	static gboolean has_claims(void *data, const char *worker)
+	static gint64 unlisted_us(void *data, const char *worker, gint64 now_us)
 	{
 		auto *test = static_cast<ShardFixture *>(data);
 
-		return test->shard && lug_shard_has_claims(test->shard, worker);
+		return test->shard ? lug_shard_unlisted_us(test->shard, worker, now_us) : -1;
 	}
 
 	static void ignore_message(void *data, const struct lug_route *route,
@@ -67,7 +67,7 @@
 
 	void SetUp() override
 	{
-		struct lug_fleet_hooks hooks = {on_worker_lost, has_claims, this};
+		struct lug_fleet_hooks hooks = {on_worker_lost, unlisted_us, this};
 		struct lug_config_source source = {"op", "config", make_queues};
 		struct lug_shard_env shared = {};
 
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -211,13 +211,13 @@
 	EXPECT_NE(state_row("a").find("r1."), std::string::npos);
 	/* The lease of 6 s has not expired. */
 	lug_fleet_find(fleet, "w1")->lease_row_since_us = now_us - 5900000;
-	lug_fleet_find(fleet, "w1")->next_lease_read_us = 0;
+	lug_fleet_find(fleet, "w1")->next_lease_check_us = 0;
 	lug_fleet_tick(fleet, now_us);
 	store.settle();
 	EXPECT_EQ(store.rows["w1|worker/w1"].data.find("\"owner\":\"\""), std::string::npos);
 	/* The lease has expired, the clock drift and FENCE_MARGIN_US included. */
 	lug_fleet_find(fleet, "w1")->lease_row_since_us = now_us - 6500000;
-	lug_fleet_find(fleet, "w1")->next_lease_read_us = 0;
+	lug_fleet_find(fleet, "w1")->next_lease_check_us = 0;
 	lug_fleet_tick(fleet, now_us);
 	store.settle();
 	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"epoch\":2"), std::string::npos);
