Worker whose lease row is gone: return its claims of every lease epoch

Callers would see tasks stay claimed for a worker whose lease row does not exist.

Cause: the owner then reported the end of the lease epoch in the worker's latest heartbeat. It is 0 when the worker was never heard or its agent holds no lease, so no claim was returned. If, on the other hand, the agent took a lease while the row was being read, the claims of that new lease were returned. A lease whose row was deleted also counted as ended at once, although the agent may rely on it for its whole time.

Ruled out: the lease epochs known to this process. The claims may be those of another owner, which heard a later one.

A missing row is observed for the configured lease time and the margin, like an unchanged one, and ends the claims of all epochs then. An answer to a read is ignored when the lease epoch in the heartbeats has changed meanwhile. The field with the highest fenced epoch, which nothing read, is removed.

Both tests failed before (task still claimed; claims of the new lease returned).

--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -12,6 +12,10 @@
 #define LEASE_CHECK_INTERVAL_US (500 * 1000)
 /* Added to the lease time: the delay of a renewal on its way through the table service. */
 #define FENCE_MARGIN_US (300 * 1000)
+/* The rates of two instances' clocks differ by less than one part in 50 (2 %). */
+#define CLOCK_DRIFT_DIVISOR 50
+/* Stands for the version of a row that does not exist; 0 is that of a row not yet read. */
+#define LEASE_ROW_ABSENT (-1)
 #define AVERAGE_INTERVAL_US (1000 * 1000)
 /* Workers silent for longer, and without claims, are removed from the fleet. */
 #define FORGET_US (120LL * G_USEC_PER_SEC)
@@ -47,7 +51,10 @@
 	gint64 next_average_us;
 };
 
-/* Read of a worker's lease row, or a write that fences lease epoch @epoch. */
+/*
+ * Read of a worker's lease row after a heartbeat with lease epoch @epoch, or a write that fences
+ * that epoch.
+ */
 struct lease_call {
 	struct lug_fleet *fleet;
 	char name[LUG_NAME_MAX + 1];
@@ -432,7 +439,6 @@
 {
 	char text[24];
 
-	worker->max_fenced_epoch = MAX(worker->max_fenced_epoch, epoch);
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, epoch);
 	lug_warn(fleet->ctx, "worker_fenced", "worker", worker->name, "lease_epoch", text, "how",
 		 reason);
@@ -475,27 +481,40 @@
 	json_object_unref(next);
 }
 
+/*
+ * No process can have renewed a lease whose row is gone. The claims are for leases of whatever
+ * epoch, also when no heartbeat of the worker has been heard.
+ */
+static void check_missing_row(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
+			      gint64 missing_us)
+{
+	gint64 ttl_us = fleet->ctx->settings->worker_lease_ms * 1000;
+
+	if (missing_us > ttl_us + ttl_us / CLOCK_DRIFT_DIVISOR)
+		report_lease_ended(fleet, worker, G_MAXUINT64, "no lease");
+}
+
 static void check_lease_row(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
 			    const struct lug_row *row, gint64 now_us)
 {
-	gint64 epoch = lug_json_int(row->data, "epoch", 0);
+	gint64 version = row->version ? row->version : LEASE_ROW_ABSENT;
+	gint64 unchanged_us;
 
-	if (!row->version) {
-		/* Runs start only under a lease, so none is left on the worker. */
-		report_lease_ended(fleet, worker, worker->lease_epoch, "no lease");
-		return;
-	}
-	if (!*lug_json_str(row->data, "owner", "")) {
-		report_lease_ended(fleet, worker, (guint64)epoch, "lease fenced or released");
+	if (row->version && !*lug_json_str(row->data, "owner", "")) {
+		report_lease_ended(fleet, worker, (guint64)lug_json_int(row->data, "epoch", 0),
+				   "lease fenced or released");
 		return;
 	}
 	/* The row was renewed, or is read for the first time. */
-	if (row->version != worker->lease_row_version) {
-		worker->lease_row_version = row->version;
+	if (version != worker->lease_row_version) {
+		worker->lease_row_version = version;
 		worker->lease_row_since_us = now_us;
 		return;
 	}
-	if (lug_writer_row_is_free(row, now_us - worker->lease_row_since_us - FENCE_MARGIN_US))
+	unchanged_us = now_us - worker->lease_row_since_us - FENCE_MARGIN_US;
+	if (!row->version)
+		check_missing_row(fleet, worker, unchanged_us);
+	else if (lug_writer_row_is_free(row, unchanged_us))
 		fence_lease(fleet, worker, row);
 }
 
@@ -525,7 +544,10 @@
 	(void)more;
 	if (worker) {
 		worker->lease_call_in_flight = FALSE;
-		if (status == LUG_OK && is_list_awaited(call->fleet, worker, now_us))
+		/* The lease may have been taken anew after the row was read. */
+		if (worker->lease_epoch != call->epoch)
+			worker->lease_row_version = 0;
+		else if (status == LUG_OK && is_list_awaited(call->fleet, worker, now_us))
 			check_lease_row(call->fleet, worker,
 					n_rows && !strcmp(rows[0].key, worker->name) ? &rows[0]
 										     : &none,
@@ -549,7 +571,7 @@
 	}
 	worker->lease_call_in_flight = TRUE;
 	lug_store_scan(get_partition(fleet, worker->name), LEASE_TABLE, worker->name, NULL, 1,
-		       on_lease_row, lease_call_new(fleet, worker->name, 0));
+		       on_lease_row, lease_call_new(fleet, worker->name, worker->lease_epoch));
 }
 
 /**
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -64,7 +64,6 @@
  * @lease_row_since_us: time since which the row has had that version
  * @next_lease_check_us: earliest time to check whether a list is awaited, and read the row if so
  * @lease_call_in_flight: a read or a write of the row is in flight
- * @max_fenced_epoch: highest lease epoch that was reported as ended
  */
 struct lug_fleet_worker {
 	char name[LUG_NAME_MAX + 1];
@@ -99,7 +98,6 @@
 	gint64 lease_row_since_us;
 	gint64 next_lease_check_us;
 	gboolean lease_call_in_flight;
-	guint64 max_fenced_epoch;
 };
 
 /**
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -139,4 +139,34 @@
 	lug_fleet_tick(fleet, lug_now_us());
 	EXPECT_TRUE(store.calls.empty());
 }
+
+TEST_F(FleetTest, ClaimsForAWorkerWithoutALeaseRowAreReturnedWhateverTheirLease)
+{
+	claim_tasks();
+	store.rows.erase("w1|worker/w1");
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	send_beat_without_lists(0);
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US + 600 * 1000;
+	check_leases();
+	EXPECT_TRUE(is_claimed()) << "a lease whose row was deleted may be valid for 6 s";
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	check_leases();
+	EXPECT_FALSE(is_claimed()) << state_row("a");
+}
+
+TEST_F(FleetTest, ALeaseTakenDuringTheReadKeepsItsClaims)
+{
+	claim_tasks();
+	store.rows.erase("w1|worker/w1");
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	send_beat_without_lists(0);
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	w1()->next_lease_check_us = 0;
+	lug_fleet_tick(fleet, lug_now_us());
+	send_beat_without_lists(1);
+	store.settle();
+	EXPECT_TRUE(is_claimed());
+}
 } // namespace
