--- /dev/null
+++ b/liblug/workflow/fleet_lease.c
@@ -0,0 +1,192 @@
+#include "workflow/fleet_priv.h"
+
+#include <string.h>
+
+#include "store/writer.h"
+
+#define LEASE_TABLE "worker"
+#define LEASE_CHECK_INTERVAL_US (500 * 1000)
+/* Added to the lease time: the delay of a renewal on its way through the table service. */
+#define FENCE_MARGIN_US (300 * 1000)
+/* The rates of two instances' clocks differ by less than one part in 50 (2 %). */
+#define CLOCK_DRIFT_DIVISOR 50
+/* Stands for the version of a row that does not exist; 0 is that of a row not yet read. */
+#define LEASE_ROW_ABSENT (-1)
+
+/*
+ * Read of a worker's lease row after a heartbeat with lease epoch @epoch, or a write that fences
+ * that epoch.
+ */
+struct lease_call {
+	struct lug_fleet *fleet;
+	char name[LUG_NAME_MAX + 1];
+	guint64 epoch;
+};
+
+static struct lug_store *get_partition(struct lug_fleet *fleet, const char *name)
+{
+	struct lug_store *partition = g_hash_table_lookup(fleet->partitions, name);
+
+	if (!partition) {
+		partition = lug_store_partition(fleet->store, name);
+		g_hash_table_insert(fleet->partitions, g_strdup(name), partition);
+	}
+	return partition;
+}
+
+static struct lease_call *lease_call_new(struct lug_fleet *fleet, const char *name, guint64 epoch)
+{
+	struct lease_call *call = g_new0(struct lease_call, 1);
+
+	call->fleet = fleet;
+	g_strlcpy(call->name, name, sizeof(call->name));
+	call->epoch = epoch;
+	return call;
+}
+
+static void report_lease_ended(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
+			       guint64 epoch, const char *reason)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, epoch);
+	lug_warn(fleet->ctx, "worker_fenced", "worker", worker->name, "lease_epoch", text, "how",
+		 reason);
+	fleet->hooks.lease_ended(fleet->hooks.data, worker->name, epoch);
+}
+
+static void on_fenced(void *data, const struct lug_txn_result *result)
+{
+	struct lease_call *call = data;
+	struct lug_fleet_worker *worker = lug_fleet_find(call->fleet, call->name);
+
+	if (worker) {
+		worker->lease_call_in_flight = FALSE;
+		if (result->status == LUG_OK)
+			report_lease_ended(call->fleet, worker, call->epoch, "lease not renewed");
+		else /* Wait again for the lease time without a change of the row. */
+			worker->lease_row_version = 0;
+	}
+	g_free(call);
+}
+
+static void fence_lease(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
+			const struct lug_row *row)
+{
+	guint64 epoch = (guint64)lug_json_int(row->data, "epoch", 0);
+	JsonObject *next = json_object_new();
+	struct lug_txn txn;
+
+	lug_txn_init(&txn);
+	json_object_set_string_member(next, "owner", "");
+	json_object_set_int_member(next, "epoch", (gint64)epoch + 1);
+	json_object_set_int_member(next, "ttl_ms", lug_json_int(row->data, "ttl_ms", 0));
+	json_object_set_string_member(next, "prev_txn", lug_json_str(row->data, "txn", ""));
+	lug_txn_check(&txn, LEASE_TABLE, worker->name, row->version);
+	lug_txn_put(&txn, LEASE_TABLE, worker->name, next);
+	worker->lease_call_in_flight = TRUE;
+	lug_store_txn(get_partition(fleet, worker->name), &txn, on_fenced,
+		      lease_call_new(fleet, worker->name, epoch));
+	lug_txn_clear(&txn);
+	json_object_unref(next);
+}
+
+/*
+ * No process can have renewed a lease whose row is gone. The claims are for leases of whatever
+ * epoch, also when no heartbeat of the worker has been heard.
+ */
+static void check_missing_row(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
+			      gint64 missing_us)
+{
+	gint64 ttl_us = fleet->ctx->settings->worker_lease_ms * 1000;
+
+	if (missing_us > ttl_us + ttl_us / CLOCK_DRIFT_DIVISOR)
+		report_lease_ended(fleet, worker, G_MAXUINT64, "no lease");
+}
+
+static void check_lease_row(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
+			    const struct lug_row *row, gint64 now_us)
+{
+	gint64 version = row->version ? row->version : LEASE_ROW_ABSENT;
+	gint64 unchanged_us;
+
+	if (row->version && !*lug_json_str(row->data, "owner", "")) {
+		report_lease_ended(fleet, worker, (guint64)lug_json_int(row->data, "epoch", 0),
+				   "lease fenced or released");
+		return;
+	}
+	/* The row was renewed, or is read for the first time. */
+	if (version != worker->lease_row_version) {
+		worker->lease_row_version = version;
+		worker->lease_row_since_us = now_us;
+		return;
+	}
+	unchanged_us = now_us - worker->lease_row_since_us - FENCE_MARGIN_US;
+	if (!row->version)
+		check_missing_row(fleet, worker, unchanged_us);
+	else if (lug_writer_row_is_free(row, unchanged_us))
+		fence_lease(fleet, worker, row);
+}
+
+/**
+ * fleet_unlisted_us - time for which a list of a worker's runs has been awaited, see
+ * struct lug_fleet_hooks
+ */
+gint64 fleet_unlisted_us(const struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
+			 gint64 now_us)
+{
+	return fleet->hooks.unlisted_us(fleet->hooks.data, worker->name, now_us);
+}
+
+/* The agent of a worker with claims is silent, or lives but does not list its runs. */
+static gboolean is_list_awaited(const struct lug_fleet *fleet,
+				const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	gint64 since_us = fleet_unlisted_us(fleet, worker, now_us);
+
+	return since_us >= 0 && MAX(since_us, now_us - worker->last_beat_us) >= FLEET_SILENT_US;
+}
+
+static void on_lease_row(void *data, enum lug_status status, const struct lug_row *rows,
+			 guint n_rows, gboolean more)
+{
+	struct lease_call *call = data;
+	struct lug_fleet_worker *worker = lug_fleet_find(call->fleet, call->name);
+	static const struct lug_row none;
+	gint64 now_us = lug_now_us();
+
+	(void)more;
+	if (worker) {
+		worker->lease_call_in_flight = FALSE;
+		/* The lease may have been taken anew after the row was read. */
+		if (worker->lease_epoch != call->epoch)
+			worker->lease_row_version = 0;
+		else if (status == LUG_OK && is_list_awaited(call->fleet, worker, now_us))
+			check_lease_row(call->fleet, worker,
+					n_rows && !strcmp(rows[0].key, worker->name) ? &rows[0]
+										     : &none,
+					now_us);
+	}
+	g_free(call);
+}
+
+/**
+ * fleet_check_lease - read the row of a worker's lease if a list of its runs is awaited
+ */
+void fleet_check_lease(struct lug_fleet *fleet, struct lug_fleet_worker *worker, gint64 now_us)
+{
+	gint64 silent_at_us = worker->last_beat_us + FLEET_SILENT_US;
+
+	if (worker->lease_call_in_flight || now_us < worker->next_lease_check_us)
+		return;
+	worker->next_lease_check_us = now_us + LEASE_CHECK_INTERVAL_US;
+	if (!is_list_awaited(fleet, worker, now_us)) {
+		worker->lease_row_version = 0;
+		/* Silence, and claims for a silent worker, are noticed at once. */
+		worker->next_lease_check_us = MIN(worker->next_lease_check_us, silent_at_us);
+		return;
+	}
+	worker->lease_call_in_flight = TRUE;
+	lug_store_scan(get_partition(fleet, worker->name), LEASE_TABLE, worker->name, NULL, 1,
+		       on_lease_row, lease_call_new(fleet, worker->name, worker->lease_epoch));
+}
