Fence that fails: repeat it without another lease time

Callers saw tasks of a silent worker wait for the lease time once more each time the table service refused the write of the fence.

Cause: the observation of the lease's row began anew after any failed write, as it must after a conflict, when the row has changed.

Ruled out: keeping it would fence a renewed lease. The write checks the version of the row, and the next read compares it with the observed one.

The observation is kept; the next read decides. The test failed before: no write followed the refused one.

--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -62,10 +62,9 @@
 
 	if (worker) {
 		worker->lease_call_in_flight = FALSE;
+		/* Otherwise the next read shows whether the row has changed, or is fenced. */
 		if (result->status == LUG_OK)
 			report_lease_ended(call->fleet, worker, call->epoch, "lease not renewed");
-		else /* Wait again for the lease time without a change of the row. */
-			worker->lease_row_version = 0;
 	}
 	g_free(call);
 }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -169,4 +169,29 @@
 	store.settle();
 	EXPECT_TRUE(is_claimed());
 }
+
+/* The table service refuses the write, then the answer to the next one is lost. */
+TEST_F(FleetTest, AFenceThatFailsIsRepeatedWithoutAnotherLeaseTime)
+{
+	claim_tasks();
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	send_beat_without_lists(0);
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	for (enum lug_status status : {LUG_UNAVAILABLE, LUG_UNKNOWN}) {
+		struct lug_txn_result result = {status, 0, nullptr, 0};
+		FakeStore::Call write;
+
+		w1()->next_lease_check_us = 0;
+		lug_fleet_tick(fleet, lug_now_us());
+		store.answer_scan(store.take());
+		ASSERT_EQ(store.calls.size(), 1u) << "the write of the fence";
+		write = store.take();
+		write.txn_fn(write.data, &result);
+		EXPECT_FALSE(is_fenced());
+	}
+	check_leases();
+	EXPECT_TRUE(is_fenced());
+	EXPECT_FALSE(is_claimed()) << state_row("a");
+}
 } // namespace
