Agent restarted with its clock set back: hear its heartbeats

Callers would see the tasks of a worker stay claimed, and no task placed there, when the clock of its machine was set back by more than the time between the starts of two processes of its agent.

Cause: incarnations follow the wall clock, and owners ignored heartbeats of a lower incarnation than the latest one for as long as they knew the worker. The new process renews the worker's lease, so it was not fenced either.

Ruled out: reading the lease's row, which carries the incarnation too. It would add a read of the table service for each restart.

A lower incarnation is accepted with a lease epoch higher than any heard, as epochs rise through the table service, or, without a lease epoch of its own, once the former process is silent. A lower epoch still belongs to an earlier process. Teams' queues have the rule of silence already (lug_registry_on_beat()).

Both tests failed before: the heartbeats of the later process were ignored.

--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -324,6 +324,25 @@
 	g_ptr_array_unref(reports);
 }
 
+/*
+ * Whether a heartbeat belongs to a replaced connection or an earlier process of the agent. A later
+ * process has a lower incarnation if its clock was set back. The epoch of its lease shows the order
+ * all the same; without one, the process is accepted once the former one is silent.
+ */
+static gboolean is_outdated(const struct lug_fleet_worker *worker, const Lug__Envelope *env,
+			    gint64 now_us)
+{
+	const Lug__WorkerBeat *beat = env->worker_beat;
+
+	if (env->incarnation == worker->incarnation)
+		return beat->generation < worker->generation;
+	if (env->incarnation > worker->incarnation)
+		return FALSE;
+	if (beat->lease_epoch && beat->lease_epoch != worker->max_lease_epoch)
+		return beat->lease_epoch < worker->max_lease_epoch;
+	return lug_fleet_is_live(worker, now_us);
+}
+
 /**
  * lug_fleet_on_beat - update a worker from a heartbeat of its agent
  * @fleet: fleet
@@ -335,7 +354,7 @@
  * and then passes the agent's total of reservations to lug_fleet_set_used().
  *
  * Return: worker, or NULL when the heartbeat belongs to a replaced connection or an earlier
- * incarnation.
+ * process.
  */
 struct lug_fleet_worker *lug_fleet_on_beat(struct lug_fleet *fleet, const struct lug_route *route,
 					   const Lug__Envelope *env, gint64 now_us)
@@ -343,8 +362,7 @@
 	const Lug__WorkerBeat *beat = env->worker_beat;
 	struct lug_fleet_worker *worker = lug_fleet_get(fleet, env->from, now_us);
 
-	if (env->incarnation < worker->incarnation ||
-	    (env->incarnation == worker->incarnation && beat->generation < worker->generation))
+	if (is_outdated(worker, env, now_us))
 		return NULL;
 	worker->incarnation = env->incarnation;
 	worker->generation = beat->generation;
@@ -363,6 +381,7 @@
 	worker->ready = beat->ready;
 	apply_interference(worker, beat);
 	worker->lease_epoch = beat->lease_epoch;
+	worker->max_lease_epoch = MAX(worker->max_lease_epoch, beat->lease_epoch);
 	worker->worker_incarnation = beat->life;
 	worker->spare_millicores = beat->spare_millicores;
 	worker->refused_best_effort = FALSE;
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -51,7 +51,8 @@
  * @pairs: interference that its agent has learned, array of struct lug_interference_pair
  * @draining: accepts no new tasks
  * @ready: accepts starts now
- * @lease_epoch: epoch of the worker's lease
+ * @lease_epoch: epoch of the worker's lease, 0 while its agent does not know its runs
+ * @max_lease_epoch: highest epoch of the worker's lease in a heartbeat
  * @worker_incarnation: incarnation of the worker itself
  * @last_beat_us: time of the last heartbeat
  * @failures: consecutive failed runs that this process placed there
@@ -86,6 +87,7 @@
 	gboolean draining;
 	gboolean ready;
 	guint64 lease_epoch;
+	guint64 max_lease_epoch;
 	guint64 worker_incarnation;
 	gint64 last_beat_us;
 	guint32 failures;
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -194,4 +194,26 @@
 	EXPECT_TRUE(is_fenced());
 	EXPECT_FALSE(is_claimed()) << state_row("a");
 }
+
+/* The machine's clock is set back between two processes of the agent. */
+TEST_F(FleetTest, AHeartbeatWithALaterLeaseEpochBelongsToALaterProcess)
+{
+	EXPECT_TRUE(send_beat_without_lists(/* lease_epoch */ 4, /* incarnation */ 900));
+	EXPECT_TRUE(send_beat_without_lists(5, 800));
+	EXPECT_EQ(w1()->lease_epoch, 5u);
+	EXPECT_FALSE(send_beat_without_lists(4, 700)) << "of an earlier process";
+	EXPECT_EQ(w1()->incarnation, 800u);
+}
+
+TEST_F(FleetTest, AHeartbeatOfALowerIncarnationIsIgnoredUntilTheHigherOneIsSilent)
+{
+	EXPECT_TRUE(send_beat_without_lists(4, 900));
+	EXPECT_FALSE(send_beat_without_lists(0, 800));
+	EXPECT_FALSE(send_beat_without_lists(4, 800));
+	w1()->last_beat_us = lug_now_us() - UNLISTED_US;
+	EXPECT_FALSE(send_beat_without_lists(3, 800)) << "of an earlier process";
+	EXPECT_TRUE(send_beat_without_lists(0, 800));
+	EXPECT_TRUE(send_beat_without_lists(5, 800));
+	EXPECT_FALSE(send_beat_without_lists(4, 700));
+}
 } // namespace
