Teams' queues: watch the lease of an agent that lives without it

Callers would see batch tasks count as running for as long as the agent of their worker lives without the worker's lease: its worker is gone after a restart of the agent, or the table service turns its machine away.

Cause: owners read the row of the lease only for silent agents, and a heartbeat without a lease epoch settles no attempt.

Ruled out: agents that hold the lease. They list their attempts when an owner asks for the list.

Owners read the row also while the agent's heartbeats carry no lease epoch, and fence it under the same condition: no change for the lease time.

The first test failed before: the row was not read, the task counted as running. The second guards an agent that holds the lease.

--- a/liblug/job/fence.c
+++ b/liblug/job/fence.c
@@ -5,8 +5,8 @@
 #define READ_INTERVAL_US (1000 * 1000)
 
 /*
- * A worker whose agent is silent may run its tasks until its lease has expired. The
- * owner polls the lease's row. When the row has not changed for the lease time and a
+ * A worker whose agent is silent, or holds no lease, may run its tasks until its lease has
+ * expired. The owner polls the lease's row. When the row has not changed for the lease time and a
  * margin, the owner fences the worker: it raises the epoch in the row, so that the
  * agent can't renew the lease. Then it handles the worker's attempts as lost.
  */
@@ -133,11 +133,12 @@
 		       lease_call_new(owner, worker));
 }
 
-static gboolean is_worker_silent(const struct lug_owner *owner, const char *worker, gint64 now_us)
+/* An agent that lives without its worker's lease, or without its worker, lists no attempts. */
+static gboolean is_lease_unheard(const struct lug_owner *owner, const char *worker, gint64 now_us)
 {
 	const struct lug_agent *agent = lug_registry_find(owner->env.registry, worker);
 
-	return !agent || lug_agent_is_silent(agent, now_us);
+	return !agent || lug_agent_is_silent(agent, now_us) || !agent->worker_epoch;
 }
 
 static gboolean is_watch_obsolete(gpointer key, gpointer value, gpointer data)
@@ -145,11 +146,12 @@
 	struct lug_owner *owner = data;
 
 	(void)value;
-	return !is_worker_silent(owner, key, lug_now_us());
+	return !is_lease_unheard(owner, key, lug_now_us());
 }
 
 /**
- * owner_fence_tick - check the leases of silent workers that hold attempts
+ * owner_fence_tick - check the leases of workers that hold attempts and whose agents are silent or
+ * hold no lease
  * @owner: owner that has loaded its rows
  * @now_us: current time
  */
@@ -160,7 +162,7 @@
 		struct lug_task *task = LUG_CONTAINER_OF(pos, struct lug_task, node);
 
 		if (task->state == LUG_TASK_RUNNING &&
-		    is_worker_silent(owner, task->worker, now_us))
+		    is_lease_unheard(owner, task->worker, now_us))
 			watch_lease(owner, task->worker, now_us);
 	}
 }
--- a/liblug/job/owner_priv.h
+++ b/liblug/job/owner_priv.h
@@ -19,7 +19,8 @@
 };
 
 /**
- * struct owner_lease_watch - lease of a silent worker that holds attempts of this queue
+ * struct owner_lease_watch - lease of a worker that holds attempts of this queue and
+ * whose agent is silent or holds no lease
  * @worker: name of the worker
  * @row_version: version of the lease's row when last read
  * @unchanged_since_us: time since which the row has had that version
--- /dev/null
+++ b/tests/unit/owner_fence_test.cc
@@ -0,0 +1,125 @@
+#include "lug.h"
+
+#include "fake_store.h"
+
+extern "C" {
+#include "job/owner_priv.h"
+}
+
+/* Incident long-running-task-not-started-again, in teams' queues. */
+namespace
+{
+/* Longer than the lease of 6 s with the clock drift allowed for. */
+constexpr gint64 LAPSED_US = 6200 * 1000;
+
+struct OwnerFenceTest : public testing::Test {
+	FakeStore store;
+	struct lug_ctx *ctx = test_context_with_address("owner");
+	struct lug_registry *registry = lug_registry_new(ctx);
+	struct lug_link *link = nullptr;
+	struct lug_sync *sync = nullptr;
+	struct lug_owner *owner = nullptr;
+
+	static void ignore_message(void *data, const struct lug_route *route,
+				   const Lug__Envelope *env)
+	{
+		(void)data;
+		(void)route;
+		(void)env;
+	}
+
+	/* An owner that has loaded a job whose task runs on w1 under lease epoch 3. */
+	void SetUp() override
+	{
+		struct lug_owner_env env = {};
+		struct lug_row none = {};
+
+		link = lug_link_new(ctx, ignore_message, nullptr, nullptr);
+		ASSERT_NE(link, nullptr);
+		sync = lug_sync_new(ctx, &store.base, link, nullptr, nullptr);
+		env = {ctx, &store.base, link, sync, registry};
+		owner = lug_owner_new(&env, "t");
+		store.put("worker/w1",
+			  "{\"owner\":\"w1\",\"state\":\"live\",\"epoch\":3,\"ttl_ms\":6000}");
+		store.put("job/t/j", "{\"id\":\"j\",\"team\":\"t\",\"count\":1}");
+		store.put("task/t/j/00000", "{\"state\":\"running\",\"attempt\":1,"
+					    "\"worker\":\"w1\",\"worker_epoch\":3}");
+		lug_owner_take(owner, &none, lug_now_us());
+		store.settle();
+		ASSERT_NE(task(), nullptr);
+		ASSERT_EQ(task()->state, LUG_TASK_RUNNING);
+	}
+
+	void TearDown() override
+	{
+		lug_owner_free(owner);
+		lug_sync_free(sync);
+		lug_link_free(link);
+		lug_registry_free(registry);
+		lug_ctx_free(ctx);
+	}
+
+	struct lug_task *task()
+	{
+		return lug_queue_task(owner->queue, "j", 0);
+	}
+
+	/* Delivers a heartbeat of w1's agent, which lists no attempts. */
+	void send_beat(guint64 worker_epoch)
+	{
+		Lug__Beat beat = LUG__BEAT__INIT;
+		Lug__Envelope env = LUG__ENVELOPE__INIT;
+		struct lug_route route = {};
+
+		beat.worker_epoch = worker_epoch;
+		beat.interval_ms = 400;
+		env.from = (char *)"w1";
+		env.incarnation = 1;
+		env.body_case = LUG__ENVELOPE__BODY_BEAT;
+		env.beat = &beat;
+		ASSERT_NE(lug_registry_on_beat(registry, &route, &env, lug_now_us()), nullptr);
+	}
+
+	struct owner_lease_watch *watch()
+	{
+		return static_cast<struct owner_lease_watch *>(
+			g_hash_table_lookup(owner->lease_watches, "w1"));
+	}
+
+	void check_leases()
+	{
+		owner->next_sweep_us = 0;
+		if (watch())
+			watch()->next_read_us = 0;
+		lug_owner_tick(owner, lug_now_us());
+		store.settle();
+	}
+};
+
+TEST_F(OwnerFenceTest, AttemptsOfAnAgentThatLivesWithoutALeaseAreReturned)
+{
+	send_beat(0);
+	check_leases();
+	ASSERT_NE(watch(), nullptr);
+	send_beat(0);
+	watch()->unchanged_since_us = lug_now_us() - LAPSED_US + 300 * 1000;
+	check_leases();
+	EXPECT_EQ(task()->state, LUG_TASK_RUNNING) << "the lease of 6 s has not expired";
+	watch()->unchanged_since_us = lug_now_us() - LAPSED_US;
+	send_beat(0);
+	check_leases();
+	EXPECT_NE(store.rows["worker/w1"].data.find("\"fenced\""), std::string::npos);
+	check_leases();
+	EXPECT_EQ(task()->state, LUG_TASK_PENDING);
+}
+
+TEST_F(OwnerFenceTest, TheLeaseOfAnAgentThatHoldsItIsNotRead)
+{
+	send_beat(0);
+	check_leases();
+	send_beat(3);
+	check_leases();
+	EXPECT_EQ(watch(), nullptr);
+	EXPECT_EQ(task()->state, LUG_TASK_RUNNING);
+}
+} // namespace
