--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -186,6 +186,21 @@
     deployment.workers[lost].mode = ""
 
 
+def test_tasks_of_lost_worker_move_although_its_agent_lives_again(start_deployment):
+    """The agent restarts and renews its lease; the worker does not answer any more."""
+    deployment = start_deployment(workers=2, shards=1)
+    job = next(JOB_IDS)
+    assert deployment.submit(job, {"ms": 2500}, [{"count": 2, "cpu": 3000}]) == 200
+    assert deployment.wait_until(lambda: all(w.running for w in deployment.workers.values()))
+    lost = next(n for n in deployment.workers if n != deployment.owner_name("0"))
+    deployment.workers[lost].mode = "dark"
+    deployment.signal_process(lost)
+    deployment.start(lost)
+    wait_for_state(deployment, job, 25)
+    assert deployment.violations() == []
+    deployment.workers[lost].mode = ""
+
+
 def test_tasks_of_departed_worker_move_before_lease_expiry(start_deployment):
     """The tasks of a worker that has unregistered start on another one as soon as there is room.
 
