--- a/liblug/workflow/shard.h
+++ b/liblug/workflow/shard.h
@@ -103,7 +103,6 @@
 		       const Lug__ShardHeld *held, gint64 now_us);
 void lug_shard_worker_lost(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
 			   gint64 now_us);
-gboolean lug_shard_has_claims(const struct lug_shard *shard, const char *worker);
 gint64 lug_shard_unlisted_us(const struct lug_shard *shard, const char *worker, gint64 now_us);
 
 #endif
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -226,42 +226,6 @@
 	return task->state == SHARD_TASK_WAITING && end->outcome == LUG_RUN_DONE;
 }
 
-/*
- * A former owner that has not learned of its successor does not know the successor's runs. Its
- * acknowledgement would make the agent forget an end that the successor needs, so it is sent once a
- * later commit has shown that this process still owns the shard.
- */
-static void add_obsolete_end(struct lug_shard *shard, const struct lug_route *route,
-			     const struct lug_run_id *id, gint64 now_us)
-{
-	struct shard_obsolete_end end = {*route, *id, now_us};
-
-	for (guint i = 0; i < shard->obsolete_ends->len; i++)
-		if (lug_run_equal(
-			    &g_array_index(shard->obsolete_ends, struct shard_obsolete_end, i).id,
-			    id))
-			return;
-	g_array_append_val(shard->obsolete_ends, end);
-}
-
-/**
- * shard_ack_obsolete_ends - acknowledge the obsolete ends that were reported before the last commit
- */
-void shard_ack_obsolete_ends(struct lug_shard *shard)
-{
-	gint64 renewed_us = lug_writer_renewed_us(shard->writer);
-
-	for (guint i = shard->obsolete_ends->len; i-- > 0;) {
-		const struct shard_obsolete_end *end =
-			&g_array_index(shard->obsolete_ends, struct shard_obsolete_end, i);
-
-		if (end->received_us > renewed_us)
-			continue;
-		shard_send_ack(shard, &end->route, &end->id);
-		g_array_remove_index_fast(shard->obsolete_ends, i);
-	}
-}
-
 /**
  * lug_shard_on_run_end - apply the end of a run
  * @shard: shard
@@ -293,7 +257,7 @@
 		apply_run_end(shard, job, task, &ack.id, end, now_us);
 	} else if (!job || job->revision == job->committed_revision) {
 		/* The report is repeated or obsolete, and all changes of the job are stored. */
-		add_obsolete_end(shard, route, &ack.id, now_us);
+		shard_add_obsolete_end(shard, route, &ack.id, now_us);
 		return;
 	}
 	if (fleet_worker && end->used) {
@@ -614,11 +578,3 @@
 		return -1;
 	return MAX(now_us - claims->listed_us, 0);
 }
-
-/**
- * lug_shard_has_claims - whether any task is claimed for a worker
- */
-gboolean lug_shard_has_claims(const struct lug_shard *shard, const char *worker)
-{
-	return shard->load_phase == SHARD_LOAD_DONE && lug_shard_unlisted_us(shard, worker, 0) >= 0;
-}
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -92,24 +92,6 @@
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
 
-/**
- * shard_send_ack - acknowledge to an agent that the end of a run is stored
- */
-void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
-		    const struct lug_run_id *id)
-{
-	Lug__RunEndAck ack = LUG__RUN_END_ACK__INIT;
-	Lug__RunId run;
-	LUG_ENVELOPE(env, RUN_END_ACK, run_end_ack, &ack);
-
-	lug_run_to_wire(id, &run);
-	ack.has_shard = 1;
-	ack.shard = shard->number;
-	ack.id = &run;
-	lug_count(shard->shared.ctx, ENDS_ACKNOWLEDGED, 1);
-	lug_link_send(shard->shared.link, route, &env);
-}
-
 /**
  * shard_begin_due_occurrences - begin all occurrences whose start time has passed
  */
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -9,7 +9,8 @@
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_row.c (encoding of job
  * state), shard_place.c (placement and starts), shard_outcome.c (ended and lost runs),
- * shard_report.c (log of what is overdue) and shard_commit.c (transactions).
+ * shard_ack.c (acknowledgements of ends), shard_report.c (log of what is overdue) and
+ * shard_commit.c (transactions).
  */
 
 /*
@@ -348,6 +349,8 @@
 		     const struct lug_run_id *id);
 void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
 		    const struct lug_run_id *id);
+void shard_add_obsolete_end(struct lug_shard *shard, const struct lug_route *route,
+			    const struct lug_run_id *id, gint64 now_us);
 void shard_ack_obsolete_ends(struct lug_shard *shard);
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us);
 void shard_note_list(const struct lug_shard *shard, const char *worker, struct shard_claims *claims,
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -317,17 +317,6 @@
 		lug_shard_worker_lost(shards->watches[i].shard, worker, lease_epoch, now_us);
 }
 
-/**
- * lug_shards_has_claims - whether any task of an owned shard is claimed for a worker
- */
-gboolean lug_shards_has_claims(const struct lug_shards *shards, const char *worker)
-{
-	for (guint32 i = 0; i < shards->n_shards; i++)
-		if (lug_shard_has_claims(shards->watches[i].shard, worker))
-			return TRUE;
-	return FALSE;
-}
-
 /**
  * lug_shards_release_all - release all shards and take no more
  */
