Bound the nesting and the numbers of JSON texts before they are parsed

Callers saw an entry end (segmentation fault) after a body of 400,000 opening brackets, and a number beyond 64 bits accepted as the largest one.

json-glib's parser recurses without a bound and saturates integers. It also accepts comments, strings in single quotes, octal numbers and text after the object, cuts strings at \u0000, and keeps an unpaired surrogate (\ud800\n) as invalid UTF-8, which it then refuses to read back from a row. Ruled out: a larger stack, as 400,000 levels need more than any; and counting brackets alone, as those in comments and single quotes would not count as the parser reads them.

A linear scan now checks the text first: at most LUG_JSON_DEPTH_MAX levels, integers of 64 bits, finite numbers, strings of characters other than NUL. lug_json_parse_list() replaces such values instead, for lists of entries by several writers. lug_json_int() returns the fallback for a double that is out of range. Accessors for items of arrays check the type.

--- a/liblug/core/json.c
+++ b/liblug/core/json.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+#include "core/json_scan.h"
+
+/* First double above the range of gint64. */
+#define INT64_LIMIT 9223372036854775808.0
+
 static JsonNode *get_member(JsonObject *obj, const char *key, JsonNodeType type)
 {
 	JsonNode *node = obj ? json_object_get_member(obj, key) : NULL;
@@ -11,22 +16,14 @@
 	return node;
 }
 
-/**
- * lug_json_parse - parse a text that consists of one JSON object
- * @text: text; needs no terminating NUL unless @len is -1
- * @len: bytes, -1 for a NUL-terminated string
- * @err: filled on failure, may be NULL
- *
- * Return: the object, owned by the caller, or NULL with LUG_BAD_INPUT in @err.
- */
-JsonObject *lug_json_parse(const char *text, gssize len, struct lug_error *err)
+static JsonObject *parse_scanned(const char *text, gsize len, struct lug_error *err)
 {
 	JsonParser *parser = json_parser_new();
 	GError *error = NULL;
 	JsonObject *obj = NULL;
 	JsonNode *root;
 
-	if (!json_parser_load_from_data(parser, text ? text : "", len, &error)) {
+	if (!json_parser_load_from_data(parser, text, (gssize)len, &error)) {
 		lug_fail(err, LUG_BAD_INPUT, "send one JSON object", "not JSON: %s",
 			 error->message);
 		g_error_free(error);
@@ -42,6 +39,51 @@
 	return obj;
 }
 
+/**
+ * lug_json_parse - parse a text that consists of one JSON object
+ * @text: text; needs no terminating NUL unless @len is -1
+ * @len: bytes, -1 for a NUL-terminated string
+ * @err: filled on failure, may be NULL
+ *
+ * A text is refused if it nests objects and arrays deeper than LUG_JSON_DEPTH_MAX, or contains an
+ * integer of more than 64 bits, another number that is not finite, or a string with a NUL or an
+ * unpaired surrogate.
+ *
+ * Return: the object, owned by the caller, or NULL with LUG_BAD_INPUT in @err.
+ */
+JsonObject *lug_json_parse(const char *text, gssize len, struct lug_error *err)
+{
+	gsize n = len < 0 ? strlen(text ? text : "") : (gsize)len;
+
+	if (!json_scan(text ? text : "", n, NULL, NULL, err))
+		return NULL;
+	return parse_scanned(text, n, err);
+}
+
+/**
+ * lug_json_parse_list - parse a list of entries by several writers
+ * @text: text of one JSON object
+ * @len: bytes
+ * @n_replaced: set to the number of values replaced, may be NULL
+ * @err: filled on failure, may be NULL
+ *
+ * Values for which lug_json_parse() refuses a text are replaced, strings by "" and others by null,
+ * so that they do not cost the other entries.
+ *
+ * Return: the object, owned by the caller, or NULL with LUG_BAD_INPUT in @err.
+ */
+JsonObject *lug_json_parse_list(const char *text, gsize len, guint *n_replaced,
+				struct lug_error *err)
+{
+	GString *accepted = g_string_sized_new(len);
+	JsonObject *obj = NULL;
+
+	if (json_scan(text ? text : "", len, accepted, n_replaced, err))
+		obj = parse_scanned(accepted->str, accepted->len, err);
+	g_string_free(accepted, TRUE);
+	return obj;
+}
+
 static char *serialise(JsonObject *obj, gboolean pretty)
 {
 	JsonNode *node = json_node_init_object(json_node_alloc(), obj);
@@ -73,6 +115,13 @@
 	return serialise(obj, TRUE);
 }
 
+static const char *node_str(JsonNode *node, const char *fallback)
+{
+	if (!node || json_node_get_value_type(node) != G_TYPE_STRING)
+		return fallback;
+	return json_node_get_string(node);
+}
+
 /**
  * lug_json_str - read a string member
  * @obj: object, may be NULL
@@ -83,30 +132,33 @@
  */
 const char *lug_json_str(JsonObject *obj, const char *key, const char *fallback)
 {
-	JsonNode *node = get_member(obj, key, JSON_NODE_VALUE);
+	return node_str(get_member(obj, key, JSON_NODE_VALUE), fallback);
+}
 
-	if (!node || json_node_get_value_type(node) != G_TYPE_STRING)
+static gint64 node_int(JsonNode *node, gint64 fallback)
+{
+	double value;
+
+	if (!node)
 		return fallback;
-	return json_node_get_string(node);
+	if (json_node_get_value_type(node) == G_TYPE_INT64)
+		return json_node_get_int(node);
+	if (json_node_get_value_type(node) != G_TYPE_DOUBLE)
+		return fallback;
+	value = json_node_get_double(node);
+	return value >= -INT64_LIMIT && value < INT64_LIMIT ? (gint64)value : fallback;
 }
 
 /**
  * lug_json_int - read an integer member; a double is truncated
  * @obj: object, may be NULL
  * @key: name of the member
- * @fallback: returned when the member is missing or of another type
+ * @fallback: returned when the member is missing, of another type, or a double out of the range of
+ * gint64
  */
 gint64 lug_json_int(JsonObject *obj, const char *key, gint64 fallback)
 {
-	JsonNode *node = get_member(obj, key, JSON_NODE_VALUE);
-
-	if (!node)
-		return fallback;
-	if (json_node_get_value_type(node) == G_TYPE_INT64)
-		return json_node_get_int(node);
-	if (json_node_get_value_type(node) == G_TYPE_DOUBLE)
-		return (gint64)json_node_get_double(node);
-	return fallback;
+	return node_int(get_member(obj, key, JSON_NODE_VALUE), fallback);
 }
 
 /**
@@ -170,3 +222,65 @@
 
 	return node ? json_node_get_array(node) : NULL;
 }
+
+static JsonNode *get_item(JsonArray *array, guint index, JsonNodeType type)
+{
+	JsonNode *node = array && index < json_array_get_length(array)
+				 ? json_array_get_element(array, index)
+				 : NULL;
+
+	return node && json_node_get_node_type(node) == type ? node : NULL;
+}
+
+/**
+ * lug_json_item_int - read an integer of an array; a double is truncated
+ * @array: array, may be NULL
+ * @index: index
+ * @fallback: returned when the item is missing, of another type, or a double out of the range of
+ * gint64
+ */
+gint64 lug_json_item_int(JsonArray *array, guint index, gint64 fallback)
+{
+	return node_int(get_item(array, index, JSON_NODE_VALUE), fallback);
+}
+
+/**
+ * lug_json_item_str - read a string of an array
+ * @array: array, may be NULL
+ * @index: index
+ * @fallback: returned when the item is missing or of another type
+ *
+ * Return: text owned by @array, or @fallback.
+ */
+const char *lug_json_item_str(JsonArray *array, guint index, const char *fallback)
+{
+	return node_str(get_item(array, index, JSON_NODE_VALUE), fallback);
+}
+
+/**
+ * lug_json_item_obj - read an object of an array
+ * @array: array, may be NULL
+ * @index: index
+ *
+ * Return: the item, owned by @array, or NULL when missing or of another type.
+ */
+JsonObject *lug_json_item_obj(JsonArray *array, guint index)
+{
+	JsonNode *node = get_item(array, index, JSON_NODE_OBJECT);
+
+	return node ? json_node_get_object(node) : NULL;
+}
+
+/**
+ * lug_json_item_arr - read an array of an array
+ * @array: array, may be NULL
+ * @index: index
+ *
+ * Return: the item, owned by @array, or NULL when missing or of another type.
+ */
+JsonArray *lug_json_item_arr(JsonArray *array, guint index)
+{
+	JsonNode *node = get_item(array, index, JSON_NODE_ARRAY);
+
+	return node ? json_node_get_array(node) : NULL;
+}
