Check the types and ranges of stored jobs, states and submitted numbers

A dependency of another type in a stored job ("after": ["x"]) was read as one on step 0, and a submitted 1e300 as the largest integer. Times up to 2^63 were accepted, whose sums overflow, and 1,000,000 occurrences of 4,000 tasks that are due at once were all begun, for which there is no memory.

json_array_get_*_element() requires the type; with another one it logs a critical message and returns 0 or NULL. The accessors of core/json.h are used instead wherever foreign data is read. Start times, intervals and targets have bounds. At most 40,000 tasks of a job are active; further occurrences begin when others have ended. A state that can't be decoded is reported as damaged.

--- a/liblug/client/job.c
+++ b/liblug/client/job.c
@@ -170,7 +170,7 @@
 	list = lug_json_arr(body, "jobs");
 	fprintf(client->out, LIST_ROW_FORMAT, "JOB", "TEAM", "KIND", "STATE", "TASKS", "WHY");
 	for (guint i = 0; list && i < json_array_get_length(list); i++) {
-		JsonObject *job = json_array_get_object_element(list, i);
+		JsonObject *job = lug_json_item_obj(list, i);
 		char count[16];
 
 		g_snprintf(count, sizeof(count), "%" G_GINT64_FORMAT,
--- a/liblug/client/table.c
+++ b/liblug/client/table.c
@@ -112,7 +112,7 @@
 		return lug_client_print(client, body);
 	list = lug_json_arr(body, "versions");
 	for (guint i = 0; list && i < json_array_get_length(list); i++) {
-		JsonObject *row = json_array_get_object_element(list, i);
+		JsonObject *row = lug_json_item_obj(list, i);
 		GDateTime *at = g_date_time_new_from_unix_utc(lug_json_int(row, "at_ms", 0) / 1000);
 		char *when = g_date_time_format_iso8601(at);
 
@@ -182,7 +182,7 @@
 	char *text = NULL;
 
 	for (guint i = 0; list && i < json_array_get_length(list); i++) {
-		JsonObject *row = json_array_get_object_element(list, i);
+		JsonObject *row = lug_json_item_obj(list, i);
 
 		if (lug_json_int(row, "version", 0) == version)
 			text = g_strdup(lug_json_str(row, "text", ""));
--- a/liblug/client/timeline.c
+++ b/liblug/client/timeline.c
@@ -25,6 +25,8 @@
 	const char *process = lug_json_str(event, "process", "");
 	char *id;
 
+	if (!event)
+		return;
 	if (merge->query->process && strcmp(process, merge->query->process) != 0)
 		return;
 	id = g_strdup_printf("%s@%" G_GINT64_FORMAT, process, lug_json_int(event, "stamp", 0));
@@ -37,7 +39,7 @@
 	JsonArray *list = lug_json_arr(body, "events");
 
 	for (guint i = 0; list && i < json_array_get_length(list); i++)
-		add_event(merge, json_array_get_object_element(list, i));
+		add_event(merge, lug_json_item_obj(list, i));
 }
 
 static char *query_path(const struct lug_timeline_query *query, const char *scope)
@@ -60,7 +62,7 @@
 	char *path = query_path(merge->query, "local");
 
 	for (guint i = 0; entries && i < json_array_get_length(entries); i++) {
-		JsonObject *entry = json_array_get_object_element(entries, i);
+		JsonObject *entry = lug_json_item_obj(entries, i);
 		char *url = g_strconcat("http://", lug_json_str(entry, "http", ""), NULL);
 		guint http;
 		JsonObject *body = lug_client_get_from(client, url, path, &http);
--- a/liblug/client/timeline_html.c
+++ b/liblug/client/timeline_html.c
@@ -39,7 +39,7 @@
 	GPtrArray *names = g_ptr_array_new();
 
 	for (guint i = 0; i < json_array_get_length(events); i++) {
-		JsonObject *event = json_array_get_object_element(events, i);
+		JsonObject *event = lug_json_item_obj(events, i);
 		const char *name = lug_json_str(event, "process", "");
 
 		if (!g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL))
@@ -103,7 +103,7 @@
 	g_string_append(out, "<table id='l'><tr><th>ms</th><th>process</th><th>event</th>"
 			     "<th>subject</th><th>detail</th></tr>\n");
 	for (guint i = 0; i < json_array_get_length(events); i++) {
-		JsonObject *event = json_array_get_object_element(events, i);
+		JsonObject *event = lug_json_item_obj(events, i);
 		char *row = g_markup_printf_escaped(
 			"<tr><td>%" G_GINT64_FORMAT "</td><td>%s</td><td>%s</td><td>%s</td>"
 			"<td>%s</td></tr>\n",
@@ -148,9 +148,8 @@
 	gint64 span_ms = 0;
 
 	if (n) {
-		first_ms = lug_json_int(json_array_get_object_element(events, 0), "wall_ms", 0);
-		span_ms = lug_json_int(json_array_get_object_element(events, n - 1), "wall_ms", 0) -
-			  first_ms;
+		first_ms = lug_json_int(lug_json_item_obj(events, 0), "wall_ms", 0);
+		span_ms = lug_json_int(lug_json_item_obj(events, n - 1), "wall_ms", 0) - first_ms;
 	}
 	g_ptr_array_sort(names, compare_names);
 	g_string_append_printf(out, "<svg width='%d' height='%u'>\n", LEFT_PX + WIDTH_PX + 60,
@@ -158,7 +157,7 @@
 	draw_axis(out, span_ms, names->len);
 	draw_rows(out, names);
 	for (guint i = 0; i < n; i++) {
-		JsonObject *event = json_array_get_object_element(events, i);
+		JsonObject *event = lug_json_item_obj(events, i);
 		guint row = 0;
 
 		g_ptr_array_find_with_equal_func(names, lug_json_str(event, "process", ""),
--- a/liblug/client/view.c
+++ b/liblug/client/view.c
@@ -38,7 +38,7 @@
 	print_header(out, columns, n);
 	for (guint r = 0; rows && r < json_array_get_length(rows); r++) {
 		for (gsize i = 0; i < n; i++) {
-			print_cell(out, json_array_get_object_element(rows, r), &columns[i]);
+			print_cell(out, lug_json_item_obj(rows, r), &columns[i]);
 			fputs(i + 1 < n ? "  " : "\n", out);
 		}
 	}
@@ -161,7 +161,7 @@
 		lug_json_int(table, "version", 0), lug_json_int(table, "in_force", 0),
 		lug_json_int(table, "agents", 0));
 	for (guint i = 0; lagging && i < json_array_get_length(lagging); i++)
-		fprintf(out, "  lagging: %s\n", json_array_get_string_element(lagging, i));
+		fprintf(out, "  lagging: %s\n", lug_json_item_str(lagging, i, ""));
 }
 
 /**
--- a/liblug/job/job.c
+++ b/liblug/job/job.c
@@ -131,10 +131,10 @@
 	guint used = 0;
 
 	for (guint i = 0; i < n; i++) {
-		JsonNode *node = json_array_get_element(list, i);
+		const char *place = lug_json_item_str(list, i, NULL);
 
-		if (JSON_NODE_HOLDS_VALUE(node) && json_node_get_string(node))
-			out[used++] = g_strdup(json_node_get_string(node));
+		if (place)
+			out[used++] = g_strdup(place);
 	}
 	return out;
 }
--- a/liblug/job/runner.c
+++ b/liblug/job/runner.c
@@ -286,7 +286,7 @@
 	/* The worker sends all its events again. */
 	runner->event_seq = 0;
 	for (guint i = 0; tasks && i < json_array_get_length(tasks); i++)
-		load_task(runner, json_array_get_object_element(tasks, i));
+		load_task(runner, lug_json_item_obj(tasks, i));
 	runner->state_loaded = TRUE;
 }
 
--- a/liblug/job/worker.c
+++ b/liblug/job/worker.c
@@ -240,7 +240,7 @@
 
 	g_snprintf(name, sizeof(name), "%s/%u/%u", attempt->job, attempt->index, attempt->number);
 	for (guint i = 0; i < json_array_get_length(tasks); i++)
-		if (!g_strcmp0(json_array_get_string_element(tasks, i), name))
+		if (!g_strcmp0(lug_json_item_str(tasks, i, NULL), name))
 			return TRUE;
 	return FALSE;
 }
@@ -369,7 +369,7 @@
 	runner->last_answer_us = now_us;
 	events = lug_json_arr(body, "events");
 	for (guint i = 0; events && i < json_array_get_length(events); i++)
-		apply_event(runner, json_array_get_object_element(events, i), now_us);
+		apply_event(runner, lug_json_item_obj(events, i), now_us);
 	/* Ends of a new incarnation are numbered anew; the next poll requests them all. */
 	if (!restarted)
 		runner->event_seq = (guint64)lug_json_int(body, "seq", 0);
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -92,6 +92,12 @@
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
 
+/* Occurrences of a job that may be active at once; the others wait for one of them to end. */
+static guint max_active_occurrences(const struct shard_job *job)
+{
+	return MAX(SHARD_ACTIVE_TASKS_MAX / job->first_task[job->workflow->n_steps], 1);
+}
+
 /**
  * shard_begin_due_occurrences - begin all occurrences whose start time has passed
  */
@@ -105,7 +111,8 @@
 		const struct lug_workflow *workflow = job->workflow;
 
 		while (job->end_state == LUG_WORKFLOW_UNKNOWN &&
-		       job->next_occurrence < workflow->occurrences) {
+		       job->next_occurrence < workflow->occurrences &&
+		       job->occurrences->len < max_active_occurrences(job)) {
 			if (workflow->scheduled &&
 			    workflow->start_at_ms +
 					    (gint64)job->next_occurrence * workflow->interval_ms >
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -25,6 +25,9 @@
 /* Key suffix of an inbox row that requests a job's cancellation. */
 #define SHARD_CANCEL_SUFFIX ".cancel"
 
+/* Tasks of the active occurrences of a job; further occurrences that are due begin later. */
+#define SHARD_ACTIVE_TASKS_MAX 40000
+
 enum shard_task_state {
 	SHARD_TASK_WAITING,
 	SHARD_TASK_CLAIMED,
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -28,6 +28,8 @@
  */
 
 #define WORD_MAX_BYTES 128
+/* Tasks of a row's occurrences that are decoded, ten times what a job begins at once. */
+#define ACTIVE_TASKS_MAX (10 * SHARD_ACTIVE_TASKS_MAX)
 
 static guint worker_index(GPtrArray *workers, const char *name)
 {
@@ -207,7 +209,7 @@
 	if (!workers || index >= json_array_get_length(workers))
 		return FALSE;
 	task->state = SHARD_TASK_CLAIMED;
-	task->worker = g_intern_string(json_array_get_string_element(workers, (guint)index));
+	task->worker = g_intern_string(lug_json_item_str(workers, (guint)index, NULL));
 	task->lease_epoch = next_number(&next, '.');
 	task->shard_epoch = next_number(&next, '.');
 	decode_crashes(&next, task);
@@ -240,13 +242,14 @@
 	guint n = saved ? json_array_get_length(saved) : 0;
 
 	for (guint i = 0; i < n; i++) {
-		JsonArray *pair = json_array_get_array_element(saved, i);
-		gint64 index = pair ? json_array_get_int_element(pair, 0) : -1;
+		JsonArray *pair = lug_json_item_arr(saved, i);
+		gint64 index = lug_json_item_int(pair, 0, -1);
+		const char *checkpoint = lug_json_item_str(pair, 1, NULL);
 
-		if (index < 0 || index >= job->first_task[job->workflow->n_steps])
+		if (!checkpoint || index < 0 || index >= job->first_task[job->workflow->n_steps])
 			continue;
 		g_free(occ->tasks[index].checkpoint);
-		occ->tasks[index].checkpoint = g_strdup(json_array_get_string_element(pair, 1));
+		occ->tasks[index].checkpoint = g_strdup(checkpoint);
 	}
 }
 
@@ -274,13 +277,19 @@
 	JsonArray *workers = lug_json_arr(row, "workers");
 	guint n = list ? json_array_get_length(list) : 0;
 
-	job->next_occurrence = (guint32)lug_json_int(row, "next", 0);
+	if (!row)
+		return FALSE;
+	job->next_occurrence =
+		(guint32)CLAMP(lug_json_int(row, "next", 0), 0, job->workflow->occurrences);
 	job->was_claimed = lug_json_int(row, "started", 0) != 0;
 	job->was_confirmed = lug_json_int(row, "begun", 0) != 0;
+	if (n > 1 && n > ACTIVE_TASKS_MAX / job->first_task[job->workflow->n_steps])
+		return FALSE;
 	for (guint i = 0; i < n; i++) {
-		JsonObject *item = json_array_get_object_element(list, i);
+		JsonObject *item = lug_json_item_obj(list, i);
 		struct shard_occurrence *occ =
-			shard_occurrence_begin(job, (guint32)lug_json_int(item, "k", 0));
+			shard_occurrence_begin(job, (guint32)CLAMP(lug_json_int(item, "k", 0), 0,
+								   job->workflow->occurrences));
 
 		gboolean ok = decode_tasks(job, occ, lug_json_str(item, "tasks", ""), workers);
 
--- a/liblug/workflow/workflow.c
+++ b/liblug/workflow/workflow.c
@@ -6,6 +6,9 @@
 #define MILLICORES_MAX (1024LL * 1000)
 #define MEMORY_MAX_BYTES (1LL << 50)
 #define OCCURRENCES_MAX 1000000
+#define INTERVAL_MAX_MS (366LL * 24 * 3600 * 1000)
+/* Milliseconds since 1970; leaves room for the sum of all intervals. */
+#define START_MAX_MS (1LL << 53)
 
 /**
  * lug_workflow_new - create a job with empty steps
@@ -74,6 +77,11 @@
 			 "step %u has a run time out of range", i);
 		return FALSE;
 	}
+	if (step->target_ms < 0 || step->target_ms > ESTIMATE_MAX_MS) {
+		lug_fail(err, LUG_BAD_INPUT, "give a target of at most seven days",
+			 "step %u has a target out of range", i);
+		return FALSE;
+	}
 	for (guint32 k = 0; k < step->n_after; k++) {
 		if (step->after[k] < i)
 			continue;
@@ -108,8 +116,11 @@
 		return FALSE;
 	}
 	if (!workflow->occurrences || workflow->occurrences > OCCURRENCES_MAX ||
-	    workflow->interval_ms < 0) {
-		lug_fail(err, LUG_BAD_INPUT, "give 1 to 1000000 runs and an interval from 0 on",
+	    workflow->interval_ms < 0 || workflow->interval_ms > INTERVAL_MAX_MS ||
+	    workflow->start_at_ms < 0 || workflow->start_at_ms > START_MAX_MS) {
+		lug_fail(err, LUG_BAD_INPUT,
+			 "give 1 to 1000000 runs, a time from 1970 on and an interval of at most a "
+			 "year",
 			 "the schedule is out of range");
 		return FALSE;
 	}
@@ -234,7 +245,7 @@
 	step->after = g_new0(guint32, step->n_after + 1);
 	for (guint32 i = 0; i < step->n_after; i++)
 		step->after[i] =
-			(guint32)CLAMP(json_array_get_int_element(after, i), 0, G_MAXINT32);
+			(guint32)CLAMP(lug_json_item_int(after, i, G_MAXINT32), 0, G_MAXINT32);
 }
 
 /**
@@ -260,10 +271,10 @@
 	workflow->interval_ms = lug_json_int(row, "interval_ms", 0);
 	workflow->accepted_ms = lug_json_int(row, "accepted_ms", 0);
 	for (guint i = 0; i < n; i++) {
-		JsonNode *node = json_array_get_element(steps, i);
+		JsonObject *step = lug_json_item_obj(steps, i);
 
-		if (JSON_NODE_HOLDS_OBJECT(node))
-			decode_step(json_node_get_object(node), &workflow->steps[i]);
+		if (step)
+			decode_step(step, &workflow->steps[i]);
 	}
 	if (lug_workflow_check(workflow, NULL))
 		return workflow;
--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -49,6 +49,36 @@
 	lug_workflow_free(decoded);
 }
 
+TEST(Workflow, NumbersOutOfRangeAreRefused)
+{
+	const std::string step = "{\"count\":1,\"cpu\":1";
+
+	for (const std::string &body :
+	     {"{\"steps\":[" + step + ",\"spread\":1e300}]}",
+	      "{\"steps\":[" + step + ",\"est_runtime_ms\":99999999999999999999}]}",
+	      "{\"steps\":[" + step + ",\"target_ms\":9223372036854775807}]}",
+	      "{\"steps\":[" + step + ",\"mem_mb\":-1}]}",
+	      "{\"start_at_ms\":9223372036854775807,\"run_count\":2,\"steps\":[" + step + "}]}",
+	      "{\"interval_ms\":9223372036854775807,\"run_count\":2,\"steps\":[" + step + "}]}",
+	      "{\"spec\":\"a\\u0000b\",\"steps\":[" + step + "}]}"}) {
+		struct lug_error err = {};
+
+		EXPECT_EQ(decode(body, &err), nullptr) << body;
+		EXPECT_STRNE(err.remedy, "") << body;
+	}
+}
+
+/* A dependency of another type is not one on step 0. */
+TEST(Workflow, StoredDependenciesOfAnotherTypeAreRefused)
+{
+	const std::string steps = "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[";
+
+	for (const char *after : {"\"x\"", "null", "{}", "[0]", "1e300", "-1e300"})
+		EXPECT_EQ(lug_workflow_decode_text("a", (steps + after + "]}]}").c_str()), nullptr)
+			<< after;
+	EXPECT_EQ(lug_workflow_decode_text("a", "{\"steps\":[1,\"x\"]}"), nullptr);
+}
+
 TEST(Workflow, InvalidInputIsRefusedWithAReason)
 {
 	const std::vector<std::string> bad = {
