Let odd owner and lease rows neither replace good ones nor stay for ever

An owner row with a port out of range, or with an epoch that no real owner reaches, replaced the good owner of a shard in all daemons that follow the table, and a row whose key only begins with a number counted as that of a shard. A lease row that was overwritten with anything else restarted the epochs at 1, which workers fence. The code of teams' queues used the object of a row that has none when a job was cancelled, listed or fenced.

Addresses of peers are checked where they enter the map of shards and that of queues (lug_address_is_peer()); epochs have a bound, keys are parsed whole. The epoch after a row that can't be decoded is the row's version, which is not below any epoch that the row had; such a row counts as a held lease for the time of the settings. Rows of other writers no longer displace shards' rows at the end of the read. A connection to an address that ZeroMQ refuses is logged. Ruled out: that zmq_connect() or libsoup abort on such addresses; they return errors.

EpochRisesAfterARowThatCannotBeDecoded tests a new function.

--- a/liblug/core/settings.c
+++ b/liblug/core/settings.c
@@ -160,6 +160,20 @@
 	return TRUE;
 }
 
+/**
+ * lug_address_is_peer - whether a text is an address that can be connected to
+ * @text: address of a peer as another process stated it, may be NULL
+ *
+ * Return: TRUE for "IPv4:PORT" with a port from 1 to 65535.
+ */
+gboolean lug_address_is_peer(const char *text)
+{
+	guint port = 0;
+
+	return lug_address_parse(text, NULL, &port) && port &&
+	       strchr(text, ':') == strrchr(text, ':');
+}
+
 static gboolean is_valid_url(const char *text)
 {
 	/* 7: length of "http://". */
--- a/liblug/core/settings.h
+++ b/liblug/core/settings.h
@@ -118,5 +118,6 @@
 gboolean lug_settings_reloadable(const struct lug_settings *old,
 				 const struct lug_settings *candidate, struct lug_error *err);
 gboolean lug_address_parse(const char *text, char **host, guint *port);
+gboolean lug_address_is_peer(const char *text);
 
 #endif
--- a/liblug/daemon/api_jobs.c
+++ b/liblug/daemon/api_jobs.c
@@ -72,6 +72,16 @@
 	end_error(call, &err);
 }
 
+/* The job's row can't be decoded, so it is not known what became of the job. */
+static void end_unreadable(struct job_call *call)
+{
+	struct lug_error err;
+
+	lug_fail(&err, LUG_INTERNAL, "ask an operator to restore or delete the row",
+		 "the row of job %s can't be read", call->id);
+	end_error(call, &err);
+}
+
 static void wake_owner(struct lug_entry *entry, const char *team)
 {
 	struct lug_agent *owner = lug_registry_owner(entry->registry, team);
@@ -264,6 +274,8 @@
 	/* The scan is by prefix, so the first row may be of another job. */
 	else if (!n_rows || strcmp(rows[0].key, call->key) != 0)
 		end_not_found(call);
+	else if (!rows[0].data)
+		end_unreadable(call);
 	else
 		end_json(call, 200, json_object_ref(rows[0].data));
 }
@@ -288,6 +300,10 @@
 			       call);
 		return;
 	}
+	if (!rows[0].data) {
+		end_unreadable(call);
+		return;
+	}
 	call->out = json_object_ref(rows[0].data);
 	prefix = g_strconcat(call->key, "/", NULL);
 	lug_store_scan(call->entry->store, "task", prefix, NULL, LUG_JOB_TASKS_MAX, on_tasks, call);
@@ -300,7 +316,10 @@
 		     const char *default_state)
 {
 	for (guint i = 0; i < n_rows; i++) {
-		JsonObject *item = json_object_ref(rows[i].data);
+		JsonObject *item = rows[i].data ? json_object_ref(rows[i].data) : NULL;
+
+		if (!item)
+			continue;
 
 		if (!json_object_has_member(item, "state"))
 			json_object_set_string_member(item, "state", default_state);
@@ -412,6 +431,10 @@
 			       call);
 		return;
 	}
+	if (!rows[0].data) {
+		end_unreadable(call);
+		return;
+	}
 	op = lug_writer_op_new(on_cancelled, call);
 	op->deadline_us = lug_now_us() + COMMIT_TIMEOUT_US;
 	json_object_set_boolean_member(rows[0].data, "cancelled", TRUE);
--- a/liblug/daemon/api_table.c
+++ b/liblug/daemon/api_table.c
@@ -203,7 +203,8 @@
 	out = json_object_new();
 	list = json_array_new();
 	for (guint i = 0; i < n_rows; i++)
-		json_array_add_object_element(list, json_object_ref(rows[i].data));
+		if (rows[i].data)
+			json_array_add_object_element(list, json_object_ref(rows[i].data));
 	json_object_set_array_member(out, "versions", list);
 	json_object_set_boolean_member(out, "more", more);
 	lug_answer_json(api_call->msg, 200, out);
--- a/liblug/http/http.c
+++ b/liblug/http/http.c
@@ -33,7 +33,7 @@
 	if (call->timer)
 		g_source_remove(call->timer);
 	g_object_unref(call->cancel);
-	g_object_unref(call->msg);
+	g_clear_object(&call->msg);
 	g_free(call);
 }
 
@@ -210,7 +210,6 @@
 	if (!call->msg) {
 		struct lug_http_answer no_answer = {.body = "", .content_type = ""};
 
-		call->msg = soup_message_new("GET", http->base_url);
 		fn(data, &no_answer);
 		call_free(call);
 		return;
--- a/liblug/job/fence.c
+++ b/liblug/job/fence.c
@@ -65,14 +65,17 @@
 {
 	struct lug_writer_op *op =
 		lug_writer_op_new(on_fenced, lease_call_new(owner, watch->worker));
-
-	json_object_set_int_member(row->data, "epoch", lug_json_int(row->data, "epoch", 0) + 1);
-	json_object_set_string_member(row->data, "owner", "");
-	json_object_set_string_member(row->data, "state", "fenced");
-	json_object_set_string_member(row->data, "prev_txn", lug_json_str(row->data, "txn", ""));
-	json_object_set_string_member(row->data, "txn", "fence");
+	/* Nothing is kept of a row that can't be decoded. */
+	JsonObject *next = row->data ? json_object_ref(row->data) : json_object_new();
+
+	json_object_set_int_member(next, "epoch", (gint64)lug_writer_row_epoch(row) + 1);
+	json_object_set_string_member(next, "owner", "");
+	json_object_set_string_member(next, "state", "fenced");
+	json_object_set_string_member(next, "prev_txn", lug_json_str(next, "txn", ""));
+	json_object_set_string_member(next, "txn", "fence");
 	lug_txn_check(&op->txn, "worker", watch->worker, row->version);
-	lug_txn_put(&op->txn, "worker", watch->worker, row->data);
+	lug_txn_put(&op->txn, "worker", watch->worker, next);
+	json_object_unref(next);
 	watch->committing = TRUE;
 	/* Logged before the outcome is known: another owner may fence the lease first. */
 	lug_timeline_add(owner->env.ctx->timeline, LUG_EV_LEASE_LAPSED, watch->worker,
@@ -85,8 +88,7 @@
 			    const struct lug_row *row, gint64 now_us)
 {
 	if (!strcmp(lug_json_str(row->data, "state", ""), "fenced")) {
-		lose_attempts(owner, watch->worker, (guint64)lug_json_int(row->data, "epoch", 0),
-			      now_us);
+		lose_attempts(owner, watch->worker, lug_writer_row_epoch(row), now_us);
 		return;
 	}
 	if (row->version != watch->row_version) {
@@ -94,7 +96,8 @@
 		watch->unchanged_since_us = now_us;
 		return;
 	}
-	if (!watch->committing && lug_writer_row_is_free(row, now_us - watch->unchanged_since_us))
+	if (!watch->committing && lug_writer_row_is_free(row, now_us - watch->unchanged_since_us,
+							 owner->env.ctx->settings->worker_lease_ms))
 		commit_fence(owner, watch, row, now_us);
 }
 
--- a/liblug/job/load.c
+++ b/liblug/job/load.c
@@ -64,7 +64,7 @@
 		guint32 index = (guint32)g_ascii_strtoull(parts[2], NULL, 10);
 		struct lug_task *task = lug_queue_task(owner->queue, parts[1], index);
 
-		if (task)
+		if (task && row->data)
 			apply_task_row(owner, task, row->data, now_us);
 	}
 	g_strfreev(parts);
@@ -105,13 +105,29 @@
 	lug_queue_remove(owner->queue, qjob);
 }
 
+/* Whether a row has the key of the job that it holds; without data it holds none. */
+static gboolean is_own_key(const struct lug_owner *owner, const struct lug_job *job,
+			   const char *key)
+{
+	char *expected = lug_job_row_key(owner->team, job->id);
+	gboolean equal = *job->id && !strcmp(key, expected);
+
+	g_free(expected);
+	return equal;
+}
+
 static void load_job_row(struct lug_owner *owner, const struct lug_row *row, guint64 last_drop_seq,
 			 gint64 now_us)
 {
 	struct lug_job *job = lug_job_from_row(row->data);
-	struct lug_queue_job *qjob = lug_queue_find(owner->queue, job->id);
+	struct lug_queue_job *qjob;
 	gboolean cancelled = job->cancelled;
 
+	if (!is_own_key(owner, job, row->key)) {
+		lug_job_free(job);
+		return;
+	}
+	qjob = lug_queue_find(owner->queue, job->id);
 	if (page_predates_drop(owner, job->id, last_drop_seq)) {
 		lug_job_free(job);
 		return;
--- a/liblug/job/owners.c
+++ b/liblug/job/owners.c
@@ -113,7 +113,7 @@
 
 static void set_address(struct queue_view *view, const char *address, guint64 epoch)
 {
-	if (epoch < view->epoch)
+	if (epoch < view->epoch || (*address && !lug_address_is_peer(address)))
 		return;
 	view->epoch = epoch;
 	if (!g_strcmp0(view->address, address))
@@ -135,7 +135,7 @@
 	g_clear_pointer(&view->row.data, json_object_unref);
 	view->row.data = row->data ? json_object_ref(row->data) : NULL;
 	set_address(view, released ? "" : lug_json_str(row->data, "address", ""),
-		    (guint64)lug_json_int(row->data, "epoch", 0));
+		    lug_writer_row_epoch(row));
 }
 
 static void on_rows(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
@@ -192,7 +192,8 @@
 	struct queue_view *view = get_view(owners, team);
 	GRand *rng = owners->env.ctx->rng;
 
-	if (!lug_writer_row_is_free(&view->row, now_us - view->unchanged_since_us)) {
+	if (!lug_writer_row_is_free(&view->row, now_us - view->unchanged_since_us,
+				    owners->env.ctx->settings->queue_lease_ms)) {
 		view->take_at_us = 0;
 		return;
 	}
--- a/liblug/member/lease.c
+++ b/liblug/member/lease.c
@@ -207,7 +207,9 @@
 		return;
 	}
 	load_usage(lease);
-	if (!strcmp(lug_json_str(lease->last_row.data, "state", ""), "fenced"))
+	/* A row that can't be decoded may be that of a fenced lease. */
+	if (!strcmp(lug_json_str(lease->last_row.data, "state", ""), "fenced") ||
+	    (lease->last_row.version && !lease->last_row.data))
 		lease->step = STEP_KILL_TASKS;
 	else
 		lease->step = STEP_TAKE;
@@ -245,8 +247,8 @@
 					.body = body,
 					.timeout_ms = WORKER_TIMEOUT_MS};
 
-	g_snprintf(body, sizeof(body), "{\"epoch\":%" G_GINT64_FORMAT "}",
-		   lug_json_int(lease->last_row.data, "epoch", 0) + 1);
+	g_snprintf(body, sizeof(body), "{\"epoch\":%" G_GUINT64_FORMAT "}",
+		   lug_writer_row_epoch(&lease->last_row) + 1);
 	call.len = strlen(body);
 	lease->call_in_progress = TRUE;
 	lug_http_send(lease->worker, &call, on_tasks_killed, lease);
--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -11,6 +11,8 @@
 #define CHECKS_AND_WRITES_MAX 90
 #define RETRY_MIN_MS 50
 #define RETRY_MAX_MS 2000
+/* Longest lease that a row may state; the settings accept no longer one. */
+#define TTL_MAX_MS (600LL * 1000)
 /* The rates of two instances' clocks differ by less than one part in 50 (2 %). */
 #define DRIFT_DIVISOR 50
 /* By default a lease is renewed after a third of its duration. */
@@ -509,6 +511,22 @@
 	}
 }
 
+/**
+ * lug_writer_row_epoch - epoch of a lease row
+ * @row: row as read, absent or present
+ *
+ * An epoch rises by one with a write of the row, and the versions of the table service with each
+ * write, so the version of a row whose epoch can't be read is not below any epoch it had.
+ *
+ * Return: the epoch, 0 for an absent row.
+ */
+guint64 lug_writer_row_epoch(const struct lug_row *row)
+{
+	gint64 epoch = lug_json_int(row->data, "epoch", -1);
+
+	return (guint64)(epoch >= 0 && epoch <= LUG_EPOCH_MAX ? epoch : row->version);
+}
+
 /**
  * lug_writer_take - try to take the lease
  * @writer: writer that does not hold its lease; otherwise the call has no effect
@@ -525,7 +543,7 @@
 	writer->phase = PHASE_ACQUIRING;
 	writer->release_requested = FALSE;
 	writer->version = seen->version;
-	writer->epoch = (guint64)lug_json_int(seen->data, "epoch", 0) + 1;
+	writer->epoch = lug_writer_row_epoch(seen) + 1;
 	writer->total = lug_json_int(seen->data, "total", 0);
 	g_strlcpy(writer->prev_txn_id, lug_json_str(seen->data, "txn", ""),
 		  sizeof(writer->prev_txn_id));
@@ -715,15 +733,18 @@
  * lease was released or has expired
  * @row: row as read
  * @unchanged_us: time in microseconds for which the reader has seen the same version
+ * @unreadable_ttl_ms: duration of the lease of a row that can't be decoded
  *
  * The lease has expired when the row's version has not changed for the duration of the lease, which
- * the row states, plus a margin for clock drift.
+ * the row states, plus a margin for clock drift. A row that can't be decoded does not state it.
  */
-gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us)
+gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us,
+				gint64 unreadable_ttl_ms)
 {
-	gint64 ttl_us = lug_json_int(row->data, "ttl_ms", 0) * 1000;
+	gint64 ttl_ms = row->data ? lug_json_int(row->data, "ttl_ms", 0) : unreadable_ttl_ms;
+	gint64 ttl_us = CLAMP(ttl_ms, 0, TTL_MAX_MS) * 1000;
 
-	if (!row->version || !*lug_json_str(row->data, "owner", ""))
+	if (!row->version || (row->data && !*lug_json_str(row->data, "owner", "")))
 		return TRUE;
 	return unchanged_us > ttl_us + ttl_us / DRIFT_DIVISOR;
 }
--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -4,6 +4,9 @@
 #include "core/list.h"
 #include "store/store.h"
 
+/* Highest epoch that a row may state. */
+#define LUG_EPOCH_MAX (1LL << 53)
+
 /**
  * struct lug_writer_op - one operation of a group commit
  * @node: in the writer's list of queued operations or of those in flight
@@ -104,6 +107,8 @@
 gint64 lug_writer_valid_until_us(const struct lug_writer *writer);
 guint64 lug_writer_epoch(const struct lug_writer *writer);
 gint64 lug_writer_total(const struct lug_writer *writer);
-gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us);
+guint64 lug_writer_row_epoch(const struct lug_row *row);
+gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us,
+				gint64 unreadable_ttl_ms);
 
 #endif
--- a/liblug/wire/link.c
+++ b/liblug/wire/link.c
@@ -335,7 +335,10 @@
 		endpoint = g_strdup_printf("tcp://%s:0;%s", settings->source, dial->address);
 	else
 		endpoint = g_strdup_printf("tcp://%s", dial->address);
-	zmq_connect(dial->socket, endpoint);
+	/* Messages to such an address are not sent; the other connections hold. */
+	if (zmq_connect(dial->socket, endpoint))
+		lug_warn(dial->link->ctx, "connect_refused", "address", dial->address, "problem",
+			 zmq_strerror(zmq_errno()), "remedy", "correct the peer's address");
 	g_free(endpoint);
 	dial->event_source = lug_socket_source_attach(dial->socket, on_dial_message, dial);
 }
--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -72,7 +72,7 @@
 static void fence_lease(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
 			const struct lug_row *row)
 {
-	guint64 epoch = (guint64)lug_json_int(row->data, "epoch", 0);
+	guint64 epoch = lug_writer_row_epoch(row);
 	JsonObject *next = json_object_new();
 	struct lug_txn txn;
 
@@ -109,8 +109,8 @@
 	gint64 version = row->version ? row->version : LEASE_ROW_ABSENT;
 	gint64 unchanged_us;
 
-	if (row->version && !*lug_json_str(row->data, "owner", "")) {
-		report_lease_ended(fleet, worker, (guint64)lug_json_int(row->data, "epoch", 0),
+	if (row->data && !*lug_json_str(row->data, "owner", "")) {
+		report_lease_ended(fleet, worker, lug_writer_row_epoch(row),
 				   "lease fenced or released");
 		return;
 	}
@@ -123,7 +123,7 @@
 	unchanged_us = now_us - worker->lease_row_since_us - FENCE_MARGIN_US;
 	if (!row->version)
 		check_missing_row(fleet, worker, unchanged_us);
-	else if (lug_writer_row_is_free(row, unchanged_us))
+	else if (lug_writer_row_is_free(row, unchanged_us, fleet->ctx->settings->worker_lease_ms))
 		fence_lease(fleet, worker, row);
 }
 
--- a/liblug/workflow/shard_load.c
+++ b/liblug/workflow/shard_load.c
@@ -182,6 +182,11 @@
 	lug_info(shard->shared.ctx, "job_found", "job", row->key, "shard", shard->name, "source",
 		 cancel ? "inbox, with its cancellation" : "inbox");
 	load_job_row(shard, row, lug_now_us());
+	/* Its row can't be decoded, which reading it again would not change. */
+	if (!cancel && !g_hash_table_contains(shard->jobs, row->key)) {
+		remove_inbox_row(shard, row->key);
+		return;
+	}
 	if (cancel)
 		apply_inbox_cancel(shard, row->key);
 	else
--- a/liblug/workflow/shard_map.c
+++ b/liblug/workflow/shard_map.c
@@ -1,8 +1,9 @@
 #include "workflow/shard_map.h"
 
-#include <stdlib.h>
 #include <string.h>
 
+#include "store/writer.h"
+
 /*
  * Longest time that the table service holds a watch before it answers. Owners also name
  * themselves in answers to heartbeats, so an unresponsive connection does less harm here than for
@@ -91,8 +92,9 @@
  * lug_shard_map_update - update the owner of a shard
  * @shard_map: map
  * @shard: shard; an invalid number is ignored
- * @epoch: epoch of the ownership
- * @address: inner address, "" when the shard was released in this epoch
+ * @epoch: epoch of the ownership; one above LUG_EPOCH_MAX is ignored
+ * @address: inner address, "" when the shard was released in this epoch; one that can't be
+ * connected to is ignored
  *
  * Return: TRUE when the owner has changed.
  */
@@ -101,7 +103,8 @@
 {
 	struct lug_shard_owner *owner;
 
-	if (shard >= shard_map->n_shards)
+	if (shard >= shard_map->n_shards || epoch > LUG_EPOCH_MAX ||
+	    (*address && !lug_address_is_peer(address)))
 		return FALSE;
 	owner = &shard_map->owners[shard];
 	/* Within an epoch only a release, which has no address, changes the owner. */
@@ -133,10 +136,21 @@
 
 static void apply_owner_row(struct lug_shard_map *shard_map, const struct lug_row *row)
 {
-	if (row->data)
-		lug_shard_map_update(shard_map, (guint32)strtoul(row->key, NULL, 10),
-				     (guint64)lug_json_int(row->data, "epoch", 0),
-				     lug_json_str(row->data, "address", ""));
+	gint64 epoch = lug_json_int(row->data, "epoch", -1);
+	const char *address = lug_json_str(row->data, "address", NULL);
+	guint64 shard = 0;
+
+	/* The row was deleted, or the client of the table service has logged it. */
+	if (!row->data)
+		return;
+	if (epoch >= 0 && epoch <= LUG_EPOCH_MAX && address &&
+	    (!*address || lug_address_is_peer(address)) &&
+	    g_ascii_string_to_unsigned(row->key, 10, 0, G_MAXUINT32, &shard, NULL)) {
+		lug_shard_map_update(shard_map, (guint32)shard, (guint64)epoch, address);
+		return;
+	}
+	lug_warn(shard_map->ctx, "row_skipped", "table", LUG_SHARD_OWNER_TABLE, "key", row->key,
+		 "reason", "not a shard with an epoch and an address", "remedy", "delete the row");
 }
 
 static void read_next_row(struct lug_shard_map *shard_map);
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -165,12 +165,22 @@
 	return !strcmp(lug_json_str(row->data, "owner", ""), settings->name);
 }
 
+static gboolean is_lease_key(const struct shard_watch *watch, const char *key)
+{
+	char own[16];
+
+	g_snprintf(own, sizeof(own), "%u", watch->number);
+	return !strcmp(key, own);
+}
+
 static void on_lease_row(void *data, enum lug_status status, const struct lug_row *rows,
 			 guint n_rows, gboolean more)
 {
 	struct shard_watch *watch = data;
 	static const struct lug_row none;
-	const struct lug_row *row = n_rows ? &rows[0] : &none;
+	/* The scan is by prefix: its first row may be another writer's. */
+	gboolean found = n_rows && is_lease_key(watch, rows[0].key);
+	const struct lug_row *row = found ? &rows[0] : &none;
 	gint64 now_us = lug_now_us();
 
 	(void)more;
@@ -186,7 +196,7 @@
 		watch->seen_version = row->version;
 		watch->seen_since_us = now_us;
 		lug_shard_map_update(watch->shards->shard_map, watch->number,
-				     (guint64)lug_json_int(row->data, "epoch", 0),
+				     lug_writer_row_epoch(row),
 				     lug_json_str(row->data, "address", ""));
 		return;
 	}
--- a/tests/unit/core_test.cc
+++ b/tests/unit/core_test.cc
@@ -114,6 +114,18 @@
 	g_ptr_array_unref(problems);
 }
 
+TEST(Settings, AddressesOfPeersHaveAnExistingPort)
+{
+	EXPECT_TRUE(lug_address_is_peer("127.0.0.1:1"));
+	EXPECT_TRUE(lug_address_is_peer("10.0.0.7:65535"));
+	for (const char *text :
+	     {"", "host:", "host:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+	      "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:99999999999999999999", "127.0.0.1:80x",
+	      "127.0.0.1\n:80", "::1:80", "[::1]:80", "127.0.0.1;1.2.3.4:80"})
+		EXPECT_FALSE(lug_address_is_peer(text)) << text;
+	EXPECT_FALSE(lug_address_is_peer(nullptr));
+}
+
 TEST(Units, ParsesUnitsAndRejectsMissingOnesNegativesAndOverflow)
 {
 	gint64 value = 0;
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -299,19 +299,43 @@
 	store.calls.clear();
 }
 
+/* Another writer has overwritten the row; the versions of rows are above all epochs. */
+TEST_F(WriterTest, EpochRisesAfterARowThatCannotBeDecoded)
+{
+	struct lug_row row = {const_cast<char *>("t"), 40, nullptr};
+
+	EXPECT_EQ(lug_writer_row_epoch(&row), 40u);
+	EXPECT_FALSE(lug_writer_row_is_free(&row, 3000 * ms, 3000)) << "the lease may be held";
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 3100 * ms, 3000));
+	for (const char *text :
+	     {"{\"epoch\":-1}", "{\"epoch\":\"x\"}", "{}", "{\"epoch\":9223372036854775807}"}) {
+		row.data = lug_json_parse(text, -1, nullptr);
+		EXPECT_EQ(lug_writer_row_epoch(&row), 40u) << text;
+		json_object_unref(row.data);
+	}
+	row.data = lug_json_parse("{\"epoch\":7,\"owner\":\"x\",\"ttl_ms\":9223372036854775807}",
+				  -1, nullptr);
+	EXPECT_EQ(lug_writer_row_epoch(&row), 7u);
+	EXPECT_FALSE(lug_writer_row_is_free(&row, 3100 * ms, 0));
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 3600 * 1000 * ms, 0)) << "the longest lease";
+	json_object_unref(row.data);
+	row = {const_cast<char *>("t"), 0, nullptr};
+	EXPECT_EQ(lug_writer_row_epoch(&row), 0u);
+}
+
 TEST_F(WriterTest, ReleasedRowIsFreeAtOnceHeldRowAfterExpiry)
 {
 	struct lug_writer *writer = held_writer();
 	struct lug_row row = read_leased_row(store, "t");
 
 	/* The margin for clock drift is 2 % of the 3000 ms of the lease. */
-	EXPECT_FALSE(lug_writer_row_is_free(&row, 3000 * ms));
-	EXPECT_TRUE(lug_writer_row_is_free(&row, 3100 * ms));
+	EXPECT_FALSE(lug_writer_row_is_free(&row, 3000 * ms, 0));
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 3100 * ms, 0));
 	json_object_unref(row.data);
 	lug_writer_release(writer, 1200 * ms);
 	store.settle();
 	row = read_leased_row(store, "t");
-	EXPECT_TRUE(lug_writer_row_is_free(&row, 0));
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 0, 0));
 	EXPECT_EQ(events.back(), LUG_WRITER_RELEASED);
 	json_object_unref(row.data);
 }
