--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -9,7 +9,8 @@
  * @key: key
  * @version: version that the table service gave to the last write of the row, 0 if the row is
  * absent
- * @data: decoded value, NULL if the row is absent
+ * @data: decoded value, NULL if the row is absent or its value can't be decoded, which the table
+ * service client has logged
  */
 struct lug_row {
 	char *key;
--- a/liblug/store/store_http.c
+++ b/liblug/store/store_http.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "http/http.h"
+#include "store/unreadable.h"
 
 /* Largest burst of calls above the configured rate. */
 #define RATE_BURST_CALLS 20
@@ -17,6 +18,7 @@
 	struct lug_store base;
 	struct lug_ctx *ctx;
 	struct lug_http *http;
+	struct lug_unreadable *unreadable;
 	GQueue waiting;
 	double tokens;
 	gint64 refilled_us;
@@ -34,6 +36,7 @@
 	char *method;
 	char *path;
 	char *body;
+	const char *table; /* of a scan, interned */
 	gint64 sent_us;
 	lug_txn_fn txn_fn;
 	lug_scan_fn scan_fn;
@@ -68,6 +71,24 @@
 	lug_gauge(store->ctx, STORE_UP, answering);
 }
 
+/*
+ * Reads the indices of failed checks. Returns their number, 0 if one can't be read: any check may
+ * have failed then.
+ */
+static guint decode_failed(JsonArray *failed, guint *indices)
+{
+	guint n = json_array_get_length(failed);
+
+	for (guint i = 0; i < n; i++) {
+		gint64 index = lug_json_item_int(failed, i, -1);
+
+		if (index < 0 || index > G_MAXINT)
+			return 0;
+		indices[i] = (guint)index;
+	}
+	return n;
+}
+
 /* An answer without a complete success or conflict, or none, leaves the outcome unknown. */
 static void answer_txn(struct call *call, guint http_status, JsonObject *body)
 {
@@ -75,15 +96,13 @@
 	JsonArray *failed = lug_json_arr(body, "failed");
 	guint *indices = NULL;
 
-	if (http_status == 200 && body) {
+	if (http_status == 200 && lug_json_int(body, "version", 0) > 0) {
 		result.status = LUG_OK;
 		result.version = lug_json_int(body, "version", 0);
 	} else if (http_status == 409 && failed) {
 		result.status = LUG_CONFLICT;
-		result.n_failed = json_array_get_length(failed);
-		indices = g_new0(guint, result.n_failed + 1);
-		for (guint i = 0; i < result.n_failed; i++)
-			indices[i] = (guint)json_array_get_int_element(failed, i);
+		indices = g_new0(guint, json_array_get_length(failed) + 1);
+		result.n_failed = decode_failed(failed, indices);
 		result.failed = indices;
 		lug_count(call->store->ctx, STORE_CONFLICTS, 1);
 	}
@@ -92,26 +111,46 @@
 	g_free(indices);
 }
 
+/*
+ * Decodes one row. Data that can't be decoded is NULL, so that the row keeps its version for those
+ * who replace it. Returns FALSE for an item that is no row.
+ */
+static gboolean decode_row(struct call *call, JsonObject *item, struct lug_row *row)
+{
+	const char *key = lug_json_str(item, "k", "");
+	gint64 version = lug_json_int(item, "v", 0);
+	struct lug_error err = {0};
+
+	if (!*key || version <= 0) {
+		lug_unreadable_report(call->store->unreadable, call->table, key, version,
+				      "a row without its key or version");
+		return FALSE;
+	}
+	row->key = g_strdup(key);
+	row->version = version;
+	row->data = lug_json_parse(lug_json_str(item, "d", ""), -1, &err);
+	if (!row->data)
+		lug_unreadable_report(call->store->unreadable, call->table, key, version, err.msg);
+	return TRUE;
+}
+
 static void answer_scan(struct call *call, guint http_status, JsonObject *body)
 {
 	JsonArray *list = lug_json_arr(body, "rows");
 	guint n = list ? json_array_get_length(list) : 0;
 	struct lug_row *rows;
+	guint n_rows = 0;
 
 	if (http_status != 200 || !list) {
 		call->scan_fn(call->data, LUG_UNAVAILABLE, NULL, 0, FALSE);
 		return;
 	}
 	rows = g_new0(struct lug_row, n + 1);
-	for (guint i = 0; i < n; i++) {
-		JsonObject *item = json_array_get_object_element(list, i);
-
-		rows[i].key = g_strdup(lug_json_str(item, "k", ""));
-		rows[i].version = lug_json_int(item, "v", 0);
-		rows[i].data = lug_json_parse(lug_json_str(item, "d", "{}"), -1, NULL);
-	}
-	call->scan_fn(call->data, LUG_OK, rows, n, lug_json_bool(body, "more", FALSE));
-	for (guint i = 0; i < n; i++) {
+	for (guint i = 0; i < n; i++)
+		if (decode_row(call, lug_json_item_obj(list, i), &rows[n_rows]))
+			n_rows++;
+	call->scan_fn(call->data, LUG_OK, rows, n_rows, lug_json_bool(body, "more", FALSE));
+	for (guint i = 0; i < n_rows; i++) {
 		g_free(rows[i].key);
 		g_clear_pointer(&rows[i].data, json_object_unref);
 	}
@@ -124,7 +163,7 @@
 	struct store_http *store = call->store;
 	gboolean answered = answer->http_status == 200 || answer->http_status == 409;
 	JsonObject *body =
-		answered ? lug_json_parse(answer->body, (gssize)answer->len, NULL) : NULL;
+		answered ? lug_json_parse_list(answer->body, answer->len, NULL, NULL) : NULL;
 
 	lug_count(store->ctx, STORE_BYTES, answer->len);
 	if (!answered)
@@ -257,6 +296,7 @@
 	call->method = g_strdup("GET");
 	call->path = g_strdup_printf("/v1/scan?t=%s&prefix=%s&after=%s&limit=%u", table,
 				     prefix_text, after_text, limit);
+	call->table = g_intern_string(table);
 	call->scan_fn = fn;
 	call->data = data;
 	g_free(prefix_text);
@@ -274,6 +314,7 @@
 	while ((call = g_queue_pop_head(&store->waiting)))
 		call_free(call);
 	lug_http_free(store->http);
+	lug_unreadable_free(store->unreadable);
 	g_free(store);
 }
 
@@ -300,6 +341,7 @@
 
 	store->base.ops = &http_ops;
 	store->ctx = ctx;
+	store->unreadable = lug_unreadable_new(ctx);
 	store->http =
 		lug_http_new(ctx->settings->platform, ctx->settings->source, free_dropped_call);
 	store->tokens = RATE_BURST_CALLS;
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -1,8 +1,8 @@
 /*
  * Fuzz targets for the decoders of external input: frames of internal connections, settings,
- * the table of weights and limits, jobs, and the platform's jobs, configuration and rows. The
- * first byte of an input selects the target. Builds with clang use libFuzzer. `make fuzz` runs a
- * fixed number of inputs with a fixed seed.
+ * the table of weights and limits, jobs, the platform's jobs, configuration and rows, JSON texts
+ * and addresses of peers. The first byte of an input selects the target. Builds with clang use
+ * libFuzzer. `make fuzz` runs a fixed number of inputs with a fixed seed.
  */
 #include <string.h>
 
@@ -48,6 +48,37 @@
 	g_free(text);
 }
 
+/* What is accepted is nested within the bound, and a list without odd values is kept as it is. */
+static void fuzz_json(const uint8_t *data, size_t size)
+{
+	JsonObject *object = lug_json_parse((const char *)data, (gssize)size, NULL);
+	guint n_replaced = 0;
+	JsonObject *list = lug_json_parse_list((const char *)data, size, &n_replaced, NULL);
+	JsonObject *again;
+	char *text;
+
+	g_assert(!object || (list && !n_replaced));
+	if (list) {
+		/* All that is left of a list is accepted. */
+		text = lug_json_text(list);
+		again = lug_json_parse(text, -1, NULL);
+		g_assert(again);
+		json_object_unref(again);
+		json_object_unref(list);
+		g_free(text);
+	}
+	if (object)
+		json_object_unref(object);
+}
+
+static void fuzz_address(const uint8_t *data, size_t size)
+{
+	char *text = g_strndup((const char *)data, size);
+
+	g_assert(!lug_address_is_peer(text) || lug_address_parse(text, NULL, NULL));
+	g_free(text);
+}
+
 static void fuzz_job(const uint8_t *data, size_t size)
 {
 	JsonObject *body = lug_json_parse((const char *)data, (gssize)size, NULL);
@@ -91,7 +122,7 @@
 static void fuzz_rows(const uint8_t *data, size_t size)
 {
 	char *text = g_strndup((const char *)data, size);
-	JsonObject *row = platform_value_decode(text);
+	JsonObject *row = platform_value_decode(text, NULL);
 
 	if (row)
 		json_object_unref(row);
@@ -106,8 +137,8 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static void (*const targets[])(const uint8_t *data, size_t size) = {
-		fuzz_frame,	   fuzz_settings, fuzz_limits, fuzz_job,
-		fuzz_platform_job, fuzz_queues,	  fuzz_rows};
+		fuzz_frame,  fuzz_settings, fuzz_limits, fuzz_job,    fuzz_platform_job,
+		fuzz_queues, fuzz_rows,	    fuzz_json,	 fuzz_address};
 
 	if (size)
 		targets[data[0] % G_N_ELEMENTS(targets)](data + 1, size - 1);
