Tests of odd entries, bodies and answers with real processes

Each test checks that all processes keep their ids, that good entries among the odd ones hold and that later ones are still followed: bodies at both kinds of entry, heartbeats and answers of workers, rows of owners, leases, jobs, states, inboxes, ended jobs, the configuration, entries and teams' queues, and answers of the table service.

--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -97,8 +97,9 @@
             return file.read()
 
     def owners(self):
-        """Addresses of the shards' owners, from the table of owners."""
-        return {key[2]: row["address"] for key, row in self.store.table("owner").items()}
+        """Addresses of the shards' owners, from the table of owners; rows of others are left out."""
+        return {key[2]: row["address"] for key, row in self.store.table("owner").items()
+                if key[2].isdigit() and isinstance(row, dict)}
 
     def owner_name(self, shard="0"):
         # The host number of an agent is the number in its name.
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -29,7 +29,8 @@
 class Handler(BaseHTTPRequestHandler):
     """Passes each call to serve() of a stand-in.
 
-    serve() returns (status code, body), or None to close the connection without an answer.
+    serve() returns (status code, body), or None to close the connection without an answer. A body
+    of bytes is sent as it is. alter_answer(path, code, body) of the stand-in may replace it.
     """
 
     protocol_version = "HTTP/1.1"
@@ -44,7 +45,9 @@
             self.close_connection = True
             return
         code, body = answer
-        data = json.dumps(body).encode()
+        if self.server.standin.alter_answer:
+            body = self.server.standin.alter_answer(urllib.parse.urlsplit(self.path).path, code, body)
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
         self.send_response(code)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
@@ -113,6 +116,7 @@
         # answer until perform_late().
         self.is_late = lambda body, caller: False
         self.late = []
+        self.alter_answer = None
         self.server = Server(address, self)
 
     def put(self, table, key, value, part=""):
@@ -156,7 +160,9 @@
         if value is None:
             row["tombstone"] = True
         else:
-            row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+            # Values of bytes are not of a daemon: they are stored as they are.
+            raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+            row["value"] = base64.b64encode(raw).decode()
         return row
 
     def serve(self, method, path, raw, caller, headers):
@@ -262,6 +268,7 @@
         self.room_notice_s = ROOM_NOTICE_S
         # Whether the agent receives the heartbeats.
         self.sends_heartbeats = True
+        self.alter_answer = None
         # Acknowledgements of ends that the incarnation has not listed: they were for another one.
         self.acks_of_others = []
         self.lock = threading.Condition()
