Each shard's owner is read for itself, known owners stay known

Takeovers of all shards and the readiness of entries waited until the owner rows of all partitions had been read, one after the other, again after the table service had dropped its history: one partition that is down stopped all of them.

ShardMapReadTest.KnownOwnersStayKnownWhileAPartOfTheTableServiceCannotBeReadAgain failed before.

--- a/liblug/workflow/shard_map.h
+++ b/liblug/workflow/shard_map.h
@@ -37,6 +37,7 @@
 			      const char *address);
 gboolean lug_shard_map_is_owner(const struct lug_shard_map *shard_map, guint32 shard, guint64 epoch,
 				const char *address);
+gboolean lug_shard_map_is_read(const struct lug_shard_map *shard_map, guint32 shard);
 gboolean lug_shard_map_is_known(const struct lug_shard_map *shard_map);
 
 #endif
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -298,7 +298,7 @@
 		lug_shard_tick(watch->shard, now_us);
 		release_if_unreached(watch, now_us);
 		if (!lug_shard_is_active(watch->shard) && !shards->leaving &&
-		    lug_shard_map_is_known(shards->shard_map))
+		    lug_shard_map_is_read(shards->shard_map, i))
 			check_owner(watch, now_us);
 	}
 }
--- a/tests/unit/shard_map_test.cc
+++ b/tests/unit/shard_map_test.cc
@@ -88,4 +88,47 @@
 	watch_row("0", "{\"epoch\":2,\"address\":\"\"}");
 	EXPECT_EQ(address(0), "") << "released";
 }
+
+/* Two shards whose owners have been read, or of which one can't be read. */
+struct ShardMapReadTest : public testing::Test {
+	FakeStore store;
+	struct lug_ctx *ctx = test_context_with_address("agent");
+	struct lug_shard_map *map = nullptr;
+
+	void SetUp() override
+	{
+		store.put("0|owner/0", "{\"epoch\":1,\"address\":\"127.0.0.1:1\"}");
+		store.put("1|owner/1", "{\"epoch\":1,\"address\":\"127.0.0.1:2\"}");
+		map = lug_shard_map_new(ctx, &store.base, 2, nullptr, nullptr);
+		lug_shard_map_tick(map, lug_now_us());
+		store.settle();
+		ASSERT_TRUE(lug_shard_map_is_known(map));
+		lug_shard_map_tick(map, lug_now_us());
+		ASSERT_EQ(store.watches.size(), 1u);
+	}
+
+	void TearDown() override
+	{
+		lug_shard_map_free(map);
+		lug_ctx_free(ctx);
+	}
+};
+
+TEST_F(ShardMapReadTest, KnownOwnersStayKnownWhileAPartOfTheTableServiceCannotBeReadAgain)
+{
+	struct lug_watch_result dropped = {};
+	FakeStore::Watch watch = store.watches.front();
+
+	dropped.status = LUG_NOT_FOUND;
+	store.watches.pop_front();
+	watch.fn(watch.data, &dropped);
+	lug_shard_map_tick(map, lug_now_us() + G_USEC_PER_SEC);
+	ASSERT_FALSE(store.calls.empty());
+	store.answer_scan(store.take());
+	ASSERT_FALSE(store.calls.empty());
+	store.answer_scan(store.take(), LUG_UNAVAILABLE);
+	/* Readiness and the takeover of every shard depend on it. */
+	EXPECT_TRUE(lug_shard_map_is_known(map));
+}
+
 } // namespace
