The exit of a former worker does not concern its successor

An exit that is delivered late ended the runs of the worker that had followed at the same address: after 0.5 s its running task counted as lost and was started again elsewhere while it ran (TWICE), and no start was accepted any more. The exit names the worker in its path, which was ignored; it is compared with the id in the worker's heartbeats now. An agent that has heard no heartbeat yet still takes any exit for its worker's.

test_late_exit_of_former_worker_does_not_concern_its_successor failed before. The report of overdue tasks visits long-running steps only.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -346,9 +346,17 @@
 /**
  * lug_executor_on_worker_exit - record that the worker has announced its exit, which ends all its
  * runs
+ * @exec: executor
+ * @id: id of the worker; the exit of another one than the present worker is ignored
+ * @now_us: current time
  */
-void lug_executor_on_worker_exit(struct lug_executor *exec, gint64 now_us)
+void lug_executor_on_worker_exit(struct lug_executor *exec, const char *id, gint64 now_us)
 {
+	if (*exec->worker_id && strcmp(exec->worker_id, id) != 0) {
+		lug_info(exec->ctx, "exit_ignored", "worker", id, "reason",
+			 "another worker is present");
+		return;
+	}
 	lug_info(exec->ctx, "worker_left", "worker", exec->ctx->settings->name);
 	exec->worker_exiting = TRUE;
 	exec->exit_announced_us = now_us;
--- a/liblug/workflow/executor.h
+++ b/liblug/workflow/executor.h
@@ -43,7 +43,7 @@
 void lug_executor_free(struct lug_executor *executor);
 void lug_executor_on_worker_heartbeat(struct lug_executor *executor,
 				      const struct lug_worker_heartbeat *heartbeat, gint64 now_us);
-void lug_executor_on_worker_exit(struct lug_executor *executor, gint64 now_us);
+void lug_executor_on_worker_exit(struct lug_executor *executor, const char *id, gint64 now_us);
 void lug_executor_update_owner(struct lug_executor *executor, guint32 shard, guint64 epoch);
 void lug_executor_on_start(struct lug_executor *executor, const Lug__RunStart *start,
 			   gint64 now_us);
--- a/liblug/workflow/shard_report.c
+++ b/liblug/workflow/shard_report.c
@@ -123,8 +123,10 @@
 	for (guint k = 0; k < job->occurrences->len; k++) {
 		struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
 
-		for (guint32 t = 0; t < job->first_task[job->workflow->n_steps]; t++)
-			if (shard_task_step(job, t, NULL)->long_running)
+		for (guint32 s = 0; s < job->workflow->n_steps; s++)
+			for (guint32 t = job->first_task[s];
+			     job->workflow->steps[s].long_running && t < job->first_task[s + 1];
+			     t++)
 				report_task(shard, &occ->tasks[t], now_us);
 	}
 }
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -101,6 +101,21 @@
     wait_for_state(deployment, job)
 
 
+def test_late_exit_of_former_worker_does_not_concern_its_successor(start_deployment):
+    """The path of an exit names the worker; a late one may follow its successor's start."""
+    deployment = start_deployment(workers=1)
+    job, later = next(JOB_IDS), next(JOB_IDS)
+    steps = [{"count": 1, "cpu": 1000, "long_running": True}]
+    assert deployment.submit(job, {"ms": 60000}, steps) == 200
+    assert deployment.wait_until(lambda: deployment.state(job) == "running")
+    assert call("DELETE", f"http://{deployment.address(1, 8166)}/instances/i-former")[0] == 200
+    assert deployment.submit(later, {"ms": 100}) == 200
+    completed = deployment.wait_until(lambda: deployment.state(later) == "completed", 8)
+    starts = [e for e in deployment.history() if e[0] == "start" and job in e[2]]
+    assert len(starts) == 1
+    assert completed, deployment.log("agent-1")[-1500:]
+
+
 def test_tasks_fit_into_room_of_worker(start_deployment):
     deployment = start_deployment(workers=2, cpu=2000)
     jobs = [next(JOB_IDS) for _ in range(6)]
--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -103,7 +103,7 @@
 	gint64 now_us = lug_now_us();
 
 	restart_agent();
-	lug_executor_on_worker_exit(exec, now_us);
+	lug_executor_on_worker_exit(exec, "w", now_us);
 	lug_executor_tick(exec, now_us + 400 * 1000);
 	EXPECT_EQ(beat().lists, 0u) << "the worker may not have exited";
 	/* Longer than WORKER_EXIT_US. */
