Failing test: runs of a worker that restarts with its clock set back never end

Callers would see tasks counted as running on a worker that does not run them, for as long as its agent lives, and no task started there. The incarnation follows the wall clock; heartbeats and answers to polls of a lower one are ignored, while the polls they answer keep the lease from expiring, so the runs stay listed.

The test fails on this commit (no end reported, no start sent); with a higher incarnation it passes.

--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -166,4 +166,28 @@
 	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"owner\":\"\""), std::string::npos);
 	EXPECT_TRUE(lug_executor_can_exit(exec));
 }
+
+/* The incarnation is the wall-clock time of the worker's start. */
+TEST_F(ExecutorUnheardTest, RunsOfAWorkerThatRestartsWithItsClockSetBackEnd)
+{
+	start("a");
+	worker.answer(LUG_ORDER_OK);
+	EXPECT_EQ(beat().held, 1u);
+	incarnation = 90;
+	heartbeat_seq = 0;
+	send_heartbeat();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	/* The former incarnation is gone: each later poll is answered by the present one. */
+	for (int i = 0; i < 5; i++) {
+		send_heartbeat();
+		lug_executor_tick(exec, lug_now_us() + (i + 1) * LEASE_US);
+		store.settle();
+		if (!worker.polls.empty())
+			answer_poll();
+	}
+	EXPECT_EQ(ends, std::vector<std::string>{"a#1"});
+	start("b");
+	EXPECT_EQ(worker.orders.size(), 1u) << "the worker takes no starts";
+}
+
 } // namespace
