--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -16,7 +16,7 @@
 # Second octets of the loopback addresses. A proxied deployment uses two: its own and the next one.
 FREE_NETS = itertools.count(40, 2)
 # TEST_NET_OFFSET separates the runs of several checkouts on one machine.
-FREE_QUEUE_NETS = itertools.count(140 + int(os.environ.get("TEST_NET_OFFSET", "0")))
+FREE_QUEUE_NETS = itertools.cycle(range(140 + int(os.environ.get("TEST_NET_OFFSET", "0")), 250))
 BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
 
 
