--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -407,20 +407,77 @@
                      "finished": self.finished[:500]}
 
 
+class Links:
+    """The links between the daemons: a TCP proxy before each agent's internal address.
+
+    While a caller, known by its source address, is cut off, its connections are silent. Bytes that are
+    held up are delivered after the cut, unless the caller has closed the connection meanwhile.
+    """
+
+    def __init__(self):
+        self.cut = set()
+
+    async def listen(self, address, target):
+        host, port = address.split(":")
+        await asyncio.start_server(lambda r, w: self._pass(r, w, target), host, int(port))
+
+    async def _pass(self, reader, writer, target):
+        caller = writer.get_extra_info("peername")[0]
+        await self._healed(caller)
+        try:
+            other_reader, other_writer = await asyncio.open_connection(*target.split(":"))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self._copy(caller, reader, other_writer),
+                             self._copy(caller, other_reader, writer), return_exceptions=True)
+
+    async def _healed(self, caller):
+        while caller in self.cut:
+            await asyncio.sleep(0.01)
+
+    async def _copy(self, caller, reader, writer):
+        held = b""
+        try:
+            while True:
+                try:
+                    data = await asyncio.wait_for(reader.read(65536), 0.02 if held else None)
+                    if not data:
+                        break
+                    held += data
+                except asyncio.TimeoutError:
+                    pass
+                if caller not in self.cut:
+                    writer.write(held)
+                    await writer.drain()
+                    held = b""
+        finally:
+            await self._healed(caller)
+            writer.close()
+
+
 class Deployment:
-    """Store, workers, agents and entries."""
+    """Store, workers, agents and entries.
+
+    With links, a proxy stands before the internal address of each agent, and each entry has a source
+    address of its own.
+    """
 
-    def __init__(self, record, agents, entries, work_ms, **worker_options):
+    def __init__(self, record, agents, entries, work_ms, links=False, **worker_options):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="catkinlug-review-")
         self.store = Store(record)
         self.workers = {f"agent-{i}": Worker(f"agent-{i}", record, work_ms, **worker_options)
                         for i in range(1, agents + 1)}
         self.daemons, self.inner, self.fronts, self.ready = {}, {}, {}, {}
+        self.links, self.sources, self.proxies = Links() if links else None, {}, {}
         for name in list(self.workers) + [f"entry-{i}" for i in range(1, entries + 1)]:
             self.inner[name] = free_address()
             if name.startswith("entry"):
                 self.fronts[name], self.ready[name] = free_address(), free_address()
+                self.sources[name] = f"127.0.0.{1 + int(name.split('-')[1])}"
+            elif links:
+                self.proxies[name] = free_address()
 
     def _settings(self, name):
         """The settings file of a daemon, from the role's template."""
@@ -437,6 +494,10 @@
             values["listen_addrs.ready"] = self.ready[name]
         with open(os.path.join(ROOT, "deploy", f"{role}.yaml.in"), encoding="utf-8") as file:
             text = re.sub(r"\{\{([^}]+)\}\}", lambda m: values[m.group(1)], file.read())
+        if self.links and role == "agent":
+            text += f"advertise: {self.proxies[name]}\n"
+        elif self.links:
+            text += f"source: {self.sources[name]}\n"
         path = os.path.join(self.folder, f"{name}.yaml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
@@ -467,6 +528,8 @@
             "services": [{"name": "pool", "admission_check": False}]})
         for worker in self.workers.values():
             await worker.start()
+        for name, address in self.proxies.items():
+            await self.links.listen(address, self.inner[name])
         for name in list(self.workers) + list(self.fronts):
             await self.start_daemon(name)
 
@@ -496,7 +559,7 @@
 
     def owners(self):
         """Name of the agent that owns a shard, by shard."""
-        by_address = {address: name for name, address in self.inner.items()}
+        by_address = {address: name for name, address in (self.proxies or self.inner).items()}
         rows = {key[2]: json.loads(value) for (key, (value, _)) in self.store.rows.items()
                 if key[0] == "owner"}
         return {shard: by_address[row["address"]] for shard, row in rows.items() if row["address"]}
