--- a/review/2/case.py
+++ b/review/2/case.py
@@ -61,4 +61,4 @@
         await deployment.close()
 
 
-rig.main(HERE, play)
+rig.main(play)
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -41,11 +41,11 @@
 
 
 class Record:
-    """record.txt of a case: what was sent, answered and run."""
+    """The record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def note(self, *words):
         self.file.write(f"{time.monotonic() - self.start:8.3f} " + " ".join(map(str, words)) + "\n")
@@ -619,9 +619,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, play):
-    """Runs a case. play(record) returns a list of broken rules; raising CannotRun ends with 2."""
-    record = Record(folder)
+def main(play):
+    """Runs a case, which writes its record to the file that the command line names. play(record) returns a list of broken rules; raising CannotRun ends with 2."""
+    record = Record(sys.argv[1])
     code = 2
     try:
         broken = asyncio.run(asyncio.wait_for(play(record), LIMIT_S))
