--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -7,10 +7,10 @@
 
 /*
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
- * (submission, queries, cancellation), shard_load.c (loading rows), shard_row.c (encoding of job
- * state), shard_place.c (placement and starts), shard_outcome.c (ended and lost runs),
- * shard_ack.c (acknowledgements of ends), shard_report.c (log of what is overdue) and
- * shard_commit.c (transactions).
+ * (submission, queries, cancellation), shard_load.c (loading rows), shard_inbox.c (jobs and
+ * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
+ * (placement and starts), shard_outcome.c (ended and lost runs), shard_ack.c (acknowledgements of
+ * ends), shard_report.c (log of what is overdue) and shard_commit.c (transactions).
  */
 
 /*
@@ -339,6 +339,7 @@
 
 void shard_load_start(struct lug_shard *shard, gint64 now_us);
 void shard_load_tick(struct lug_shard *shard, gint64 now_us);
+void shard_load_job_row(struct lug_shard *shard, const struct lug_row *row, gint64 now_us);
 void shard_inbox_tick(struct lug_shard *shard, gint64 now_us);
 void shard_reset_state(struct lug_shard *shard);
 
