A cancellation stays in the inbox until the job's end is stored

Cause: the owner removed the inbox row of a cancellation in one transaction and stored the job's final state in a later one. An owner that was killed, or lost the shard, in between left neither.

Ruled out: the entry, which stored the row before it answered; the load of the shard.

Change: the transaction with the final state removes the row, so a later owner finds one or the other.

--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -220,12 +220,18 @@
 static void put_ended_rows(struct lug_writer_op *op, const struct shard_job *job)
 {
 	JsonObject *row = json_object_new();
+	char *cancel_key;
 
 	json_object_set_string_member(row, "state", lug_workflow_state_name(job->end_state));
 	json_object_set_string_member(row, "queue", job->workflow->queue);
 	lug_txn_put(&op->txn, SHARD_ENDED_TABLE, job->workflow->id, row);
 	lug_txn_delete(&op->txn, SHARD_LIVE_TABLE, job->workflow->id);
 	lug_txn_delete(&op->txn, SHARD_STATE_TABLE, job->workflow->id);
+	if (job->cancel_in_inbox) {
+		cancel_key = shard_cancel_key(job->workflow->id);
+		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, cancel_key);
+		g_free(cancel_key);
+	}
 	json_object_unref(row);
 }
 
--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -27,34 +27,57 @@
 	lug_writer_submit(shard->writer, op, lug_now_us());
 }
 
-static char *cancel_key(const char *id)
+/**
+ * shard_cancel_key - key of the inbox row that requests a job's cancellation
+ *
+ * Return: text owned by the caller.
+ */
+char *shard_cancel_key(const char *id)
 {
 	return g_strconcat(id, SHARD_CANCEL_SUFFIX, NULL);
 }
 
-static void apply_inbox_cancel(struct lug_shard *shard, const char *id)
+static void remove_cancel(struct lug_shard *shard, const char *id)
 {
-	char *key = cancel_key(id);
+	char *key = shard_cancel_key(id);
 
-	if (lug_shard_cancel_job(shard, id, ignore_cancel, NULL, lug_now_us()))
-		lug_info(shard->shared.ctx, "job_cancelled", "job", id, "source", "inbox");
 	remove_inbox_row(shard, key);
 	g_free(key);
 }
 
+/*
+ * Cancels a live job. The transaction that stores its final state removes the inbox row: before
+ * that, the row is all that a later owner would know of the cancellation.
+ */
+static void cancel_live_job(struct lug_shard *shard, struct shard_job *job)
+{
+	const char *id = job->workflow->id;
+
+	if (job->cancel_in_inbox)
+		return;
+	job->cancel_in_inbox = TRUE;
+	lug_shard_cancel_job(shard, id, ignore_cancel, NULL, lug_now_us());
+	lug_info(shard->shared.ctx, "job_cancelled", "job", id, "source", "inbox");
+}
+
 /* Adds a job whose row was read because this owner did not have it. */
 static void add_read_job(struct lug_shard *shard, const struct lug_row *row, gboolean cancel)
 {
+	struct shard_job *job;
+
 	lug_info(shard->shared.ctx, "job_found", "job", row->key, "shard", shard->name, "source",
 		 cancel ? "inbox, with its cancellation" : "inbox");
 	shard_load_job_row(shard, row, lug_now_us());
+	job = g_hash_table_lookup(shard->jobs, row->key);
 	/* Its row can't be decoded, which reading it again would not change. */
-	if (!cancel && !g_hash_table_contains(shard->jobs, row->key)) {
+	if (!job) {
 		remove_inbox_row(shard, row->key);
+		if (cancel)
+			remove_cancel(shard, row->key);
 		return;
 	}
 	if (cancel)
-		apply_inbox_cancel(shard, row->key);
+		cancel_live_job(shard, job);
 	else
 		shard_begin_due_occurrences(shard, lug_now_us());
 	lug_shard_wake(shard);
@@ -76,7 +99,7 @@
 			/* There is no such live job: its inbox rows are obsolete. */
 			remove_inbox_row(shard, ref->job_id);
 			if (ref->cancel)
-				apply_inbox_cancel(shard, ref->job_id);
+				remove_cancel(shard, ref->job_id);
 		}
 	}
 	g_free(ref);
@@ -103,9 +126,12 @@
 static void handle_inbox_cancel(struct lug_shard *shard, const char *key)
 {
 	char *id = g_strndup(key, strlen(key) - strlen(SHARD_CANCEL_SUFFIX));
+	struct shard_job *job = g_hash_table_lookup(shard->jobs, id);
 
-	if (g_hash_table_contains(shard->jobs, id) || g_hash_table_contains(shard->ended_jobs, id))
-		apply_inbox_cancel(shard, id);
+	if (job)
+		cancel_live_job(shard, job);
+	else if (g_hash_table_contains(shard->ended_jobs, id))
+		remove_inbox_row(shard, key);
 	else
 		shard_read_job_row(shard, id, TRUE);
 	g_free(id);
@@ -113,7 +139,7 @@
 
 static gboolean has_cancel(const struct lug_row *rows, guint n_rows, const char *id)
 {
-	char *key = cancel_key(id);
+	char *key = shard_cancel_key(id);
 	gboolean found = FALSE;
 
 	for (guint i = 0; i < n_rows; i++)
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -164,6 +164,7 @@
  * @unstored_body: text of the job's row until it is stored, NULL afterwards
  * @store_waiters: callers that wait until it is stored, array of struct shard_waiter
  * @in_inbox: the job's inbox row may still exist
+ * @cancel_in_inbox: an inbox row requests its cancellation
  * @first_task: index of each step's first task; the last element is the number of tasks
  * @occurrences: active occurrences, array of struct shard_occurrence *
  * @next_occurrence: first occurrence that has not begun
@@ -190,6 +191,7 @@
 	char *unstored_body;
 	GArray *store_waiters;
 	gboolean in_inbox;
+	gboolean cancel_in_inbox;
 	guint32 *first_task;
 	GPtrArray *occurrences;
 	guint32 next_occurrence;
@@ -319,6 +321,7 @@
 struct shard_job *shard_job_new(struct lug_shard *shard, struct lug_workflow *workflow,
 				gint64 version, gint64 now_us);
 void shard_notify_waiters(GArray *waiters, enum lug_status status);
+char *shard_cancel_key(const char *id);
 void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel);
 void shard_release_job_claims(struct lug_shard *shard, struct shard_job *job);
 void shard_occurrence_identify(struct shard_job *job, struct shard_occurrence *occ);
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -240,17 +240,22 @@
 		}
 	}
 
+	/* Answers the oldest call. */
+	void answer_next()
+	{
+		Call call = take();
+
+		if (call.txn_fn)
+			answer_txn(call);
+		else
+			answer_scan(call);
+	}
+
 	/* Answers all calls, including those that the callbacks make, until none is left. */
 	void settle()
 	{
-		while (!calls.empty()) {
-			Call call = take();
-
-			if (call.txn_fn)
-				answer_txn(call);
-			else
-				answer_scan(call);
-		}
+		while (!calls.empty())
+			answer_next();
 	}
 };
 
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -120,6 +120,12 @@
 		}
 	}
 
+	/* Waits for the next read of the inbox to be due: INBOX_INTERVAL_US with its jitter. */
+	static void wait_for_inbox()
+	{
+		g_usleep(1300 * 1000);
+	}
+
 	/* Takes the shard and adds an idle worker. */
 	void take_shard_with_worker()
 	{
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -250,8 +250,7 @@
 	take_shard_with_worker();
 	store.put("0|live/a", job_body);
 	store.put("0|inbox/a", "{}");
-	/* Longer than INBOX_INTERVAL_US with its jitter. */
-	g_usleep(1300 * 1000);
+	wait_for_inbox();
 	run_rounds();
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_RUNNING);
 }
@@ -262,8 +261,7 @@
 	store.put("0|live/a", job_body);
 	store.put("0|inbox/a", "{}");
 	store.put("0|inbox/a.cancel", "{}");
-	/* Longer than INBOX_INTERVAL_US with its jitter. */
-	g_usleep(1300 * 1000);
+	wait_for_inbox();
 	run_rounds();
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_CANCELLED);
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
