A poll that leaves out ends does not show that a run is lost

Cause: a worker lists 500 ends a reply. The agent dropped the runs behind these, its heartbeats listed neither runs nor ends of them, and the shard's next owner started their tasks again.

Ruled out: a lapse of the lease; the owner's comparison, which is right for a complete list.

Change: the reply says whether it was cut. A cut one proves neither that a run is gone nor, under a new lease, that all runs are known.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -91,7 +91,10 @@
 	exec_report_end(exec, end, now_us);
 }
 
-/* Removes runs that were confirmed before the poll was sent and are missing from its reply. */
+/*
+ * Removes runs that were confirmed before the poll was sent and are missing from its reply, which
+ * lists all ends.
+ */
 static void drop_unlisted(struct lug_executor *exec, gint64 now_us)
 {
 	for (guint i = exec->runs->len; i-- > 0;) {
@@ -116,7 +119,9 @@
 	exec->clock_at_us = now_us;
 	exec->clock_requested_us = exec->poll_sent_us;
 	exec->last_answer_us = now_us;
-	exec->confirmed_epoch = exec->poll_epoch;
+	/* Until all ends are listed, a run of an earlier lease may be in neither list. */
+	if (!reply->more_finished)
+		exec->confirmed_epoch = exec->poll_epoch;
 	exec_record_shares(exec, now_us);
 	for (guint i = 0; i < exec->runs->len; i++)
 		((struct exec_run *)g_ptr_array_index(exec->runs, i))->listed = FALSE;
@@ -126,7 +131,8 @@
 	for (guint i = 0; i < reply->finished->len; i++)
 		apply_finished(exec, &g_array_index(reply->finished, struct lug_worker_finished, i),
 			       now_us);
-	drop_unlisted(exec, now_us);
+	if (!reply->more_finished)
+		drop_unlisted(exec, now_us);
 	exec_throttle(exec, now_us);
 }
 
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -217,7 +217,7 @@
  * @poll_epoch: lease epoch of the latest poll
  * @poll_incarnation: @worker_incarnation when the latest poll was sent
  * @confirmed_epoch: lease epoch under which the runs on the worker are known: it has answered a
- *                   poll, or no earlier run can be left on it; 0 for none
+ *                   poll with all its ends, or no earlier run can be left on it; 0 for none
  * @clock_ms: the worker's clock at @clock_at_us
  * @clock_at_us: time at which @clock_ms was received, 0 for not known
  * @clock_requested_us: time at which the poll was sent whose answer contained @clock_ms
--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -97,6 +97,8 @@
  * @clock_ms: the worker's clock
  * @running: array of struct lug_worker_running
  * @finished: array of struct lug_worker_finished not yet acknowledged, in order
+ * @more_finished: @finished may have been cut; the worker lists further ends once those listed are
+ *                 acknowledged. A run that is in neither list may then have ended
  */
 struct lug_worker_poll_reply {
 	enum lug_order_result result;
@@ -104,6 +106,7 @@
 	gint64 clock_ms;
 	GArray *running;
 	GArray *finished;
+	gboolean more_finished;
 };
 
 typedef void (*lug_poll_reply_fn)(void *data, const struct lug_worker_poll_reply *reply);
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -93,6 +93,8 @@
 	/* What polls return: runs with their progress in percent, and numbered ends. */
 	std::vector<std::pair<struct lug_run_id, guint32>> running;
 	std::vector<std::pair<guint64, struct lug_run_id>> finished;
+	/* Number of ends that one poll returns. */
+	size_t finished_max = 500;
 
 	static std::string text(const Lug__RunId *id)
 	{
@@ -179,8 +181,12 @@
 			struct lug_worker_finished row = {item.first, item.second, LUG_RUN_DONE,
 							  (char *)""};
 
-			if (item.first > poll.request.acked_end_number)
-				g_array_append_val(answer.finished, row);
+			if (item.first <= poll.request.acked_end_number)
+				continue;
+			answer.more_finished = answer.finished->len + 1 >= finished_max;
+			g_array_append_val(answer.finished, row);
+			if (answer.more_finished)
+				break;
 		}
 		poll.fn(poll.data, &answer);
 		g_array_unref(answer.running);
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -116,6 +116,66 @@
 	EXPECT_EQ(worker.polls.front().request.acked_end_number, 2u);
 }
 
+/* A run behind the ends that a poll lists was dropped, and its owner started the task again. */
+TEST_F(ExecutorTest, KeepsARunWhoseEndIsBehindTheListedOnes)
+{
+	const gint64 *held = &ctx->metrics->gauges[LUG_G_TASKS_RUNNING];
+
+	start("a");
+	worker.answer(LUG_ORDER_OK);
+	start("b");
+	worker.answer(LUG_ORDER_OK);
+	answer_poll();
+	finished = {{1, id("a")}, {2, id("b")}};
+	finished_max = 1;
+	answer_poll();
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"}));
+	tick();
+	EXPECT_EQ(*held, 1) << "the end of b is not listed yet";
+	ack("a");
+	/* Longer than UNACKED_POLL_US. */
+	g_usleep(100 * 1000);
+	tick();
+	answer_poll();
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "b#1"}));
+	tick();
+	EXPECT_EQ(*held, 0);
+}
+
+/* A restarted agent does not know of the ends that the first poll leaves out. */
+TEST_F(ExecutorTest, ReportsNoListOfRunsBeforeAllEndsAreListed)
+{
+	guint64 epoch = 9;
+	size_t n_shards = 9;
+	auto note = [&](const Lug__WorkerBeat &beat) {
+		epoch = beat.lease_epoch;
+		n_shards = beat.n_shards;
+	};
+
+	lug_executor_free(exec);
+	worker.polls.clear();
+	/* The former process has released the lease. */
+	store.rows["worker/w1"].data = "{\"owner\":\"\",\"epoch\":1,\"ttl_ms\":6000}";
+	finished = {{1, id("a")}, {2, id("b")}};
+	finished_max = 1;
+	exec = lug_executor_new(ctx, &store.base, &worker.base, 1, send, this);
+	send_heartbeat();
+	tick();
+	answer_poll();
+	send_beat_to_owner(0, note);
+	EXPECT_EQ(epoch, 0u);
+	EXPECT_EQ(n_shards, 0u) << "the owner would take the run of b for lost";
+	ack("a");
+	tick();
+	answer_poll();
+	ack("b");
+	tick();
+	answer_poll();
+	send_beat_to_owner(0, note);
+	EXPECT_EQ(n_shards, 1u);
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "b#1"}));
+}
+
 /* The agent was suspended for longer than the lease, and the run has ended as done meanwhile. */
 TEST_F(ExecutorTest, KeepsRunsOfAnExpiredLeaseUntilTheWorkerHasListedItsEnds)
 {
