A row that the table service refuses stops its own job, not its shard

Cause: the job's state exceeded the largest row, and the writer repeated the refused transaction for ever, with the changes of all other jobs and the renewal of the shard's lease in it.

Ruled out: the bound on active tasks, the entry's own rows.

Change: a refusal for the content is a status of its own; the writer isolates the operation that causes it and keeps transactions below 1 MB. Owners begin occurrences and claim tasks only as far as the job's row holds them, store the checkpoints that fit, and give up a job whose state is refused. Entries refuse a job that exceeds a row with 413.

--- a/liblug/core/settings.c
+++ b/liblug/core/settings.c
@@ -33,6 +33,8 @@
 	{"platform.url", SET_URL, FOR_ALL, TRUE, NULL, 0, 0, OFFSET(platform), FALSE},
 	{"platform.timeout", SET_DURATION, FOR_ALL, FALSE, "1s", 10, 60000,
 	 OFFSET(platform_timeout_ms), TRUE},
+	{"platform.row", SET_SIZE, FOR_ALL, FALSE, "64KB", 4096, 64 * 1024 * 1024,
+	 OFFSET(platform_row_bytes), FALSE},
 	{"platform.rate", SET_INT, FOR_ALL, FALSE, "50", 1, 2000, OFFSET(platform_rate), TRUE},
 	{"entries", SET_ADDRESSES, FOR_AGENT, TRUE, NULL, 0, 0, OFFSET(entries), FALSE},
 	{"tokens", SET_TOKENS, FOR_ENTRY, TRUE, NULL, 0, 0, OFFSET(tokens), TRUE},
--- a/liblug/core/settings.h
+++ b/liblug/core/settings.h
@@ -83,6 +83,7 @@
 	char *source;
 	char *platform;
 	gint64 platform_timeout_ms;
+	gint64 platform_row_bytes;
 	gint64 platform_rate;
 	GPtrArray *entries;
 	GArray *tokens;
--- a/liblug/daemon/api_jobs.c
+++ b/liblug/daemon/api_jobs.c
@@ -179,6 +179,11 @@
 			 "job %s may have been accepted", call->id);
 		end_error(call, &err);
 		return;
+	case LUG_BAD_INPUT:
+		lug_fail(&err, LUG_TOO_LARGE, "shorten the payload or split the job",
+			 "the table service does not accept the job");
+		end_error(call, &err);
+		return;
 	default:
 		end_unavailable(call);
 	}
--- a/liblug/daemon/api_table.c
+++ b/liblug/daemon/api_table.c
@@ -81,6 +81,9 @@
 	else if (status == LUG_UNKNOWN)
 		lug_fail(&err, LUG_UNKNOWN, "read the table to see whether version %s is yours",
 			 "the edit may have been accepted");
+	else if (status == LUG_BAD_INPUT)
+		lug_fail(&err, LUG_TOO_LARGE, "shorten the table",
+			 "the table service does not accept it; nothing was changed");
 	else
 		lug_fail(&err, LUG_UNAVAILABLE, "try again after a second",
 			 "the table service does not answer; nothing was changed");
--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -54,8 +54,9 @@
 
 /**
  * struct lug_txn_result - outcome of a transaction
- * @status: LUG_OK, LUG_CONFLICT (a check failed), LUG_UNAVAILABLE (not executed), or
- *          LUG_UNKNOWN (no answer: the transaction may have committed)
+ * @status: LUG_OK, LUG_CONFLICT (a check failed), LUG_UNAVAILABLE (not executed), LUG_BAD_INPUT
+ *          (not executed, and refused again if it is repeated), or LUG_UNKNOWN (no answer: the
+ *          transaction may have committed)
  * @version: version of each row written, for LUG_OK
  * @failed: indices of the failed checks, for LUG_CONFLICT; empty if the table service does not
  *          report them; valid during the callback
--- a/liblug/store/store_http.c
+++ b/liblug/store/store_http.c
@@ -105,6 +105,8 @@
 		result.n_failed = decode_failed(failed, indices);
 		result.failed = indices;
 		lug_count(call->store->ctx, STORE_CONFLICTS, 1);
+	} else if (http_status == 400 || http_status == 413) {
+		result.status = LUG_BAD_INPUT;
 	}
 	lug_observe(call->store->ctx, TXN_US, lug_now_us() - call->sent_us);
 	call->txn_fn(call->data, &result);
--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 /*
- * Several operations share a transaction up to OPS_MAX operations and CHECKS_AND_WRITES_MAX of
- * their checks and writes. The table service accepts 100 in a transaction, including those of the
- * leased row. A single operation is sent whatever its size.
+ * Several operations share a transaction up to OPS_MAX operations, CHECKS_AND_WRITES_MAX of their
+ * checks and writes, and VALUES_MAX_BYTES of values. The table service accepts 100 checks and
+ * writes in a transaction, including those of the leased row, and 1 MB, in which a value takes a
+ * third more. A single operation is sent whatever its size.
  */
 #define OPS_MAX 64
 #define CHECKS_AND_WRITES_MAX 90
+#define VALUES_MAX_BYTES (600 * 1000)
 #define RETRY_MIN_MS 50
 #define RETRY_MAX_MS 2000
 /* Longest lease that a row may state; the settings accept no longer one. */
@@ -47,6 +49,8 @@
  * @key: copy of the row's key
  * @queued: operations for later transactions, oldest first
  * @in_flight: operations of the present transaction
+ * @ops_max: operations of the next transaction, fewer than OPS_MAX after one was refused for its
+ *           content
  * @txn: the present transaction
  * @phase: whether the writer holds its lease
  * @io_state: call to the table service that is in flight or due
@@ -73,6 +77,7 @@
 	char *key;
 	struct lug_list queued;
 	struct lug_list in_flight;
+	guint ops_max;
 	struct lug_txn txn;
 	enum lease_phase phase;
 	enum io_state io_state;
@@ -97,8 +102,9 @@
 /**
  * lug_writer_op_new - create an empty operation
  * @fn: called once with LUG_OK, LUG_CONFLICT (one of its checks failed), LUG_FENCED (not
- *      committed, the lease is not held), LUG_UNAVAILABLE (not committed) or LUG_UNKNOWN
- *      (it may have committed); may be NULL
+ *      committed, the lease is not held), LUG_BAD_INPUT (the table service does not accept its
+ *      content), LUG_UNAVAILABLE (not committed) or LUG_UNKNOWN (it may have committed); may be
+ * NULL
  * @data: passed to @fn
  *
  * Return: operation, to be handed to lug_writer_submit() or lug_writer_append().
@@ -168,6 +174,7 @@
 	writer->config.table = writer->table;
 	writer->config.key = writer->key;
 	writer->retry_delay_ms = RETRY_MIN_MS;
+	writer->ops_max = OPS_MAX;
 	lug_list_init(&writer->queued);
 	lug_list_init(&writer->in_flight);
 	lug_txn_init(&writer->txn);
@@ -302,6 +309,18 @@
 	}
 }
 
+static gsize values_bytes(const struct lug_txn *txn)
+{
+	gsize n = 0;
+
+	for (guint i = 0; i < txn->puts->len; i++) {
+		const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
+
+		n += put->data ? strlen(put->data) : 0;
+	}
+	return n;
+}
+
 /*
  * Moves queued operations into the next transaction. The table service evaluates all checks of a
  * transaction before its writes, so an operation that checks or writes a row written by an earlier
@@ -312,14 +331,17 @@
 	GHashTable *rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	guint n = 0;
 	guint checks_and_writes = 0;
+	gsize bytes = 0;
 
-	while (n++ < OPS_MAX && !lug_list_empty(&writer->queued)) {
+	while (n++ < writer->ops_max && !lug_list_empty(&writer->queued)) {
 		struct lug_writer_op *op =
 			LUG_CONTAINER_OF(writer->queued.next, struct lug_writer_op, node);
 
 		checks_and_writes += op->txn.checks->len + op->txn.puts->len;
+		bytes += values_bytes(&op->txn);
 		if (touches_any_row(rows, &op->txn) ||
-		    (n > 1 && checks_and_writes > CHECKS_AND_WRITES_MAX))
+		    (n > 1 &&
+		     (checks_and_writes > CHECKS_AND_WRITES_MAX || bytes > VALUES_MAX_BYTES)))
 			break;
 		add_written_rows(rows, &op->txn);
 		lug_list_remove(&op->node);
@@ -365,6 +387,7 @@
 	writer->valid_until_us = writer->first_sent_us + writer->config.ttl_ms * 1000;
 	writer->renewed_us = writer->first_sent_us;
 	writer->retry_delay_ms = RETRY_MIN_MS;
+	writer->ops_max = MIN(writer->ops_max * 2, OPS_MAX);
 	writer->io_state = IO_IDLE;
 	if (previous == PHASE_ACQUIRING)
 		writer->phase = PHASE_HELD;
@@ -423,12 +446,11 @@
 	writer->retry_delay_ms = MIN(writer->retry_delay_ms * 2, RETRY_MAX_MS);
 }
 
-/*
- * The table service did not execute the transaction. Its operations return to the head of the
- * queue. Those whose deadline passes there end with LUG_UNAVAILABLE.
- */
-static void on_refused(struct lug_writer *writer, gint64 now_us)
+/* Returns the operations in flight to the head of the queue. Returns their number. */
+static guint requeue_ops(struct lug_writer *writer)
 {
+	guint n = 0;
+
 	while (!lug_list_empty(&writer->in_flight)) {
 		struct lug_list *last = writer->in_flight.prev;
 
@@ -437,12 +459,49 @@
 		last->prev = &writer->queued;
 		writer->queued.next->prev = last;
 		writer->queued.next = last;
+		n++;
 	}
+	return n;
+}
+
+/*
+ * The table service did not execute the transaction, whose operations wait for the next one. Those
+ * whose deadline passes meanwhile end with LUG_UNAVAILABLE.
+ */
+static void on_refused(struct lug_writer *writer, gint64 now_us)
+{
+	requeue_ops(writer);
 	/* Waits as before a readback, but then retries without reading the row. */
 	schedule_readback(writer, now_us);
 	writer->io_state = IO_WAIT_RETRY;
 }
 
+/*
+ * The table service does not accept the content of the transaction. Transactions of half as many
+ * operations follow, until the one that it does not accept is alone and ends, so that the others
+ * commit.
+ */
+static void on_bad_content(struct lug_writer *writer, gint64 now_us)
+{
+	guint n = requeue_ops(writer);
+
+	if (!n) {
+		lug_warn(writer->ctx, "lease_row_refused", "lease", writer->key, "remedy",
+			 "shorten the names and addresses in the settings");
+		on_refused(writer, now_us);
+		return;
+	}
+	if (n == 1) {
+		lug_warn(writer->ctx, "operation_refused", "lease", writer->key, "reason",
+			 "the table service does not accept its content");
+		op_finish(LUG_CONTAINER_OF(writer->queued.next, struct lug_writer_op, node),
+			  LUG_BAD_INPUT, 0);
+	}
+	writer->ops_max = MAX(n / 2, 1);
+	writer->io_state = IO_IDLE;
+	start_commit(writer, now_us);
+}
+
 /*
  * Decides the outcome of a transaction whose answer was lost, or whose check of the leased row
  * failed (an earlier send of it may have committed); see "Readback" in writer.h. @rows are the
@@ -497,6 +556,9 @@
 		writer->first_sent_us = lug_now_us();
 		send_txn(writer);
 		return;
+	case LUG_BAD_INPUT:
+		on_bad_content(writer, lug_now_us());
+		return;
 	case LUG_UNAVAILABLE:
 		if (!writer->outcome_unknown) {
 			on_refused(writer, lug_now_us());
--- a/liblug/workflow/gateway_submit.c
+++ b/liblug/workflow/gateway_submit.c
@@ -58,6 +58,14 @@
 	gateway_call_free(call);
 }
 
+/* The table service does not accept the job's row, nor would it later. */
+static void refuse_large_job(struct gateway_call *call)
+{
+	log_submit(call, "job_refused", "its row is too large for the table service");
+	call->fn(call->data, LUG_TOO_LARGE);
+	gateway_call_free(call);
+}
+
 static void on_stored(void *data, const struct lug_txn_result *result)
 {
 	struct gateway_call *call = data;
@@ -74,6 +82,10 @@
 		accept_job(call, "known already");
 		return;
 	}
+	if (result->status == LUG_BAD_INPUT && !call->outcome_unknown) {
+		refuse_large_job(call);
+		return;
+	}
 	call->gateway->store_failed_us = now_us;
 	if (result->status == LUG_UNKNOWN)
 		call->outcome_unknown = TRUE;
@@ -177,7 +189,8 @@
  * @gateway: gateway
  * @workflow: validated job, owned by the gateway after the call
  * @deadline_us: time after which the submission is abandoned
- * @fn: LUG_OK: stored; LUG_UNAVAILABLE: not stored; LUG_UNKNOWN: it may be stored, now or later
+ * @fn: LUG_OK: stored; LUG_TOO_LARGE: not stored, and refused again if it is repeated;
+ * LUG_UNAVAILABLE: not stored; LUG_UNKNOWN: it may be stored, now or later
  * @data: passed to @fn
  */
 void lug_gateway_submit(struct lug_gateway *gateway, struct lug_workflow *workflow,
@@ -190,7 +203,10 @@
 	call->deadline_us = deadline_us;
 	call->fn = fn;
 	call->data = data;
-	relay_or_store(call, lug_now_us());
+	if ((gint64)strlen(call->body) > gateway->ctx->settings->platform_row_bytes)
+		refuse_large_job(call);
+	else
+		relay_or_store(call, lug_now_us());
 }
 
 /**
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -164,6 +164,25 @@
 	g_free(id);
 }
 
+/*
+ * The table service does not accept the job's state. The job is given up, as it would never be
+ * stored, and the shard serves the others. Its final state is short; if that is not accepted
+ * either, the job is left to the next owner.
+ */
+static void on_state_refused(struct lug_shard *shard, struct shard_job *job)
+{
+	gboolean ended = job->end_state != LUG_WORKFLOW_UNKNOWN;
+
+	lug_warn(shard->shared.ctx, "job_state_refused", "job", job->workflow->id, "shard",
+		 shard->name, "remedy",
+		 ended ? "check platform.row in the settings"
+		       : "submit it again as several smaller jobs");
+	if (ended)
+		drop_job(shard, job);
+	else
+		shard_set_end_state(shard, job, LUG_WORKFLOW_FAILED);
+}
+
 static void on_job_stored(struct lug_shard *shard, struct shard_job *job, gint64 version)
 {
 	lug_info(shard->shared.ctx, "job_stored", "job", job->workflow->id, "shard", shard->name);
@@ -200,6 +219,8 @@
 		drop_job(shard, job);
 		return;
 	}
+	if (status == LUG_BAD_INPUT)
+		on_state_refused(shard, job);
 	if (status != LUG_OK)
 		return;
 	/* A commit of a job that was stored before deletes the inbox row. */
@@ -235,6 +256,20 @@
 	json_object_unref(row);
 }
 
+static char *encode_state(struct lug_shard *shard, struct shard_job *job)
+{
+	guint before = job->checkpoints_left_out;
+	char *text = shard_row_encode(job, shard_row_max_bytes(shard));
+	char count[16];
+
+	if (job->checkpoints_left_out && !before) {
+		g_snprintf(count, sizeof(count), "%u", job->checkpoints_left_out);
+		lug_warn(shard->shared.ctx, "checkpoints_not_stored", "job", job->workflow->id,
+			 "count", count, "reason", "the job's row has no room for them");
+	}
+	return text;
+}
+
 static void append_job_commit(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
 {
 	struct lug_writer_op *op =
@@ -245,7 +280,7 @@
 	if (job->end_state != LUG_WORKFLOW_UNKNOWN) {
 		put_ended_rows(op, job);
 	} else {
-		text = shard_row_encode(job);
+		text = encode_state(shard, job);
 		lug_txn_put_text(&op->txn, SHARD_STATE_TABLE, job->workflow->id, text);
 		g_free(text);
 	}
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -92,10 +92,32 @@
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
 
-/* Occurrences of a job that may be active at once; the others wait for one of them to end. */
-static guint max_active_occurrences(const struct shard_job *job)
+/**
+ * shard_row_max_bytes - length of the largest state that the table service stores for a job
+ */
+gsize shard_row_max_bytes(const struct lug_shard *shard)
+{
+	return (gsize)shard->shared.ctx->settings->platform_row_bytes;
+}
+
+/*
+ * Whether another occurrence may be active; otherwise it waits for one of them to end. Half of the
+ * job's row is left for claims.
+ */
+static gboolean has_room_for_occurrence(const struct lug_shard *shard, const struct shard_job *job)
+{
+	guint32 n_tasks = job->first_task[job->workflow->n_steps];
+
+	if (!job->occurrences->len)
+		return TRUE;
+	return job->occurrences->len < SHARD_ACTIVE_TASKS_MAX / n_tasks &&
+	       job->row_bytes + SHARD_OCCURRENCE_BYTES <= shard_row_max_bytes(shard) / 2;
+}
+
+/* Whether the job's row can hold another claim; otherwise the task waits for the end of a run. */
+static gboolean has_room_for_claim(const struct lug_shard *shard, const struct shard_job *job)
 {
-	return MAX(SHARD_ACTIVE_TASKS_MAX / job->first_task[job->workflow->n_steps], 1);
+	return job->row_bytes + SHARD_CLAIM_BYTES <= shard_row_max_bytes(shard);
 }
 
 /**
@@ -112,13 +134,14 @@
 
 		while (job->end_state == LUG_WORKFLOW_UNKNOWN &&
 		       job->next_occurrence < workflow->occurrences &&
-		       job->occurrences->len < max_active_occurrences(job)) {
+		       has_room_for_occurrence(shard, job)) {
 			if (workflow->scheduled &&
 			    workflow->start_at_ms +
 					    (gint64)job->next_occurrence * workflow->interval_ms >
 				    wall_ms)
 				break;
 			shard_occurrence_begin(job, job->next_occurrence++);
+			job->row_bytes += SHARD_OCCURRENCE_BYTES;
 			shard_job_mark_changed(shard, job);
 		}
 	}
@@ -245,6 +268,7 @@
 	shard_index_claim(shard, task, now_us);
 	lug_fleet_claim(worker, &request->size);
 	lug_fleet_add_unconfirmed(worker, request->step);
+	job->row_bytes += SHARD_CLAIM_BYTES;
 	job->was_claimed = TRUE;
 	shard_job_mark_changed(shard, job);
 	task->claim_revision = job->revision;
@@ -327,7 +351,8 @@
 						.data = &count};
 
 	shard_step_size(request.step, &request.size);
-	for (guint32 i = job->first_task[s]; i < job->first_task[s + 1] && *claims_left; i++) {
+	for (guint32 i = job->first_task[s];
+	     i < job->first_task[s + 1] && *claims_left && has_room_for_claim(shard, job); i++) {
 		struct shard_task *task = &occ->tasks[i];
 		struct lug_fleet_worker *worker;
 
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -25,6 +25,10 @@
 /* Key suffix of an inbox row that requests a job's cancellation. */
 #define SHARD_CANCEL_SUFFIX ".cancel"
 
+/* Bytes by which a claim extends a job's stored state at most, as do the words around it. */
+#define SHARD_CLAIM_BYTES 128
+/* Bytes by which an occurrence without claims extends it at most. */
+#define SHARD_OCCURRENCE_BYTES 64
 /* Tasks of the active occurrences of a job; further occurrences that are due begin later. */
 #define SHARD_ACTIVE_TASKS_MAX 40000
 
@@ -179,6 +183,9 @@
  * @sent_revision: revision covered by the transaction in flight
  * @committed_revision: revision that is stored
  * @commit_in_flight: a transaction with this job is in flight
+ * @row_bytes: length of the stored state without checkpoints, with allowances for what was claimed
+ *             or begun since it was last encoded
+ * @checkpoints_left_out: checkpoints for which the stored state had no room when last encoded
  * @pending_acks: ends of runs to acknowledge after their commit, array of struct shard_ack
  * @cancel_waiters: callers that wait for the cancellation's commit, array of struct shard_waiter
  * @ended_runs: text list of the ended runs that are not yet logged, see shard_note_run()
@@ -206,6 +213,8 @@
 	guint64 sent_revision;
 	guint64 committed_revision;
 	gboolean commit_in_flight;
+	gsize row_bytes;
+	guint checkpoints_left_out;
 	GArray *pending_acks;
 	GArray *cancel_waiters;
 	GString *ended_runs;
@@ -337,8 +346,10 @@
 void shard_step_size(const struct lug_step *step, struct lug_resources *out);
 guint32 shard_max_attempts(const struct lug_shard *shard, const struct shard_job *job);
 
-char *shard_row_encode(const struct shard_job *job);
+char *shard_row_encode(struct shard_job *job, gsize max_bytes);
+void shard_row_measure(struct shard_job *job);
 gboolean shard_row_decode(struct shard_job *job, JsonObject *row);
+gsize shard_row_max_bytes(const struct lug_shard *shard);
 
 void shard_load_start(struct lug_shard *shard, gint64 now_us);
 void shard_load_tick(struct lug_shard *shard, gint64 now_us);
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -28,6 +28,13 @@
  */
 
 #define WORD_MAX_BYTES 128
+/* JSON around the tasks of one occurrence, a worker's name, a checkpoint and all of them. */
+#define OCCURRENCE_FRAME_BYTES 48
+#define NAME_FRAME_BYTES 3
+#define CHECKPOINT_FRAME_BYTES 16
+#define ROW_FRAME_BYTES 128
+/* Bytes of one character that JSON escapes, at most. */
+#define ESCAPED_BYTES 6
 /* Tasks of a row's occurrences that are decoded, ten times what a job begins at once. */
 #define ACTIVE_TASKS_MAX (10 * SHARD_ACTIVE_TASKS_MAX)
 
@@ -102,56 +109,132 @@
 	return g_string_free(text, FALSE);
 }
 
-static JsonArray *encode_checkpoints(const struct shard_job *job,
-				     const struct shard_occurrence *occ)
+static gsize escaped_bytes(const char *text)
 {
-	JsonArray *list = json_array_new();
+	gsize n = 0;
+
+	for (const char *p = text; *p; p++)
+		n += g_ascii_isprint(*p) && *p != '"' && *p != '\\' ? 1 : ESCAPED_BYTES;
+	return n;
+}
+
+/*
+ * Adds the checkpoints of the tasks in one state, as far as @room allows, from which their length
+ * is taken. Returns the number of those left out.
+ */
+static guint encode_checkpoints(const struct shard_job *job, const struct shard_occurrence *occ,
+				enum shard_task_state state, JsonArray *list, gsize *room)
+{
+	guint left_out = 0;
 
 	for (guint32 i = 0; i < job->first_task[job->workflow->n_steps]; i++) {
 		const struct shard_task *task = &occ->tasks[i];
 		JsonArray *pair;
+		gsize bytes;
 
-		if (task->state == SHARD_TASK_DONE || !task->checkpoint || !*task->checkpoint)
+		if (task->state != state || !task->checkpoint || !*task->checkpoint)
+			continue;
+		bytes = escaped_bytes(task->checkpoint) + CHECKPOINT_FRAME_BYTES;
+		if (bytes > *room) {
+			left_out++;
 			continue;
+		}
+		*room -= bytes;
 		pair = json_array_new();
 		json_array_add_int_element(pair, i);
 		json_array_add_string_element(pair, task->checkpoint);
 		json_array_add_array_element(list, pair);
 	}
-	return list;
+	return left_out;
+}
+
+/*
+ * Adds checkpoints to the encoded occurrences, as far as @room allows: first those of waiting
+ * tasks, which the owner alone has. Those of running tasks are also in their agents' heartbeats.
+ */
+static guint add_checkpoints(const struct shard_job *job, JsonArray *occurrences, gsize room)
+{
+	static const enum shard_task_state order[] = {SHARD_TASK_WAITING, SHARD_TASK_CLAIMED};
+	guint left_out = 0;
+
+	for (guint k = 0; k < G_N_ELEMENTS(order); k++)
+		for (guint i = 0; i < job->occurrences->len; i++) {
+			JsonObject *item = json_array_get_object_element(occurrences, i);
+			JsonArray *saved = lug_json_arr(item, "saved");
+			JsonArray *list = saved ? json_array_ref(saved) : json_array_new();
+
+			left_out += encode_checkpoints(job, g_ptr_array_index(job->occurrences, i),
+						       order[k], list, &room);
+			if (!saved && json_array_get_length(list))
+				json_object_set_array_member(item, "saved", list);
+			else
+				json_array_unref(list);
+		}
+	return left_out;
+}
+
+/* Length of a row without checkpoints, whose tasks take @tasks_bytes. */
+static gsize bare_bytes(const struct shard_job *job, gsize tasks_bytes, const GPtrArray *workers)
+{
+	gsize n = ROW_FRAME_BYTES + job->occurrences->len * OCCURRENCE_FRAME_BYTES + tasks_bytes;
+
+	for (guint i = 0; i < workers->len; i++)
+		n += escaped_bytes(g_ptr_array_index(workers, i)) + NAME_FRAME_BYTES;
+	return n;
+}
+
+/**
+ * shard_row_measure - set @row_bytes of a job to the length of its state without checkpoints
+ */
+void shard_row_measure(struct shard_job *job)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	gsize tasks_bytes = 0;
+
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		char *tasks = encode_tasks(job, g_ptr_array_index(job->occurrences, i), workers);
+
+		tasks_bytes += strlen(tasks);
+		g_free(tasks);
+	}
+	job->row_bytes = bare_bytes(job, tasks_bytes, workers);
+	g_ptr_array_unref(workers);
 }
 
 /**
  * shard_row_encode - encode a live job's state
- * @job: job
+ * @job: job, whose @row_bytes and @checkpoints_left_out are set
+ * @max_bytes: length of the text up to which checkpoints are added
+ *
+ * A task whose checkpoint is left out starts anew if its worker and its owner are lost together.
  *
  * Return: text of one JSON object, owned by the caller.
  */
-char *shard_row_encode(const struct shard_job *job)
+char *shard_row_encode(struct shard_job *job, gsize max_bytes)
 {
 	GPtrArray *workers = g_ptr_array_new();
 	JsonArray *names = json_array_new();
 	JsonArray *occurrences = json_array_new();
 	JsonObject *row = json_object_new();
+	gsize tasks_bytes = 0;
 	char *text;
 
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		const struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, i);
 		JsonObject *item = json_object_new();
-		JsonArray *saved = encode_checkpoints(job, occ);
 		char *tasks = encode_tasks(job, occ, workers);
 
+		tasks_bytes += strlen(tasks);
 		json_object_set_int_member(item, "k", occ->number);
 		json_object_set_string_member(item, "tasks", tasks);
-		if (json_array_get_length(saved))
-			json_object_set_array_member(item, "saved", saved);
-		else
-			json_array_unref(saved);
 		json_array_add_object_element(occurrences, item);
 		g_free(tasks);
 	}
 	for (guint i = 0; i < workers->len; i++)
 		json_array_add_string_element(names, g_ptr_array_index(workers, i));
+	job->row_bytes = bare_bytes(job, tasks_bytes, workers);
+	job->checkpoints_left_out = add_checkpoints(
+		job, occurrences, max_bytes > job->row_bytes ? max_bytes - job->row_bytes : 0);
 	json_object_set_int_member(row, "next", job->next_occurrence);
 	json_object_set_int_member(row, "started", job->was_claimed);
 	json_object_set_int_member(row, "begun", job->was_confirmed);
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -91,6 +91,10 @@
         pass
 
 
+ROW_MAX_BYTES = 65536
+TXN_MAX_BYTES = 1000 * 1000
+
+
 class Store:
     """Table service: rows by table, part and key, conditional transactions and change feeds.
 
@@ -112,6 +116,7 @@
         self.lost_answer_share = 0.0
         self.delay_s = 0.004
         self.commits = 0
+        self.refused_for_size = 0
         # Called with the body and the caller of each transaction: whether it is left without an
         # answer until perform_late().
         self.is_late = lambda body, caller: False
@@ -196,6 +201,11 @@
         items = body["expected_rev"] + body["set_keys"] + body["remove"]
         if len(items) > 100 or len({item["part"] for item in items}) > 1:
             return 400, {}
+        # Values are Base64 of at most ROW_MAX_BYTES, a transaction takes at most TXN_MAX_BYTES.
+        sizes = [len(item["value"]) for item in body["set_keys"]]
+        if any(size * 3 // 4 - 2 > ROW_MAX_BYTES for size in sizes) or sum(sizes) > TXN_MAX_BYTES:
+            self.refused_for_size += 1
+            return 400, {}
         if any(item["table"] in ("op", "servers") for item in body["set_keys"] + body["remove"]):
             return 403, {}
         with self.lock:
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -33,6 +33,9 @@
 	std::deque<Call> calls;
 	gint64 revision = 0;
 	int commits = 0;
+	/* Largest value that is stored. */
+	size_t row_max_bytes = 65536;
+	int refused_for_size = 0;
 
 	FakeStore()
 	{
@@ -202,8 +205,24 @@
 		return call;
 	}
 
+	bool is_too_large(const Call &call) const
+	{
+		for (const auto &put : call.puts)
+			if (put.second.size() > row_max_bytes)
+				return true;
+		return false;
+	}
+
 	void answer_txn(const Call &call)
 	{
+		if (is_too_large(call)) {
+			struct lug_txn_result refusal = {LUG_BAD_INPUT, 0, nullptr, 0};
+
+			refused_for_size++;
+			call.txn_fn(call.data, &refusal);
+			return;
+		}
+
 		std::vector<guint> failed = apply(call);
 		struct lug_txn_result result = {failed.empty() ? LUG_OK : LUG_CONFLICT, revision,
 						failed.data(), static_cast<guint>(failed.size())};
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -6,7 +6,7 @@
 #include "fake_store.h"
 
 extern "C" {
-#include "workflow/shard.h"
+#include "workflow/shard_priv.h"
 }
 
 inline const char *const job_body =
@@ -162,6 +162,7 @@
 		guint32 run;
 		int share = -1; /* of a best-effort task, in percent */
 		bool unconfirmed = false;
+		const char *checkpoint = nullptr;
 	};
 
 	/*
@@ -198,6 +199,7 @@
 			held[i].has_share = list[i].share >= 0;
 			held[i].share = (guint32)MAX(list[i].share, 0);
 			held[i].unconfirmed = list[i].unconfirmed;
+			held[i].checkpoint = const_cast<char *>(list[i].checkpoint);
 			ptrs[i] = &held[i];
 		}
 		of_shard.epoch = lug_shard_epoch(shard);
@@ -226,7 +228,8 @@
 	}
 
 	void end_run(const char *job, guint32 step, guint32 index, guint32 run_number,
-		     enum lug_run_outcome outcome, guint32 suspected_jobs = 0)
+		     enum lug_run_outcome outcome, guint32 suspected_jobs = 0,
+		     guint32 occurrence = 0)
 	{
 		Lug__RunEnd message = LUG__RUN_END__INIT;
 		struct lug_run_id id = {};
@@ -234,6 +237,7 @@
 		Lug__RunId wire;
 
 		g_strlcpy(id.job, job, sizeof(id.job));
+		id.occurrence = occurrence;
 		id.step = step;
 		id.index = index;
 		id.run = run_number;
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -200,6 +200,61 @@
 	EXPECT_EQ(committed, std::vector<enum lug_status>(2, LUG_OK));
 }
 
+/* A row that the table service does not accept must end its own operation, and only that one. */
+TEST_F(WriterTest, OperationOfRefusedContentDoesNotHoldUpTheOthers)
+{
+	std::vector<enum lug_status> refused, stored;
+	struct lug_writer *writer = held_writer();
+	std::string large = "{\"s\":\"" + std::string(70000, 'x') + "\"}";
+
+	for (int i = 0; i < 40; i++) {
+		std::string key = "k" + std::to_string(i);
+		struct lug_writer_op *op = new_op(i == 23 ? &refused : &stored, key.c_str(), 0);
+
+		if (i == 23)
+			lug_txn_put_text(&op->txn, "row", "large", large.c_str());
+		lug_writer_append(writer, op);
+	}
+	lug_writer_flush(writer, 1100 * ms);
+	store.settle();
+	EXPECT_EQ(refused, std::vector<enum lug_status>{LUG_BAD_INPUT});
+	EXPECT_EQ(stored, std::vector<enum lug_status>(39, LUG_OK));
+	EXPECT_TRUE(lug_writer_is_held(writer));
+	/* Later operations share transactions again. */
+	for (int i = 0; i < 40; i++)
+		lug_writer_append(writer, new_op(&stored, ("l" + std::to_string(i)).c_str(), 0));
+	int commits = store.commits;
+	lug_writer_flush(writer, 1200 * ms);
+	store.settle();
+	EXPECT_EQ(stored.size(), 79u);
+	EXPECT_LE(store.commits, commits + 2);
+}
+
+/* The table service accepts 1 MB in a transaction. */
+TEST_F(WriterTest, LargeRowsAreSpreadOverSeveralTransactions)
+{
+	std::vector<enum lug_status> statuses;
+	struct lug_writer *writer = held_writer();
+	std::string large = "{\"s\":\"" + std::string(60000, 'x') + "\"}";
+
+	for (int i = 0; i < 20; i++) {
+		struct lug_writer_op *op = new_op(&statuses, ("k" + std::to_string(i)).c_str(), 0);
+
+		lug_txn_put_text(&op->txn, "row", ("r" + std::to_string(i)).c_str(), large.c_str());
+		lug_writer_append(writer, op);
+	}
+	lug_writer_flush(writer, 1100 * ms);
+	while (!store.calls.empty()) {
+		size_t bytes = 0;
+
+		for (const auto &put : store.calls.front().puts)
+			bytes += put.second.size() * 4 / 3;
+		EXPECT_LT(bytes, 1000000u);
+		store.answer_next();
+	}
+	EXPECT_EQ(statuses, std::vector<enum lug_status>(20, LUG_OK));
+}
+
 TEST_F(WriterTest, OperationsOnSameRowUseSeparateTransactions)
 {
 	struct lug_writer *writer = held_writer();
