Move the comparison of claims with heartbeats into a file of its own

No change of behaviour: unit tests give the same result as before (one known failure, ClockSetBackEnd).

--- /dev/null
+++ b/liblug/workflow/shard_beat.c
@@ -0,0 +1,258 @@
+#include "workflow/shard_priv.h"
+
+#include <string.h>
+
+/* A start that the worker's agent has not received this long after it was sent is resent. */
+#define START_RESEND_US (700 * 1000)
+/* A long-running task that has run for this long is no longer suspected of earlier crashes. */
+#define CRASH_FORGET_US (10 * G_USEC_PER_SEC)
+
+static void return_lost_task(struct lug_shard *shard, struct shard_job *job,
+			     struct shard_task *task, const struct lug_run_id *id,
+			     const char *reason)
+{
+	shard_log_run(shard, "run_lost", id, task->worker, "reason", reason);
+	lug_count(shard->shared.ctx, TASKS_LOST, 1);
+	shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
+	shard_job_mark_changed(shard, job);
+}
+
+static const Lug__RunHeld *find_held(const Lug__ShardHeld *held, const struct lug_run_id *id)
+{
+	for (gsize i = 0; held && i < held->n_held; i++) {
+		struct lug_run_id other;
+
+		if (lug_run_from_wire(held->held[i]->id, &other) && lug_run_equal(&other, id))
+			return held->held[i];
+	}
+	return NULL;
+}
+
+/* Called for each task that is claimed for a worker; may release the claim. */
+typedef void (*claim_visitor_fn)(struct lug_shard *shard, struct shard_job *job,
+				 struct shard_task *task, const struct lug_run_id *id, void *data);
+
+static void for_each_claim(struct lug_shard *shard, const char *worker, claim_visitor_fn fn,
+			   void *data)
+{
+	struct shard_claims *claims = shard_find_claims(shard, worker);
+
+	if (!claims)
+		return;
+	LUG_LIST_FOREACH_SAFE (&claims->tasks, pos, tmp) {
+		struct shard_task *task = LUG_CONTAINER_OF(pos, struct shard_task, claim_node);
+		struct lug_run_id id = {.occurrence = task->occurrence,
+					.step = task->step,
+					.index = task->index,
+					.run = task->run};
+
+		g_strlcpy(id.job, task->job->workflow->id, sizeof(id.job));
+		fn(shard, task->job, task, &id, data);
+	}
+}
+
+/*
+ * struct beat_check - context of comparing the claims for a worker with its heartbeat
+ * @worker: worker
+ * @held: runs of the shard that the agent holds
+ * @now_us: current time
+ */
+struct beat_check {
+	struct lug_fleet_worker *worker;
+	const Lug__ShardHeld *held;
+	gint64 now_us;
+};
+
+/* Sends a run's size, image and target to an agent that knows the run only from a poll. */
+static void send_run_attributes(struct lug_shard *shard, const struct lug_route *route,
+				const struct shard_job *job, const struct lug_run_id *id)
+{
+	const struct lug_step *step = &job->workflow->steps[id->step];
+	Lug__RunStart start = LUG__RUN_START__INIT;
+	struct lug_resources size;
+	Lug__Resources wire;
+	Lug__RunId run;
+	LUG_ENVELOPE(env, RUN_START, run_start, &start);
+
+	shard_step_size(step, &size);
+	lug_resources_to_wire(&size, &wire);
+	lug_run_to_wire(id, &run);
+	start.has_shard = 1;
+	start.shard = shard->number;
+	start.has_epoch = 1;
+	start.epoch = lug_shard_epoch(shard);
+	start.id = &run;
+	start.size = &wire;
+	start.image = step->image;
+	start.has_fill_millicores = 1;
+	start.fill_millicores = step->best_effort ? step->size.millicores : 0;
+	start.has_fills = 1;
+	start.fills = step->best_effort;
+	start.has_target_ms = 1;
+	start.target_ms = (guint32)step->target_ms;
+	start.has_size_only = 1;
+	start.size_only = 1;
+	lug_link_send(shard->shared.link, route, &env);
+}
+
+/*
+ * Whether the agent was restarted together with its worker, and so can't report the crash of the
+ * worker under the task.
+ */
+static gboolean was_lost_with_agent(const struct shard_task *task,
+				    const struct lug_fleet_worker *worker)
+{
+	return task->worker_incarnation && task->lease_epoch < worker->lease_epoch &&
+	       task->worker_incarnation < worker->worker_incarnation && !worker->exit_announced;
+}
+
+static void check_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
+			const struct lug_run_id *id, void *data)
+{
+	const struct beat_check *check = data;
+	const Lug__RunHeld *held = find_held(check->held, id);
+	const struct lug_fleet_worker *worker = check->worker;
+	const char *reason = NULL;
+
+	if (held) {
+		if (!held->unconfirmed)
+			shard_mark_begun(job, task);
+		shard_confirm_reservation(shard, task, &job->workflow->steps[id->step]);
+		task->progress_percent = held->percent;
+		task->metric = held->figure;
+		/* A run that has lasted is not the cause of earlier crashes. */
+		if (job->workflow->steps[id->step].long_running && task->start_seq &&
+		    check->now_us - task->start_sent_us > CRASH_FORGET_US)
+			task->crash = (struct lug_crash_history){0};
+		shard_save_checkpoint(task, held->checkpoint);
+		if (held->unsized)
+			send_run_attributes(shard, &worker->route, job, id);
+		else if (held->has_share)
+			shard_relocate_if_slow(shard, job, task, id, held->share, check->now_us);
+		return;
+	}
+	/* The claim is not yet committed, or its start not yet sent. */
+	if (task->shard_epoch == lug_shard_epoch(shard) && !task->start_seq)
+		return;
+	if (task->lease_epoch < worker->lease_epoch)
+		reason = "claimed for an earlier lease of its worker";
+	else if (task->shard_epoch < lug_shard_epoch(shard))
+		reason = "claimed by an earlier owner and not held by its worker";
+	else if (task->start_seq <= check->held->last_seq)
+		reason = "received by its worker's agent, which does not hold it";
+	if (reason) {
+		if (was_lost_with_agent(task, worker)) {
+			lug_crash_record(&task->crash, 0, task->begun);
+			shard_check_crash_history(shard, job, task, id, check->now_us);
+		}
+		return_lost_task(shard, job, task, id, reason);
+		return;
+	}
+	if (check->now_us - task->start_sent_us > START_RESEND_US)
+		shard_send_start(shard, job, task, id, check->now_us);
+}
+
+static gboolean is_run_claimed(struct lug_shard *shard, const struct lug_run_id *id,
+			       const char *worker)
+{
+	struct shard_job *job = g_hash_table_lookup(shard->jobs, id->job);
+	struct shard_task *task = job ? shard_find_task(job, id) : NULL;
+
+	return task && task->state == SHARD_TASK_CLAIMED && task->run == id->run &&
+	       !strcmp(task->worker, worker);
+}
+
+/**
+ * lug_shard_on_beat - reconcile the runs that an agent holds with the claims for its worker
+ * @shard: shard
+ * @worker: worker
+ * @held: runs of this shard that the agent holds, and the shard epoch known to it
+ * @now_us: current time
+ *
+ * Claimed runs that the agent does not hold are treated as lost, or their starts are resent. Held
+ * runs without a claim are stopped. A heartbeat with another shard epoch is ignored.
+ */
+void lug_shard_on_beat(struct lug_shard *shard, struct lug_fleet_worker *worker,
+		       const Lug__ShardHeld *held, gint64 now_us)
+{
+	struct beat_check check = {worker, held, now_us};
+	struct shard_claims *claims = shard_find_claims(shard, worker->name);
+
+	if (shard->load_phase != SHARD_LOAD_DONE || held->epoch != lug_shard_epoch(shard))
+		return;
+	if (claims)
+		shard_note_list(shard, worker->name, claims, now_us);
+	for_each_claim(shard, worker->name, check_claim, &check);
+	for (gsize i = 0; i < held->n_held; i++) {
+		struct lug_run_id id;
+
+		if (lug_run_from_wire(held->held[i]->id, &id) &&
+		    !is_run_claimed(shard, &id, worker->name))
+			shard_send_stop(shard, worker, &id);
+	}
+}
+
+/*
+ * struct lease_end - context of returning the tasks of a worker whose lease has ended
+ * @epoch: epoch of the lease
+ * @announced: the worker or its agent had announced that it leaves
+ * @now_us: current time
+ */
+struct lease_end {
+	guint64 epoch;
+	gboolean announced;
+	gint64 now_us;
+};
+
+static void return_task_if_fenced(struct lug_shard *shard, struct shard_job *job,
+				  struct shard_task *task, const struct lug_run_id *id, void *data)
+{
+	const struct lease_end *end = data;
+
+	if (task->lease_epoch > end->epoch)
+		return;
+	if (task->begun && !end->announced) {
+		lug_crash_record_loss(&task->crash);
+		shard_check_crash_history(shard, job, task, id, end->now_us);
+	}
+	return_lost_task(shard, job, task, id, "lease of its worker fenced");
+}
+
+/**
+ * lug_shard_worker_lost - return the tasks of runs under a fenced lease to waiting
+ * @shard: shard
+ * @worker: worker
+ * @lease_epoch: runs started under this or an earlier lease epoch have ended
+ * @now_us: current time
+ */
+void lug_shard_worker_lost(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
+			   gint64 now_us)
+{
+	const struct lug_fleet_worker *fleet_worker = lug_fleet_find(shard->shared.fleet, worker);
+	struct lease_end end = {
+		.epoch = lease_epoch,
+		.announced = fleet_worker && fleet_worker->draining,
+		.now_us = now_us,
+	};
+
+	if (shard->load_phase == SHARD_LOAD_DONE)
+		for_each_claim(shard, worker, return_task_if_fenced, &end);
+}
+
+/**
+ * lug_shard_unlisted_us - time for which a worker's agent has not listed its runs of the shard
+ * @shard: shard
+ * @worker: worker
+ * @now_us: current time
+ *
+ * Return: microseconds since the latest list, or since its claims were loaded; -1 when no task is
+ * claimed for the worker.
+ */
+gint64 lug_shard_unlisted_us(const struct lug_shard *shard, const char *worker, gint64 now_us)
+{
+	const struct shard_claims *claims = shard_find_claims(shard, worker);
+
+	if (!claims || lug_list_empty(&claims->tasks))
+		return -1;
+	return MAX(now_us - claims->listed_us, 0);
+}
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -4,10 +4,6 @@
 
 /* Delay between a failed run and the next claim of its task. */
 #define FAILED_RUN_RETRY_DELAY_US (50 * 1000)
-/* A start that the worker's agent has not received this long after it was sent is resent. */
-#define START_RESEND_US (700 * 1000)
-/* A long-running task that has run for this long is no longer suspected of earlier crashes. */
-#define CRASH_FORGET_US (10 * G_USEC_PER_SEC)
 
 /**
  * shard_task_step - step of a task
@@ -26,7 +22,10 @@
 	return &job->workflow->steps[s];
 }
 
-static struct shard_claims *find_claims(const struct lug_shard *shard, const char *worker)
+/**
+ * shard_find_claims - claims for a worker, NULL when nothing was ever claimed for it
+ */
+struct shard_claims *shard_find_claims(const struct lug_shard *shard, const char *worker)
 {
 	return g_hash_table_lookup(shard->claims, g_intern_string(worker));
 }
@@ -36,7 +35,7 @@
  */
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us)
 {
-	struct shard_claims *claims = find_claims(shard, task->worker);
+	struct shard_claims *claims = shard_find_claims(shard, task->worker);
 
 	if (!claims) {
 		claims = g_new0(struct shard_claims, 1);
@@ -79,16 +78,21 @@
 	task->relocating = FALSE;
 }
 
-/* The worker has started the task, which is the beginning of its job if it is the first. */
-static void mark_begun(struct shard_job *job, struct shard_task *task)
+/**
+ * shard_mark_begun - note that the worker has started a task, and so its job
+ */
+void shard_mark_begun(struct shard_job *job, struct shard_task *task)
 {
 	task->begun = TRUE;
 	job->was_confirmed = TRUE;
 }
 
-/* The agent reserves resources for the task, whether or not its worker has confirmed the start. */
-static void confirm_reservation(struct lug_shard *shard, struct shard_task *task,
-				const struct lug_step *step)
+/**
+ * shard_confirm_reservation - note that the agent reserves resources for a task, whether or not its
+ * worker has confirmed the start
+ */
+void shard_confirm_reservation(struct lug_shard *shard, struct shard_task *task,
+			       const struct lug_step *step)
 {
 	struct lug_fleet_worker *worker = lug_fleet_find(shard->shared.fleet, task->worker);
 	struct lug_resources size;
@@ -101,8 +105,11 @@
 	lug_fleet_confirm(worker, &size);
 }
 
-static void log_run(struct lug_shard *shard, const char *event, const struct lug_run_id *id,
-		    const char *worker, const char *key, const char *value)
+/**
+ * shard_log_run - log an event of one run, with one more key and value
+ */
+void shard_log_run(struct lug_shard *shard, const char *event, const struct lug_run_id *id,
+		   const char *worker, const char *key, const char *value)
 {
 	char name[LUG_RUN_NAME_SIZE];
 
@@ -111,7 +118,10 @@
 		 worker ? worker : "", key, value);
 }
 
-static void save_checkpoint(struct shard_task *task, const char *checkpoint)
+/**
+ * shard_save_checkpoint - keep a task's latest checkpoint; NULL and "" stand for none
+ */
+void shard_save_checkpoint(struct shard_task *task, const char *checkpoint)
 {
 	if (!checkpoint || !*checkpoint || !g_strcmp0(task->checkpoint, checkpoint))
 		return;
@@ -148,9 +158,12 @@
 	return NULL;
 }
 
-/* Gives the job up when the task crashes its workers, else delays the next start of a suspect. */
-static void check_crash_history(struct lug_shard *shard, struct shard_job *job,
-				struct shard_task *task, const struct lug_run_id *id, gint64 now_us)
+/**
+ * shard_check_crash_history - give the job up when the task crashes its workers, else delay the
+ * next start of a suspected task
+ */
+void shard_check_crash_history(struct lug_shard *shard, struct shard_job *job,
+			       struct shard_task *task, const struct lug_run_id *id, gint64 now_us)
 {
 	char name[LUG_RUN_NAME_SIZE];
 	char crashes[16];
@@ -188,7 +201,7 @@
 	/* A run whose start was not confirmed may be reported as crashed. */
 	if (outcome == LUG_RUN_WORKER_CRASHED) {
 		lug_crash_record(&task->crash, end->suspected_jobs, !end->unconfirmed);
-		check_crash_history(shard, job, task, id, now_us);
+		shard_check_crash_history(shard, job, task, id, now_us);
 	} else {
 		job->was_confirmed = TRUE;
 	}
@@ -253,7 +266,7 @@
 		shard_note_run(job->ended_runs, &ack.id, worker, lug_run_outcome_name(end->outcome),
 			       now_us - job->accepted_us);
 		job->has_incomplete_run = job->has_incomplete_run || end->outcome != LUG_RUN_DONE;
-		save_checkpoint(task, end->checkpoint);
+		shard_save_checkpoint(task, end->checkpoint);
 		apply_run_end(shard, job, task, &ack.id, end, now_us);
 	} else if (!job || job->revision == job->committed_revision) {
 		/* The report is repeated or obsolete, and all changes of the job are stored. */
@@ -301,13 +314,13 @@
 		return;
 	/* The agent may still accept the start that was resent after the refused one. */
 	if (answer->status != LUG_OK && answer->has_seq && answer->seq < task->start_seq) {
-		log_run(shard, "refusal_ignored", &id, worker, "reason",
-			"the start was sent again");
+		shard_log_run(shard, "refusal_ignored", &id, worker, "reason",
+			      "the start was sent again");
 		return;
 	}
 	if (answer->status == LUG_OK) {
-		mark_begun(job, task);
-		confirm_reservation(shard, task, &job->workflow->steps[id.step]);
+		shard_mark_begun(job, task);
+		shard_confirm_reservation(shard, task, &job->workflow->steps[id.step]);
 	} else {
 		shard_note_run(job->refused_runs, &id, worker,
 			       lug_status_name((enum lug_status)answer->status),
@@ -328,253 +341,3 @@
 		lug_fleet_set_used(fleet_worker, &used);
 	}
 }
-
-static void return_lost_task(struct lug_shard *shard, struct shard_job *job,
-			     struct shard_task *task, const struct lug_run_id *id,
-			     const char *reason)
-{
-	log_run(shard, "run_lost", id, task->worker, "reason", reason);
-	lug_count(shard->shared.ctx, TASKS_LOST, 1);
-	shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
-	shard_job_mark_changed(shard, job);
-}
-
-static const Lug__RunHeld *find_held(const Lug__ShardHeld *held, const struct lug_run_id *id)
-{
-	for (gsize i = 0; held && i < held->n_held; i++) {
-		struct lug_run_id other;
-
-		if (lug_run_from_wire(held->held[i]->id, &other) && lug_run_equal(&other, id))
-			return held->held[i];
-	}
-	return NULL;
-}
-
-/* Called for each task that is claimed for a worker; may release the claim. */
-typedef void (*claim_visitor_fn)(struct lug_shard *shard, struct shard_job *job,
-				 struct shard_task *task, const struct lug_run_id *id, void *data);
-
-static void for_each_claim(struct lug_shard *shard, const char *worker, claim_visitor_fn fn,
-			   void *data)
-{
-	struct shard_claims *claims = find_claims(shard, worker);
-
-	if (!claims)
-		return;
-	LUG_LIST_FOREACH_SAFE (&claims->tasks, pos, tmp) {
-		struct shard_task *task = LUG_CONTAINER_OF(pos, struct shard_task, claim_node);
-		struct lug_run_id id = {.occurrence = task->occurrence,
-					.step = task->step,
-					.index = task->index,
-					.run = task->run};
-
-		g_strlcpy(id.job, task->job->workflow->id, sizeof(id.job));
-		fn(shard, task->job, task, &id, data);
-	}
-}
-
-/*
- * struct beat_check - context of comparing the claims for a worker with its heartbeat
- * @worker: worker
- * @held: runs of the shard that the agent holds
- * @now_us: current time
- */
-struct beat_check {
-	struct lug_fleet_worker *worker;
-	const Lug__ShardHeld *held;
-	gint64 now_us;
-};
-
-/* Sends a run's size, image and target to an agent that knows the run only from a poll. */
-static void send_run_attributes(struct lug_shard *shard, const struct lug_route *route,
-				const struct shard_job *job, const struct lug_run_id *id)
-{
-	const struct lug_step *step = &job->workflow->steps[id->step];
-	Lug__RunStart start = LUG__RUN_START__INIT;
-	struct lug_resources size;
-	Lug__Resources wire;
-	Lug__RunId run;
-	LUG_ENVELOPE(env, RUN_START, run_start, &start);
-
-	shard_step_size(step, &size);
-	lug_resources_to_wire(&size, &wire);
-	lug_run_to_wire(id, &run);
-	start.has_shard = 1;
-	start.shard = shard->number;
-	start.has_epoch = 1;
-	start.epoch = lug_shard_epoch(shard);
-	start.id = &run;
-	start.size = &wire;
-	start.image = step->image;
-	start.has_fill_millicores = 1;
-	start.fill_millicores = step->best_effort ? step->size.millicores : 0;
-	start.has_fills = 1;
-	start.fills = step->best_effort;
-	start.has_target_ms = 1;
-	start.target_ms = (guint32)step->target_ms;
-	start.has_size_only = 1;
-	start.size_only = 1;
-	lug_link_send(shard->shared.link, route, &env);
-}
-
-/*
- * Whether the agent was restarted together with its worker, and so can't report the crash of the
- * worker under the task.
- */
-static gboolean was_lost_with_agent(const struct shard_task *task,
-				    const struct lug_fleet_worker *worker)
-{
-	return task->worker_incarnation && task->lease_epoch < worker->lease_epoch &&
-	       task->worker_incarnation < worker->worker_incarnation && !worker->exit_announced;
-}
-
-static void check_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-			const struct lug_run_id *id, void *data)
-{
-	const struct beat_check *check = data;
-	const Lug__RunHeld *held = find_held(check->held, id);
-	const struct lug_fleet_worker *worker = check->worker;
-	const char *reason = NULL;
-
-	if (held) {
-		if (!held->unconfirmed)
-			mark_begun(job, task);
-		confirm_reservation(shard, task, &job->workflow->steps[id->step]);
-		task->progress_percent = held->percent;
-		task->metric = held->figure;
-		/* A run that has lasted is not the cause of earlier crashes. */
-		if (job->workflow->steps[id->step].long_running && task->start_seq &&
-		    check->now_us - task->start_sent_us > CRASH_FORGET_US)
-			task->crash = (struct lug_crash_history){0};
-		save_checkpoint(task, held->checkpoint);
-		if (held->unsized)
-			send_run_attributes(shard, &worker->route, job, id);
-		else if (held->has_share)
-			shard_relocate_if_slow(shard, job, task, id, held->share, check->now_us);
-		return;
-	}
-	/* The claim is not yet committed, or its start not yet sent. */
-	if (task->shard_epoch == lug_shard_epoch(shard) && !task->start_seq)
-		return;
-	if (task->lease_epoch < worker->lease_epoch)
-		reason = "claimed for an earlier lease of its worker";
-	else if (task->shard_epoch < lug_shard_epoch(shard))
-		reason = "claimed by an earlier owner and not held by its worker";
-	else if (task->start_seq <= check->held->last_seq)
-		reason = "received by its worker's agent, which does not hold it";
-	if (reason) {
-		if (was_lost_with_agent(task, worker)) {
-			lug_crash_record(&task->crash, 0, task->begun);
-			check_crash_history(shard, job, task, id, check->now_us);
-		}
-		return_lost_task(shard, job, task, id, reason);
-		return;
-	}
-	if (check->now_us - task->start_sent_us > START_RESEND_US)
-		shard_send_start(shard, job, task, id, check->now_us);
-}
-
-static gboolean is_run_claimed(struct lug_shard *shard, const struct lug_run_id *id,
-			       const char *worker)
-{
-	struct shard_job *job = g_hash_table_lookup(shard->jobs, id->job);
-	struct shard_task *task = job ? shard_find_task(job, id) : NULL;
-
-	return task && task->state == SHARD_TASK_CLAIMED && task->run == id->run &&
-	       !strcmp(task->worker, worker);
-}
-
-/**
- * lug_shard_on_beat - reconcile the runs that an agent holds with the claims for its worker
- * @shard: shard
- * @worker: worker
- * @held: runs of this shard that the agent holds, and the shard epoch known to it
- * @now_us: current time
- *
- * Claimed runs that the agent does not hold are treated as lost, or their starts are resent. Held
- * runs without a claim are stopped. A heartbeat with another shard epoch is ignored.
- */
-void lug_shard_on_beat(struct lug_shard *shard, struct lug_fleet_worker *worker,
-		       const Lug__ShardHeld *held, gint64 now_us)
-{
-	struct beat_check check = {worker, held, now_us};
-	struct shard_claims *claims = find_claims(shard, worker->name);
-
-	if (shard->load_phase != SHARD_LOAD_DONE || held->epoch != lug_shard_epoch(shard))
-		return;
-	if (claims)
-		shard_note_list(shard, worker->name, claims, now_us);
-	for_each_claim(shard, worker->name, check_claim, &check);
-	for (gsize i = 0; i < held->n_held; i++) {
-		struct lug_run_id id;
-
-		if (lug_run_from_wire(held->held[i]->id, &id) &&
-		    !is_run_claimed(shard, &id, worker->name))
-			shard_send_stop(shard, worker, &id);
-	}
-}
-
-/*
- * struct lease_end - context of returning the tasks of a worker whose lease has ended
- * @epoch: epoch of the lease
- * @announced: the worker or its agent had announced that it leaves
- * @now_us: current time
- */
-struct lease_end {
-	guint64 epoch;
-	gboolean announced;
-	gint64 now_us;
-};
-
-static void return_task_if_fenced(struct lug_shard *shard, struct shard_job *job,
-				  struct shard_task *task, const struct lug_run_id *id, void *data)
-{
-	const struct lease_end *end = data;
-
-	if (task->lease_epoch > end->epoch)
-		return;
-	if (task->begun && !end->announced) {
-		lug_crash_record_loss(&task->crash);
-		check_crash_history(shard, job, task, id, end->now_us);
-	}
-	return_lost_task(shard, job, task, id, "lease of its worker fenced");
-}
-
-/**
- * lug_shard_worker_lost - return the tasks of runs under a fenced lease to waiting
- * @shard: shard
- * @worker: worker
- * @lease_epoch: runs started under this or an earlier lease epoch have ended
- * @now_us: current time
- */
-void lug_shard_worker_lost(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
-			   gint64 now_us)
-{
-	const struct lug_fleet_worker *fleet_worker = lug_fleet_find(shard->shared.fleet, worker);
-	struct lease_end end = {
-		.epoch = lease_epoch,
-		.announced = fleet_worker && fleet_worker->draining,
-		.now_us = now_us,
-	};
-
-	if (shard->load_phase == SHARD_LOAD_DONE)
-		for_each_claim(shard, worker, return_task_if_fenced, &end);
-}
-
-/**
- * lug_shard_unlisted_us - time for which a worker's agent has not listed its runs of the shard
- * @shard: shard
- * @worker: worker
- * @now_us: current time
- *
- * Return: microseconds since the latest list, or since its claims were loaded; -1 when no task is
- * claimed for the worker.
- */
-gint64 lug_shard_unlisted_us(const struct lug_shard *shard, const char *worker, gint64 now_us)
-{
-	const struct shard_claims *claims = find_claims(shard, worker);
-
-	if (!claims || lug_list_empty(&claims->tasks))
-		return -1;
-	return MAX(now_us - claims->listed_us, 0);
-}
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -9,8 +9,9 @@
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_inbox.c (jobs and
  * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
- * (placement and starts), shard_outcome.c (ended and lost runs), shard_ack.c (acknowledgements of
- * ends), shard_report.c (log of what is overdue) and shard_commit.c (transactions).
+ * (placement and starts), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison
+ * of claims with heartbeats, lost runs), shard_ack.c (acknowledgements of ends), shard_report.c
+ * (log of what is overdue) and shard_commit.c (transactions).
  */
 
 /*
@@ -371,6 +372,15 @@
 			    const struct lug_run_id *id, gint64 now_us);
 void shard_ack_obsolete_ends(struct lug_shard *shard);
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us);
+struct shard_claims *shard_find_claims(const struct lug_shard *shard, const char *worker);
+void shard_mark_begun(struct shard_job *job, struct shard_task *task);
+void shard_confirm_reservation(struct lug_shard *shard, struct shard_task *task,
+			       const struct lug_step *step);
+void shard_log_run(struct lug_shard *shard, const char *event, const struct lug_run_id *id,
+		   const char *worker, const char *key, const char *value);
+void shard_save_checkpoint(struct shard_task *task, const char *checkpoint);
+void shard_check_crash_history(struct lug_shard *shard, struct shard_job *job,
+			       struct shard_task *task, const struct lug_run_id *id, gint64 now_us);
 void shard_note_list(const struct lug_shard *shard, const char *worker, struct shard_claims *claims,
 		     gint64 now_us);
 void shard_report_delays(struct lug_shard *shard, gint64 now_us);
