A heartbeat that lists a part of the runs says which

Cause: an agent listed 2,000 runs at most, and owners took all others for lost.

The three tests of the bounds failed before (HeartbeatsListAllRunsInTurnAndStateTheirBounds, RunsOutsideTheBoundsOfAListAreNotLost and the integration test).

Ruled out: the worker and the starts; each start was sent once for each run.

Change: a list holds 500 runs of a shard. A longer one is sent in parts, each with its bounds in the order of the runs, and the owner concludes nothing about runs outside them. It finds listed runs by a hash table instead of comparing each claim with each listed run; the gain was not measured.

--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -4523,7 +4523,7 @@
   (ProtobufCMessageInit) lug__run_held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__shard_held__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lug__shard_held__field_descriptors[6] =
 {
   {
     "shard",
@@ -4573,17 +4573,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listed_after",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__ShardHeld, listed_after),
+    &lug__run_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed_until",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__ShardHeld, listed_until),
+    &lug__run_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__shard_held__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
   3,   /* field[3] = held */
   2,   /* field[2] = last_seq */
+  4,   /* field[4] = listed_after */
+  5,   /* field[5] = listed_until */
   0,   /* field[0] = shard */
 };
 static const ProtobufCIntRange lug__shard_held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lug__shard_held__descriptor =
 {
@@ -4593,7 +4619,7 @@
   "Lug__ShardHeld",
   "lug",
   sizeof(Lug__ShardHeld),
-  4,
+  6,
   lug__shard_held__field_descriptors,
   lug__shard_held__field_indices_by_name,
   1,  lug__shard_held__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -871,10 +871,16 @@
   uint64_t last_seq;
   size_t n_held;
   Lug__RunHeld **held;
+  /*
+   * Bounds of a list that was cut, in the order of lug_run_compare(): it has the runs after
+   * the first one, if set, up to and including the second, if set. It tells nothing of others.
+   */
+  Lug__RunId *listed_after;
+  Lug__RunId *listed_until;
 };
 #define LUG__SHARD_HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__shard_held__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, NULL, NULL }
 
 
 /*
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -169,10 +169,15 @@
  * struct exec_owner - owner of a shard
  * @epoch: highest epoch seen
  * @last_seq: highest sequence number of a start received in @epoch, 0 for none
+ * @list_cut: the latest heartbeat has listed the shard's runs up to @listed_until; the next one
+ *            continues after that
+ * @listed_until: last run that it has listed
  */
 struct exec_owner {
 	guint64 epoch;
 	guint64 last_seq;
+	gboolean list_cut;
+	struct lug_run_id listed_until;
 };
 
 /**
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -4,11 +4,8 @@
 
 /* Interval at which an end is resent until its owner acknowledges it. */
 #define END_RESEND_US (700 * 1000)
-/*
- * Maximum number of a worker's runs, of all shards, that heartbeats list. Owners treat unlisted
- * runs as lost.
- */
-#define MAX_HELD_RUNS 2000
+/* Runs of one shard that a heartbeat lists at most; the next one lists those that follow. */
+#define HELD_RUNS_MAX 500
 /* Heartbeats per report of the learned interference until an owner requests another number. */
 #define INTERFERENCE_INTERVAL_DEFAULT 3
 
@@ -101,6 +98,20 @@
 		exec_schedule_poll(exec, 0, lug_now_us());
 }
 
+/* Wire form of the bounds of a list that was cut. */
+struct list_bounds {
+	struct lug_run_id after;
+	Lug__RunId after_wire;
+	Lug__RunId until_wire;
+};
+
+/* A run that a heartbeat lists: one on the worker, or one whose end its owner has not stored. */
+struct held_item {
+	const struct lug_run_id *id;
+	const struct exec_run *run;
+	const struct exec_end *end;
+};
+
 /* Arrays to which the members of one heartbeat message point. */
 struct beat_buffers {
 	Lug__Serving *servings;
@@ -112,6 +123,7 @@
 	Lug__RunHeld *held;
 	Lug__RunId *ids;
 	guint n_held;
+	struct list_bounds *bounds;
 };
 
 static Lug__RunHeld *add_held(struct beat_buffers *buffers, Lug__ShardHeld *shard,
@@ -129,10 +141,84 @@
 	return held;
 }
 
-static void fill_shard(const struct lug_executor *exec, guint32 number, Lug__ShardHeld *shard,
+static void add_held_run(struct beat_buffers *buffers, Lug__ShardHeld *shard,
+			 const struct exec_run *run)
+{
+	Lug__RunHeld *held = add_held(buffers, shard, &run->id, !run->start_confirmed);
+
+	held->has_percent = 1;
+	held->percent = run->progress_percent;
+	held->has_figure = 1;
+	held->figure = run->metric;
+	held->checkpoint = run->checkpoint;
+	held->has_share = run->best_effort;
+	held->share = run->halted ? 0 : (guint32)(run->share * 100);
+	held->has_unsized = run->attributes_missing;
+	held->unsized = run->attributes_missing;
+}
+
+/* Unacknowledged ends are listed, so that owners don't treat their runs as lost. */
+static GArray *held_items(const struct lug_executor *exec, guint32 shard)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct held_item));
+
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+		struct held_item item = {&run->id, run, NULL};
+
+		if (run->shard == shard)
+			g_array_append_val(items, item);
+	}
+	for (guint i = 0; i < exec->ends->len; i++) {
+		const struct exec_end *end = g_ptr_array_index(exec->ends, i);
+		struct held_item item = {&end->id, NULL, end};
+
+		if (end->shard == shard && !end->is_stored)
+			g_array_append_val(items, item);
+	}
+	return items;
+}
+
+static gint compare_items(gconstpointer a, gconstpointer b)
+{
+	return lug_run_compare(((const struct held_item *)a)->id,
+			       ((const struct held_item *)b)->id);
+}
+
+/*
+ * Cuts the items to the HELD_RUNS_MAX that follow those of the latest heartbeat, and states the
+ * bounds in the message. After the last item, the next heartbeat starts from the first.
+ */
+static void cut_items(GArray *items, struct exec_owner *owner, Lug__ShardHeld *shard,
+		      struct list_bounds *bounds)
+{
+	guint first = 0;
+
+	g_array_sort(items, compare_items);
+	if (owner->list_cut) {
+		bounds->after = owner->listed_until;
+		lug_run_to_wire(&bounds->after, &bounds->after_wire);
+		shard->listed_after = &bounds->after_wire;
+	}
+	while (owner->list_cut && first < items->len &&
+	       lug_run_compare(g_array_index(items, struct held_item, first).id, &bounds->after) <=
+		       0)
+		first++;
+	g_array_remove_range(items, 0, first);
+	owner->list_cut = items->len > HELD_RUNS_MAX;
+	if (!owner->list_cut)
+		return;
+	g_array_set_size(items, HELD_RUNS_MAX);
+	owner->listed_until = *g_array_index(items, struct held_item, HELD_RUNS_MAX - 1).id;
+	lug_run_to_wire(&owner->listed_until, &bounds->until_wire);
+	shard->listed_until = &bounds->until_wire;
+}
+
+static void fill_shard(struct lug_executor *exec, guint32 number, Lug__ShardHeld *shard,
 		       struct beat_buffers *buffers)
 {
-	const struct exec_owner *owner = &exec->owners[number];
+	struct exec_owner *owner = &exec->owners[number];
+	GArray *items = held_items(exec, number);
 
 	lug__shard_held__init(shard);
 	shard->has_shard = 1;
@@ -141,31 +227,20 @@
 	shard->epoch = owner->epoch;
 	shard->has_last_seq = 1;
 	shard->last_seq = owner->last_seq;
-	shard->held = g_new0(Lug__RunHeld *, exec->runs->len + exec->ends->len + 1);
-	for (guint i = 0; i < exec->runs->len && i < MAX_HELD_RUNS; i++) {
-		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
-		Lug__RunHeld *held;
-
-		if (run->shard != number)
-			continue;
-		held = add_held(buffers, shard, &run->id, !run->start_confirmed);
-		held->has_percent = 1;
-		held->percent = run->progress_percent;
-		held->has_figure = 1;
-		held->figure = run->metric;
-		held->checkpoint = run->checkpoint;
-		held->has_share = run->best_effort;
-		held->share = run->halted ? 0 : (guint32)(run->share * 100);
-		held->has_unsized = run->attributes_missing;
-		held->unsized = run->attributes_missing;
-	}
-	/* Unacknowledged ends are listed, so that owners don't treat their runs as lost. */
-	for (guint i = 0; i < exec->ends->len; i++) {
-		const struct exec_end *end = g_ptr_array_index(exec->ends, i);
+	if (items->len > HELD_RUNS_MAX)
+		cut_items(items, owner, shard, &buffers->bounds[number]);
+	else
+		owner->list_cut = FALSE;
+	shard->held = g_new0(Lug__RunHeld *, items->len + 1);
+	for (guint i = 0; i < items->len; i++) {
+		const struct held_item *item = &g_array_index(items, struct held_item, i);
 
-		if (end->shard == number && !end->is_stored)
-			add_held(buffers, shard, &end->id, end->unconfirmed);
+		if (item->run)
+			add_held_run(buffers, shard, item->run);
+		else
+			add_held(buffers, shard, item->id, item->end->unconfirmed);
 	}
+	g_array_unref(items);
 }
 
 static void fill_status(struct lug_executor *exec, Lug__WorkerBeat *beat, gint64 now_us)
@@ -259,7 +334,8 @@
 	struct beat_buffers buffers = {.shards = g_new0(Lug__ShardHeld, exec->n_shards),
 				       .shard_ptrs = g_new0(Lug__ShardHeld *, exec->n_shards),
 				       .held = g_new0(Lug__RunHeld, max),
-				       .ids = g_new0(Lug__RunId, max)};
+				       .ids = g_new0(Lug__RunId, max),
+				       .bounds = g_new0(struct list_bounds, exec->n_shards)};
 	GArray *servings = exec_serving_tasks(exec, now_us);
 	GArray *pairs = lug_interference_pairs(exec->interference);
 	Lug__WorkerBeat beat = LUG__WORKER_BEAT__INIT;
@@ -300,5 +376,6 @@
 	g_free(buffers.shard_ptrs);
 	g_free(buffers.held);
 	g_free(buffers.ids);
+	g_free(buffers.bounds);
 	return sent;
 }
--- a/liblug/workflow/run.c
+++ b/liblug/workflow/run.c
@@ -39,6 +39,52 @@
 	       a->occurrence == b->occurrence && !strcmp(a->job, b->job);
 }
 
+static gint compare_numbers(guint32 a, guint32 b)
+{
+	return (a > b) - (a < b);
+}
+
+/**
+ * lug_run_compare - order of runs: by job, occurrence, step, index and number of the run
+ * @a: run
+ * @b: run
+ *
+ * Return: negative, 0 or positive, as of strcmp().
+ */
+gint lug_run_compare(const struct lug_run_id *a, const struct lug_run_id *b)
+{
+	gint order = strcmp(a->job, b->job);
+
+	if (!order)
+		order = compare_numbers(a->occurrence, b->occurrence);
+	if (!order)
+		order = compare_numbers(a->step, b->step);
+	if (!order)
+		order = compare_numbers(a->index, b->index);
+	return order ? order : compare_numbers(a->run, b->run);
+}
+
+/**
+ * lug_run_hash - hash of a struct lug_run_id, for GHashTable
+ */
+guint lug_run_hash(gconstpointer id)
+{
+	const struct lug_run_id *run = id;
+	guint hash = g_str_hash(run->job);
+
+	hash = hash * 31 + run->occurrence;
+	hash = hash * 31 + run->step;
+	return hash * 31 + run->index;
+}
+
+/**
+ * lug_run_hash_equal - lug_run_equal() for GHashTable
+ */
+gboolean lug_run_hash_equal(gconstpointer a, gconstpointer b)
+{
+	return lug_run_equal(a, b);
+}
+
 /**
  * lug_run_from_wire - read the id of a run from a message
  * @wire: message, may be NULL
--- a/liblug/workflow/run.h
+++ b/liblug/workflow/run.h
@@ -49,6 +49,9 @@
 const char *lug_run_outcome_name(enum lug_run_outcome outcome);
 void lug_run_name(const struct lug_run_id *id, char *out, gsize size);
 gboolean lug_run_equal(const struct lug_run_id *a, const struct lug_run_id *b);
+gint lug_run_compare(const struct lug_run_id *a, const struct lug_run_id *b);
+guint lug_run_hash(gconstpointer id);
+gboolean lug_run_hash_equal(gconstpointer a, gconstpointer b);
 gboolean lug_run_from_wire(const Lug__RunId *wire, struct lug_run_id *out);
 void lug_run_to_wire(const struct lug_run_id *id, Lug__RunId *wire);
 void lug_resources_from_wire(const Lug__Resources *wire, struct lug_resources *out);
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -17,17 +17,6 @@
 	shard_job_mark_changed(shard, job);
 }
 
-static const Lug__RunHeld *find_held(const Lug__ShardHeld *held, const struct lug_run_id *id)
-{
-	for (gsize i = 0; held && i < held->n_held; i++) {
-		struct lug_run_id other;
-
-		if (lug_run_from_wire(held->held[i]->id, &other) && lug_run_equal(&other, id))
-			return held->held[i];
-	}
-	return NULL;
-}
-
 /* Called for each task that is claimed for a worker; may release the claim. */
 typedef void (*claim_visitor_fn)(struct lug_shard *shard, struct shard_job *job,
 				 struct shard_task *task, const struct lug_run_id *id, void *data);
@@ -55,14 +44,44 @@
  * struct beat_check - context of comparing the claims for a worker with its heartbeat
  * @worker: worker
  * @held: runs of the shard that the agent holds
+ * @runs: those runs by id, struct lug_run_id to Lug__RunHeld
  * @now_us: current time
  */
 struct beat_check {
 	struct lug_fleet_worker *worker;
 	const Lug__ShardHeld *held;
+	GHashTable *runs;
 	gint64 now_us;
 };
 
+/* The runs of a list by id. Items that can't be read are left out. */
+static GHashTable *index_held(const Lug__ShardHeld *held)
+{
+	GHashTable *runs = g_hash_table_new_full(lug_run_hash, lug_run_hash_equal, g_free, NULL);
+
+	for (gsize i = 0; i < held->n_held; i++) {
+		struct lug_run_id *id = g_new(struct lug_run_id, 1);
+
+		if (lug_run_from_wire(held->held[i]->id, id))
+			g_hash_table_insert(runs, id, held->held[i]);
+		else
+			g_free(id);
+	}
+	return runs;
+}
+
+/* Whether a list names the run if the agent holds it. It may have been cut at either end. */
+static gboolean covers_run(const Lug__ShardHeld *held, const struct lug_run_id *id)
+{
+	struct lug_run_id bound;
+
+	if (held->listed_after &&
+	    (!lug_run_from_wire(held->listed_after, &bound) || lug_run_compare(id, &bound) <= 0))
+		return FALSE;
+	return !held->listed_until ||
+	       (lug_run_from_wire(held->listed_until, &bound) && lug_run_compare(id, &bound) <= 0);
+}
+
 /* Sends a run's size, image and target to an agent that knows the run only from a poll. */
 static void send_run_attributes(struct lug_shard *shard, const struct lug_route *route,
 				const struct shard_job *job, const struct lug_run_id *id)
@@ -110,7 +129,7 @@
 			const struct lug_run_id *id, void *data)
 {
 	const struct beat_check *check = data;
-	const Lug__RunHeld *held = find_held(check->held, id);
+	const Lug__RunHeld *held = g_hash_table_lookup(check->runs, id);
 	const struct lug_fleet_worker *worker = check->worker;
 	const char *reason = NULL;
 
@@ -131,6 +150,8 @@
 			shard_relocate_if_slow(shard, job, task, id, held->share, check->now_us);
 		return;
 	}
+	if (!covers_run(check->held, id))
+		return;
 	/* The claim is not yet committed, or its start not yet sent. */
 	if (task->shard_epoch == lug_shard_epoch(shard) && !task->start_seq)
 		return;
@@ -170,19 +191,22 @@
  * @now_us: current time
  *
  * Claimed runs that the agent does not hold are treated as lost, or their starts are resent. Held
- * runs without a claim are stopped. A heartbeat with another shard epoch is ignored.
+ * runs without a claim are stopped. A heartbeat with another shard epoch is ignored. A list that
+ * was cut concerns the runs between its bounds; the next heartbeats bring the others.
  */
 void lug_shard_on_beat(struct lug_shard *shard, struct lug_fleet_worker *worker,
 		       const Lug__ShardHeld *held, gint64 now_us)
 {
-	struct beat_check check = {worker, held, now_us};
+	struct beat_check check = {worker, held, NULL, now_us};
 	struct shard_claims *claims = shard_find_claims(shard, worker->name);
 
 	if (shard->load_phase != SHARD_LOAD_DONE || held->epoch != lug_shard_epoch(shard))
 		return;
 	if (claims)
 		shard_note_list(shard, worker->name, claims, now_us);
+	check.runs = index_held(held);
 	for_each_claim(shard, worker->name, check_claim, &check);
+	g_hash_table_unref(check.runs);
 	for (gsize i = 0; i < held->n_held; i++) {
 		struct lug_run_id id;
 
--- a/tests/integration/test_bounds.py
+++ b/tests/integration/test_bounds.py
@@ -37,6 +37,16 @@
     assert len(starts(deployment)) == tasks
 
 
+def test_tasks_beyond_the_list_of_a_heartbeat_run_once(start_deployment):
+    """A heartbeat lists part of a worker's runs. The others must not count as lost."""
+    deployment = start_deployment(workers=1, shards=1)
+    job, tasks = next(JOB_IDS), 2400
+    assert deployment.submit(job, {"ms": 7000}, [{"count": tasks, "cpu": 1}]) == 200
+    wait_for_state(deployment, job, 40)
+    assert deployment.violations() == []
+    assert len(starts(deployment)) == tasks
+
+
 def test_schedule_with_many_due_occurrences_does_not_hold_up_other_jobs(start_deployment):
     """All due occurrences began at once, and their row was larger than the table service stores."""
     deployment = start_deployment(workers=2, shards=1)
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -142,6 +142,50 @@
 	EXPECT_EQ(*held, 0);
 }
 
+/* Owners treat a run that a list leaves out as lost, so the list states what it covers. */
+TEST_F(ExecutorTest, HeartbeatsListAllRunsInTurnAndStateTheirBounds)
+{
+	const int runs = 1200;
+	std::vector<std::string> names;
+	std::map<std::string, int> listed;
+	struct lug_run_id after = {};
+
+	for (int i = 0; i < runs; i++) {
+		names.push_back("job" + std::to_string(i));
+		start(names.back().c_str(), /* millicores */ 0);
+		worker.answer(LUG_ORDER_OK);
+	}
+	for (int n = 0; n < 3; n++)
+		send_beat_to_owner(0, [&](const Lug__WorkerBeat &beat) {
+			const Lug__ShardHeld *held = beat.shards[0];
+
+			EXPECT_LE(held->n_held, 500u);
+			EXPECT_EQ(held->listed_after != nullptr, n > 0);
+			EXPECT_EQ(held->listed_until != nullptr, n < 2);
+			if (held->listed_after) {
+				EXPECT_STREQ(held->listed_after->job, after.job)
+					<< "a gap between two lists";
+			}
+			if (held->listed_until)
+				lug_run_from_wire(held->listed_until, &after);
+			for (size_t i = 0; i < held->n_held; i++)
+				listed[held->held[i]->id->job]++;
+		});
+	EXPECT_EQ(listed.size(), (size_t)runs);
+	for (const auto &item : listed)
+		EXPECT_EQ(item.second, 1) << item.first;
+}
+
+TEST_F(ExecutorTest, ShortListsHaveNoBounds)
+{
+	start("a");
+	send_beat_to_owner(0, [&](const Lug__WorkerBeat &beat) {
+		EXPECT_EQ(beat.shards[0]->n_held, 1u);
+		EXPECT_EQ(beat.shards[0]->listed_after, nullptr);
+		EXPECT_EQ(beat.shards[0]->listed_until, nullptr);
+	});
+}
+
 /* A restarted agent does not know of the ends that the first poll leaves out. */
 TEST_F(ExecutorTest, ReportsNoListOfRunsBeforeAllEndsAreListed)
 {
--- a/tests/unit/shard_bounds_test.cc
+++ b/tests/unit/shard_bounds_test.cc
@@ -136,6 +136,34 @@
 	}()));
 }
 
+/* Runs behind the end of a heartbeat's list were taken for lost and started again beside
+ * themselves. */
+TEST_F(ShardBoundsTest, RunsOutsideTheBoundsOfAListAreNotLost)
+{
+	struct lug_run_id id = {};
+	Lug__RunId second;
+
+	take_shard_with_worker();
+	add_stored_job("a", body_of(4, 1).c_str());
+	run_passes(2);
+	id.job[0] = 'a';
+	id.run = 1;
+	/* The first two tasks: one is held, the other is lost. */
+	struct lug_run_id until = id;
+	until.index = 1;
+	lug_run_to_wire(&until, &second);
+	listed_until = &second;
+	send_beat({{"a", 0, 0, 1}}, 100);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_LOST], 1u);
+	EXPECT_EQ(claimed("a", 4), (std::vector<guint32>{0, 2, 3}));
+	/* The others, and the second run of the lost task, which lies behind its first. */
+	listed_after = &second;
+	listed_until = nullptr;
+	send_beat({}, 100);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_LOST], 4u);
+	EXPECT_EQ(claimed("a", 4), (std::vector<guint32>{0}));
+}
+
 /* A state that is refused all the same ends its own job. */
 TEST_F(ShardBoundsTest, JobOfARefusedStateIsGivenUpAndTheOthersGoOn)
 {
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -165,6 +165,10 @@
 		const char *checkpoint = nullptr;
 	};
 
+	/* Bounds of the lists of later heartbeats, which are complete without them. */
+	Lug__RunId *listed_after = nullptr;
+	Lug__RunId *listed_until = nullptr;
+
 	/*
 	 * Delivers a heartbeat of a worker's agent, which holds the runs of @list.
 	 * @spare_millicores: cores that no task uses
@@ -204,6 +208,8 @@
 		}
 		of_shard.epoch = lug_shard_epoch(shard);
 		of_shard.last_seq = last_seq;
+		of_shard.listed_after = listed_after;
+		of_shard.listed_until = listed_until;
 		of_shard.n_held = ptrs.size();
 		of_shard.held = ptrs.data();
 		capacity.millicores = 8000;
