--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -235,6 +235,23 @@
 	return NULL;
 }
 
+/**
+ * gateway_finish_cancel - answer a cancellation
+ * @call: cancellation, freed
+ * @status: answer
+ * @basis: what the answer is based on, for the log
+ */
+void gateway_finish_cancel(struct gateway_call *call, enum lug_status status, const char *basis)
+{
+	char shard[16];
+
+	g_snprintf(shard, sizeof(shard), "%u", call->shard);
+	lug_info(call->gateway->ctx, "cancellation_answered", "job", call->job, "shard", shard,
+		 "status", lug_status_name(status), "basis", basis);
+	call->fn(call->data, status);
+	gateway_call_free(call);
+}
+
 static void apply_reply(struct gateway_call *call, const Lug__JobReply *reply)
 {
 	if (call->kind == LUG_JOB_PENDING) {
@@ -257,10 +274,12 @@
 		gateway_read_tables(call);
 		return;
 	}
+	if (call->kind == LUG_JOB_CANCEL) {
+		gateway_finish_cancel(call, LUG_OK, "stored by the owner");
+		return;
+	}
 	if (call->kind == LUG_JOB_STATE)
 		call->state_fn(call->data, LUG_OK, (enum lug_workflow_state)reply->state);
-	else if (call->kind == LUG_JOB_CANCEL)
-		call->fn(call->data, LUG_OK);
 	gateway_call_free(call);
 }
 
--- a/liblug/workflow/gateway_priv.h
+++ b/liblug/workflow/gateway_priv.h
@@ -101,6 +101,7 @@
 void gateway_call_free(struct gateway_call *call);
 gboolean gateway_send_call(struct gateway_call *call, guint32 shard);
 void gateway_read_tables(struct gateway_call *call);
+void gateway_finish_cancel(struct gateway_call *call, enum lug_status status, const char *basis);
 void gateway_finish_relay(struct gateway_call *call, enum lug_status status);
 void gateway_submit_tick(struct gateway_call *call, gint64 now_us);
 
--- a/liblug/workflow/gateway_table.c
+++ b/liblug/workflow/gateway_table.c
@@ -7,10 +7,11 @@
 static void finish_call(struct gateway_call *call, enum lug_status status,
 			enum lug_workflow_state state)
 {
-	if (call->kind == LUG_JOB_STATE)
-		call->state_fn(call->data, status, state);
-	else
-		call->fn(call->data, status);
+	if (call->kind == LUG_JOB_CANCEL) {
+		gateway_finish_cancel(call, status, "the tables of jobs");
+		return;
+	}
+	call->state_fn(call->data, status, state);
 	gateway_call_free(call);
 }
 
@@ -18,8 +19,8 @@
 {
 	struct gateway_call *call = data;
 
-	finish_call(call, result->status == LUG_OK ? LUG_OK : LUG_UNAVAILABLE,
-		    LUG_WORKFLOW_UNKNOWN);
+	gateway_finish_cancel(call, result->status == LUG_OK ? LUG_OK : LUG_UNAVAILABLE,
+			      "stored in the inbox");
 }
 
 static void store_cancel(struct gateway_call *call)
