A job that is cancelled before it is stored is not stored later

Cause: a submission had an unknown outcome, a DELETE found no job and was answered 410, and the transaction of the submission took effect after that.

Ruled out: the removal of an inbox row, as the cancellation was never stored.

Change: the entry stores a cancellation of an unknown job too. A transaction that stores a job requires that there is none, and the owner replaces it by a final state.

--- a/liblug/workflow/gateway_priv.h
+++ b/liblug/workflow/gateway_priv.h
@@ -56,6 +56,7 @@
  * @deadline_us: time after which a submission is abandoned
  * @reading_tables: the call is being answered from the tables
  * @reread: the tables are being read a second time
+ * @not_found: the tables have no such job
  * @txn_in_flight: a transaction is in flight
  * @relay_in_flight: waiting for the owner to store the job
  * @relay_attempted: the owner has been asked to store the job
@@ -85,6 +86,7 @@
 	gint64 deadline_us;
 	gboolean reading_tables;
 	gboolean reread;
+	gboolean not_found;
 	gboolean txn_in_flight;
 	gboolean relay_in_flight;
 	gboolean relay_attempted;
--- a/liblug/workflow/gateway_submit.c
+++ b/liblug/workflow/gateway_submit.c
@@ -175,8 +175,7 @@
 	struct lug_txn txn;
 
 	lug_txn_init(&txn);
-	lug_txn_check(&txn, SHARD_LIVE_TABLE, call->job, 0);
-	lug_txn_check(&txn, SHARD_ENDED_TABLE, call->job, 0);
+	shard_check_not_stored(&txn, call->job);
 	lug_txn_put_text(&txn, SHARD_LIVE_TABLE, call->job, call->body);
 	lug_txn_put_text(&txn, SHARD_INBOX_TABLE, call->job, "{}");
 	call->txn_in_flight = TRUE;
--- a/liblug/workflow/gateway_table.c
+++ b/liblug/workflow/gateway_table.c
@@ -18,9 +18,11 @@
 static void on_cancel_stored(void *data, const struct lug_txn_result *result)
 {
 	struct gateway_call *call = data;
+	enum lug_status status = call->not_found ? LUG_NOT_FOUND : LUG_OK;
 
-	gateway_finish_cancel(call, result->status == LUG_OK ? LUG_OK : LUG_UNAVAILABLE,
-			      "stored in the inbox");
+	gateway_finish_cancel(call, result->status == LUG_OK ? status : LUG_UNAVAILABLE,
+			      call->not_found ? "stored in the inbox, no such job yet"
+					      : "stored in the inbox");
 }
 
 static void store_cancel(struct gateway_call *call)
@@ -37,6 +39,19 @@
 
 static void read_ended(struct gateway_call *call);
 
+/*
+ * A transaction of an unknown outcome may still store the job. A cancellation is therefore stored
+ * all the same, and prevents that.
+ */
+static void on_no_job(struct gateway_call *call)
+{
+	call->not_found = TRUE;
+	if (call->kind == LUG_JOB_STATE)
+		finish_call(call, LUG_NOT_FOUND, LUG_WORKFLOW_UNKNOWN);
+	else
+		store_cancel(call);
+}
+
 static void on_live_row(void *data, enum lug_status status, const struct lug_row *rows,
 			guint n_rows, gboolean more)
 {
@@ -50,7 +65,7 @@
 		call->reread = TRUE;
 		read_ended(call);
 	} else if (!n_rows || strcmp(rows[0].key, call->job) != 0)
-		finish_call(call, LUG_NOT_FOUND, LUG_WORKFLOW_UNKNOWN);
+		on_no_job(call);
 	else if (call->kind == LUG_JOB_STATE)
 		/* The row of a live job does not show whether it runs. */
 		finish_call(call, LUG_OK, LUG_WORKFLOW_QUEUED);
@@ -62,6 +77,7 @@
 			 guint n_rows, gboolean more)
 {
 	struct gateway_call *call = data;
+	const char *state;
 
 	(void)more;
 	if (status != LUG_OK) {
@@ -70,8 +86,12 @@
 	}
 	/* The scan is by prefix: its first row may be another job's. */
 	if (n_rows && !strcmp(rows[0].key, call->job)) {
-		finish_call(call, LUG_OK,
-			    lug_workflow_state_parse(lug_json_str(rows[0].data, "state", "")));
+		state = lug_json_str(rows[0].data, "state", "");
+		/* Cancelled before it was stored. */
+		if (!strcmp(state, lug_workflow_state_name(LUG_WORKFLOW_UNKNOWN)))
+			finish_call(call, LUG_NOT_FOUND, LUG_WORKFLOW_UNKNOWN);
+		else
+			finish_call(call, LUG_OK, lug_workflow_state_parse(state));
 		return;
 	}
 	lug_store_scan(call->gateway->shard_stores[call->shard], SHARD_LIVE_TABLE, call->job, NULL,
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -286,9 +286,7 @@
 	}
 	if (job->unstored_body) {
 		op->deadline_us = now_us + STORE_TIMEOUT_US;
-		/* Version 0: neither row may exist. */
-		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, job->workflow->id, 0);
-		lug_txn_check(&op->txn, SHARD_ENDED_TABLE, job->workflow->id, 0);
+		shard_check_not_stored(&op->txn, job->workflow->id);
 		if (job->end_state == LUG_WORKFLOW_UNKNOWN) {
 			lug_txn_put_text(&op->txn, SHARD_LIVE_TABLE, job->workflow->id,
 					 job->unstored_body);
--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -37,6 +37,22 @@
 	return g_strconcat(id, SHARD_CANCEL_SUFFIX, NULL);
 }
 
+/**
+ * shard_check_not_stored - require that a job was neither stored nor cancelled before
+ * @txn: transaction that stores the job
+ * @id: job
+ */
+void shard_check_not_stored(struct lug_txn *txn, const char *id)
+{
+	char *cancel_key = shard_cancel_key(id);
+
+	/* Version 0: the row does not exist. */
+	lug_txn_check(txn, SHARD_LIVE_TABLE, id, 0);
+	lug_txn_check(txn, SHARD_ENDED_TABLE, id, 0);
+	lug_txn_check(txn, SHARD_INBOX_TABLE, cancel_key, 0);
+	g_free(cancel_key);
+}
+
 static void remove_cancel(struct lug_shard *shard, const char *id)
 {
 	char *key = shard_cancel_key(id);
@@ -83,6 +99,61 @@
 	lug_shard_wake(shard);
 }
 
+static void on_absence_stored(void *data, enum lug_status status, gint64 version)
+{
+	struct shard_ref *ref = data;
+	struct lug_shard *shard = ref->shard;
+	struct shard_ended *ended;
+
+	(void)version;
+	/* Otherwise the next read of the inbox brings the cancellation again. */
+	if (status == LUG_OK && shard_ref_is_valid(ref)) {
+		ended = g_new0(struct shard_ended, 1);
+		ended->state = LUG_WORKFLOW_UNKNOWN;
+		ended->ended_us = lug_now_us();
+		g_hash_table_insert(shard->ended_jobs, g_strdup(ref->job_id), ended);
+		lug_info(shard->shared.ctx, "job_cancelled", "job", ref->job_id, "source",
+			 "inbox, before it was stored");
+	}
+	g_free(ref);
+}
+
+/*
+ * Replaces the cancellation of a job that is not stored by a final state, which keeps a transaction
+ * of an unknown outcome, or a repeated submission, from storing the job later.
+ */
+static void store_absence(struct lug_shard *shard, const char *id)
+{
+	struct lug_writer_op *op = lug_writer_op_new(on_absence_stored, shard_ref_new(shard, id));
+	JsonObject *row = json_object_new();
+	char *cancel_key = shard_cancel_key(id);
+
+	json_object_set_string_member(row, "state", lug_workflow_state_name(LUG_WORKFLOW_UNKNOWN));
+	lug_txn_check(&op->txn, SHARD_LIVE_TABLE, id, 0);
+	lug_txn_check(&op->txn, SHARD_ENDED_TABLE, id, 0);
+	lug_txn_put(&op->txn, SHARD_ENDED_TABLE, id, row);
+	lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, cancel_key);
+	lug_writer_submit(shard->writer, op, lug_now_us());
+	json_object_unref(row);
+	g_free(cancel_key);
+}
+
+static void on_ended_row(void *data, enum lug_status status, const struct lug_row *rows,
+			 guint n_rows, gboolean more)
+{
+	struct shard_ref *ref = data;
+
+	(void)more;
+	if (shard_ref_is_valid(ref) && status == LUG_OK) {
+		/* The scan is by prefix: its first row may be another job's. */
+		if (n_rows && !strcmp(rows[0].key, ref->job_id))
+			remove_cancel(ref->shard, ref->job_id);
+		else
+			store_absence(ref->shard, ref->job_id);
+	}
+	g_free(ref);
+}
+
 static void on_job_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		       gboolean more)
 {
@@ -99,7 +170,8 @@
 			/* There is no such live job: its inbox rows are obsolete. */
 			remove_inbox_row(shard, ref->job_id);
 			if (ref->cancel)
-				remove_cancel(shard, ref->job_id);
+				lug_store_scan(shard->store, SHARD_ENDED_TABLE, ref->job_id, NULL,
+					       1, on_ended_row, shard_ref_new(shard, ref->job_id));
 		}
 	}
 	g_free(ref);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -332,6 +332,7 @@
 				gint64 version, gint64 now_us);
 void shard_notify_waiters(GArray *waiters, enum lug_status status);
 char *shard_cancel_key(const char *id);
+void shard_check_not_stored(struct lug_txn *txn, const char *id);
 void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel);
 void shard_release_job_claims(struct lug_shard *shard, struct shard_job *job);
 void shard_occurrence_identify(struct shard_job *job, struct shard_occurrence *occ);
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -476,3 +476,43 @@
     assert deployment.submit(job, {"ms": 60000}, [{"count": 3, "cpu": 4000,
                                                    "long_running": True}]) == 200
     assert deployment.wait_until(lambda: all(w.running for w in deployment.workers.values()))
+
+
+def start_job_with_late_store(deployment, job):
+    """Submits a job whose only store takes effect with perform_late(). Its owner is stopped."""
+    entry = f"127.{deployment.net}.0.101"
+    owner = deployment.owner_name("0")
+    deployment.signal_process(owner, signal.SIGSTOP)
+    deployment.store.is_late = lambda body, caller: caller == entry and any(
+        item["table"] == "live" for item in body["set_keys"])
+    assert deployment.submit(job, {"ms": 5000}) in (504, 0)
+    return owner
+
+
+def test_job_stored_after_its_cancellation_does_not_run(start_deployment):
+    """A cancellation was answered 410, and then a late write stored the job, which ran."""
+    deployment = start_deployment(workers=1, shards=1)
+    job = next(JOB_IDS)
+    owner = start_job_with_late_store(deployment, job)
+    assert deployment.request("DELETE", f"/jobs/{job}")[0] in (200, 410)
+    deployment.store.is_late = lambda body, caller: False
+    deployment.store.perform_late()
+    deployment.signal_process(owner, signal.SIGCONT)
+    # Longer than it takes to find a job in the inbox and to start it.
+    time.sleep(4)
+    assert deployment.history() == []
+    assert deployment.state(job) in (410, "cancelled")
+
+
+def test_late_store_fails_after_its_owner_has_handled_the_cancellation(start_deployment):
+    deployment = start_deployment(workers=1, shards=1)
+    job = next(JOB_IDS)
+    owner = start_job_with_late_store(deployment, job)
+    assert deployment.request("DELETE", f"/jobs/{job}")[0] in (200, 410)
+    deployment.store.is_late = lambda body, caller: False
+    deployment.signal_process(owner, signal.SIGCONT)
+    assert deployment.wait_until(lambda: not deployment.store.table("inbox"), 6)
+    assert [code for code, _ in deployment.store.perform_late()] == [412]
+    assert deployment.submit(job, {"ms": 50}) == 200
+    time.sleep(2)
+    assert deployment.history() == []
--- a/tests/unit/shard_inbox_test.cc
+++ b/tests/unit/shard_inbox_test.cc
@@ -35,4 +35,40 @@
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_CANCELLED);
 }
 
+/* Otherwise a transaction whose answer was lost may store the job later, and it would run. */
+TEST_F(ShardInboxTest, JobCancelledBeforeItIsStoredIsNeverStored)
+{
+	std::vector<enum lug_status> statuses;
+
+	take_shard_with_worker();
+	store.put("0|inbox/a.cancel", "{}");
+	store_job("a", &statuses);
+	run_rounds();
+	EXPECT_FALSE(has_row("live/a")) << "the owner has not read the inbox yet";
+	wait_for_inbox();
+	run_rounds();
+	EXPECT_FALSE(has_row("inbox/a.cancel"));
+	EXPECT_TRUE(has_row("ended/a"));
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_UNKNOWN);
+	store_job("a", &statuses);
+	run_rounds();
+	EXPECT_FALSE(has_row("live/a"));
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+	/* Callers are told that the job is known, not that it was refused. */
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>{LUG_OK, LUG_OK}));
+}
+
+TEST_F(ShardInboxTest, LateCancellationKeepsTheFinalStateOfAJob)
+{
+	const char *completed = "{\"state\":\"completed\",\"queue\":\"q\"}";
+
+	take_shard_with_worker();
+	store.put("0|ended/a", completed);
+	store.put("0|inbox/a.cancel", "{}");
+	wait_for_inbox();
+	run_rounds();
+	EXPECT_FALSE(has_row("inbox/a.cancel"));
+	EXPECT_EQ(store.rows["0|ended/a"].data, completed);
+}
+
 } // namespace
