A new owner reads the cancellations before it places tasks

Cause: after loading a shard, the owner placed the waiting tasks at once and read the inbox up to a second later.

Change: reading the inbox to its end is the last phase of loading. The tests' table service cuts scans as the platform does.

--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -191,13 +191,37 @@
 	lug_store_scan(shard->store, SHARD_LIVE_TABLE, id, NULL, 1, on_job_row, ref);
 }
 
+static char *job_of_cancel_key(const char *key)
+{
+	return g_strndup(key, strlen(key) - strlen(SHARD_CANCEL_SUFFIX));
+}
+
+/**
+ * shard_load_inbox_row - apply an inbox row that cancels one of the jobs just loaded
+ * @shard: shard that is being loaded
+ * @key: key of the row; rows of any other kind are left to shard_inbox_tick()
+ */
+void shard_load_inbox_row(struct lug_shard *shard, const char *key)
+{
+	struct shard_job *job;
+	char *id;
+
+	if (!g_str_has_suffix(key, SHARD_CANCEL_SUFFIX))
+		return;
+	id = job_of_cancel_key(key);
+	job = g_hash_table_lookup(shard->jobs, id);
+	if (job)
+		cancel_live_job(shard, job);
+	g_free(id);
+}
+
 /*
  * The cancellation of an unknown job is applied once the job's row is read. Until then it stays in
  * the inbox, so that it is not lost.
  */
 static void handle_inbox_cancel(struct lug_shard *shard, const char *key)
 {
-	char *id = g_strndup(key, strlen(key) - strlen(SHARD_CANCEL_SUFFIX));
+	char *id = job_of_cancel_key(key);
 	struct shard_job *job = g_hash_table_lookup(shard->jobs, id);
 
 	if (job)
--- a/liblug/workflow/shard_load.c
+++ b/liblug/workflow/shard_load.c
@@ -72,6 +72,16 @@
 		 jobs);
 }
 
+static void load_row(struct lug_shard *shard, const struct lug_row *row, gint64 now_us)
+{
+	if (shard->load_phase == SHARD_LOAD_LIVE)
+		shard_load_job_row(shard, row, now_us);
+	else if (shard->load_phase == SHARD_LOAD_STATES)
+		load_state_row(shard, row, now_us);
+	else
+		shard_load_inbox_row(shard, row->key);
+}
+
 static void on_rows(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		    gboolean more)
 {
@@ -88,12 +98,8 @@
 		shard->scan_retry_us = now_us + SCAN_RETRY_US;
 		return;
 	}
-	for (guint i = 0; i < n_rows; i++) {
-		if (shard->load_phase == SHARD_LOAD_LIVE)
-			shard_load_job_row(shard, &rows[i], now_us);
-		else
-			load_state_row(shard, &rows[i], now_us);
-	}
+	for (guint i = 0; i < n_rows; i++)
+		load_row(shard, &rows[i], now_us);
 	g_clear_pointer(&shard->scan_after, g_free);
 	if (more && n_rows) {
 		shard->scan_after = g_strdup(rows[n_rows - 1].key);
@@ -101,7 +107,7 @@
 		return;
 	}
 	shard->load_phase++;
-	if (shard->load_phase == SHARD_LOAD_STATES) {
+	if (shard->load_phase != SHARD_LOAD_DONE) {
 		scan_next_rows(shard);
 		return;
 	}
@@ -112,16 +118,19 @@
 
 static void scan_next_rows(struct lug_shard *shard)
 {
-	const char *table =
-		shard->load_phase == SHARD_LOAD_LIVE ? SHARD_LIVE_TABLE : SHARD_STATE_TABLE;
+	static const char *const tables[] = {
+		[SHARD_LOAD_LIVE] = SHARD_LIVE_TABLE,
+		[SHARD_LOAD_STATES] = SHARD_STATE_TABLE,
+		[SHARD_LOAD_INBOX] = SHARD_INBOX_TABLE,
+	};
 
 	shard->scanning = TRUE;
-	lug_store_scan(shard->store, table, "", shard->scan_after, SCAN_MAX_ROWS, on_rows,
-		       shard_ref_new(shard, ""));
+	lug_store_scan(shard->store, tables[shard->load_phase], "", shard->scan_after,
+		       SCAN_MAX_ROWS, on_rows, shard_ref_new(shard, ""));
 }
 
 /**
- * shard_load_start - start reading the shard's live jobs and their states
+ * shard_load_start - start reading the shard's live jobs, their states and cancellations
  */
 void shard_load_start(struct lug_shard *shard, gint64 now_us)
 {
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -238,12 +238,14 @@
  * @SHARD_LOAD_NONE: not owned
  * @SHARD_LOAD_LIVE: reading the definitions of live jobs
  * @SHARD_LOAD_STATES: reading the states of live jobs
+ * @SHARD_LOAD_INBOX: reading the cancellations in the inbox, before any task is placed
  * @SHARD_LOAD_DONE: all rows are read
  */
 enum shard_load_phase {
 	SHARD_LOAD_NONE,
 	SHARD_LOAD_LIVE,
 	SHARD_LOAD_STATES,
+	SHARD_LOAD_INBOX,
 	SHARD_LOAD_DONE,
 };
 
@@ -356,6 +358,7 @@
 void shard_load_start(struct lug_shard *shard, gint64 now_us);
 void shard_load_tick(struct lug_shard *shard, gint64 now_us);
 void shard_load_job_row(struct lug_shard *shard, const struct lug_row *row, gint64 now_us);
+void shard_load_inbox_row(struct lug_shard *shard, const char *key);
 void shard_inbox_tick(struct lug_shard *shard, gint64 now_us);
 void shard_reset_state(struct lug_shard *shard);
 
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -25,6 +25,8 @@
 		std::vector<std::string> deletes;
 		std::vector<std::string> check_keys;
 		std::string prefix;
+		std::string after;
+		guint limit;
 		lug_txn_fn txn_fn;
 		lug_scan_fn scan_fn;
 		void *data;
@@ -157,9 +159,10 @@
 		FakeStore *self = reinterpret_cast<FakeStore *>(store);
 		Call call = {};
 
-		(void)after;
-		(void)limit;
 		call.prefix = self->qualified_row_key(table, prefix);
+		call.after = after ? self->qualified_row_key(table, after) : "";
+		/* The platform returns at most 500 rows. */
+		call.limit = MIN(limit, 500u);
 		call.scan_fn = fn;
 		call.data = data;
 		self->calls.push_back(call);
@@ -241,18 +244,25 @@
 	void answer_scan(const Call &call, enum lug_status status = LUG_OK)
 	{
 		std::vector<struct lug_row> found;
+		bool more = false;
 		size_t key_offset = call.prefix.find('/') + 1;
 
 		base.version = revision;
 
 		for (auto it = rows.lower_bound(call.prefix);
 		     it != rows.end() && it->first.compare(0, call.prefix.size(), call.prefix) == 0;
-		     ++it)
+		     ++it) {
+			if (!call.after.empty() && it->first <= call.after)
+				continue;
+			more = found.size() >= call.limit;
+			if (more)
+				break;
 			found.push_back({g_strdup(it->first.c_str() + key_offset),
 					 it->second.version,
 					 lug_json_parse(it->second.data.c_str(), -1, nullptr)});
+		}
 		call.scan_fn(call.data, status, found.data(), static_cast<guint>(found.size()),
-			     FALSE);
+			     more);
 		for (auto &row : found) {
 			g_free(row.key);
 			json_object_unref(row.data);
--- a/tests/unit/shard_inbox_test.cc
+++ b/tests/unit/shard_inbox_test.cc
@@ -71,4 +71,32 @@
 	EXPECT_EQ(store.rows["0|ended/a"].data, completed);
 }
 
+/* A new owner started tasks that waited, until it first read the inbox a second later. */
+TEST_F(ShardInboxTest, NewOwnerStartsNoTaskOfAJobWhoseCancellationIsInTheInbox)
+{
+	store.put("0|live/a", job_body);
+	store.put("0|live/b", job_body);
+	store.put("0|inbox/a.cancel", "{}");
+	/* The worker is known before the shard is loaded. */
+	send_beat({}, 0);
+	take_shard_with_worker();
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_CANCELLED);
+	EXPECT_EQ(lug_shard_job_state(shard, "b"), LUG_WORKFLOW_RUNNING);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u) << "those of b alone";
+	EXPECT_FALSE(has_row("inbox/a.cancel"));
+}
+
+/* The inbox may have more rows than one scan returns. */
+TEST_F(ShardInboxTest, NewOwnerReadsTheWholeInbox)
+{
+	store.put("0|live/z", job_body);
+	for (int i = 0; i < 1200; i++)
+		store.put("0|inbox/old" + std::to_string(i) + ".cancel", "{}");
+	store.put("0|inbox/z.cancel", "{}");
+	send_beat({}, 0);
+	take_shard_with_worker();
+	EXPECT_EQ(lug_shard_job_state(shard, "z"), LUG_WORKFLOW_CANCELLED);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+}
+
 } // namespace
