An owner reads its inbox to the end

Cause: the owner read the first 200 rows of the inbox only, and the rows of jobs that wait for their time stayed there.

Change: all pages are read, the last row of a page once more with the next one. Rows of jobs that the owner has, with no change to store, are removed in groups.

--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -4,7 +4,8 @@
 
 /* Entries notify the owner of new jobs; reading the inbox covers lost notifications. */
 #define INBOX_INTERVAL_US (1000 * 1000)
-#define INBOX_MAX_ROWS 200
+#define INBOX_PAGE_ROWS 200
+#define REMOVALS_PER_OP 32
 
 static void ignore_cancel(void *data, enum lug_status status)
 {
@@ -244,6 +245,51 @@
 	return found;
 }
 
+/*
+ * Whether the live row suffices to find the job. The row of a job with changes to store is removed
+ * together with them.
+ */
+static gboolean is_inbox_row_obsolete(const struct shard_job *job)
+{
+	return !job->unstored_body && !job->commit_in_flight &&
+	       job->revision == job->committed_revision;
+}
+
+/* Adds the deletion of an inbox row to @op, and submits it when it is full. */
+static struct lug_writer_op *add_removal(struct lug_shard *shard, struct lug_writer_op *op,
+					 const char *key)
+{
+	if (!op)
+		op = lug_writer_op_new(on_removed, shard);
+	lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, key);
+	if (op->txn.puts->len < REMOVALS_PER_OP)
+		return op;
+	lug_writer_append(shard->writer, op);
+	return NULL;
+}
+
+static void apply_inbox_rows(struct lug_shard *shard, const struct lug_row *rows, guint n_rows)
+{
+	struct lug_writer_op *op = NULL;
+
+	for (guint i = 0; i < n_rows; i++) {
+		const char *key = rows[i].key;
+		const struct shard_job *job = g_hash_table_lookup(shard->jobs, key);
+
+		if (g_str_has_suffix(key, SHARD_CANCEL_SUFFIX))
+			handle_inbox_cancel(shard, key);
+		else if (g_hash_table_contains(shard->ended_jobs, key) ||
+			 (job && is_inbox_row_obsolete(job)))
+			op = add_removal(shard, op, key);
+		/* With a cancellation in the inbox, handle_inbox_cancel() reads the job. */
+		else if (!job && !has_cancel(rows, n_rows, key))
+			shard_read_job_row(shard, key, FALSE);
+	}
+	if (op)
+		lug_writer_append(shard->writer, op);
+	lug_writer_flush(shard->writer, lug_now_us());
+}
+
 static void on_inbox(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		     gboolean more)
 {
@@ -251,27 +297,23 @@
 	struct lug_shard *shard = ref->shard;
 	gboolean valid = shard_ref_is_valid(ref);
 
-	(void)more;
 	g_free(ref);
 	if (!valid)
 		return;
-	shard->reading_inbox = FALSE;
-	if (status != LUG_OK)
+	if (status != LUG_OK || n_rows < 2 || !more) {
+		shard->reading_inbox = FALSE;
+		if (status == LUG_OK)
+			apply_inbox_rows(shard, rows, n_rows);
 		return;
-	for (guint i = 0; i < n_rows; i++) {
-		if (g_str_has_suffix(rows[i].key, SHARD_CANCEL_SUFFIX))
-			handle_inbox_cancel(shard, rows[i].key);
-		else if (g_hash_table_contains(shard->ended_jobs, rows[i].key))
-			remove_inbox_row(shard, rows[i].key);
-		/* With a cancellation in the inbox, handle_inbox_cancel() reads the job. */
-		else if (!g_hash_table_contains(shard->jobs, rows[i].key) &&
-			 !has_cancel(rows, n_rows, rows[i].key))
-			shard_read_job_row(shard, rows[i].key, FALSE);
 	}
+	/* The last row is read again with the one that follows, which may be its cancellation. */
+	apply_inbox_rows(shard, rows, n_rows - 1);
+	lug_store_scan(shard->store, SHARD_INBOX_TABLE, "", rows[n_rows - 2].key, INBOX_PAGE_ROWS,
+		       on_inbox, shard_ref_new(shard, ""));
 }
 
 /**
- * shard_inbox_tick - read jobs and cancellations from the inbox table
+ * shard_inbox_tick - read all jobs and cancellations from the inbox table
  */
 void shard_inbox_tick(struct lug_shard *shard, gint64 now_us)
 {
@@ -279,6 +321,6 @@
 		return;
 	shard->reading_inbox = TRUE;
 	shard->next_inbox_us = now_us + lug_jitter(shard->shared.ctx->rng, INBOX_INTERVAL_US);
-	lug_store_scan(shard->store, SHARD_INBOX_TABLE, "", NULL, INBOX_MAX_ROWS, on_inbox,
+	lug_store_scan(shard->store, SHARD_INBOX_TABLE, "", NULL, INBOX_PAGE_ROWS, on_inbox,
 		       shard_ref_new(shard, ""));
 }
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -271,7 +271,7 @@
  * @scan_after: key after which the next scan starts, NULL for the first
  * @scan_retry_us: earliest retry of a failed scan
  * @next_inbox_us: next read of the inbox
- * @reading_inbox: a read of the inbox is in flight
+ * @reading_inbox: the inbox is being read
  * @last_start_seq: sequence number of the latest start in this epoch
  * @wake_source: source id of the pending pass of placement and commit, 0 for none
  * @closed: no further passes of placement and commit are scheduled
--- a/tests/unit/shard_inbox_test.cc
+++ b/tests/unit/shard_inbox_test.cc
@@ -99,4 +99,46 @@
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
 }
 
+/* 200 rows of jobs that wait for their time hid all later rows of the inbox. */
+TEST_F(ShardInboxTest, JobsThatWaitForTheirTimeDoNotHideLaterRows)
+{
+	const std::string waiting =
+		"{\"queue\":\"q\",\"spec\":\"s\",\"accepted_ms\":0,\"occurrences\":1,"
+		"\"scheduled\":1,\"start_at_ms\":9000000000000,\"steps\":[{\"count\":1}]}";
+
+	take_shard_with_worker();
+	for (int i = 0; i < 450; i++)
+		add_stored_job(("a" + std::to_string(i)).c_str(), waiting.c_str());
+	add_stored_job("y");
+	run_rounds();
+	ASSERT_EQ(lug_shard_job_state(shard, "y"), LUG_WORKFLOW_RUNNING);
+	/* Stored by an entry that could not notify the owner. */
+	store.put("0|live/z", job_body);
+	store.put("0|inbox/z", "{}");
+	store.put("0|inbox/y.cancel", "{}");
+	wait_for_inbox();
+	run_rounds();
+	EXPECT_EQ(lug_shard_job_state(shard, "z"), LUG_WORKFLOW_RUNNING);
+	EXPECT_EQ(lug_shard_job_state(shard, "y"), LUG_WORKFLOW_CANCELLED);
+	EXPECT_EQ(lug_shard_job_state(shard, "a7"), LUG_WORKFLOW_QUEUED);
+	EXPECT_FALSE(has_row("inbox/a7")) << "its live row suffices";
+	EXPECT_FALSE(has_row("inbox/a449"));
+}
+
+/* The cancellation may be the first row of the page after that of its job. */
+TEST_F(ShardInboxTest, CancellationOnTheNextPageCountsBeforeItsJobStarts)
+{
+	take_shard_with_worker();
+	/* The 200th row is that of the job. */
+	for (int i = 100; i < 299; i++)
+		store.put("0|inbox/a" + std::to_string(i) + ".cancel", "{}");
+	store.put("0|live/b", job_body);
+	store.put("0|inbox/b", "{}");
+	store.put("0|inbox/b.cancel", "{}");
+	wait_for_inbox();
+	run_rounds();
+	EXPECT_EQ(lug_shard_job_state(shard, "b"), LUG_WORKFLOW_CANCELLED);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+}
+
 } // namespace
