Readers of whole tables read all pages

The list of jobs did not say when open jobs were left out.

Evidence: read in the code; no user is near these numbers.

Change: lug_store_scan_all() reads page after page. The list of jobs keeps its bound and states it.

--- a/liblug/daemon/agent.c
+++ b/liblug/daemon/agent.c
@@ -211,8 +211,7 @@
 		return;
 	agent->scanning_entries = TRUE;
 	agent->next_scan_us = now_us + lug_jitter(agent->ctx->rng, ENTRY_SCAN_INTERVAL_MS) * 1000;
-	/* Entries beyond the first 100 are ignored. */
-	lug_store_scan(agent->store, "entry", "", NULL, 100, on_entries, agent);
+	lug_store_scan_all(agent->store, "entry", "", on_entries, agent);
 }
 
 static void add_owner_peer(void *data, const char *team, const char *address)
--- a/liblug/daemon/api_jobs.c
+++ b/liblug/daemon/api_jobs.c
@@ -23,6 +23,7 @@
 	guint retries;	 /* retries of a cancellation */
 	JsonObject *out; /* answer */
 	JsonArray *list; /* jobs of the answer */
+	gboolean more;	 /* open jobs were left out of the answer */
 };
 
 static struct job_call *job_call_new(struct lug_api_call *api_call, const char *team,
@@ -311,7 +312,7 @@
 	}
 	call->out = json_object_ref(rows[0].data);
 	prefix = g_strconcat(call->key, "/", NULL);
-	lug_store_scan(call->entry->store, "task", prefix, NULL, LUG_JOB_TASKS_MAX, on_tasks, call);
+	lug_store_scan_all(call->entry->store, "task", prefix, on_tasks, call);
 	g_free(prefix);
 }
 
@@ -346,7 +347,7 @@
 	add_rows(call, rows, n_rows, "done");
 	out = json_object_new();
 	json_object_set_array_member(out, "jobs", g_steal_pointer(&call->list));
-	json_object_set_boolean_member(out, "more", more);
+	json_object_set_boolean_member(out, "more", more || call->more);
 	end_json(call, 200, out);
 }
 
@@ -362,11 +363,11 @@
 	struct job_call *call = data;
 	char *prefix;
 
-	(void)more;
 	if (status != LUG_OK) {
 		end_unavailable(call);
 		return;
 	}
+	call->more = more;
 	add_rows(call, rows, n_rows, "open");
 	prefix = list_prefix(call);
 	lug_store_scan(call->entry->store, "jobdone", prefix, NULL, LIST_MAX_ROWS, on_ended_jobs,
--- a/liblug/daemon/api_views.c
+++ b/liblug/daemon/api_views.c
@@ -5,9 +5,6 @@
 #include "team/charge.h"
 #include "wire/pack.h"
 
-/* Most rows that one scan of workers or of queues reads; further rows are ignored. */
-#define VIEW_MAX_ROWS 2000
-
 /* Read-only views of workers, services, charges and the deployment; draining of workers. */
 
 static gboolean is_agent_live(const struct lug_entry *entry, const struct lug_agent *agent)
@@ -292,8 +289,8 @@
 	}
 	for (guint i = 0; i < n_rows; i++)
 		add_worker_charges(charge_call, lug_json_obj(rows[i].data, "charges"));
-	lug_store_scan(charge_call->api_call->entry->store, "queue", "", NULL, VIEW_MAX_ROWS,
-		       on_queue_rows, charge_call);
+	lug_store_scan_all(charge_call->api_call->entry->store, "queue", "", on_queue_rows,
+			   charge_call);
 }
 
 /**
@@ -307,8 +304,7 @@
 	charge_call->api_call = api_call;
 	charge_call->service_core_ms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	lug_store_scan(api_call->entry->store, "worker", "", NULL, VIEW_MAX_ROWS, on_worker_rows,
-		       charge_call);
+	lug_store_scan_all(api_call->entry->store, "worker", "", on_worker_rows, charge_call);
 }
 
 static JsonObject *table_version_json(const struct lug_entry *entry, gint64 version)
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -97,8 +97,7 @@
 		return;
 	entry->scanning_entries = TRUE;
 	entry->next_scan_us = now_us + lug_jitter(entry->ctx->rng, ENTRY_SCAN_INTERVAL_MS) * 1000;
-	/* Entries beyond the first 100 are ignored. */
-	lug_store_scan(entry->store, "entry", "", NULL, 100, on_entries, entry);
+	lug_store_scan_all(entry->store, "entry", "", on_entries, entry);
 }
 
 static void ack_beat(struct lug_entry *entry, const struct lug_route *route)
--- a/liblug/job/owners.c
+++ b/liblug/job/owners.c
@@ -3,8 +3,6 @@
 #include <string.h>
 
 #define SCAN_INTERVAL_MS 2000
-/* Limit on the rows of queues that are read, in a single page; rows beyond it are not read. */
-#define SCAN_ROWS_MAX 300
 #define GAUGES_INTERVAL_US (1000 * 1000)
 /*
  * A queue whose lease has expired is taken after a random delay of up to TAKE_DELAY_MAX_MS
@@ -157,7 +155,7 @@
 {
 	owners->scanning = TRUE;
 	owners->next_scan_us = now_us + lug_jitter(owners->env.ctx->rng, SCAN_INTERVAL_MS) * 1000;
-	lug_store_scan(owners->env.store, "queue", "", NULL, SCAN_ROWS_MAX, on_rows, owners);
+	lug_store_scan_all(owners->env.store, "queue", "", on_rows, owners);
 }
 
 /**
--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -155,6 +155,8 @@
 	store->ops->watch(store, table, after, wait_ms, fn, data);
 }
 
+void lug_store_scan_all(struct lug_store *store, const char *table, const char *prefix,
+			lug_scan_fn fn, void *data);
 struct lug_store *lug_store_http_new(struct lug_ctx *ctx);
 void lug_txn_init(struct lug_txn *txn);
 void lug_txn_clear(struct lug_txn *txn);
