Move the operations of a writer into a file of their own

No change of behaviour: unit tests give the same result as before (one known failure, ClockSetBackEnd).

--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -1,16 +1,7 @@
-#include "store/writer.h"
+#include "store/writer_priv.h"
 
 #include <string.h>
 
-/*
- * Several operations share a transaction up to OPS_MAX operations, CHECKS_AND_WRITES_MAX of their
- * checks and writes, and VALUES_MAX_BYTES of values. The table service accepts 100 checks and
- * writes in a transaction, including those of the leased row, and 1 MB, in which a value takes a
- * third more. A single operation is sent whatever its size.
- */
-#define OPS_MAX 64
-#define CHECKS_AND_WRITES_MAX 90
-#define VALUES_MAX_BYTES (600 * 1000)
 #define RETRY_MIN_MS 50
 #define RETRY_MAX_MS 2000
 /* Longest lease that a row may state; the settings accept no longer one. */
@@ -49,8 +40,8 @@
  * @key: copy of the row's key
  * @queued: operations for later transactions, oldest first
  * @in_flight: operations of the present transaction
- * @ops_max: operations of the next transaction, fewer than OPS_MAX after one was refused for its
- *           content
+ * @ops_max: operations of the next transaction, fewer than WRITER_OPS_MAX after one was refused for
+ * its content
  * @txn: the present transaction
  * @phase: whether the writer holds its lease
  * @io_state: call to the table service that is in flight or due
@@ -99,62 +90,6 @@
 static void start_commit(struct lug_writer *writer, gint64 now_us);
 static void on_commit(void *data, const struct lug_txn_result *result);
 
-/**
- * lug_writer_op_new - create an empty operation
- * @fn: called once with LUG_OK, LUG_CONFLICT (one of its checks failed), LUG_FENCED (not
- *      committed, the lease is not held), LUG_BAD_INPUT (the table service does not accept its
- *      content), LUG_UNAVAILABLE (not committed) or LUG_UNKNOWN (it may have committed); may be
- * NULL
- * @data: passed to @fn
- *
- * Return: operation, to be handed to lug_writer_submit() or lug_writer_append().
- */
-struct lug_writer_op *
-lug_writer_op_new(void (*fn)(void *data, enum lug_status status, gint64 version), void *data)
-{
-	struct lug_writer_op *op = g_new0(struct lug_writer_op, 1);
-
-	lug_list_init(&op->node);
-	lug_txn_init(&op->txn);
-	op->fn = fn;
-	op->data = data;
-	return op;
-}
-
-/* Calls the operation's callback, at most once. The operation stays in its list. */
-static void op_report_outcome(struct lug_writer_op *op, enum lug_status status, gint64 version)
-{
-	void (*fn)(void *data, enum lug_status status, gint64 version) = op->fn;
-
-	op->fn = NULL;
-	if (fn)
-		fn(op->data, status, version);
-}
-
-static void op_finish(struct lug_writer_op *op, enum lug_status status, gint64 version)
-{
-	lug_list_remove(&op->node);
-	op_report_outcome(op, status, version);
-	lug_txn_clear(&op->txn);
-	g_free(op);
-}
-
-/* Empties the list before it calls the callbacks, which may submit further operations. */
-static void finish_ops(struct lug_list *list, enum lug_status status, gint64 version)
-{
-	struct lug_list detached;
-
-	if (lug_list_empty(list))
-		return;
-	detached = *list;
-	detached.next->prev = &detached;
-	detached.prev->next = &detached;
-	lug_list_init(list);
-	while (!lug_list_empty(&detached))
-		op_finish(LUG_CONTAINER_OF(detached.next, struct lug_writer_op, node), status,
-			  version);
-}
-
 /**
  * lug_writer_new - create a writer that does not hold its lease
  * @ctx: context
@@ -174,7 +109,7 @@
 	writer->config.table = writer->table;
 	writer->config.key = writer->key;
 	writer->retry_delay_ms = RETRY_MIN_MS;
-	writer->ops_max = OPS_MAX;
+	writer->ops_max = WRITER_OPS_MAX;
 	lug_list_init(&writer->queued);
 	lug_list_init(&writer->in_flight);
 	lug_txn_init(&writer->txn);
@@ -191,31 +126,14 @@
 {
 	if (!writer)
 		return;
-	finish_ops(&writer->in_flight, LUG_UNKNOWN, 0);
-	finish_ops(&writer->queued, LUG_UNAVAILABLE, 0);
+	writer_ops_finish(&writer->in_flight, LUG_UNKNOWN, 0);
+	writer_ops_finish(&writer->queued, LUG_UNAVAILABLE, 0);
 	lug_txn_clear(&writer->txn);
 	g_free(writer->table);
 	g_free(writer->key);
 	g_free(writer);
 }
 
-static void append_txn(struct lug_txn *dst, const struct lug_txn *src)
-{
-	for (guint i = 0; i < src->checks->len; i++) {
-		const struct lug_check *check = &g_array_index(src->checks, struct lug_check, i);
-
-		lug_txn_check(dst, check->table, check->key, check->version);
-	}
-	for (guint i = 0; i < src->puts->len; i++) {
-		const struct lug_put *put = &g_array_index(src->puts, struct lug_put, i);
-
-		if (put->data)
-			lug_txn_put_text(dst, put->table, put->key, put->data);
-		else
-			lug_txn_delete(dst, put->table, put->key);
-	}
-}
-
 /* Value of writer->total once the present transaction has committed. */
 static gint64 next_total(const struct lug_writer *writer)
 {
@@ -259,8 +177,7 @@
 	put_leased_row(writer, releasing);
 	if (writer->config.add_writes && (releasing || writer->phase == PHASE_ACQUIRING))
 		writer->config.add_writes(writer->config.data, &writer->txn, releasing);
-	LUG_LIST_FOREACH (&writer->in_flight, pos)
-		append_txn(&writer->txn, &LUG_CONTAINER_OF(pos, struct lug_writer_op, node)->txn);
+	writer_ops_add_to_txn(&writer->in_flight, &writer->txn);
 }
 
 static void send_txn(struct lug_writer *writer)
@@ -269,91 +186,10 @@
 	lug_store_txn(writer->store, &writer->txn, on_commit, writer);
 }
 
-static char *row_name(const char *table, const char *key)
-{
-	return g_strconcat(table, "/", key, NULL);
-}
-
-static gboolean has_row(GHashTable *rows, const char *table, const char *key)
-{
-	char *name = row_name(table, key);
-	gboolean found = g_hash_table_contains(rows, name);
-
-	g_free(name);
-	return found;
-}
-
-static gboolean touches_any_row(GHashTable *rows, const struct lug_txn *txn)
-{
-	for (guint i = 0; i < txn->checks->len; i++) {
-		const struct lug_check *check = &g_array_index(txn->checks, struct lug_check, i);
-
-		if (has_row(rows, check->table, check->key))
-			return TRUE;
-	}
-	for (guint i = 0; i < txn->puts->len; i++) {
-		const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
-
-		if (has_row(rows, put->table, put->key))
-			return TRUE;
-	}
-	return FALSE;
-}
-
-static void add_written_rows(GHashTable *rows, const struct lug_txn *txn)
-{
-	for (guint i = 0; i < txn->puts->len; i++) {
-		const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
-
-		g_hash_table_add(rows, row_name(put->table, put->key));
-	}
-}
-
-static gsize values_bytes(const struct lug_txn *txn)
-{
-	gsize n = 0;
-
-	for (guint i = 0; i < txn->puts->len; i++) {
-		const struct lug_put *put = &g_array_index(txn->puts, struct lug_put, i);
-
-		n += put->data ? strlen(put->data) : 0;
-	}
-	return n;
-}
-
-/*
- * Moves queued operations into the next transaction. The table service evaluates all checks of a
- * transaction before its writes, so an operation that checks or writes a row written by an earlier
- * one waits for the transaction after it, where its check sees that write.
- */
-static void select_ops(struct lug_writer *writer)
-{
-	GHashTable *rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	guint n = 0;
-	guint checks_and_writes = 0;
-	gsize bytes = 0;
-
-	while (n++ < writer->ops_max && !lug_list_empty(&writer->queued)) {
-		struct lug_writer_op *op =
-			LUG_CONTAINER_OF(writer->queued.next, struct lug_writer_op, node);
-
-		checks_and_writes += op->txn.checks->len + op->txn.puts->len;
-		bytes += values_bytes(&op->txn);
-		if (touches_any_row(rows, &op->txn) ||
-		    (n > 1 &&
-		     (checks_and_writes > CHECKS_AND_WRITES_MAX || bytes > VALUES_MAX_BYTES)))
-			break;
-		add_written_rows(rows, &op->txn);
-		lug_list_remove(&op->node);
-		lug_list_append(&writer->in_flight, &op->node);
-	}
-	g_hash_table_unref(rows);
-}
-
 static void start_commit(struct lug_writer *writer, gint64 now_us)
 {
 	if (writer->phase == PHASE_HELD)
-		select_ops(writer);
+		writer_ops_select(&writer->queued, &writer->in_flight, writer->ops_max);
 	build_txn(writer);
 	writer->outcome_unknown = FALSE;
 	writer->first_sent_us = now_us;
@@ -373,8 +209,8 @@
 				 "epoch %" G_GUINT64_FORMAT, writer->epoch);
 		lug_warn(writer->ctx, "lease_lost", "lease", writer->key);
 	}
-	finish_ops(&writer->in_flight, outcome_known ? LUG_FENCED : LUG_UNKNOWN, 0);
-	finish_ops(&writer->queued, LUG_FENCED, 0);
+	writer_ops_finish(&writer->in_flight, outcome_known ? LUG_FENCED : LUG_UNKNOWN, 0);
+	writer_ops_finish(&writer->queued, LUG_FENCED, 0);
 	writer->config.on_event(writer->config.data, LUG_WRITER_NOT_HELD);
 }
 
@@ -387,13 +223,13 @@
 	writer->valid_until_us = writer->first_sent_us + writer->config.ttl_ms * 1000;
 	writer->renewed_us = writer->first_sent_us;
 	writer->retry_delay_ms = RETRY_MIN_MS;
-	writer->ops_max = MIN(writer->ops_max * 2, OPS_MAX);
+	writer->ops_max = MIN(writer->ops_max * 2, WRITER_OPS_MAX);
 	writer->io_state = IO_IDLE;
 	if (previous == PHASE_ACQUIRING)
 		writer->phase = PHASE_HELD;
 	if (previous == PHASE_RELEASING)
 		writer->phase = PHASE_NOT_HELD;
-	finish_ops(&writer->in_flight, LUG_OK, version);
+	writer_ops_finish(&writer->in_flight, LUG_OK, version);
 	if (previous == PHASE_ACQUIRING) {
 		lug_count(writer->ctx, LEASES_TAKEN, 1);
 		lug_timeline_add(writer->ctx->timeline, LUG_EV_LEASE_TAKEN, writer->key,
@@ -401,32 +237,11 @@
 		writer->config.on_event(writer->config.data, LUG_WRITER_TAKEN);
 	}
 	if (previous == PHASE_RELEASING) {
-		finish_ops(&writer->queued, LUG_FENCED, 0);
+		writer_ops_finish(&writer->queued, LUG_FENCED, 0);
 		writer->config.on_event(writer->config.data, LUG_WRITER_RELEASED);
 	}
 }
 
-/*
- * Ends the operations in flight that made a failed check. The check of the leased row has index 0,
- * those of the operations follow in their order.
- */
-static void fail_conflicting_ops(struct lug_writer *writer, const struct lug_txn_result *result)
-{
-	guint index = 1;
-
-	LUG_LIST_FOREACH_SAFE (&writer->in_flight, pos, tmp) {
-		struct lug_writer_op *op = LUG_CONTAINER_OF(pos, struct lug_writer_op, node);
-		guint end = index + op->txn.checks->len;
-		gboolean failed = FALSE;
-
-		for (guint i = 0; i < result->n_failed; i++)
-			failed = failed || (result->failed[i] >= index && result->failed[i] < end);
-		index = end;
-		if (failed)
-			op_finish(op, LUG_CONFLICT, 0);
-	}
-}
-
 /*
  * If the table service does not report which check failed, that of the leased row may have, so a
  * readback decides.
@@ -446,31 +261,13 @@
 	writer->retry_delay_ms = MIN(writer->retry_delay_ms * 2, RETRY_MAX_MS);
 }
 
-/* Returns the operations in flight to the head of the queue. Returns their number. */
-static guint requeue_ops(struct lug_writer *writer)
-{
-	guint n = 0;
-
-	while (!lug_list_empty(&writer->in_flight)) {
-		struct lug_list *last = writer->in_flight.prev;
-
-		lug_list_remove(last);
-		last->next = writer->queued.next;
-		last->prev = &writer->queued;
-		writer->queued.next->prev = last;
-		writer->queued.next = last;
-		n++;
-	}
-	return n;
-}
-
 /*
  * The table service did not execute the transaction, whose operations wait for the next one. Those
  * whose deadline passes meanwhile end with LUG_UNAVAILABLE.
  */
 static void on_refused(struct lug_writer *writer, gint64 now_us)
 {
-	requeue_ops(writer);
+	writer_ops_requeue(&writer->in_flight, &writer->queued);
 	/* Waits as before a readback, but then retries without reading the row. */
 	schedule_readback(writer, now_us);
 	writer->io_state = IO_WAIT_RETRY;
@@ -483,7 +280,7 @@
  */
 static void on_bad_content(struct lug_writer *writer, gint64 now_us)
 {
-	guint n = requeue_ops(writer);
+	guint n = writer_ops_requeue(&writer->in_flight, &writer->queued);
 
 	if (!n) {
 		lug_warn(writer->ctx, "lease_row_refused", "lease", writer->key, "remedy",
@@ -494,8 +291,8 @@
 	if (n == 1) {
 		lug_warn(writer->ctx, "operation_refused", "lease", writer->key, "reason",
 			 "the table service does not accept its content");
-		op_finish(LUG_CONTAINER_OF(writer->queued.next, struct lug_writer_op, node),
-			  LUG_BAD_INPUT, 0);
+		writer_op_finish(LUG_CONTAINER_OF(writer->queued.next, struct lug_writer_op, node),
+				 LUG_BAD_INPUT, 0);
 	}
 	writer->ops_max = MAX(n / 2, 1);
 	writer->io_state = IO_IDLE;
@@ -527,7 +324,7 @@
 	else if ((row ? row->version : 0) == writer->version)
 		send_txn(writer);
 	else if (row && !strcmp(lug_json_str(row->data, "prev_txn", ""), writer->txn_id)) {
-		finish_ops(&writer->in_flight, LUG_OK, 0);
+		writer_ops_finish(&writer->in_flight, LUG_OK, 0);
 		on_not_held(writer, TRUE);
 	} else
 		on_not_held(writer, FALSE);
@@ -551,7 +348,7 @@
 				       on_readback, writer);
 			return;
 		}
-		fail_conflicting_ops(writer, result);
+		writer_ops_fail_conflicting(&writer->in_flight, result);
 		build_txn(writer);
 		writer->first_sent_us = lug_now_us();
 		send_txn(writer);
@@ -680,13 +477,13 @@
 		struct lug_writer_op *op = LUG_CONTAINER_OF(pos, struct lug_writer_op, node);
 
 		if (op->deadline_us && now_us >= op->deadline_us)
-			op_finish(op, LUG_UNAVAILABLE, 0);
+			writer_op_finish(op, LUG_UNAVAILABLE, 0);
 	}
 	LUG_LIST_FOREACH (&writer->in_flight, pos) {
 		struct lug_writer_op *op = LUG_CONTAINER_OF(pos, struct lug_writer_op, node);
 
 		if (op->deadline_us && now_us >= op->deadline_us)
-			op_report_outcome(op, LUG_UNKNOWN, 0);
+			writer_op_report(op, LUG_UNKNOWN, 0);
 	}
 }
 
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -92,14 +92,6 @@
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
 
-/**
- * shard_row_max_bytes - length of the largest state that the table service stores for a job
- */
-gsize shard_row_max_bytes(const struct lug_shard *shard)
-{
-	return (gsize)shard->shared.ctx->settings->platform_row_bytes;
-}
-
 /*
  * Whether another occurrence may be active; otherwise it waits for one of them to end. Half of the
  * job's row is left for claims.
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -183,6 +183,14 @@
 	return n;
 }
 
+/**
+ * shard_row_max_bytes - length of the largest state that the table service stores for a job
+ */
+gsize shard_row_max_bytes(const struct lug_shard *shard)
+{
+	return (gsize)shard->shared.ctx->settings->platform_row_bytes;
+}
+
 /**
  * shard_row_measure - set @row_bytes of a job to the length of its state without checkpoints
  */
