Review: the scripts name the file of their record

Cause: the scripts wrote record.txt by way of the rig alone, so that none of them named it. What is played and checked is unchanged.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -154,4 +154,4 @@
     return rig.overlaps(deployment)
 
 
-rig.play(FOLDER, case, workers=6, heartbeat_route=heartbeat_route)
+rig.play(sys.argv[1], case, workers=6, heartbeat_route=heartbeat_route)
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -39,8 +39,8 @@
 class Record:
     """record.txt: one line per event, flushed at once."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
         self.lock = threading.Lock()
 
@@ -140,9 +140,9 @@
     heartbeats in place of the control address of its agent.
     """
 
-    def __init__(self, folder, workers=4, entries=2, cpu=4000, labels=None, attempts=2,
+    def __init__(self, record_path, workers=4, entries=2, cpu=4000, labels=None, attempts=2,
                  heartbeat_route=None):
-        self.record = Record(folder)
+        self.record = Record(record_path)
         self.temp = tempfile.mkdtemp(prefix="catkinlug-review-")
         self.net = free_net()
         self.processes = {}
@@ -287,8 +287,11 @@
     return found
 
 
-def play(folder, case, limit_s=110, **options):
-    """Runs case(deployment), which returns what broke the rule, and exits as a script of a case."""
+def play(record_path, case, limit_s=110, **options):
+    """Runs case(deployment), which returns what broke the rule, and exits as a script of a case.
+
+    What was sent, answered and run is written to the file record_path.
+    """
     def give_up():
         os.write(2, b"out of time\n")
         os._exit(NOT_RUN)  # the daemons die with this process, see PR_SET_PDEATHSIG
@@ -299,7 +302,7 @@
     deployment = None
     code = NOT_RUN
     try:
-        deployment = Deployment(folder, **options)
+        deployment = Deployment(record_path, **options)
         broken = case(deployment)
         for line in broken:
             deployment.record.add("RULE BROKEN:", line)
