A late exit of a former incarnation ends no runs

Three running tasks were started a second time on other workers, and the first worker was not used any more.

Cause: the call that announces an exit names the worker's id, which the next incarnation may have, too. The agent took the call of the former incarnation for one of the present one, dropped its runs after 0.5 s without asking the worker, and stopped polling it.

Ruled out: the lease (renewed until the exit), the owners (they treat an unlisted run as lost, by contract), heartbeats (they name the incarnation).

Change: an exit ends no run by itself. It is ignored if the latest heartbeat of the present incarnation says that it is ready. Otherwise polls go on, and runs end 0.5 s after the call if two polls in a row found the port closed, the latest one sent after the call. A worker out of reach keeps its runs until its lease expires.

ExecutorUnheardTest.ARestartedAgentWhoseWorkerHasExitedStatesThatItHoldsNoRuns: the worker now refuses the poll after its exit. Without that, an agent that has just started can't tell an exit of the present incarnation from a late one.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -308,6 +308,14 @@
 	return TRUE;
 }
 
+static void cancel_exit(struct lug_executor *exec, const char *id)
+{
+	lug_warn(exec->ctx, "exit_cancelled", "worker", id, "reason",
+		 "a heartbeat reports that it is ready");
+	exec->worker_exiting = FALSE;
+	exec->worker_exited = FALSE;
+}
+
 /**
  * lug_executor_on_worker_heartbeat - apply a heartbeat of the worker; outdated ones are ignored
  * @exec: executor
@@ -323,6 +331,9 @@
 		return;
 	/* First, as it depends on what the former incarnation has announced. */
 	exec_update_incarnation(exec, heartbeat->incarnation, now_us);
+	/* After its exit a worker can return only as a new incarnation: this one has not exited. */
+	if (exec->worker_exiting && !heartbeat->draining)
+		cancel_exit(exec, heartbeat->id);
 	exec_update_worker_id(exec, heartbeat->id, now_us);
 	exec->heartbeat_incarnation = heartbeat->incarnation;
 	exec->worker_heartbeat_seq = heartbeat->seq;
@@ -331,9 +342,6 @@
 		lug_info(exec->ctx, heartbeat->draining ? "worker_draining" : "worker_ready",
 			 "worker", heartbeat->id);
 	exec->draining = heartbeat->draining;
-	/* A worker that has announced its exit can return only as a new incarnation. */
-	exec->worker_exiting =
-		exec->worker_exiting && heartbeat->incarnation == exec->exiting_incarnation;
 	exec->capacity = heartbeat->capacity;
 	exec->capacity_at_us = now_us;
 	exec->capacity_clock_ms = heartbeat->clock_ms;
@@ -343,24 +351,37 @@
 		exec_poll(exec, now_us);
 }
 
+/*
+ * Whether the present incarnation can't have announced its exit: each one reports before that it is
+ * draining. Nothing is known of an incarnation without heartbeats.
+ */
+static gboolean is_exit_of_another(const struct lug_executor *exec, const char *id)
+{
+	if (*exec->worker_id && strcmp(exec->worker_id, id) != 0)
+		return TRUE;
+	return exec->worker_incarnation && exec->id_incarnation == exec->worker_incarnation &&
+	       !exec->draining;
+}
+
 /**
- * lug_executor_on_worker_exit - record that the worker has announced its exit, which ends all its
- * runs
+ * lug_executor_on_worker_exit - record that a worker has announced its exit
  * @exec: executor
- * @id: id of the worker; the exit of another one than the present worker is ignored
+ * @id: id of the worker
  * @now_us: current time
+ *
+ * The call does not name the incarnation, and a former one with the same id may have sent it. The
+ * runs therefore end only when the worker is found to be gone, see exec_drop_expired().
  */
 void lug_executor_on_worker_exit(struct lug_executor *exec, const char *id, gint64 now_us)
 {
-	if (*exec->worker_id && strcmp(exec->worker_id, id) != 0) {
-		lug_info(exec->ctx, "exit_ignored", "worker", id, "reason",
-			 "another worker is present");
+	if (is_exit_of_another(exec, id)) {
+		lug_warn(exec->ctx, "exit_ignored", "worker", id, "reason",
+			 "the present incarnation has not announced it");
 		return;
 	}
 	lug_info(exec->ctx, "worker_left", "worker", exec->ctx->settings->name);
 	exec->worker_exiting = TRUE;
 	exec->exit_announced_us = now_us;
-	exec->exiting_incarnation = exec->heartbeat_incarnation;
 }
 
 /**
@@ -409,7 +430,7 @@
 	 * Entries of exec->ends are removed only by polls, which need the lease. It is kept until
 	 * none is left, or until the worker exits, after which no poll is sent.
 	 */
-	if (exec->shutting_down && !exec->runs->len && (exec->worker_exiting || !exec->ends->len))
+	if (exec->shutting_down && !exec->runs->len && (exec->worker_exited || !exec->ends->len))
 		lug_writer_release(exec->writer, now_us);
 }
 
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -23,6 +23,8 @@
 #define EXPIRED_ANSWER_TIMEOUT_US (1500 * 1000)
 /* Time after the announcement of its exit by which a worker has exited. */
 #define WORKER_EXIT_US (500 * 1000)
+/* Consecutive polls that an exited worker does not accept; a single one may have been reset. */
+#define EXIT_BROKEN_POLLS 2
 
 /**
  * exec_lease_expires_ms - end of the lease on the worker's clock
@@ -136,6 +138,13 @@
 	exec_throttle(exec, now_us);
 }
 
+/* Whether the worker's side has refused or closed the connection of the poll. */
+static gboolean is_poll_broken(const struct lug_executor *exec,
+			       const struct lug_worker_poll_reply *reply, gint64 now_us)
+{
+	return reply->result == LUG_ORDER_UNKNOWN && now_us - exec->poll_sent_us < BROKEN_POLL_US;
+}
+
 /* A connection that breaks shows the time of a crash; a poll that times out does not. */
 static void note_silence(struct lug_executor *exec, gint64 now_us)
 {
@@ -150,6 +159,7 @@
 	gint64 now_us = lug_now_us();
 
 	exec->poll_in_flight = FALSE;
+	exec->broken_polls = is_poll_broken(exec, reply, now_us) ? exec->broken_polls + 1 : 0;
 	if (reply->result != LUG_ORDER_OK) {
 		if (reply->result == LUG_ORDER_FENCED)
 			lug_warn(exec->ctx, "worker_fences", "remedy",
@@ -245,7 +255,7 @@
 	struct lug_worker_poll poll = {.token = lug_writer_epoch(exec->writer)};
 
 	if (exec->closed || exec->poll_in_flight || !lug_writer_is_held(exec->writer) ||
-	    exec->worker_exiting)
+	    exec->worker_exited)
 		return;
 	poll.acked_end_number = prune_acked_ends(exec);
 	/* The poll may reach another incarnation, which would forget ends of its own. */
@@ -266,9 +276,15 @@
 	exec->worker->ops->poll(exec->worker, &poll, on_poll_reply, exec);
 }
 
+/*
+ * Whether the worker has exited: after the announcement it accepts no connections any more. While
+ * it answers, or is out of reach, the announcement may be that of a former incarnation.
+ */
 static gboolean has_exited(const struct lug_executor *exec, gint64 now_us)
 {
-	return exec->worker_exiting && now_us - exec->exit_announced_us > WORKER_EXIT_US;
+	return exec->worker_exiting && now_us - exec->exit_announced_us > WORKER_EXIT_US &&
+	       exec->broken_polls >= EXIT_BROKEN_POLLS &&
+	       exec->failed_poll_sent_us > exec->exit_announced_us;
 }
 
 /*
@@ -319,8 +335,9 @@
  */
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us)
 {
-	gboolean exited = has_exited(exec, now_us);
+	gboolean exited = exec->worker_exited || has_exited(exec, now_us);
 
+	exec->worker_exited = exited;
 	if (!exec->runs->len && !is_confirmation_missing(exec))
 		return;
 	if (!exited && !is_expired(exec, now_us))
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -206,8 +206,8 @@
  * @service: service whose pool the worker belongs to
  * @draining: the worker's latest heartbeat announces that it shuts down soon
  * @worker_exiting: the worker has announced its exit
+ * @worker_exited: and has accepted no connections since
  * @exit_announced_us: time of that announcement
- * @exiting_incarnation: incarnation that has announced its exit
  * @shutting_down: the agent is shutting down
  * @capacity: total resources for tasks, as of the latest heartbeat
  * @capacity_at_us: time at which that heartbeat was received
@@ -235,6 +235,7 @@
  * @interference_interval: heartbeats per report of the learned interference, as an owner requests
  *                         it, 0 for none yet
  * @failed_polls: consecutive failed polls
+ * @broken_polls: consecutive polls whose connection was refused or has broken
  * @silent_since_us: when the first of the consecutive failed polls failed, 0 for none
  * @worker_down: a poll's connection has broken, and no later poll was answered
  * @alive_until_us: with @silent_since_us, when the worker was last up
@@ -272,8 +273,8 @@
 	char service[LUG_NAME_MAX + 1];
 	gboolean draining;
 	gboolean worker_exiting;
+	gboolean worker_exited;
 	gint64 exit_announced_us;
-	guint64 exiting_incarnation;
 	gboolean shutting_down;
 	struct lug_resources capacity;
 	gint64 capacity_at_us;
@@ -297,6 +298,7 @@
 	guint64 sent_heartbeat_seq;
 	guint32 interference_interval;
 	guint failed_polls;
+	guint broken_polls;
 	gint64 silent_since_us;
 	gboolean worker_down;
 	gint64 alive_until_us;
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -158,6 +158,10 @@
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
 		if (!exec->worker_exiting && !exec->draining)
 			mark_crashed_runs(exec);
+		/* Only calls of the new one tell whether it drains or exits. */
+		exec->draining = FALSE;
+		exec->worker_exiting = FALSE;
+		exec->worker_exited = FALSE;
 	}
 	exec->worker_incarnation = incarnation;
 	/* Its heartbeats are numbered anew, also when a poll shows it first. */
--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -106,6 +106,8 @@
 	lug_executor_on_worker_exit(exec, "w", now_us);
 	lug_executor_tick(exec, now_us + 400 * 1000);
 	EXPECT_EQ(beat().lists, 0u) << "the worker may not have exited";
+	/* Its port is closed. */
+	answer_poll(LUG_ORDER_UNKNOWN);
 	/* Longer than WORKER_EXIT_US. */
 	lug_executor_tick(exec, now_us + 600 * 1000);
 	EXPECT_EQ(beat().lists, 1u);
