Move the executor's lease into a file of its own

Change: executor_lease.c, functions moved unchanged but for the prefix of those that other files call.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -2,9 +2,7 @@
 
 #include <string.h>
 
-#define LEASE_TABLE "worker"
 #define LEASE_RENEW_MS 1000
-#define ACQUIRE_RETRY_US (300 * 1000)
 /*
  * Starts are refused when the worker has not answered a poll for this long. A worker answers
  * within 0.5 s, including the wait of POLL_WAIT_MS.
@@ -33,38 +31,6 @@
 	g_free(end);
 }
 
-/*
- * Time after which no lease that a former process sent to the worker is valid. No such lease lasts
- * longer than the row that this process has taken over just now.
- */
-static gint64 former_grants_end_us(const struct lug_executor *exec)
-{
-	gint64 ttl_us = MAX(exec->ctx->settings->worker_lease_ms, exec->former_ttl_ms) * 1000;
-
-	return lug_now_us() + ttl_us + ttl_us / EXEC_CLOCK_DRIFT_DIVISOR;
-}
-
-static void on_lease_event(void *data, enum lug_writer_event event)
-{
-	struct lug_executor *exec = data;
-	char epoch[24];
-
-	exec->acquiring_lease = FALSE;
-	exec->lease_held = event == LUG_WRITER_TAKEN;
-	g_snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, lug_writer_epoch(exec->writer));
-	lug_info(exec->ctx, event == LUG_WRITER_TAKEN ? "worker_lease_taken" : "worker_lease_lost",
-		 "lease_epoch", epoch);
-	if (event != LUG_WRITER_TAKEN)
-		return;
-	/*
-	 * Unanswered starts of the lease's former holder may still arrive. The worker rejects them
-	 * once a poll has brought it the new lease epoch, which is the fencing token.
-	 */
-	exec->confirmed_epoch = 0;
-	exec->granted_until_us = MAX(exec->granted_until_us, former_grants_end_us(exec));
-	exec_poll(exec, lug_now_us());
-}
-
 /**
  * lug_executor_new - create an executor that holds no lease yet
  * @ctx: context
@@ -79,11 +45,11 @@
 				      lug_owner_send_fn send, void *data)
 {
 	struct lug_executor *exec = g_new0(struct lug_executor, 1);
-	struct lug_writer_config config = {.table = LEASE_TABLE,
+	struct lug_writer_config config = {.table = EXEC_LEASE_TABLE,
 					   .key = ctx->settings->name,
 					   .ttl_ms = ctx->settings->worker_lease_ms,
 					   .renew_ms = LEASE_RENEW_MS,
-					   .on_event = on_lease_event,
+					   .on_event = exec_on_lease_event,
 					   .data = exec};
 
 	exec->ctx = ctx;
@@ -135,34 +101,6 @@
 	g_free(exec);
 }
 
-static void on_lease_row(void *data, enum lug_status status, const struct lug_row *rows,
-			 guint n_rows, gboolean more)
-{
-	struct lug_executor *exec = data;
-	struct lug_row none = {0};
-	/* The scan is by prefix: its first row may have another key. */
-	gboolean found = n_rows && !strcmp(rows[0].key, exec->ctx->settings->name);
-
-	(void)more;
-	if (status != LUG_OK) {
-		exec->acquiring_lease = FALSE;
-		return;
-	}
-	exec->former_ttl_ms = found ? lug_json_int(rows[0].data, "ttl_ms", 0) : 0;
-	lug_writer_take(exec->writer, found ? &rows[0] : &none, lug_now_us());
-}
-
-static void acquire_lease(struct lug_executor *exec, gint64 now_us)
-{
-	if (exec->acquiring_lease || exec->shutting_down || lug_writer_is_held(exec->writer) ||
-	    now_us < exec->next_acquire_us)
-		return;
-	exec->acquiring_lease = TRUE;
-	exec->next_acquire_us = now_us + ACQUIRE_RETRY_US;
-	lug_store_scan(exec->store, LEASE_TABLE, exec->ctx->settings->name, NULL, 1, on_lease_row,
-		       exec);
-}
-
 /**
  * exec_reserved - sum the resources reserved by all runs
  */
@@ -421,27 +359,14 @@
 	return exec->runs->len > 0 || !exec->lease_held;
 }
 
-static void release_idle_lease(struct lug_executor *exec, gint64 now_us)
-{
-	/* The worker may have runs that a former process has started. */
-	if (exec->confirmed_epoch != lug_writer_epoch(exec->writer))
-		return;
-	/*
-	 * Entries of exec->ends are removed only by polls, which need the lease. It is kept until
-	 * none is left, or until the worker exits, after which no poll is sent.
-	 */
-	if (exec->shutting_down && !exec->runs->len && (exec->worker_exited || !exec->ends->len))
-		lug_writer_release(exec->writer, now_us);
-}
-
 /**
  * lug_executor_tick - acquire or renew the lease, poll the worker, drop expired runs
  */
 void lug_executor_tick(struct lug_executor *exec, gint64 now_us)
 {
-	acquire_lease(exec, now_us);
+	exec_acquire_lease(exec, now_us);
 	lug_writer_tick(exec->writer, now_us);
-	release_idle_lease(exec, now_us);
+	exec_release_idle_lease(exec, now_us);
 	if (!exec->poll_in_flight && now_us >= exec->fallback_poll_us)
 		exec_poll(exec, now_us);
 	exec_retry_stops(exec, now_us);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -5,12 +5,15 @@
 #include "workflow/interference.h"
 
 /*
- * Shared by the files that implement struct lug_executor: executor.c (lifecycle, lease,
- * reservations), executor_poll.c (polls of the worker), executor_restart.c (restarts of the
- * worker), executor_throttle.c (shares of best-effort
+ * Shared by the files that implement struct lug_executor: executor.c (lifecycle, reservations,
+ * heartbeats of the worker), executor_lease.c (the worker's lease), executor_poll.c (polls of the
+ * worker), executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort
  * tasks), executor_run.c (starts and stops) and executor_report.c (messages to owners).
  */
 
+/* Table of the leases of workers. */
+#define EXEC_LEASE_TABLE "worker"
+
 /* Minimum remaining lease time for accepting a start. */
 #define START_LEASE_MARGIN_US (1000 * 1000)
 /* The worker's clock may run up to 2 % slow. */
@@ -312,6 +315,9 @@
 	gint64 last_sample_us;
 };
 
+void exec_on_lease_event(void *data, enum lug_writer_event event);
+void exec_acquire_lease(struct lug_executor *exec, gint64 now_us);
+void exec_release_idle_lease(struct lug_executor *exec, gint64 now_us);
 void exec_poll(struct lug_executor *exec, gint64 now_us);
 void exec_schedule_poll(struct lug_executor *exec, gint64 after_us, gint64 now_us);
 gboolean exec_has_unacked_ends(const struct lug_executor *exec);
