New setting lease.worker_max, from the platform's bounds

Cause: an agent has to know the longest lease that its worker accepts (max_hold_ms, 6 or 10 s on the users' sites).

Change: lease.worker_max, 10 s by default, not used yet.

--- a/liblug/core/settings.c
+++ b/liblug/core/settings.c
@@ -42,6 +42,8 @@
 	{"beat", SET_DURATION, FOR_ALL, FALSE, "1s", 50, 30000, OFFSET(beat_ms), FALSE},
 	{"lease.worker", SET_DURATION, FOR_ALL, FALSE, "120s", 2000, 600000,
 	 OFFSET(worker_lease_ms), FALSE},
+	{"lease.worker_max", SET_DURATION, FOR_QUEUE_AGENT, FALSE, "10s", 2000, 600000,
+	 OFFSET(worker_lease_max_ms), FALSE},
 	{"lease.queue", SET_DURATION, FOR_ALL, FALSE, "8s", 1000, 120000, OFFSET(queue_lease_ms),
 	 FALSE},
 	{"drain", SET_DURATION, FOR_ALL, FALSE, "20s", 0, 600000, OFFSET(drain_ms), TRUE},
@@ -367,6 +369,19 @@
 	}
 }
 
+/* Value of an optional setting that the file leaves out: CATKINLUG_KEY_NAME, or its default. */
+static const char *fallback_value(const struct setting_def *def)
+{
+	char *name = g_strdup_printf("CATKINLUG_%s", def->key);
+	const char *value;
+
+	for (char *c = name; *c; c++)
+		*c = *c == '.' ? '_' : g_ascii_toupper(*c);
+	value = g_getenv(name);
+	g_free(name);
+	return value && *value ? value : def->fallback;
+}
+
 static void fill_defaults(struct settings_parse *p)
 {
 	for (gsize i = 0; i < G_N_ELEMENTS(definitions); i++) {
@@ -378,7 +393,7 @@
 			settings_add_problem(p, NULL, "%s: missing; add %s", def->key,
 					     settings_expected_form(def->type));
 		else if (def->fallback)
-			store_scalar(p, def, NULL, def->fallback);
+			store_scalar(p, def, NULL, fallback_value(def));
 	}
 }
 
--- a/liblug/core/settings.h
+++ b/liblug/core/settings.h
@@ -90,6 +90,7 @@
 	GArray *keys;
 	gint64 beat_ms;
 	gint64 worker_lease_ms;
+	gint64 worker_lease_max_ms;
 	gint64 queue_lease_ms;
 	gint64 drain_ms;
 	gint64 body_bytes;
--- a/tests/unit/core_test.cc
+++ b/tests/unit/core_test.cc
@@ -54,6 +54,34 @@
 	g_ptr_array_unref(problems);
 }
 
+TEST(Settings, TheEnvironmentGivesOptionalSettingsThatTheFileLeavesOut)
+{
+	const std::string agent = "daemon: queue-agent\nname: w\nregion: r\nzone: z\n"
+				  "http: 127.0.0.1:80\ninner: 127.0.0.1:81\n"
+				  "platform: {url: 'http://127.0.0.1:82'}\n"
+				  "control: 127.0.0.1:83\nworker: {url: 'http://127.0.0.1:84'}\n";
+	auto worker_lease_max_ms = [](const std::string &text) {
+		GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+		struct lug_settings *settings =
+			lug_settings_parse(text.data(), text.size(), "f", problems);
+		gint64 value = settings ? settings->worker_lease_max_ms : -1;
+
+		lug_settings_free(settings);
+		g_ptr_array_unref(problems);
+		return value;
+	};
+
+	EXPECT_EQ(worker_lease_max_ms(agent), 10000);
+	g_setenv("CATKINLUG_LEASE_WORKER_MAX", "6000ms", TRUE);
+	EXPECT_EQ(worker_lease_max_ms(agent), 6000);
+	EXPECT_EQ(worker_lease_max_ms(agent + "lease: {worker_max: 8s}\n"), 8000);
+	g_setenv("CATKINLUG_LEASE_WORKER_MAX", "6", TRUE);
+	EXPECT_TRUE(contains(parse_problems(agent), "lease.worker_max"));
+	g_setenv("CATKINLUG_LEASE_WORKER_MAX", "", TRUE);
+	EXPECT_EQ(worker_lease_max_ms(agent), 10000) << "the platform does not state it";
+	g_unsetenv("CATKINLUG_LEASE_WORKER_MAX");
+}
+
 TEST(Settings, ProblemsGiveFileLineFormAndRemedy)
 {
 	EXPECT_TRUE(contains(parse_problems(minimal_entry + "bogus: 1\n"),
