--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -56,6 +56,9 @@
  * @valid_until_us: expiry of the lease without the margin for clock drift, 0 if it was never held
  *                  or was lost
  * @renewed_us: time at which the last committed transaction was first sent
+ * @hold_until_us: time before which no other process may take the lease, see lug_writer_hold()
+ * @rewrite_requested: write the row with the next tick, see lug_writer_rewrite()
+ * @row_ttl_ms: duration of the lease that the row of the present transaction states
  * @next_io_us: time of the next readback or retry
  * @retry_delay_ms: delay of the next readback or retry, doubled with each one until a commit
  * @outcome_unknown: an earlier send of the present transaction may have committed
@@ -82,6 +85,9 @@
 	gint64 first_sent_us;
 	gint64 valid_until_us;
 	gint64 renewed_us;
+	gint64 hold_until_us;
+	gboolean rewrite_requested;
+	gint64 row_ttl_ms;
 	gint64 next_io_us;
 	gint64 retry_delay_ms;
 	gboolean outcome_unknown;
@@ -154,7 +160,7 @@
 	json_object_set_string_member(row, "owner", releasing ? "" : ctx->settings->name);
 	json_object_set_string_member(row, "incarnation", incarnation);
 	json_object_set_int_member(row, "epoch", (gint64)writer->epoch);
-	json_object_set_int_member(row, "ttl_ms", writer->config.ttl_ms);
+	json_object_set_int_member(row, "ttl_ms", writer->row_ttl_ms);
 	json_object_set_string_member(row, "txn", writer->txn_id);
 	json_object_set_string_member(row, "prev_txn", writer->prev_txn_id);
 	json_object_set_int_member(row, "total", next_total(writer));
@@ -164,10 +170,14 @@
 	json_object_unref(row);
 }
 
-static void build_txn(struct lug_writer *writer)
+static void build_txn(struct lug_writer *writer, gint64 now_us)
 {
 	gboolean releasing = writer->phase == PHASE_RELEASING;
 
+	writer->rewrite_requested = FALSE;
+	writer->first_sent_us = now_us;
+	writer->row_ttl_ms =
+		MAX(writer->config.ttl_ms, (writer->hold_until_us - now_us) / 1000 + 1);
 	lug_txn_clear(&writer->txn);
 	lug_txn_init(&writer->txn);
 	g_snprintf(writer->txn_id, sizeof(writer->txn_id),
@@ -190,9 +200,8 @@
 {
 	if (writer->phase == PHASE_HELD)
 		writer_ops_select(&writer->queued, &writer->in_flight, writer->ops_max);
-	build_txn(writer);
+	build_txn(writer, now_us);
 	writer->outcome_unknown = FALSE;
-	writer->first_sent_us = now_us;
 	send_txn(writer);
 }
 
@@ -349,8 +358,7 @@
 			return;
 		}
 		writer_ops_fail_conflicting(&writer->in_flight, result);
-		build_txn(writer);
-		writer->first_sent_us = lug_now_us();
+		build_txn(writer, lug_now_us());
 		send_txn(writer);
 		return;
 	case LUG_BAD_INPUT:
@@ -517,7 +525,8 @@
 	release_if_idle(writer, now_us);
 	if (writer->io_state != IO_IDLE)
 		return;
-	if (!lug_list_empty(&writer->queued) || now_us - writer->renewed_us >= renew_us)
+	if (!lug_list_empty(&writer->queued) || now_us - writer->renewed_us >= renew_us ||
+	    writer->rewrite_requested)
 		start_commit(writer, now_us);
 }
 
@@ -569,6 +578,32 @@
 	return now_us < lug_writer_valid_until_us(writer);
 }
 
+/**
+ * lug_writer_hold - keep other processes from taking the lease before a time
+ * @writer: writer
+ * @until_us: time, in microseconds since boot
+ *
+ * The rows written from now on state a longer duration of the lease, as far as that is needed.
+ * lug_writer_valid_until_us() is not changed.
+ */
+void lug_writer_hold(struct lug_writer *writer, gint64 until_us)
+{
+	writer->hold_until_us = MAX(writer->hold_until_us, until_us);
+}
+
+/**
+ * lug_writer_rewrite - write the leased row without waiting for its renewal
+ * @writer: writer
+ * @now_us: current time
+ *
+ * lug_writer_renewed_us() returns this time or a later one once that is done.
+ */
+void lug_writer_rewrite(struct lug_writer *writer, gint64 now_us)
+{
+	writer->rewrite_requested = TRUE;
+	lug_writer_tick(writer, now_us);
+}
+
 /**
  * lug_writer_epoch - number of times that the lease has been taken, by any holder
  * @writer: writer
--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -105,6 +105,8 @@
 gboolean lug_writer_is_valid(const struct lug_writer *writer, gint64 now_us);
 gint64 lug_writer_renewed_us(const struct lug_writer *writer);
 gint64 lug_writer_valid_until_us(const struct lug_writer *writer);
+void lug_writer_hold(struct lug_writer *writer, gint64 until_us);
+void lug_writer_rewrite(struct lug_writer *writer, gint64 now_us);
 guint64 lug_writer_epoch(const struct lug_writer *writer);
 gint64 lug_writer_total(const struct lug_writer *writer);
 guint64 lug_writer_row_epoch(const struct lug_row *row);
--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -49,6 +49,7 @@
 					   .key = ctx->settings->name,
 					   .ttl_ms = ctx->settings->worker_lease_ms,
 					   .renew_ms = LEASE_RENEW_MS,
+					   .fill_row = exec_fill_lease_row,
 					   .on_event = exec_on_lease_event,
 					   .data = exec};
 
@@ -57,6 +58,7 @@
 	exec->writer = lug_writer_new(ctx, exec->store, &config);
 	exec->worker = worker;
 	exec->worker_id = g_strdup("");
+	exec->settled_id = g_strdup("");
 	exec->n_shards = n_shards;
 	exec->interference = lug_interference_new();
 	exec->task_shares = g_array_new(FALSE, FALSE, sizeof(struct exec_task_shares));
@@ -95,6 +97,7 @@
 	g_ptr_array_unref(exec->ends);
 	g_strfreev(exec->labels);
 	g_free(exec->worker_id);
+	g_free(exec->settled_id);
 	lug_interference_free(exec->interference);
 	g_array_unref(exec->task_shares);
 	g_free(exec->owners);
@@ -229,8 +232,7 @@
 gboolean exec_is_accepting(const struct lug_executor *exec, gint64 now_us)
 {
 	if (exec->shutting_down || exec->draining || exec->worker_exiting || exec->worker_down ||
-	    !exec->clock_at_us || !exec->worker_incarnation ||
-	    exec->id_incarnation != exec->worker_incarnation ||
+	    !exec->clock_at_us || !exec_is_id_known(exec) || !exec_is_settled(exec) ||
 	    exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
 	    !lug_writer_is_held(exec->writer) ||
 	    !lug_writer_is_valid(exec->writer, now_us + START_LEASE_MARGIN_US) ||
@@ -275,6 +277,10 @@
 	exec_update_worker_id(exec, heartbeat->id, now_us);
 	exec->heartbeat_incarnation = heartbeat->incarnation;
 	exec->worker_heartbeat_seq = heartbeat->seq;
+	if (exec->fenced_incarnation == exec->worker_incarnation)
+		exec_settle(exec, now_us);
+	else
+		exec_reckon_strays(exec, heartbeat->clock_ms, now_us);
 	g_strlcpy(exec->service, heartbeat->service, sizeof(exec->service));
 	if (heartbeat->draining != exec->draining)
 		lug_info(exec->ctx, heartbeat->draining ? "worker_draining" : "worker_ready",
@@ -297,8 +303,7 @@
 {
 	if (*exec->worker_id && strcmp(exec->worker_id, id) != 0)
 		return TRUE;
-	return exec->worker_incarnation && exec->id_incarnation == exec->worker_incarnation &&
-	       !exec->draining;
+	return exec_is_id_known(exec) && !exec->draining;
 }
 
 /**
--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -44,6 +44,8 @@
 	 * once a poll has brought it the new lease epoch, which is the fencing token.
 	 */
 	exec->confirmed_epoch = 0;
+	exec->fenced_incarnation = 0;
+	exec->restarts = 0;
 	exec->granted_until_us = MAX(exec->granted_until_us, former_grants_end_us(exec));
 	exec_poll(exec, lug_now_us());
 }
@@ -61,7 +63,7 @@
 		exec->acquiring_lease = FALSE;
 		return;
 	}
-	exec->former_ttl_ms = found ? lug_json_int(rows[0].data, "ttl_ms", 0) : 0;
+	exec_adopt_lease_row(exec, found ? &rows[0] : &none, lug_now_us());
 	lug_writer_take(exec->writer, found ? &rows[0] : &none, lug_now_us());
 }
 
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -1,12 +1,8 @@
 #include "workflow/executor_priv.h"
 
-#include <string.h>
-
 /* Time that a poll waits for an end; metrics are thus read four times a second. */
 #define POLL_WAIT_MS 250
 #define POLL_RETRY_US (150 * 1000)
-/* A worker is down for longer than this when it restarts. */
-#define RESTART_MIN_US (200 * 1000)
 /* A poll that fails sooner has not timed out: its connection has broken. */
 #define BROKEN_POLL_US (500 * 1000)
 /*
@@ -14,8 +10,13 @@
  * sent when the owners have acknowledged all ends, or after this delay at the latest.
  */
 #define UNACKED_POLL_US (80 * 1000)
-/* Consecutive failed polls after which polls stop renewing the lease. */
+/*
+ * A lease that ends sooner is renewed although the worker is not known to be up: it may only be
+ * slow. After MAX_FAILED_POLLS consecutive failed polls it is not.
+ */
+#define RENEW_LATE_US (3 * G_USEC_PER_SEC)
 #define MAX_FAILED_POLLS 2
+
 static void apply_running(struct lug_executor *exec, const struct lug_worker_running *item,
 			  gint64 now_us)
 {
@@ -86,15 +87,24 @@
 static void apply_poll_reply(struct lug_executor *exec, const struct lug_worker_poll_reply *reply,
 			     gint64 now_us)
 {
+	gboolean fenced;
+	gboolean complete;
+
 	exec_update_incarnation(exec, reply->incarnation, now_us);
+	/* Otherwise a late call to a former incarnation may still start a run. */
+	fenced = exec->poll_token == exec_token(exec);
+	/* Until all ends are listed, a run of an earlier lease may be in neither list. */
+	complete = fenced && !reply->more_finished;
 	exec->heartbeat_incarnation = MAX(exec->heartbeat_incarnation, reply->incarnation);
 	exec->clock_ms = reply->clock_ms;
 	exec->clock_at_us = now_us;
 	exec->clock_requested_us = exec->poll_sent_us;
 	exec->last_answer_us = now_us;
-	/* Until all ends are listed, a run of an earlier lease may be in neither list. */
-	if (!reply->more_finished)
-		exec->confirmed_epoch = exec->poll_epoch;
+	if (fenced)
+		exec->fenced_incarnation = exec->worker_incarnation;
+	if (complete)
+		exec->confirmed_epoch = lug_writer_epoch(exec->writer);
+	exec_settle(exec, now_us);
 	exec_record_shares(exec, now_us);
 	for (guint i = 0; i < exec->runs->len; i++)
 		((struct exec_run *)g_ptr_array_index(exec->runs, i))->listed = FALSE;
@@ -104,7 +114,7 @@
 	for (guint i = 0; i < reply->finished->len; i++)
 		apply_finished(exec, &g_array_index(reply->finished, struct lug_worker_finished, i),
 			       now_us);
-	if (!reply->more_finished)
+	if (complete)
 		drop_unlisted(exec, now_us);
 	exec_throttle(exec, now_us);
 }
@@ -124,12 +134,40 @@
 	exec->alive_until_us = exec->worker_down ? now_us : exec->last_answer_us;
 }
 
+/* Notes what the poll has brought to the incarnation that it was sent to. */
+static void note_poll_result(struct lug_executor *exec, const struct lug_worker_poll_reply *reply,
+			     gint64 now_us)
+{
+	gboolean answered = reply->result == LUG_ORDER_OK;
+	gboolean same = reply->incarnation == exec->poll_incarnation;
+
+	if (exec->poll_expires_ms)
+		exec_note_grant_result(exec, exec->poll_expires_ms,
+				       answered && !same ? LUG_ORDER_UNKNOWN : reply->result,
+				       now_us);
+	if (!answered || !same || exec->poll_incarnation != exec->worker_incarnation)
+		return;
+	exec->renewed_until_us = MAX(exec->renewed_until_us, exec->poll_until_us);
+	exec->acknowledged_number = MAX(exec->acknowledged_number, exec->poll_acked);
+}
+
+/* Whether the worker has restarted since the poll, and an earlier incarnation sent the reply. */
+static gboolean is_reply_of_former(const struct lug_executor *exec,
+				   const struct lug_worker_poll_reply *reply)
+{
+	gboolean restarted = exec->poll_incarnation != exec->worker_incarnation;
+
+	return exec->poll_incarnation && reply->incarnation < exec->worker_incarnation &&
+	       (restarted || reply->incarnation != exec->poll_incarnation);
+}
+
 static void on_poll_reply(void *data, const struct lug_worker_poll_reply *reply)
 {
 	struct lug_executor *exec = data;
 	gint64 now_us = lug_now_us();
 
 	exec->poll_in_flight = FALSE;
+	note_poll_result(exec, reply, now_us);
 	exec->broken_polls = is_poll_broken(exec, reply, now_us) ? exec->broken_polls + 1 : 0;
 	if (reply->result != LUG_ORDER_OK) {
 		if (reply->result == LUG_ORDER_FENCED)
@@ -141,9 +179,7 @@
 		exec->fallback_poll_us = now_us + POLL_RETRY_US;
 		return;
 	}
-	/* The worker has restarted since the poll; an earlier incarnation sent this reply. */
-	if (exec->poll_incarnation && reply->incarnation != exec->poll_incarnation &&
-	    reply->incarnation < exec->worker_incarnation) {
+	if (is_reply_of_former(exec, reply)) {
 		exec_schedule_poll(exec, 0, now_us);
 		return;
 	}
@@ -218,31 +254,73 @@
 	return exec->acked_end_number;
 }
 
+/*
+ * Whether the incarnation that has answered the latest poll is up: a restart would have taken
+ * longer.
+ */
+static gboolean is_known_up(const struct lug_executor *exec, gint64 now_us)
+{
+	return exec->clock_at_us && !exec->failed_polls &&
+	       now_us - exec->last_answer_us <= EXEC_RESTART_MIN_US &&
+	       now_us - exec->clock_requested_us <= POLL_WAIT_MS * 1000 + EXEC_RESTART_MIN_US;
+}
+
+static gboolean may_renew(const struct lug_executor *exec, gboolean known_up, gint64 now_us)
+{
+	/* The row has not been renewed since the latest poll that sent its end. */
+	if (!exec_is_settled(exec) || !*exec_callee(exec) ||
+	    lug_writer_valid_until_us(exec->writer) <= exec->renewed_until_us)
+		return FALSE;
+	if (known_up)
+		return TRUE;
+	return exec->renewed_until_us && exec->renewed_until_us - now_us < RENEW_LATE_US &&
+	       exec->failed_polls < MAX_FAILED_POLLS;
+}
+
+/*
+ * Fills in the end of the lease. Such a poll does not wait: one that is in flight when the worker
+ * crashes may extend the lease of the next incarnation.
+ */
+static void add_renewal(struct lug_executor *exec, struct lug_worker_poll *poll)
+{
+	poll->expires_ms = exec_lease_expires_ms(exec);
+	if (!poll->expires_ms)
+		return;
+	exec->poll_until_us = lug_writer_valid_until_us(exec->writer);
+	exec->granted_until_us = MAX(exec->granted_until_us, exec->poll_until_us);
+	exec_note_grant(exec, poll->expires_ms);
+}
+
 /**
- * exec_poll - send a poll that renews the worker's lease, unless one is in flight
+ * exec_poll - send a poll, unless one is in flight; it renews the worker's lease when that is due
+ *
+ * Ends are acknowledged and the lease is renewed only while the worker is known to be up: the poll
+ * may reach another incarnation, which would forget ends of its own.
  */
 void exec_poll(struct lug_executor *exec, gint64 now_us)
 {
-	struct lug_worker_poll poll = {.token = lug_writer_epoch(exec->writer)};
+	struct lug_worker_poll poll = {.token = exec_token(exec), .worker = exec_callee(exec)};
+	gboolean known_up = is_known_up(exec, now_us);
+	guint64 acked;
 
 	if (exec->closed || exec->poll_in_flight || !lug_writer_is_held(exec->writer) ||
 	    exec->worker_exited)
 		return;
-	poll.acked_end_number = prune_acked_ends(exec);
-	/* The poll may reach another incarnation, which would forget ends of its own. */
-	if (exec->failed_polls || now_us - exec->last_answer_us > RESTART_MIN_US)
-		poll.acked_end_number = 0;
-	if (exec->failed_polls < MAX_FAILED_POLLS)
-		poll.expires_ms = exec_lease_expires_ms(exec);
-	if (poll.expires_ms)
-		exec->granted_until_us =
-			MAX(exec->granted_until_us, lug_writer_valid_until_us(exec->writer));
-	/* The worker answers the first poll under a lease epoch without waiting. */
-	if (poll.expires_ms && exec->confirmed_epoch == poll.token)
+	acked = prune_acked_ends(exec);
+	if (known_up && *poll.worker && acked > exec->acknowledged_number)
+		poll.acked_end_number = acked;
+	exec->poll_until_us = 0;
+	if (may_renew(exec, known_up, now_us))
+		add_renewal(exec, &poll);
+	/* The worker answers the first poll under a fencing token without waiting. */
+	if (!poll.expires_ms && known_up && exec->fenced_incarnation == exec->worker_incarnation &&
+	    exec->confirmed_epoch == lug_writer_epoch(exec->writer))
 		poll.wait_ms = POLL_WAIT_MS;
 	exec->poll_in_flight = TRUE;
 	exec->poll_sent_us = now_us;
-	exec->poll_epoch = poll.token;
+	exec->poll_token = poll.token;
+	exec->poll_expires_ms = poll.expires_ms;
+	exec->poll_acked = poll.acked_end_number;
 	exec->poll_incarnation = exec->worker_incarnation;
 	exec->worker->ops->poll(exec->worker, &poll, on_poll_reply, exec);
 }
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -6,14 +6,17 @@
 
 /*
  * Shared by the files that implement struct lug_executor: executor.c (lifecycle, reservations,
- * heartbeats of the worker), executor_lease.c (the worker's lease), executor_poll.c (polls of the
- * worker), executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort
- * tasks), executor_run.c (starts and stops) and executor_report.c (messages to owners).
+ * heartbeats of the worker), executor_lease.c (the worker's lease), executor_stray.c (calls that
+ * the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
+ * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
+ * executor_run.c (starts and stops) and executor_report.c (messages to owners).
  */
 
 /* Table of the leases of workers. */
 #define EXEC_LEASE_TABLE "worker"
 
+/* A worker is down for longer than this when it restarts. */
+#define EXEC_RESTART_MIN_US (200 * 1000)
 /* Minimum remaining lease time for accepting a start. */
 #define START_LEASE_MARGIN_US (1000 * 1000)
 /* The worker's clock may run up to 2 % slow. */
@@ -222,8 +225,12 @@
  * @poll_timer: source id of the scheduled poll, 0 for none
  * @closed: no further calls are made
  * @poll_sent_us: time at which the latest poll was sent
- * @poll_epoch: lease epoch of the latest poll
+ * @poll_token: fencing token of the latest poll
+ * @poll_expires_ms: end of the lease that the latest poll has sent, 0 for none
+ * @poll_until_us: when that lease ends on the agent's clock
+ * @poll_acked: @acked_end_number that the latest poll has sent, 0 for none
  * @poll_incarnation: @worker_incarnation when the latest poll was sent
+ * @restarts: restarts of the worker since the lease was taken, the lower part of the fencing token
  * @confirmed_epoch: lease epoch under which the runs on the worker are known: it has answered a
  *                   poll with all its ends, or no earlier run can be left on it; 0 for none
  * @clock_ms: the worker's clock at @clock_at_us
@@ -231,8 +238,21 @@
  * @clock_requested_us: time at which the poll was sent whose answer contained @clock_ms
  * @granted_until_us: time after which no lease sent to the worker, by this process or a former
  *                    one, is valid
+ * @renewed_until_us: end of the lease in the latest poll that the worker has answered
+ * @grants_in_flight: calls in flight that contain an end of the lease
+ * @grant_expires_ms: latest end of the lease sent to the present incarnation, on its clock
+ * @grant_answered_us: when a call that contains one was last answered
+ * @stray_expires_ms: latest end of the lease in the calls that may yet be carried out, by the
+ *                    incarnation that they were sent to or a later one; on the clock of the former
+ * @stray_until_us: time after which none of these calls is carried out any more, 0 for none
+ * @fenced_incarnation: incarnation that has answered a poll under the present fencing token, 0 for
+ *                      none
+ * @settled_id: id of the worker when it was last settled, see exec_settle(); "" for never
+ * @settled_incarnation: incarnation that was settled last, by this process or a former one
+ * @settled_us: time at which this process has settled it, 0 for a former process
  * @last_answer_us: time of the latest answer to a poll
  * @acked_end_number: ends up to this number are stored by the owners of their shards
+ * @acknowledged_number: ends up to this number are acknowledged to the worker
  * @last_end_number: number of the latest end received
  * @sent_heartbeat_seq: number of the agent's latest heartbeat to owners
  * @interference_interval: heartbeats per report of the learned interference, as an owner requests
@@ -288,15 +308,30 @@
 	guint poll_timer;
 	gboolean closed;
 	gint64 poll_sent_us;
-	guint64 poll_epoch;
+	guint64 poll_token;
+	gint64 poll_expires_ms;
+	gint64 poll_until_us;
+	guint64 poll_acked;
 	guint64 poll_incarnation;
+	guint restarts;
 	guint64 confirmed_epoch;
 	gint64 clock_ms;
 	gint64 clock_at_us;
 	gint64 clock_requested_us;
 	gint64 granted_until_us;
+	gint64 renewed_until_us;
+	guint grants_in_flight;
+	gint64 grant_expires_ms;
+	gint64 grant_answered_us;
+	gint64 stray_expires_ms;
+	gint64 stray_until_us;
+	guint64 fenced_incarnation;
+	char *settled_id;
+	guint64 settled_incarnation;
+	gint64 settled_us;
 	gint64 last_answer_us;
 	guint64 acked_end_number;
+	guint64 acknowledged_number;
 	guint64 last_end_number;
 	guint64 sent_heartbeat_seq;
 	guint32 interference_interval;
@@ -327,6 +362,19 @@
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us);
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
+guint64 exec_token(const struct lug_executor *exec);
+const char *exec_callee(const struct lug_executor *exec);
+gboolean exec_is_id_known(const struct lug_executor *exec);
+void exec_note_grant(struct lug_executor *exec, gint64 expires_ms);
+void exec_note_grant_result(struct lug_executor *exec, gint64 expires_ms,
+			    enum lug_order_result result, gint64 now_us);
+void exec_note_stray(struct lug_executor *exec, gint64 expires_ms, gint64 now_us);
+void exec_note_strays_of_former(struct lug_executor *exec, gint64 now_us);
+void exec_reckon_strays(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
+void exec_settle(struct lug_executor *exec, gint64 now_us);
+gboolean exec_is_settled(const struct lug_executor *exec);
+void exec_fill_lease_row(void *data, JsonObject *row);
+void exec_adopt_lease_row(struct lug_executor *exec, const struct lug_row *row, gint64 now_us);
 void exec_retry_stops(struct lug_executor *exec, gint64 now_us);
 void exec_reserved(const struct lug_executor *exec, struct lug_resources *out);
 gint64 exec_spare_millicores(const struct lug_executor *exec);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -120,7 +120,7 @@
 
 /**
  * exec_update_worker_id - record the worker's id; starts sent under another one can't take effect
- * any more, as they name the worker that they were meant for
+ * any more, as they name the worker that they are meant for
  */
 void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us)
 {
@@ -155,6 +155,8 @@
 		return;
 	if (exec->worker_incarnation) {
 		log_restart(exec, incarnation, now_us);
+		exec_note_strays_of_former(exec, now_us);
+		exec->restarts++;
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
 		if (!exec->worker_exiting && !exec->draining)
 			mark_crashed_runs(exec);
@@ -167,6 +169,8 @@
 	/* Its heartbeats are numbered anew, also when a poll shows it first. */
 	exec->worker_heartbeat_seq = 0;
 	exec->acked_end_number = 0;
+	exec->acknowledged_number = 0;
+	exec->renewed_until_us = 0;
 	exec->last_end_number = 0;
 	exec->clock_at_us = 0;
 	exec->confirmed_epoch = 0;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -8,10 +8,15 @@
 #define MAX_START_ATTEMPTS 3
 #define STOP_RETRY_US (500 * 1000)
 
-/* Context of a start or a stop. The run may be removed during the call. */
+/*
+ * Context of a start or a stop. The run may be removed during the call. A start brings the end of
+ * the lease, for one incarnation of the worker.
+ */
 struct order_call {
 	struct lug_executor *exec;
 	guint64 local_id;
+	gint64 expires_ms;
+	guint64 incarnation;
 };
 
 static struct order_call *order_call_new(struct lug_executor *exec, const struct exec_run *run)
@@ -20,6 +25,7 @@
 
 	call->exec = exec;
 	call->local_id = run->local_id;
+	call->incarnation = exec->worker_incarnation;
 	return call;
 }
 
@@ -28,7 +34,8 @@
 {
 	memset(order, 0, sizeof(*order));
 	order->id = run->id;
-	order->token = lug_writer_epoch(exec->writer);
+	order->token = exec_token(exec);
+	order->worker = exec_callee(exec);
 }
 
 static void log_run(struct lug_executor *exec, const char *event, const struct lug_run_id *id,
@@ -102,7 +109,9 @@
 	struct order_call *call = data;
 	struct lug_executor *exec = call->exec;
 	struct exec_run *run = exec_run_by_local_id(exec, call->local_id);
+	guint64 incarnation = call->incarnation;
 
+	exec_note_grant_result(exec, call->expires_ms, result, lug_now_us());
 	g_free(call);
 	if (!run)
 		return;
@@ -124,7 +133,8 @@
 		return;
 	}
 	log_run(exec, "start_unanswered", &run->id, "no answer from the worker");
-	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping) {
+	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
+	    incarnation == exec->worker_incarnation) {
 		send_start(exec, run);
 		return;
 	}
@@ -134,17 +144,19 @@
 
 static void send_start(struct lug_executor *exec, struct exec_run *run)
 {
+	struct order_call *call = order_call_new(exec, run);
 	struct lug_worker_order order;
 
 	init_order(exec, run, &order);
 	order.expires_ms = exec_lease_expires_ms(exec);
-	order.worker = exec->worker_id;
+	call->expires_ms = order.expires_ms;
+	exec_note_grant(exec, order.expires_ms);
 	order.spec = run->spec;
 	order.checkpoint = run->checkpoint;
 	exec->granted_until_us =
 		MAX(exec->granted_until_us, lug_writer_valid_until_us(exec->writer));
 	run->call_in_flight = TRUE;
-	exec->worker->ops->start(exec->worker, &order, on_started, order_call_new(exec, run));
+	exec->worker->ops->start(exec->worker, &order, on_started, call);
 }
 
 static gboolean has_room(const struct lug_executor *exec, const struct lug_resources *size)
--- /dev/null
+++ b/liblug/workflow/executor_stray.c
@@ -0,0 +1,183 @@
+#include "workflow/executor_priv.h"
+
+#include <string.h>
+
+/*
+ * A call without an answer may be carried out seconds later, also by the next incarnation of the
+ * worker if that has the same id. There it starts or stops a run, or extends the lease up to the
+ * longest one that a worker accepts, as the clocks of incarnations are not comparable. Fencing
+ * tokens therefore rise with each incarnation. Once the new one has answered a poll, no call to a
+ * former one is carried out any more; what was carried out before is reckoned with here.
+ */
+
+/* Restarts under one lease epoch that a fencing token can tell apart. */
+#define RESTART_BITS 20
+/* A call without an answer is carried out within this time or never. */
+#define LATE_CALL_US (30 * G_USEC_PER_SEC)
+
+/**
+ * exec_token - fencing token of calls to the present incarnation of the worker
+ *
+ * It rises with each lease epoch, and with each restart of the worker under one epoch.
+ */
+guint64 exec_token(const struct lug_executor *exec)
+{
+	return lug_writer_epoch(exec->writer) << RESTART_BITS |
+	       MIN(exec->restarts, (1u << RESTART_BITS) - 1);
+}
+
+/**
+ * exec_is_id_known - whether a heartbeat has told the id of the present incarnation
+ */
+gboolean exec_is_id_known(const struct lug_executor *exec)
+{
+	return exec->worker_incarnation && exec->id_incarnation == exec->worker_incarnation;
+}
+
+/**
+ * exec_callee - id of the worker that calls are meant for, "" while it is not known
+ */
+const char *exec_callee(const struct lug_executor *exec)
+{
+	if (exec_is_id_known(exec))
+		return exec->worker_id;
+	/* A former process of the agent knew it. */
+	if (exec->worker_incarnation && exec->settled_incarnation == exec->worker_incarnation)
+		return exec->settled_id;
+	return "";
+}
+
+/**
+ * exec_note_grant - note that a call with an end of the lease is sent
+ */
+void exec_note_grant(struct lug_executor *exec, gint64 expires_ms)
+{
+	exec->grants_in_flight++;
+	exec->grant_expires_ms = MAX(exec->grant_expires_ms, expires_ms);
+}
+
+/**
+ * exec_note_grant_result - note the outcome of a call with an end of the lease
+ */
+void exec_note_grant_result(struct lug_executor *exec, gint64 expires_ms,
+			    enum lug_order_result result, gint64 now_us)
+{
+	exec->grants_in_flight--;
+	if (result == LUG_ORDER_UNKNOWN)
+		exec_note_stray(exec, expires_ms, now_us);
+	else
+		exec->grant_answered_us = now_us;
+}
+
+/**
+ * exec_note_stray - note a call that may yet be carried out
+ */
+void exec_note_stray(struct lug_executor *exec, gint64 expires_ms, gint64 now_us)
+{
+	if (now_us >= exec->stray_until_us)
+		exec->stray_expires_ms = 0;
+	exec->stray_expires_ms = MAX(exec->stray_expires_ms, expires_ms);
+	exec->stray_until_us = now_us + LATE_CALL_US;
+}
+
+/**
+ * exec_note_strays_of_former - note the calls to the incarnation that a new one replaces
+ *
+ * The former one has carried out a call that was answered less than EXEC_RESTART_MIN_US after it
+ * was last known to be up. Any later answer may be that of the new one.
+ */
+void exec_note_strays_of_former(struct lug_executor *exec, gint64 now_us)
+{
+	if (exec->grants_in_flight ||
+	    exec->grant_answered_us > exec->clock_requested_us + EXEC_RESTART_MIN_US)
+		exec_note_stray(exec, exec->grant_expires_ms, now_us);
+	exec->grant_expires_ms = 0;
+	exec->grant_answered_us = 0;
+}
+
+static gboolean is_restart_under_same_id(const struct lug_executor *exec)
+{
+	return exec->settled_incarnation && exec->settled_incarnation != exec->worker_incarnation &&
+	       !strcmp(exec->settled_id, exec->worker_id);
+}
+
+/**
+ * exec_reckon_strays - extend the lease that the present incarnation is assumed to hold by what
+ * calls to a former one may have brought
+ * @exec: executor
+ * @clock_ms: clock of the present incarnation, 0 for not known
+ * @now_us: current time
+ */
+void exec_reckon_strays(struct lug_executor *exec, gint64 clock_ms, gint64 now_us)
+{
+	gint64 max_ms = exec->ctx->settings->worker_lease_max_ms;
+	gint64 span_us = CLAMP(exec->stray_expires_ms - clock_ms, 0, max_ms) * 1000;
+	gint64 until_us = now_us + span_us + span_us / EXEC_CLOCK_DRIFT_DIVISOR;
+	char extended_ms[24];
+
+	if (!is_restart_under_same_id(exec) || now_us >= exec->stray_until_us ||
+	    until_us <= exec->granted_until_us)
+		return;
+	g_snprintf(extended_ms, sizeof(extended_ms), "%" G_GINT64_FORMAT,
+		   (until_us - now_us) / 1000);
+	lug_info(exec->ctx, "lease_extended", "worker", exec->worker_id, "for_ms", extended_ms,
+		 "reason", "a call to its former incarnation has no answer");
+	exec->granted_until_us = until_us;
+	lug_writer_hold(exec->writer, until_us);
+}
+
+/**
+ * exec_settle - settle the present incarnation, once its id is known and it has answered a poll
+ * under its own fencing token; from then on it carries out no call to a former one
+ */
+void exec_settle(struct lug_executor *exec, gint64 now_us)
+{
+	if (!exec_is_id_known(exec) || exec->fenced_incarnation != exec->worker_incarnation ||
+	    exec->settled_incarnation == exec->worker_incarnation)
+		return;
+	exec_reckon_strays(exec, exec->clock_ms, now_us);
+	g_free(exec->settled_id);
+	exec->settled_id = g_strdup(exec->worker_id);
+	exec->settled_incarnation = exec->worker_incarnation;
+	exec->settled_us = now_us;
+	lug_writer_rewrite(exec->writer, now_us);
+}
+
+/**
+ * exec_is_settled - whether the present incarnation is settled, and the lease's row says so to the
+ * next process of the agent, and to owners how long the worker may hold its lease
+ */
+gboolean exec_is_settled(const struct lug_executor *exec)
+{
+	return exec->settled_incarnation == exec->worker_incarnation &&
+	       lug_writer_renewed_us(exec->writer) >= exec->settled_us;
+}
+
+/**
+ * exec_fill_lease_row - add the worker that was settled last to the lease's row
+ */
+void exec_fill_lease_row(void *data, JsonObject *row)
+{
+	const struct lug_executor *exec = data;
+
+	json_object_set_string_member(row, "worker_id", exec->settled_id);
+	json_object_set_int_member(row, "worker_incarnation", (gint64)exec->settled_incarnation);
+}
+
+/**
+ * exec_adopt_lease_row - take over what a former process of the agent has left
+ *
+ * That process may have left calls without an answer, and its leases may end later than usual.
+ */
+void exec_adopt_lease_row(struct lug_executor *exec, const struct lug_row *row, gint64 now_us)
+{
+	exec->former_ttl_ms = lug_json_int(row->data, "ttl_ms", 0);
+	lug_writer_hold(exec->writer, now_us + exec->former_ttl_ms * 1000);
+	if (exec->settled_incarnation || !row->version)
+		return;
+	g_free(exec->settled_id);
+	exec->settled_id = g_strdup(lug_json_str(row->data, "worker_id", ""));
+	exec->settled_incarnation =
+		(guint64)MAX(lug_json_int(row->data, "worker_incarnation", 0), 0);
+	exec_note_stray(exec, G_MAXINT64, now_us);
+}
--- a/liblug/workflow/executor_throttle.c
+++ b/liblug/workflow/executor_throttle.c
@@ -72,7 +72,11 @@
 {
 	guint32 percent = run->halted ? 0 : (guint32)(run->share * 100 + 0.5);
 	struct lug_worker_order order = {
-		.id = run->id, .token = lug_writer_epoch(exec->writer), .percent = percent};
+		.id = run->id,
+		.token = exec_token(exec),
+		.worker = exec_callee(exec),
+		.percent = percent,
+	};
 	struct throttle_call *call;
 
 	if (run->state != EXEC_RUNNING || run->throttle_in_flight ||
--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -9,8 +9,8 @@
  * @id: run
  * @token: fencing token; the worker rejects tokens lower than the highest it has seen
  * @expires_ms: end of the lease on the worker's clock (start only)
- * @worker: id of the worker that it is meant for; another one, or the same machine's worker under a
- *          new id, refuses it (start only)
+ * @worker: id of the worker that it is meant for, "" for any; another one, or the same machine's
+ *          worker under a new id, refuses it
  * @spec: passed to the task (start only)
  * @checkpoint: checkpoint to resume from, "" for none (start only)
  * @percent: share at which the task works, in percent (throttle only)
@@ -49,12 +49,15 @@
  * struct lug_worker_poll - call that renews a worker's lease and asks which runs are in progress
  *                          and which have ended
  * @token: fencing token
+ * @worker: see struct lug_worker_order; set if @expires_ms or @acked_end_number is
  * @expires_ms: new end of the lease on the worker's clock, 0 to leave it unchanged
- * @acked_end_number: ends up to this number are stored and may be discarded by the worker
+ * @acked_end_number: ends up to this number are stored and may be discarded by the worker; 0 for
+ *                    nothing new
  * @wait_ms: time that the worker may wait for a run to end before it answers
  */
 struct lug_worker_poll {
 	guint64 token;
+	const char *worker;
 	gint64 expires_ms;
 	guint64 acked_end_number;
 	gint64 wait_ms;
--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+import standins
 from hub import wait_for_state
 from standins import call
 
@@ -41,3 +42,114 @@
     assert deployment.submit(job, {"ms": 300}, [{"count": 12, "cpu": 1000}]) == 200
     wait_for_state(deployment, job)
     assert any(event[2].startswith(job) for event in worker.history), "the worker is not used"
+
+
+# A clock that starts high is followed by one that starts low, so that an end of the lease on the
+# first one is far away on the second.
+FORMER_CLOCK_MS, PRESENT_CLOCK_MS = (8000000, 8000001), (1000000, 1000001)
+# Longer than the longest lease of a worker, on a slow clock.
+CUT_S = 13
+
+
+def keep_one_call(deployment, worker, path):
+    """Leaves one call to the worker that may extend its lease without an answer."""
+    def is_late(call_path, body):
+        return call_path == path and bool(body.get("expires_ms")) and not worker.late
+
+    worker.is_late = is_late
+    if path == "/run-start":
+        job = next(JOB_IDS)
+        assert deployment.submit(job, {"ms": 100}, [{"count": 12, "cpu": 1000}]) == 200
+    assert deployment.wait_until(lambda: worker.late, 5)
+    worker.is_late = lambda call_path, body: False
+
+
+def start_long_tasks(deployment, worker):
+    """Waits until the worker is used, and starts tasks on it; the others have room for some more.
+
+    Each worker has room for 4 tasks, so that the others can't take all 9.
+    """
+    began = time.monotonic()
+
+    def is_used():
+        deployment.submit(next(JOB_IDS), {"ms": 50}, [{"count": 12, "cpu": 1000}])
+        return any(event[0] == "start" and event[1] > began for event in worker.history)
+
+    assert deployment.wait_until(is_used, 8)
+    time.sleep(0.3)
+    job = next(JOB_IDS)
+    assert deployment.submit(job, {"ms": 30000}, [{"count": 9, "cpu": 1000}]) == 200
+    assert deployment.wait_until(lambda: any(task.startswith(job) for task in worker.running), 8)
+    return job
+
+
+def restart_worker(deployment, worker):
+    former = worker.incarnation
+    worker.clock_start_range_ms = PRESENT_CLOCK_MS
+    worker.crash()
+    assert deployment.wait_until(lambda: worker.incarnation != former, 5)
+
+
+@pytest.fixture
+def start_with_high_clocks(start_queue_deployment, monkeypatch):
+    """Returns a function that starts three workers whose clocks start high."""
+    def start():
+        monkeypatch.setattr(standins, "CLOCK_START_MS", FORMER_CLOCK_MS)
+        return start_queue_deployment(workers=3, shards=1)
+
+    return start
+
+
+@pytest.mark.parametrize("path", ["/run-start", "/hold"])
+@pytest.mark.parametrize("moment", ["at-start", "later"])
+def test_late_call_to_a_former_incarnation_does_not_outlast_the_lease(start_with_high_clocks, path,
+                                                                       moment):
+    """Guards against incident calls-to-a-former-incarnation: a worker that was cut off soon after its
+    restart ran tasks for longer than its agent knew, and they were started elsewhere."""
+    deployment = start_with_high_clocks()
+    worker = deployment.workers["agent-1"]
+    keep_one_call(deployment, worker, path)
+    if moment == "at-start":
+        worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    start_long_tasks(deployment, worker)
+    worker.perform_late()
+    worker.mode = "dark"
+    time.sleep(CUT_S)
+    assert deployment.violations() == []
+
+
+@pytest.mark.parametrize("what", ["killed", "restarted", "killed-with-owner"])
+def test_late_call_does_not_outlast_the_lease_that_owners_know(start_with_high_clocks, what):
+    """The agent is killed soon after the restart of its worker, which goes on."""
+    deployment = start_with_high_clocks()
+    worker = deployment.workers["agent-1"]
+    keep_one_call(deployment, worker, "/hold")
+    worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    start_long_tasks(deployment, worker)
+    deployment.signal_process("agent-1")
+    owner = deployment.owner_name()
+    if what == "restarted":
+        worker.mode = "dark"
+        deployment.start("agent-1")
+    elif what == "killed-with-owner" and owner != "agent-1":
+        deployment.signal_process(owner)
+        deployment.start(owner)
+    time.sleep(CUT_S)
+    assert deployment.violations() == []
+
+
+def test_late_call_of_an_agent_that_was_killed_does_not_outlast_the_lease(start_with_high_clocks):
+    """The next process of the agent has not made the call that the worker carries out late."""
+    deployment = start_with_high_clocks()
+    worker = deployment.workers["agent-1"]
+    keep_one_call(deployment, worker, "/hold")
+    deployment.signal_process("agent-1")
+    worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    deployment.start("agent-1")
+    start_long_tasks(deployment, worker)
+    worker.mode = "dark"
+    time.sleep(CUT_S)
+    assert deployment.violations() == []
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -68,7 +68,7 @@
         if role == "agent":
             lines += [f"control: {self.address(host, 8166)}",
                       f"worker: {{url: 'http://{self.address(host, 8165)}'}}",
-                      "lease: {worker: 6s, queue: 8s}"]
+                      "lease: {worker: 6s, worker_max: 10s, queue: 8s}"]
         else:
             lines += [f"clients: {self.address(host, 8161)}", f"ready: {self.address(host, 8167)}",
                       "lease: {queue: 8s}"]
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import random
 import socket
 import threading
 import time
@@ -15,7 +16,11 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 CHANGE_RETENTION_S = 20
-LEASE_MAX_MS = 6000
+# The longest max_hold_ms of the users' sites; it exceeds the lease of the agents (6 s).
+LEASE_MAX_MS = 10000
+# The clock of each incarnation starts somewhere in this range and runs slow.
+CLOCK_START_MS = (1000000, 9000000)
+CLOCK_RATE = 0.98
 STOP_DELAY_MS = 200
 # From the start of a task that crashes its worker to the crash, and until the worker is back.
 CRASH_DELAY_MS = 10
@@ -281,6 +286,14 @@
         self.alter_answer = None
         # Acknowledgements of ends that the incarnation has not listed: they were for another one.
         self.acks_of_others = []
+        # Called with the path and the body of each call: whether it is left without an answer until
+        # perform_late().
+        self.is_late = lambda path, body: False
+        self.late = []
+        # Called when an incarnation starts, before it accepts calls.
+        self.on_start = lambda: None
+        self.clock_start_range_ms = CLOCK_START_MS
+        self.rng = random.Random(number)
         self.lock = threading.Condition()
         # "dark": ignores calls and sends no heartbeats; "mute": calls other than polls take effect
         # without an answer.
@@ -303,6 +316,7 @@
         with self.lock:
             self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
             self.started_at = time.monotonic()
+            self.clock_start_ms = self.rng.randint(*self.clock_start_range_ms)
             self.down_until = 0
             self.fencing_token = 0
             self.lease_expires_ms = 0
@@ -313,9 +327,16 @@
             self.finished = []
             self.end_seq = 0
             self.seq = 0
+            self.on_start()
 
     def clock_ms(self):
-        return int((time.monotonic() - self.started_at) * 1000)
+        elapsed_s = time.monotonic() - self.started_at
+        return self.clock_start_ms + int(elapsed_s * 1000 * CLOCK_RATE)
+
+    def perform_late(self):
+        """Carries out the calls that were left without an answer, on the present incarnation."""
+        late, self.late = self.late, []
+        return [self._perform(path, body, headers) for path, body, headers in late]
 
     def _send_heartbeats(self):
         while self.alive:
@@ -368,6 +389,17 @@
             body = json.loads(raw)
         except ValueError:
             return 400, {}
+        if self.is_late(path, body):
+            self.late.append((path, body, dict(headers)))
+            time.sleep(1.5)
+            return None
+        answer = self._perform(path, body, headers)
+        if self.mode == "mute" and path != "/hold":
+            time.sleep(1.0)
+            return None
+        return answer
+
+    def _perform(self, path, body, headers):
         with self.lock:
             if self.down_until:
                 return None
@@ -388,9 +420,6 @@
             # The worker has crashed during a call that waits.
             if self.down_until or incarnation != self.incarnation:
                 return None
-        if self.mode == "mute" and path != "/hold":
-            time.sleep(1.0)
-            return None
         return answer
 
     def _start_run(self, body):
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -3,6 +3,7 @@
 
 #include "lug.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -27,6 +28,7 @@
 	};
 	struct Poll {
 		struct lug_worker_poll request;
+		std::string callee;
 		lug_poll_reply_fn fn;
 		void *data;
 	};
@@ -52,7 +54,8 @@
 			   void *d) { push(w, "pace", o, f, d); },
 			[](struct lug_worker *w, const struct lug_worker_poll *h,
 			   lug_poll_reply_fn f, void *d) {
-				reinterpret_cast<FakeWorker *>(w)->polls.push_back({*h, f, d});
+				reinterpret_cast<FakeWorker *>(w)->polls.push_back(
+					{*h, h->worker, f, d});
 			},
 			[](struct lug_worker *w) { (void)w; }};
 
@@ -93,6 +96,8 @@
 	/* What polls return: runs with their progress in percent, and numbered ends. */
 	std::vector<std::pair<struct lug_run_id, guint32>> running;
 	std::vector<std::pair<guint64, struct lug_run_id>> finished;
+	/* Ends that the worker has forgotten, as they were acknowledged. */
+	std::map<guint64, guint64> forgotten;
 	/* Number of ends that one poll returns. */
 	size_t finished_max = 500;
 
@@ -167,6 +172,9 @@
 		ASSERT_FALSE(worker.polls.empty());
 		poll = worker.polls.front();
 		worker.polls.pop_front();
+		if (result == LUG_ORDER_OK)
+			forgotten[incarnation] =
+				std::max(forgotten[incarnation], poll.request.acked_end_number);
 		answer.result = result;
 		answer.incarnation = incarnation;
 		answer.clock_ms = clock_ms;
@@ -181,7 +189,7 @@
 			struct lug_worker_finished row = {item.first, item.second, LUG_RUN_DONE,
 							  (char *)""};
 
-			if (item.first <= poll.request.acked_end_number)
+			if (item.first <= forgotten[incarnation])
 				continue;
 			answer.more_finished = answer.finished->len + 1 >= finished_max;
 			g_array_append_val(answer.finished, row);
@@ -191,6 +199,7 @@
 		poll.fn(poll.data, &answer);
 		g_array_unref(answer.running);
 		g_array_unref(answer.finished);
+		store.settle();
 		while (g_main_context_iteration(nullptr, FALSE))
 			;
 	}
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -174,6 +174,8 @@
 	send_heartbeat();
 	incarnation = 200;
 	answer_poll();
+	/* The first one under its fencing token. */
+	answer_poll();
 	heartbeat_seq = 0;
 	capacity_millicores = 1500;
 	worker_id = "i-next";
@@ -202,6 +204,7 @@
 	worker_id = "i-next";
 	send_heartbeat();
 	answer_poll();
+	answer_poll();
 	ASSERT_EQ(crashed.count("a#1"), 1u);
 	send_beat_to_owner(0, [&](const Lug__WorkerBeat &beat) {
 		ASSERT_EQ(beat.n_shards, 1u);
--- /dev/null
+++ b/tests/unit/executor_stray_test.cc
@@ -0,0 +1,288 @@
+#include "executor_fixture.h"
+
+/*
+ * Incident calls-to-a-former-incarnation: a call without an answer may be carried out by the next
+ * incarnation of the worker, whose clock has nothing to do with that of the former one.
+ */
+namespace
+{
+/* The lease of the fixture's context and the longest one of a worker, with the clock drift. */
+constexpr gint64 LEASE_US = 6120 * 1000;
+constexpr gint64 LEASE_MAX_US = 10200 * 1000;
+/* Longer than EXPIRED_ANSWER_TIMEOUT_US. */
+constexpr gint64 ANSWER_TIMEOUT_US = 1600 * 1000;
+
+struct ExecutorStrayTest : public ExecutorFixture {
+	const gint64 *held = &ctx->metrics->gauges[LUG_G_TASKS_RUNNING];
+
+	/* Lets the next poll renew the lease: its row has been renewed. */
+	void send_renewal()
+	{
+		lug_writer_rewrite(exec->writer, lug_now_us());
+		store.settle();
+		answer_poll();
+		ASSERT_GT(worker.polls.front().request.expires_ms, 0);
+	}
+
+	/* The next incarnation sends its first heartbeat, and answers polls if there are any. */
+	void restart_worker(gint64 next_clock_ms = 1000)
+	{
+		incarnation += 100;
+		heartbeat_seq = 0;
+		clock_ms = next_clock_ms;
+		running.clear();
+		send_heartbeat();
+		for (int i = 0; i < 3; i++) {
+			if (worker.polls.empty())
+				tick_later();
+			answer_poll();
+		}
+	}
+
+	/* Longer than POLL_RETRY_US. */
+	void tick_later()
+	{
+		g_usleep(160 * 1000);
+		tick();
+	}
+
+	void start_confirmed(const char *job)
+	{
+		start(job);
+		worker.answer(LUG_ORDER_OK);
+		running.push_back({id(job), 10});
+		EXPECT_EQ(answers.back(), std::make_pair(std::string(job) + "#1", LUG_OK));
+	}
+
+	/* Whether runs are held when the worker has been silent for a time and a poll was due. */
+	bool are_runs_held_after(gint64 silent_us)
+	{
+		gint64 now_us = lug_now_us();
+
+		lug_executor_tick(exec, now_us + silent_us);
+		lug_executor_tick(exec, now_us + silent_us + ANSWER_TIMEOUT_US);
+		return *held > 0;
+	}
+
+	std::string row()
+	{
+		return store.rows["w1|worker/w1"].data;
+	}
+
+	gint64 row_ttl_ms()
+	{
+		JsonObject *object = lug_json_parse(row().c_str(), -1, nullptr);
+		gint64 ttl_ms = lug_json_int(object, "ttl_ms", 0);
+
+		json_object_unref(object);
+		return ttl_ms;
+	}
+
+	void replace_process(const char *former_row)
+	{
+		lug_executor_free(exec);
+		worker.polls.clear();
+		store.calls.clear();
+		store.put("w1|worker/w1", former_row);
+		exec = lug_executor_new(ctx, &store.base, &worker.base, 1, send, this);
+		send_heartbeat();
+		tick();
+		answer_poll();
+		answer_poll();
+	}
+};
+
+TEST_F(ExecutorStrayTest, TheFencingTokenRisesWithEachIncarnation)
+{
+	start("a");
+	guint64 token = worker.orders.back().token;
+
+	EXPECT_EQ(worker.polls.front().request.token, token);
+	worker.answer(LUG_ORDER_OK);
+	restart_worker();
+	EXPECT_GT(worker.polls.front().request.token, token);
+	start("b");
+	EXPECT_EQ(worker.orders.back().token, worker.polls.front().request.token);
+}
+
+/* Until then, a late start may add a run. */
+TEST_F(ExecutorStrayTest, RunsAreNotListedBeforeAPollUnderTheTokenOfTheIncarnation)
+{
+	guint64 epoch = 9;
+	auto note = [&](const Lug__WorkerBeat &beat) { epoch = beat.lease_epoch; };
+
+	incarnation = 200;
+	answer_poll();
+	send_beat_to_owner(0, note);
+	EXPECT_EQ(epoch, 0u) << "the poll was sent with the token of the former incarnation";
+	answer_poll();
+	send_beat_to_owner(0, note);
+	EXPECT_EQ(epoch, 1u);
+}
+
+TEST_F(ExecutorStrayTest, CallsThatBringALeaseNameTheWorker)
+{
+	send_renewal();
+	EXPECT_EQ(worker.polls.front().callee, "i");
+	start("a");
+	EXPECT_EQ(worker.orders.back().worker, "i");
+}
+
+TEST_F(ExecutorStrayTest, APollThatWaitsBringsNoLease)
+{
+	EXPECT_GT(worker.polls.front().request.wait_ms, 0);
+	EXPECT_EQ(worker.polls.front().request.expires_ms, 0);
+	send_renewal();
+	EXPECT_EQ(worker.polls.front().request.wait_ms, 0);
+}
+
+TEST_F(ExecutorStrayTest, APollToAWorkerThatMayHaveRestartedBringsNoLease)
+{
+	send_renewal();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	tick_later();
+	EXPECT_EQ(worker.polls.front().request.expires_ms, 0);
+	answer_poll();
+	EXPECT_GT(worker.polls.front().request.expires_ms, 0) << "it has answered";
+}
+
+TEST_F(ExecutorStrayTest, ARestartExtendsTheLeaseIfARenewalHasNoAnswer)
+{
+	send_renewal();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	restart_worker();
+	start_confirmed("a");
+	EXPECT_GE(row_ttl_ms(), 9000) << "owners would fence the lease too early";
+	EXPECT_TRUE(are_runs_held_after(LEASE_MAX_US - 500 * 1000 - ANSWER_TIMEOUT_US));
+	EXPECT_FALSE(are_runs_held_after(LEASE_MAX_US + 1000));
+}
+
+TEST_F(ExecutorStrayTest, ARestartExtendsTheLeaseIfAStartHasNoAnswer)
+{
+	start("s");
+	worker.orders.clear();
+	restart_worker();
+	start_confirmed("a");
+	EXPECT_TRUE(are_runs_held_after(LEASE_MAX_US - 500 * 1000 - ANSWER_TIMEOUT_US));
+}
+
+TEST_F(ExecutorStrayTest, ARestartExtendsTheLeaseIfTheNextIncarnationHasAnsweredARenewal)
+{
+	send_renewal();
+	restart_worker();
+	start_confirmed("a");
+	EXPECT_TRUE(are_runs_held_after(LEASE_MAX_US - 500 * 1000 - ANSWER_TIMEOUT_US));
+}
+
+/* Rule LOST: tasks of a worker that is lost after a restart wait no longer than others. */
+TEST_F(ExecutorStrayTest, ARestartDoesNotExtendTheLeaseIfAllCallsAreAnswered)
+{
+	start("s");
+	worker.answer(LUG_ORDER_OK);
+	answer_poll();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	restart_worker();
+	start_confirmed("a");
+	EXPECT_EQ(row_ttl_ms(), 6000);
+	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
+}
+
+TEST_F(ExecutorStrayTest, ARestartUnderAnotherIdDoesNotExtendTheLease)
+{
+	send_renewal();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	worker_id = "i-next";
+	restart_worker();
+	start_confirmed("a");
+	EXPECT_EQ(row_ttl_ms(), 6000);
+	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
+}
+
+TEST_F(ExecutorStrayTest, ARestartDoesNotExtendTheLeaseIfTheClockIsPastItsEnd)
+{
+	send_renewal();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	restart_worker(/* next_clock_ms */ 5000 + 6000 + 2000);
+	start_confirmed("a");
+	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
+}
+
+TEST_F(ExecutorStrayTest, StartsWaitUntilTheRowStatesTheExtendedLease)
+{
+	send_renewal();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	incarnation = 200;
+	heartbeat_seq = 0;
+	clock_ms = 1000;
+	store.settle();
+	store.is_silent = true;
+	send_heartbeat();
+	for (int i = 0; i < 2; i++) {
+		if (worker.polls.empty())
+			tick_later();
+		answer_poll();
+	}
+	start("a");
+	EXPECT_TRUE(worker.orders.empty());
+	EXPECT_EQ(answers.back(), std::make_pair(std::string("a#1"), LUG_NOT_RUN));
+}
+
+TEST_F(ExecutorStrayTest, TheRowNamesTheWorkerForTheNextProcess)
+{
+	EXPECT_NE(row().find("\"worker_id\":\"i\""), std::string::npos) << row();
+	EXPECT_NE(row().find("\"worker_incarnation\":100"), std::string::npos) << row();
+}
+
+TEST_F(ExecutorStrayTest, TheNextProcessExtendsTheLeaseIfTheWorkerHasRestartedMeanwhile)
+{
+	incarnation = 200;
+	replace_process("{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":6000,\"txn\":\"x\","
+			"\"worker_id\":\"i\",\"worker_incarnation\":100}");
+	start("a", 1000, /* lease_epoch */ 5);
+	worker.answer(LUG_ORDER_OK);
+	EXPECT_GE(row_ttl_ms(), 9000);
+	EXPECT_TRUE(are_runs_held_after(LEASE_MAX_US - 500 * 1000 - ANSWER_TIMEOUT_US));
+	EXPECT_FALSE(are_runs_held_after(LEASE_MAX_US + 1000));
+}
+
+TEST_F(ExecutorStrayTest, TheNextProcessDoesNotExtendTheLeaseOfTheSameIncarnation)
+{
+	replace_process("{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":6000,\"txn\":\"x\","
+			"\"worker_id\":\"i\",\"worker_incarnation\":100}");
+	start("a", 1000, /* lease_epoch */ 5);
+	worker.answer(LUG_ORDER_OK);
+	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
+}
+
+TEST_F(ExecutorStrayTest, TheNextProcessKeepsAnExtendedLeaseInItsRow)
+{
+	replace_process("{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":10200,\"txn\":\"x\","
+			"\"worker_id\":\"i\",\"worker_incarnation\":100}");
+	EXPECT_GE(row_ttl_ms(), 9000);
+}
+
+/* The reply was overtaken by a heartbeat of the next incarnation. */
+TEST_F(ExecutorStrayTest, AReplyOfAFormerIncarnationDoesNotReplaceThePresentOne)
+{
+	incarnation = 200;
+	heartbeat_seq = 0;
+	send_heartbeat();
+	incarnation = 100;
+	answer_poll();
+	incarnation = 200;
+	EXPECT_EQ(exec->worker_incarnation, 200u);
+	EXPECT_EQ(worker.polls.front().request.expires_ms, 0);
+}
+
+/* It may reach the next incarnation, for which the run is a new one. */
+TEST_F(ExecutorStrayTest, AStartIsNotRepeatedToTheNextIncarnation)
+{
+	start("a");
+	incarnation = 200;
+	heartbeat_seq = 0;
+	send_heartbeat();
+	worker.answer(LUG_ORDER_UNKNOWN);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+}
+} // namespace
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -34,7 +34,8 @@
 	/* A lease of 6 s, less 2 % for the drift of the agent's clock and 2 % for the worker's. */
 	EXPECT_LE(worker.orders[0].expires_ms, 5000 + 6000 * 98 / 100 * 98 / 100);
 	EXPECT_GT(worker.orders[0].expires_ms, 5000 + 5000);
-	EXPECT_EQ(worker.orders[0].token, 1u);
+	/* The lease epoch, and the number of the worker's restarts under it. */
+	EXPECT_EQ(worker.orders[0].token, 1u << 20);
 }
 
 TEST_F(ExecutorTest, StopsARunAfterUnansweredStartsAndKeepsItsReservation)
--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -140,6 +140,8 @@
 	EXPECT_TRUE(crashed.empty()) << "the next incarnation may have taken the start";
 	running = {{id("a"), 10}};
 	answer_poll();
+	/* The first one under the fencing token of the next incarnation. */
+	answer_poll();
 	EXPECT_EQ(beat().held, 1u);
 	EXPECT_TRUE(crashed.empty());
 }
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -38,6 +38,8 @@
 	/* Largest value that is stored. */
 	size_t row_max_bytes = 65536;
 	int refused_for_size = 0;
+	/* settle() leaves all calls open. */
+	bool is_silent = false;
 
 	FakeStore()
 	{
@@ -283,7 +285,7 @@
 	/* Answers all calls, including those that the callbacks make, until none is left. */
 	void settle()
 	{
-		while (!calls.empty())
+		while (!is_silent && !calls.empty())
 			answer_next();
 	}
 };
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -90,6 +90,23 @@
 	EXPECT_FALSE(is_claimed()) << state_row("a");
 }
 
+/* The agent's next process has to learn which incarnation of the worker the former one knew. */
+TEST_F(FleetTest, AFencedRowStillNamesTheWorker)
+{
+	claim_tasks();
+	store.put("w1|worker/w1", "{\"owner\":\"w1\",\"epoch\":1,\"ttl_ms\":6000,\"txn\":\"x\","
+				  "\"worker_id\":\"i\",\"worker_incarnation\":100}");
+	set_listed_us(lug_now_us() - UNLISTED_US);
+	EXPECT_TRUE(send_beat_without_lists(0));
+	check_leases();
+	w1()->lease_row_since_us = lug_now_us() - LAPSED_US;
+	check_leases();
+	EXPECT_TRUE(is_fenced());
+	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"worker_id\":\"i\""), std::string::npos);
+	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"worker_incarnation\":100"),
+		  std::string::npos);
+}
+
 TEST_F(FleetTest, WorkerWhoseLeaseIsRenewedIsNotFenced)
 {
 	claim_tasks();
--- /dev/null
+++ b/tests/unit/http_test.cc
@@ -0,0 +1,115 @@
+#include "lug.h"
+
+#include <atomic>
+#include <gio/gio.h>
+#include <sys/socket.h>
+
+extern "C" {
+#include "http/http.h"
+}
+
+namespace
+{
+/* Server that answers the first request of each connection, and closes or resets it at the second.
+ */
+struct ClosingServer {
+	GSocketService *service = g_threaded_socket_service_new(8);
+	bool resets;
+	std::atomic<int> requests{0};
+	std::atomic<int> connections{0};
+	std::string url;
+
+	static gboolean serve(GThreadedSocketService *, GSocketConnection *connection, GObject *,
+			      gpointer data)
+	{
+		static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+		auto *server = static_cast<ClosingServer *>(data);
+		GIOStream *stream = G_IO_STREAM(connection);
+		char buffer[4096];
+
+		server->connections++;
+		for (int i = 0; i < 2; i++) {
+			if (g_input_stream_read(g_io_stream_get_input_stream(stream), buffer,
+						sizeof(buffer), nullptr, nullptr) <= 0)
+				return TRUE;
+			server->requests++;
+			if (i == 0)
+				g_output_stream_write_all(g_io_stream_get_output_stream(stream),
+							  answer, strlen(answer), nullptr, nullptr,
+							  nullptr);
+		}
+		if (server->resets)
+			reset(g_socket_connection_get_socket(connection));
+		return TRUE;
+	}
+
+	static void reset(GSocket *socket)
+	{
+		struct linger none = {1, 0};
+
+		setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+	}
+
+	explicit ClosingServer(bool resets_second) : resets(resets_second)
+	{
+		guint16 port = g_socket_listener_add_any_inet_port(G_SOCKET_LISTENER(service),
+								   nullptr, nullptr);
+
+		url = "http://127.0.0.1:" + std::to_string(port);
+		g_signal_connect(service, "run", G_CALLBACK(serve), this);
+		g_socket_service_start(service);
+	}
+
+	~ClosingServer()
+	{
+		g_socket_service_stop(service);
+		g_object_unref(service);
+	}
+};
+
+/* Posts a request and returns the status code of its answer, 0 for none. */
+guint post(struct lug_http *http)
+{
+	struct lug_http_request request = {};
+	int status = -1;
+
+	request.method = "POST";
+	request.path = "/";
+	request.content_type = "application/json";
+	request.body = "{}";
+	request.len = 2;
+	request.timeout_ms = 2000;
+	request.idempotent = TRUE;
+	lug_http_send(
+		http, &request,
+		[](void *data, const struct lug_http_answer *answer) {
+			*static_cast<int *>(data) = (int)answer->http_status;
+		},
+		&status);
+	while (status < 0)
+		g_main_context_iteration(nullptr, TRUE);
+	return (guint)status;
+}
+
+/*
+ * Incident calls-to-a-former-incarnation: sent again, a call to a worker might reach its next
+ * incarnation. The library sends only GET and the like again, whatever "idempotent" says.
+ */
+struct HttpPostTest : public testing::TestWithParam<bool> {
+};
+
+TEST_P(HttpPostTest, APostIsNotSentAgainWhenItsReusedConnectionEnds)
+{
+	ClosingServer server(GetParam());
+	struct lug_http *http = lug_http_new(server.url.c_str(), nullptr, nullptr);
+
+	EXPECT_EQ(post(http), 200u);
+	EXPECT_EQ(post(http), 0u);
+	EXPECT_EQ(server.requests, 2);
+	EXPECT_EQ(server.connections, 1) << "the connection was not reused";
+	lug_http_free(http);
+}
+
+INSTANTIATE_TEST_SUITE_P(Http, HttpPostTest, testing::Values(false, true),
+			 [](const auto &variant) { return variant.param ? "Reset" : "Closed"; });
+} // namespace
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -117,6 +117,36 @@
 	lug_writer_tick(writer, now_us + 5000 * ms);
 	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_UNKNOWN});
 }
+
+/* Incident calls-to-a-former-incarnation: owners must not fence a lease that a worker may hold. */
+TEST_F(WriterTest, ARowThatIsHeldForLongerKeepsOthersOffUntilThen)
+{
+	struct lug_writer *writer = held_writer();
+	struct lug_row row;
+
+	lug_writer_hold(writer, 11500 * ms);
+	lug_writer_rewrite(writer, 1500 * ms);
+	store.settle();
+	EXPECT_EQ(lug_writer_renewed_us(writer), 1500 * ms);
+	EXPECT_LE(lug_writer_valid_until_us(writer), 4500 * ms)
+		<< "the holder's own lease is longer";
+	row = read_leased_row(store, "t");
+	EXPECT_FALSE(lug_writer_row_is_free(&row, 10000 * ms, 0));
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 10300 * ms, 0));
+	json_object_unref(row.data);
+	/* The next renewals state the rest of that time, and then the usual lease. */
+	lug_writer_tick(writer, 4000 * ms);
+	store.settle();
+	row = read_leased_row(store, "t");
+	EXPECT_FALSE(lug_writer_row_is_free(&row, 7500 * ms, 0));
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 7800 * ms, 0));
+	json_object_unref(row.data);
+	lug_writer_tick(writer, 10000 * ms);
+	store.settle();
+	row = read_leased_row(store, "t");
+	EXPECT_TRUE(lug_writer_row_is_free(&row, 3100 * ms, 0));
+	json_object_unref(row.data);
+}
 } // namespace
 
 TEST_F(WriterTest, TakesAbsentRowAndRenewsBeforeExpiry)
