A worker that starts again with its clock set back is no longer ignored

A job that only this worker can run never ran again; the agent polled the worker thousands of times a second.

Cause: replies to polls and heartbeats with a lower incarnation number than the highest one were ignored. The number is the time of day of the worker's start, which may have been set back.

Ruled out: the lease (held), owners (they follow the agent's lists).

Change: a reply is a former incarnation's only if the worker has restarted since the poll was sent. Otherwise the one that answers is the present one, and heartbeats are compared with it.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -95,7 +95,7 @@
 	fenced = exec->poll_token == exec_token(exec);
 	/* Until all ends are listed, a run of an earlier lease may be in neither list. */
 	complete = fenced && !reply->more_finished;
-	exec->heartbeat_incarnation = MAX(exec->heartbeat_incarnation, reply->incarnation);
+	exec->heartbeat_incarnation = reply->incarnation;
 	exec->clock_ms = reply->clock_ms;
 	exec->clock_at_us = now_us;
 	exec->clock_requested_us = exec->poll_sent_us;
@@ -151,14 +151,16 @@
 	exec->acknowledged_number = MAX(exec->acknowledged_number, exec->poll_acked);
 }
 
-/* Whether the worker has restarted since the poll, and an earlier incarnation sent the reply. */
+/*
+ * Whether the worker has restarted since the poll, and an earlier incarnation sent the reply. A
+ * reply to a poll that was sent after the restart is that of the present one, whatever its number:
+ * it is the time of day of its start, which may have been set back.
+ */
 static gboolean is_reply_of_former(const struct lug_executor *exec,
 				   const struct lug_worker_poll_reply *reply)
 {
-	gboolean restarted = exec->poll_incarnation != exec->worker_incarnation;
-
-	return exec->poll_incarnation && reply->incarnation < exec->worker_incarnation &&
-	       (restarted || reply->incarnation != exec->poll_incarnation);
+	return exec->poll_incarnation && exec->poll_incarnation != exec->worker_incarnation &&
+	       reply->incarnation < exec->worker_incarnation;
 }
 
 static void on_poll_reply(void *data, const struct lug_worker_poll_reply *reply)
