Outstanding calls: the field's term, and tokens for any epoch

Cause: the code spoke of stray calls, a term of its own. A lease row with an odd epoch (2^44 and more, the settings and readers accept up to 2^53) overflowed the fencing token, which then fell below the former one.

Change: calls without an answer are outstanding, also in names of files and functions. Epochs from 2^33 on have tokens that rise with the epoch alone.

ExecutorOutstandingTest.TheFencingTokenRisesWithEpochsThatLeaveNoRoomForRestarts failed with the plain shift (by its arithmetic, not run) and passes now; 229 unit tests pass, the linter is clean.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -280,7 +280,7 @@
 	if (exec->fenced_incarnation == exec->worker_incarnation)
 		exec_settle(exec, now_us);
 	else
-		exec_reckon_strays(exec, heartbeat->clock_ms, now_us);
+		exec_extend_lease(exec, heartbeat->clock_ms, now_us);
 	g_strlcpy(exec->service, heartbeat->service, sizeof(exec->service));
 	if (heartbeat->draining != exec->draining)
 		lug_info(exec->ctx, heartbeat->draining ? "worker_draining" : "worker_ready",
--- a/liblug/workflow/executor_stray.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -7,11 +7,13 @@
  * worker if that has the same id. There it starts or stops a run, or extends the lease up to the
  * longest one that a worker accepts, as the clocks of incarnations are not comparable. Fencing
  * tokens therefore rise with each incarnation. Once the new one has answered a poll, no call to a
- * former one is carried out any more; what was carried out before is reckoned with here.
+ * former one is carried out any more; this file allows for what was carried out before.
  */
 
 /* Restarts under one lease epoch that a fencing token can tell apart. */
 #define RESTART_BITS 20
+/* Only an odd row of the lease has a higher epoch, whose token does not tell restarts apart. */
+#define EPOCH_MAX (1ULL << 33)
 /* A call without an answer is carried out within this time or never. */
 #define LATE_CALL_US (30 * G_USEC_PER_SEC)
 
@@ -22,8 +24,11 @@
  */
 guint64 exec_token(const struct lug_executor *exec)
 {
-	return lug_writer_epoch(exec->writer) << RESTART_BITS |
-	       MIN(exec->restarts, (1u << RESTART_BITS) - 1);
+	guint64 epoch = lug_writer_epoch(exec->writer);
+
+	if (epoch >= EPOCH_MAX)
+		return (EPOCH_MAX << RESTART_BITS) + (epoch - EPOCH_MAX);
+	return epoch << RESTART_BITS | MIN(exec->restarts, (1u << RESTART_BITS) - 1);
 }
 
 /**
@@ -35,9 +40,9 @@
 }
 
 /**
- * exec_callee - id of the worker that calls are meant for, "" while it is not known
+ * exec_target_id - id of the worker that calls are meant for, "" while it is not known
  */
-const char *exec_callee(const struct lug_executor *exec)
+const char *exec_target_id(const struct lug_executor *exec)
 {
 	if (exec_is_id_known(exec))
 		return exec->worker_id;
@@ -64,33 +69,33 @@
 {
 	exec->grants_in_flight--;
 	if (result == LUG_ORDER_UNKNOWN)
-		exec_note_stray(exec, expires_ms, now_us);
+		exec_note_outstanding(exec, expires_ms, now_us);
 	else
 		exec->grant_answered_us = now_us;
 }
 
 /**
- * exec_note_stray - note a call that may yet be carried out
+ * exec_note_outstanding - note a call that may yet be carried out
  */
-void exec_note_stray(struct lug_executor *exec, gint64 expires_ms, gint64 now_us)
+void exec_note_outstanding(struct lug_executor *exec, gint64 expires_ms, gint64 now_us)
 {
-	if (now_us >= exec->stray_until_us)
-		exec->stray_expires_ms = 0;
-	exec->stray_expires_ms = MAX(exec->stray_expires_ms, expires_ms);
-	exec->stray_until_us = now_us + LATE_CALL_US;
+	if (now_us >= exec->outstanding_until_us)
+		exec->outstanding_expires_ms = 0;
+	exec->outstanding_expires_ms = MAX(exec->outstanding_expires_ms, expires_ms);
+	exec->outstanding_until_us = now_us + LATE_CALL_US;
 }
 
 /**
- * exec_note_strays_of_former - note the calls to the incarnation that a new one replaces
+ * exec_note_outstanding_of_former - note the calls to the incarnation that a new one replaces
  *
  * The former one has carried out a call that was answered less than EXEC_RESTART_MIN_US after it
  * was last known to be up. Any later answer may be that of the new one.
  */
-void exec_note_strays_of_former(struct lug_executor *exec, gint64 now_us)
+void exec_note_outstanding_of_former(struct lug_executor *exec, gint64 now_us)
 {
 	if (exec->grants_in_flight ||
 	    exec->grant_answered_us > exec->clock_requested_us + EXEC_RESTART_MIN_US)
-		exec_note_stray(exec, exec->grant_expires_ms, now_us);
+		exec_note_outstanding(exec, exec->grant_expires_ms, now_us);
 	exec->grant_expires_ms = 0;
 	exec->grant_answered_us = 0;
 }
@@ -102,20 +107,20 @@
 }
 
 /**
- * exec_reckon_strays - extend the lease that the present incarnation is assumed to hold by what
- * calls to a former one may have brought
+ * exec_extend_lease - extend the lease that the present incarnation is assumed to hold, as far as
+ * outstanding calls to a former one may have extended it
  * @exec: executor
  * @clock_ms: clock of the present incarnation, 0 for not known
  * @now_us: current time
  */
-void exec_reckon_strays(struct lug_executor *exec, gint64 clock_ms, gint64 now_us)
+void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us)
 {
 	gint64 max_ms = exec->ctx->settings->worker_lease_max_ms;
-	gint64 span_us = CLAMP(exec->stray_expires_ms - clock_ms, 0, max_ms) * 1000;
+	gint64 span_us = CLAMP(exec->outstanding_expires_ms - clock_ms, 0, max_ms) * 1000;
 	gint64 until_us = now_us + span_us + span_us / EXEC_CLOCK_DRIFT_DIVISOR;
 	char extended_ms[24];
 
-	if (!is_restart_under_same_id(exec) || now_us >= exec->stray_until_us ||
+	if (!is_restart_under_same_id(exec) || now_us >= exec->outstanding_until_us ||
 	    until_us <= exec->granted_until_us)
 		return;
 	g_snprintf(extended_ms, sizeof(extended_ms), "%" G_GINT64_FORMAT,
@@ -135,7 +140,7 @@
 	if (!exec_is_id_known(exec) || exec->fenced_incarnation != exec->worker_incarnation ||
 	    exec->settled_incarnation == exec->worker_incarnation)
 		return;
-	exec_reckon_strays(exec, exec->clock_ms, now_us);
+	exec_extend_lease(exec, exec->clock_ms, now_us);
 	g_free(exec->settled_id);
 	exec->settled_id = g_strdup(exec->worker_id);
 	exec->settled_incarnation = exec->worker_incarnation;
@@ -179,5 +184,5 @@
 	exec->settled_id = g_strdup(lug_json_str(row->data, "worker_id", ""));
 	exec->settled_incarnation =
 		(guint64)MAX(lug_json_int(row->data, "worker_incarnation", 0), 0);
-	exec_note_stray(exec, G_MAXINT64, now_us);
+	exec_note_outstanding(exec, G_MAXINT64, now_us);
 }
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -270,7 +270,7 @@
 static gboolean may_renew(const struct lug_executor *exec, gboolean known_up, gint64 now_us)
 {
 	/* The row has not been renewed since the latest poll that sent its end. */
-	if (!exec_is_settled(exec) || !*exec_callee(exec) ||
+	if (!exec_is_settled(exec) || !*exec_target_id(exec) ||
 	    lug_writer_valid_until_us(exec->writer) <= exec->renewed_until_us)
 		return FALSE;
 	if (known_up)
@@ -301,7 +301,7 @@
  */
 void exec_poll(struct lug_executor *exec, gint64 now_us)
 {
-	struct lug_worker_poll poll = {.token = exec_token(exec), .worker = exec_callee(exec)};
+	struct lug_worker_poll poll = {.token = exec_token(exec), .worker = exec_target_id(exec)};
 	gboolean known_up = is_known_up(exec, now_us);
 	guint64 acked;
 
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -6,8 +6,8 @@
 
 /*
  * Shared by the files that implement struct lug_executor: executor.c (lifecycle, reservations,
- * heartbeats of the worker), executor_lease.c (the worker's lease), executor_stray.c (calls that
- * the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
+ * heartbeats of the worker), executor_lease.c (the worker's lease), executor_outstanding.c (calls
+ * that the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
  * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
  * executor_run.c (starts and stops) and executor_report.c (messages to owners).
  */
@@ -242,9 +242,9 @@
  * @grants_in_flight: calls in flight that contain an end of the lease
  * @grant_expires_ms: latest end of the lease sent to the present incarnation, on its clock
  * @grant_answered_us: when a call that contains one was last answered
- * @stray_expires_ms: latest end of the lease in the calls that may yet be carried out, by the
+ * @outstanding_expires_ms: latest end of the lease in the calls that may yet be carried out, by the
  *                    incarnation that they were sent to or a later one; on the clock of the former
- * @stray_until_us: time after which none of these calls is carried out any more, 0 for none
+ * @outstanding_until_us: time after which none of these calls is carried out any more, 0 for none
  * @fenced_incarnation: incarnation that has answered a poll under the present fencing token, 0 for
  *                      none
  * @settled_id: id of the worker when it was last settled, see exec_settle(); "" for never
@@ -323,8 +323,8 @@
 	guint grants_in_flight;
 	gint64 grant_expires_ms;
 	gint64 grant_answered_us;
-	gint64 stray_expires_ms;
-	gint64 stray_until_us;
+	gint64 outstanding_expires_ms;
+	gint64 outstanding_until_us;
 	guint64 fenced_incarnation;
 	char *settled_id;
 	guint64 settled_incarnation;
@@ -363,14 +363,14 @@
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
 guint64 exec_token(const struct lug_executor *exec);
-const char *exec_callee(const struct lug_executor *exec);
+const char *exec_target_id(const struct lug_executor *exec);
 gboolean exec_is_id_known(const struct lug_executor *exec);
 void exec_note_grant(struct lug_executor *exec, gint64 expires_ms);
 void exec_note_grant_result(struct lug_executor *exec, gint64 expires_ms,
 			    enum lug_order_result result, gint64 now_us);
-void exec_note_stray(struct lug_executor *exec, gint64 expires_ms, gint64 now_us);
-void exec_note_strays_of_former(struct lug_executor *exec, gint64 now_us);
-void exec_reckon_strays(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
+void exec_note_outstanding(struct lug_executor *exec, gint64 expires_ms, gint64 now_us);
+void exec_note_outstanding_of_former(struct lug_executor *exec, gint64 now_us);
+void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
 void exec_settle(struct lug_executor *exec, gint64 now_us);
 gboolean exec_is_settled(const struct lug_executor *exec);
 void exec_fill_lease_row(void *data, JsonObject *row);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -155,7 +155,7 @@
 		return;
 	if (exec->worker_incarnation) {
 		log_restart(exec, incarnation, now_us);
-		exec_note_strays_of_former(exec, now_us);
+		exec_note_outstanding_of_former(exec, now_us);
 		exec->restarts++;
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
 		if (!exec->worker_exiting && !exec->draining)
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -35,7 +35,7 @@
 	memset(order, 0, sizeof(*order));
 	order->id = run->id;
 	order->token = exec_token(exec);
-	order->worker = exec_callee(exec);
+	order->worker = exec_target_id(exec);
 }
 
 static void log_run(struct lug_executor *exec, const char *event, const struct lug_run_id *id,
--- a/liblug/workflow/executor_throttle.c
+++ b/liblug/workflow/executor_throttle.c
@@ -74,7 +74,7 @@
 	struct lug_worker_order order = {
 		.id = run->id,
 		.token = exec_token(exec),
-		.worker = exec_callee(exec),
+		.worker = exec_target_id(exec),
 		.percent = percent,
 	};
 	struct throttle_call *call;
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -28,7 +28,7 @@
 	};
 	struct Poll {
 		struct lug_worker_poll request;
-		std::string callee;
+		std::string target;
 		lug_poll_reply_fn fn;
 		void *data;
 	};
--- a/tests/unit/executor_stray_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -12,7 +12,7 @@
 /* Longer than EXPIRED_ANSWER_TIMEOUT_US. */
 constexpr gint64 ANSWER_TIMEOUT_US = 1600 * 1000;
 
-struct ExecutorStrayTest : public ExecutorFixture {
+struct ExecutorOutstandingTest : public ExecutorFixture {
 	const gint64 *held = &ctx->metrics->gauges[LUG_G_TASKS_RUNNING];
 
 	/* Lets the next poll renew the lease: its row has been renewed. */
@@ -92,7 +92,7 @@
 	}
 };
 
-TEST_F(ExecutorStrayTest, TheFencingTokenRisesWithEachIncarnation)
+TEST_F(ExecutorOutstandingTest, TheFencingTokenRisesWithEachIncarnation)
 {
 	start("a");
 	guint64 token = worker.orders.back().token;
@@ -105,8 +105,22 @@
 	EXPECT_EQ(worker.orders.back().token, worker.polls.front().request.token);
 }
 
+/* An odd row may state any epoch up to LUG_EPOCH_MAX. */
+TEST_F(ExecutorOutstandingTest, TheFencingTokenRisesWithEpochsThatLeaveNoRoomForRestarts)
+{
+	guint64 last = exec_token(exec);
+
+	for (const char *epoch : {"8589934590", "8589934591", "9007199254740000"}) {
+		replace_process(
+			(std::string("{\"owner\":\"w1\",\"ttl_ms\":6000,\"epoch\":") + epoch + "}")
+				.c_str());
+		EXPECT_GT(exec_token(exec), last) << epoch;
+		last = exec_token(exec);
+	}
+}
+
 /* Until then, a late start may add a run. */
-TEST_F(ExecutorStrayTest, RunsAreNotListedBeforeAPollUnderTheTokenOfTheIncarnation)
+TEST_F(ExecutorOutstandingTest, RunsAreNotListedBeforeAPollUnderTheTokenOfTheIncarnation)
 {
 	guint64 epoch = 9;
 	auto note = [&](const Lug__WorkerBeat &beat) { epoch = beat.lease_epoch; };
@@ -120,15 +134,15 @@
 	EXPECT_EQ(epoch, 1u);
 }
 
-TEST_F(ExecutorStrayTest, CallsThatBringALeaseNameTheWorker)
+TEST_F(ExecutorOutstandingTest, CallsThatBringALeaseNameTheWorker)
 {
 	send_renewal();
-	EXPECT_EQ(worker.polls.front().callee, "i");
+	EXPECT_EQ(worker.polls.front().target, "i");
 	start("a");
 	EXPECT_EQ(worker.orders.back().worker, "i");
 }
 
-TEST_F(ExecutorStrayTest, APollThatWaitsBringsNoLease)
+TEST_F(ExecutorOutstandingTest, APollThatWaitsBringsNoLease)
 {
 	EXPECT_GT(worker.polls.front().request.wait_ms, 0);
 	EXPECT_EQ(worker.polls.front().request.expires_ms, 0);
@@ -136,7 +150,7 @@
 	EXPECT_EQ(worker.polls.front().request.wait_ms, 0);
 }
 
-TEST_F(ExecutorStrayTest, APollToAWorkerThatMayHaveRestartedBringsNoLease)
+TEST_F(ExecutorOutstandingTest, APollToAWorkerThatMayHaveRestartedBringsNoLease)
 {
 	send_renewal();
 	answer_poll(LUG_ORDER_UNKNOWN);
@@ -146,7 +160,7 @@
 	EXPECT_GT(worker.polls.front().request.expires_ms, 0) << "it has answered";
 }
 
-TEST_F(ExecutorStrayTest, ARestartExtendsTheLeaseIfARenewalHasNoAnswer)
+TEST_F(ExecutorOutstandingTest, ARestartExtendsTheLeaseIfARenewalHasNoAnswer)
 {
 	send_renewal();
 	answer_poll(LUG_ORDER_UNKNOWN);
@@ -157,7 +171,7 @@
 	EXPECT_FALSE(are_runs_held_after(LEASE_MAX_US + 1000));
 }
 
-TEST_F(ExecutorStrayTest, ARestartExtendsTheLeaseIfAStartHasNoAnswer)
+TEST_F(ExecutorOutstandingTest, ARestartExtendsTheLeaseIfAStartHasNoAnswer)
 {
 	start("s");
 	worker.orders.clear();
@@ -166,7 +180,7 @@
 	EXPECT_TRUE(are_runs_held_after(LEASE_MAX_US - 500 * 1000 - ANSWER_TIMEOUT_US));
 }
 
-TEST_F(ExecutorStrayTest, ARestartExtendsTheLeaseIfTheNextIncarnationHasAnsweredARenewal)
+TEST_F(ExecutorOutstandingTest, ARestartExtendsTheLeaseIfTheNextIncarnationHasAnsweredARenewal)
 {
 	send_renewal();
 	restart_worker();
@@ -175,7 +189,7 @@
 }
 
 /* Rule LOST: tasks of a worker that is lost after a restart wait no longer than others. */
-TEST_F(ExecutorStrayTest, ARestartDoesNotExtendTheLeaseIfAllCallsAreAnswered)
+TEST_F(ExecutorOutstandingTest, ARestartDoesNotExtendTheLeaseIfAllCallsAreAnswered)
 {
 	start("s");
 	worker.answer(LUG_ORDER_OK);
@@ -187,7 +201,7 @@
 	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
 }
 
-TEST_F(ExecutorStrayTest, ARestartUnderAnotherIdDoesNotExtendTheLease)
+TEST_F(ExecutorOutstandingTest, ARestartUnderAnotherIdDoesNotExtendTheLease)
 {
 	send_renewal();
 	answer_poll(LUG_ORDER_UNKNOWN);
@@ -198,7 +212,7 @@
 	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
 }
 
-TEST_F(ExecutorStrayTest, ARestartDoesNotExtendTheLeaseIfTheClockIsPastItsEnd)
+TEST_F(ExecutorOutstandingTest, ARestartDoesNotExtendTheLeaseIfTheClockIsPastItsEnd)
 {
 	send_renewal();
 	answer_poll(LUG_ORDER_UNKNOWN);
@@ -207,7 +221,7 @@
 	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
 }
 
-TEST_F(ExecutorStrayTest, StartsWaitUntilTheRowStatesTheExtendedLease)
+TEST_F(ExecutorOutstandingTest, StartsWaitUntilTheRowStatesTheExtendedLease)
 {
 	send_renewal();
 	answer_poll(LUG_ORDER_UNKNOWN);
@@ -227,13 +241,13 @@
 	EXPECT_EQ(answers.back(), std::make_pair(std::string("a#1"), LUG_NOT_RUN));
 }
 
-TEST_F(ExecutorStrayTest, TheRowNamesTheWorkerForTheNextProcess)
+TEST_F(ExecutorOutstandingTest, TheRowNamesTheWorkerForTheNextProcess)
 {
 	EXPECT_NE(row().find("\"worker_id\":\"i\""), std::string::npos) << row();
 	EXPECT_NE(row().find("\"worker_incarnation\":100"), std::string::npos) << row();
 }
 
-TEST_F(ExecutorStrayTest, TheNextProcessExtendsTheLeaseIfTheWorkerHasRestartedMeanwhile)
+TEST_F(ExecutorOutstandingTest, TheNextProcessExtendsTheLeaseIfTheWorkerHasRestartedMeanwhile)
 {
 	incarnation = 200;
 	replace_process("{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":6000,\"txn\":\"x\","
@@ -245,7 +259,7 @@
 	EXPECT_FALSE(are_runs_held_after(LEASE_MAX_US + 1000));
 }
 
-TEST_F(ExecutorStrayTest, TheNextProcessDoesNotExtendTheLeaseOfTheSameIncarnation)
+TEST_F(ExecutorOutstandingTest, TheNextProcessDoesNotExtendTheLeaseOfTheSameIncarnation)
 {
 	replace_process("{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":6000,\"txn\":\"x\","
 			"\"worker_id\":\"i\",\"worker_incarnation\":100}");
@@ -254,7 +268,7 @@
 	EXPECT_FALSE(are_runs_held_after(LEASE_US + 1000));
 }
 
-TEST_F(ExecutorStrayTest, TheNextProcessKeepsAnExtendedLeaseInItsRow)
+TEST_F(ExecutorOutstandingTest, TheNextProcessKeepsAnExtendedLeaseInItsRow)
 {
 	replace_process("{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":10200,\"txn\":\"x\","
 			"\"worker_id\":\"i\",\"worker_incarnation\":100}");
@@ -262,7 +276,7 @@
 }
 
 /* The reply was overtaken by a heartbeat of the next incarnation. */
-TEST_F(ExecutorStrayTest, AReplyOfAFormerIncarnationDoesNotReplaceThePresentOne)
+TEST_F(ExecutorOutstandingTest, AReplyOfAFormerIncarnationDoesNotReplaceThePresentOne)
 {
 	incarnation = 200;
 	heartbeat_seq = 0;
@@ -275,7 +289,7 @@
 }
 
 /* It may reach the next incarnation, for which the run is a new one. */
-TEST_F(ExecutorStrayTest, AStartIsNotRepeatedToTheNextIncarnation)
+TEST_F(ExecutorOutstandingTest, AStartIsNotRepeatedToTheNextIncarnation)
 {
 	start("a");
 	incarnation = 200;
