--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -41,7 +41,7 @@
 		return;
 	/*
 	 * Unanswered starts of the lease's former holder may still arrive. The worker rejects them
-	 * once a poll has brought it the new lease epoch, which is the fencing token.
+	 * once a poll has brought it the new lease epoch, the upper part of the fencing token.
 	 */
 	exec->confirmed_epoch = 0;
 	exec->fenced_incarnation = 0;
