The test of fencing tokens fails without the bound on epochs

Change: an epoch of 2^44 is among them. With the plain shift the token falls to 1048576 and the test fails; with the bound it passes.

--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -95,8 +95,8 @@
  * struct lug_worker_poll_reply - answer to a poll
  * @result: LUG_ORDER_OK, LUG_ORDER_FENCED or LUG_ORDER_UNKNOWN; other members are valid only with
  *          LUG_ORDER_OK
- * @incarnation: number of the worker's incarnation, higher after each restart; runs and ends don't
- *               outlive it
+ * @incarnation: number of the worker's incarnation, higher after each restart unless the clock was
+ *               set back; runs and ends don't outlive it
  * @clock_ms: the worker's clock
  * @running: array of struct lug_worker_running
  * @finished: array of struct lug_worker_finished not yet acknowledged, in order
@@ -149,7 +149,7 @@
  * @id: id of the worker
  * @service: service whose pool the worker belongs to
  * @zone: availability zone
- * @incarnation: number of the worker's incarnation, higher after each restart
+ * @incarnation: number of the worker's incarnation, see struct lug_worker_poll_reply
  * @seq: number of the heartbeat within the incarnation
  * @draining: the worker shuts down soon and takes no new runs
  * @clock_ms: the worker's clock when it sent the heartbeat, 0 when it is not known
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -110,7 +110,8 @@
 {
 	guint64 last = exec_token(exec);
 
-	for (const char *epoch : {"8589934590", "8589934591", "9007199254740000"}) {
+	for (const char *epoch :
+	     {"8589934590", "8589934591", "17592186044416", "9007199254740000"}) {
 		replace_process(
 			(std::string("{\"owner\":\"w1\",\"ttl_ms\":6000,\"epoch\":") + epoch + "}")
 				.c_str());
