A stopped run is removed by the first poll sent after its stop

Cause: the agent compared the time of the stop's answer with that of the next poll. Within one microsecond they are equal, and the poll counted as sent before. The run's room was free one poll later.

Change: polls are numbered, and a run notes the number of the latest poll.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -26,7 +26,7 @@
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
 		run->start_sent_us = now_us;
-		run->confirmed_us = now_us;
+		run->confirmed_poll = exec->n_polls;
 	}
 	run->listed = TRUE;
 	run->crashed = FALSE;
@@ -39,7 +39,7 @@
 	}
 	if (run->state == EXEC_STARTING && !run->call_in_flight) {
 		run->state = EXEC_RUNNING;
-		run->confirmed_us = now_us;
+		run->confirmed_poll = exec->n_polls;
 	}
 }
 
@@ -74,7 +74,7 @@
 	for (guint i = exec->runs->len; i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
-		if (run->listed || run->call_in_flight || run->confirmed_us >= exec->poll_sent_us ||
+		if (run->listed || run->call_in_flight || run->confirmed_poll >= exec->n_polls ||
 		    (run->state != EXEC_RUNNING && run->state != EXEC_STOPPED))
 			continue;
 		if (run->crashed)
@@ -319,6 +319,7 @@
 	    exec->confirmed_epoch == lug_writer_epoch(exec->writer))
 		poll.wait_ms = POLL_WAIT_MS;
 	exec->poll_in_flight = TRUE;
+	exec->n_polls++;
 	exec->poll_sent_us = now_us;
 	exec->poll_token = poll.token;
 	exec->poll_expires_ms = poll.expires_ms;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -60,7 +60,7 @@
  * @checkpoint: latest checkpoint
  * @progress_percent: reported progress of the task, in percent of its work
  * @metric: reported tail latency of a serving task in ms, millicores in use for other tasks
- * @confirmed_us: time at which the worker confirmed the start or the stop
+ * @confirmed_poll: number of the latest poll sent before the worker confirmed the start or the stop
  * @stop_retry_us: time at which to repeat the stop, 0 for never
  * @listed: the latest poll lists the run
  * @best_effort: its cores are not reserved
@@ -101,7 +101,7 @@
 	char *checkpoint;
 	guint32 progress_percent;
 	gint64 metric;
-	gint64 confirmed_us;
+	guint64 confirmed_poll;
 	gint64 stop_retry_us;
 	gboolean listed;
 	gboolean best_effort;
@@ -220,6 +220,7 @@
  * @capacity_clock_ms: the worker's clock when it was sent, 0 for not known
  * @labels: kind and rack of the worker
  * @poll_in_flight: a poll is in flight
+ * @n_polls: number of polls sent, which is the number of the latest
  * @fallback_poll_us: time from which the tick sends a poll, after a failed poll or when @poll_timer
  *                    has not sent one
  * @poll_timer: source id of the scheduled poll, 0 for none
@@ -304,6 +305,7 @@
 	gint64 capacity_clock_ms;
 	char **labels;
 	gboolean poll_in_flight;
+	guint64 n_polls;
 	gint64 fallback_poll_us;
 	guint poll_timer;
 	gboolean closed;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -62,7 +62,7 @@
 		return;
 	}
 	run->stop_retry_us = 0;
-	run->confirmed_us = lug_now_us();
+	run->confirmed_poll = exec->n_polls;
 	run->state = EXEC_STOPPED;
 }
 
@@ -120,7 +120,7 @@
 		run->start_confirmed = TRUE;
 		exec_record_shares(exec, lug_now_us());
 		run->state = EXEC_RUNNING;
-		run->confirmed_us = lug_now_us();
+		run->confirmed_poll = exec->n_polls;
 		exec_replan_shares(exec, run);
 		exec_answer_start(exec, run->shard, &run->id, LUG_OK);
 		/* The stop was requested while the start was in flight. */
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -15,9 +15,13 @@
 struct ExecutorOutstandingTest : public ExecutorFixture {
 	const gint64 *held = &ctx->metrics->gauges[LUG_G_TASKS_RUNNING];
 
-	/* Lets the next poll renew the lease: its row has been renewed. */
+	/*
+	 * Lets the next poll renew the lease: its row has been renewed, later than in SetUp() on a
+	 * clock of microseconds.
+	 */
 	void send_renewal()
 	{
+		g_usleep(1000);
 		lug_writer_rewrite(exec->writer, lug_now_us());
 		store.settle();
 		answer_poll();
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -56,9 +56,24 @@
 	EXPECT_EQ(answers.back(), std::make_pair(std::string("c#1"), LUG_OVER_LIMIT));
 	answer_poll();
 	start("d", 3000);
+	ASSERT_FALSE(worker.orders.empty());
 	EXPECT_EQ(worker.orders.back().kind, "start");
 }
 
+/* The answer to the stop and the next poll may fall into the same microsecond. */
+TEST_F(ExecutorTest, RemovesAStoppedRunWithTheFirstPollSentAfterTheStop)
+{
+	for (int i = 0; i < 100; i++) {
+		start(("a" + std::to_string(i)).c_str(), 3000);
+		ASSERT_FALSE(worker.orders.empty()) << "the run before it is still there";
+		worker.answer(LUG_ORDER_OK);
+		exec_stop_run(exec, (struct exec_run *)g_ptr_array_index(exec->runs, 0));
+		worker.answer(LUG_ORDER_OK);
+		answer_poll();
+		answer_poll();
+	}
+}
+
 TEST_F(ExecutorTest, StopsARunRefusedAfterAnUnansweredStart)
 {
 	start("a", 3000);
