A row that was in flight no longer counts as rewritten

Cause: an agent takes starts for a restarted worker once the row of its lease states the extended lease. It compared the time of the request with that at which the last committed transaction was sent; one that was sent before the request, in the same microsecond, counted.

Ruled out: the obsolete ends of owners (shard_ack.c) compare times too, but a transaction is carried out after it was sent, so equal times are harmless there.

Change: lug_writer_rewrite() returns the number of the first transaction that states the change, and lug_writer_is_written() takes it.

--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -48,7 +48,8 @@
  * @release_requested: release the lease once no operation is left
  * @txn_id: id of the present transaction, stored in the row
  * @prev_txn_id: id found in the row when the lease was taken, stored in the row
- * @txn_count: transactions built by this writer
+ * @txn_count: transactions built by this writer, which is the number of the present one
+ * @written_txn: number of the last committed transaction
  * @version: version of the row that the present transaction checks
  * @epoch: epoch of the lease
  * @total: counter kept in the row, as of the last commit
@@ -79,6 +80,7 @@
 	char txn_id[48];
 	char prev_txn_id[48];
 	guint64 txn_count;
+	guint64 written_txn;
 	gint64 version;
 	guint64 epoch;
 	gint64 total;
@@ -231,6 +233,7 @@
 	writer->total = next_total(writer);
 	writer->valid_until_us = writer->first_sent_us + writer->config.ttl_ms * 1000;
 	writer->renewed_us = writer->first_sent_us;
+	writer->written_txn = writer->txn_count;
 	writer->retry_delay_ms = RETRY_MIN_MS;
 	writer->ops_max = MIN(writer->ops_max * 2, WRITER_OPS_MAX);
 	writer->io_state = IO_IDLE;
@@ -596,12 +599,26 @@
  * @writer: writer
  * @now_us: current time
  *
- * lug_writer_renewed_us() returns this time or a later one once that is done.
+ * Return: number that lug_writer_is_written() takes. A transaction that is in flight already does
+ * not count.
  */
-void lug_writer_rewrite(struct lug_writer *writer, gint64 now_us)
+guint64 lug_writer_rewrite(struct lug_writer *writer, gint64 now_us)
 {
+	guint64 number = writer->txn_count + 1;
+
 	writer->rewrite_requested = TRUE;
 	lug_writer_tick(writer, now_us);
+	return number;
+}
+
+/**
+ * lug_writer_is_written - whether the leased row has been written since a request to rewrite it
+ * @writer: writer
+ * @number: what lug_writer_rewrite() has returned, 0 for any row
+ */
+gboolean lug_writer_is_written(const struct lug_writer *writer, guint64 number)
+{
+	return writer->written_txn >= number;
 }
 
 /**
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -144,8 +144,7 @@
 	g_free(exec->settled_id);
 	exec->settled_id = g_strdup(exec->worker_id);
 	exec->settled_incarnation = exec->worker_incarnation;
-	exec->settled_us = now_us;
-	lug_writer_rewrite(exec->writer, now_us);
+	exec->settled_txn = lug_writer_rewrite(exec->writer, now_us);
 }
 
 /**
@@ -155,7 +154,7 @@
 gboolean exec_is_settled(const struct lug_executor *exec)
 {
 	return exec->settled_incarnation == exec->worker_incarnation &&
-	       lug_writer_renewed_us(exec->writer) >= exec->settled_us;
+	       lug_writer_is_written(exec->writer, exec->settled_txn);
 }
 
 /**
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -250,7 +250,8 @@
  *                      none
  * @settled_id: id of the worker when it was last settled, see exec_settle(); "" for never
  * @settled_incarnation: incarnation that was settled last, by this process or a former one
- * @settled_us: time at which this process has settled it, 0 for a former process
+ * @settled_txn: number of the transaction by which this process states that, see
+ *               lug_writer_rewrite(); 0 for a former process
  * @last_answer_us: time of the latest answer to a poll
  * @acked_end_number: ends up to this number are stored by the owners of their shards
  * @acknowledged_number: ends up to this number are acknowledged to the worker
@@ -330,7 +331,7 @@
 	guint64 fenced_incarnation;
 	char *settled_id;
 	guint64 settled_incarnation;
-	gint64 settled_us;
+	guint64 settled_txn;
 	gint64 last_answer_us;
 	guint64 acked_end_number;
 	guint64 acknowledged_number;
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -147,6 +147,23 @@
 	EXPECT_TRUE(lug_writer_row_is_free(&row, 3100 * ms, 0));
 	json_object_unref(row.data);
 }
+
+/* The row that is in flight does not state what has changed since it was sent, however lately. */
+TEST_F(WriterTest, ARowInFlightDoesNotCountAsRewritten)
+{
+	struct lug_writer *writer = held_writer();
+	guint64 number = lug_writer_rewrite(writer, 1500 * ms);
+	guint64 next;
+
+	EXPECT_FALSE(lug_writer_is_written(writer, number));
+	next = lug_writer_rewrite(writer, 1500 * ms);
+	store.answer_next();
+	EXPECT_TRUE(lug_writer_is_written(writer, number));
+	EXPECT_FALSE(lug_writer_is_written(writer, next));
+	lug_writer_tick(writer, 1500 * ms);
+	store.settle();
+	EXPECT_TRUE(lug_writer_is_written(writer, next));
+}
 } // namespace
 
 TEST_F(WriterTest, TakesAbsentRowAndRenewsBeforeExpiry)
