--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -13,17 +13,6 @@
 /* Consecutive polls that an exited worker does not accept; a single one may have been reset. */
 #define EXIT_BROKEN_POLLS 2
 
-/*
- * Time after which no lease that a former process sent to the worker is valid. No such lease lasts
- * longer than the row that this process has taken over just now.
- */
-static gint64 former_grants_end_us(const struct lug_executor *exec)
-{
-	gint64 ttl_us = MAX(exec->ctx->settings->worker_lease_ms, exec->former_ttl_ms) * 1000;
-
-	return lug_now_us() + ttl_us + ttl_us / EXEC_CLOCK_DRIFT_DIVISOR;
-}
-
 /**
  * exec_on_lease_event - callback of the writer of the lease's row
  */
@@ -46,7 +35,6 @@
 	exec->confirmed_epoch = 0;
 	exec->fenced_incarnation = 0;
 	exec->restarts = 0;
-	exec->granted_until_us = MAX(exec->granted_until_us, former_grants_end_us(exec));
 	exec_poll(exec, lug_now_us());
 }
 
@@ -95,11 +83,52 @@
 	gint64 until_us = lug_writer_valid_until_us(exec->writer);
 	gint64 span_us = until_us - exec->clock_at_us;
 
-	if (!lug_writer_is_held(exec->writer) || !exec->clock_at_us || span_us <= 0)
+	if (!exec_may_grant(exec) || !lug_writer_is_held(exec->writer) || !exec->clock_at_us ||
+	    span_us <= 0)
 		return 0;
 	return exec->clock_ms + (span_us - span_us / EXEC_CLOCK_DRIFT_DIVISOR) / 1000;
 }
 
+/**
+ * exec_pause_grants - grant no further lease to a worker that is silent
+ *
+ * The row then states for how long the worker may hold the present one. Without that, each further
+ * process of the agent would have to allow for a lease granted just before it was started.
+ */
+void exec_pause_grants(struct lug_executor *exec, gint64 now_us)
+{
+	char left_ms[24];
+
+	if (exec->grants_paused)
+		return;
+	g_snprintf(left_ms, sizeof(left_ms), "%" G_GINT64_FORMAT,
+		   MAX(exec->granted_until_us - now_us, 0) / 1000);
+	lug_info(exec->ctx, "lease_paused", "worker", exec->ctx->settings->name, "left_ms", left_ms,
+		 "reason", "the worker does not answer");
+	exec->grants_paused = TRUE;
+	lug_writer_rewrite(exec->writer, now_us);
+}
+
+/**
+ * exec_resume_grants - allow calls with an end of the lease again, once the row states that
+ */
+void exec_resume_grants(struct lug_executor *exec, gint64 now_us)
+{
+	if (!exec->grants_paused)
+		return;
+	lug_info(exec->ctx, "lease_resumed", "worker", exec->ctx->settings->name);
+	exec->grants_paused = FALSE;
+	exec->resumed_txn = lug_writer_rewrite(exec->writer, now_us);
+}
+
+/**
+ * exec_may_grant - whether a call may contain an end of the lease
+ */
+gboolean exec_may_grant(const struct lug_executor *exec)
+{
+	return !exec->grants_paused && lug_writer_is_written(exec->writer, exec->resumed_txn);
+}
+
 /**
  * exec_release_idle_lease - release the lease of an agent that shuts down, once nothing depends on
  * it
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -163,9 +163,12 @@
 void exec_fill_lease_row(void *data, JsonObject *row)
 {
 	const struct lug_executor *exec = data;
+	gint64 left_us = exec->granted_until_us - lug_now_us();
 
 	json_object_set_string_member(row, "worker_id", exec->settled_id);
 	json_object_set_int_member(row, "worker_incarnation", (gint64)exec->settled_incarnation);
+	if (exec->grants_paused)
+		json_object_set_int_member(row, "lease_left_ms", MAX(left_us, 0) / 1000 + 1);
 }
 
 /**
@@ -175,8 +178,17 @@
  */
 void exec_adopt_lease_row(struct lug_executor *exec, const struct lug_row *row, gint64 now_us)
 {
-	exec->former_ttl_ms = lug_json_int(row->data, "ttl_ms", 0);
-	lug_writer_hold(exec->writer, now_us + exec->former_ttl_ms * 1000);
+	gint64 ttl_ms = MAX(lug_json_int(row->data, "ttl_ms", 0), 0);
+	gint64 left_ms = lug_json_int(row->data, "lease_left_ms", -1);
+
+	exec->grants_paused = left_ms >= 0;
+	if (exec->grants_paused)
+		ttl_ms = MIN(left_ms, ttl_ms);
+	else
+		ttl_ms = MAX(ttl_ms, exec->ctx->settings->worker_lease_ms);
+	exec->granted_until_us = MAX(exec->granted_until_us,
+				     now_us + (ttl_ms + ttl_ms / EXEC_CLOCK_DRIFT_DIVISOR) * 1000);
+	lug_writer_hold(exec->writer, now_us + ttl_ms * 1000);
 	if (exec->settled_incarnation || !row->version)
 		return;
 	g_free(exec->settled_id);
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -177,6 +177,8 @@
 				 "polling again; the lease is acquired anew once its row is lost");
 		if (!exec->failed_polls++)
 			note_silence(exec, now_us);
+		if (exec->failed_polls >= MAX_FAILED_POLLS)
+			exec_pause_grants(exec, now_us);
 		exec->failed_poll_sent_us = exec->poll_sent_us;
 		exec->fallback_poll_us = now_us + POLL_RETRY_US;
 		return;
@@ -189,6 +191,7 @@
 	exec->failed_polls = 0;
 	exec->silent_since_us = 0;
 	exec->worker_down = FALSE;
+	exec_resume_grants(exec, now_us);
 	exec_schedule_poll(exec, exec_has_unacked_ends(exec) ? UNACKED_POLL_US : 0, now_us);
 }
 
@@ -270,7 +273,7 @@
 static gboolean may_renew(const struct lug_executor *exec, gboolean known_up, gint64 now_us)
 {
 	/* The row has not been renewed since the latest poll that sent its end. */
-	if (!exec_is_settled(exec) || !*exec_target_id(exec) ||
+	if (!exec_is_settled(exec) || !exec_may_grant(exec) || !*exec_target_id(exec) ||
 	    lug_writer_valid_until_us(exec->writer) <= exec->renewed_until_us)
 		return FALSE;
 	if (known_up)
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -202,7 +202,6 @@
  * @acquiring_lease: an attempt to acquire the lease is in flight
  * @lease_held: the latest lease event was LUG_WRITER_TAKEN; unlike lug_writer_is_held(), still TRUE
  *              while the release is being committed
- * @former_ttl_ms: duration of the lease of the former holder, 0 for none
  * @next_acquire_us: earliest time of the next attempt to acquire the lease
  * @worker_id: id in the worker's latest heartbeat, "" before the first
  * @id_incarnation: incarnation that has that id
@@ -239,6 +238,10 @@
  * @clock_requested_us: time at which the poll was sent whose answer contained @clock_ms
  * @granted_until_us: time after which no lease sent to the worker, by this process or a former
  *                    one, is valid
+ * @grants_paused: no call may contain an end of the lease, and the row states how long the worker
+ *                 may hold the one that it has, see exec_pause_grants()
+ * @resumed_txn: number of the transaction that must be written before such a call, see
+ *               lug_writer_rewrite()
  * @renewed_until_us: end of the lease in the latest poll that the worker has answered
  * @grants_in_flight: calls in flight that contain an end of the lease
  * @grant_expires_ms: latest end of the lease sent to the present incarnation, on its clock
@@ -288,7 +291,6 @@
 	guint64 last_local_id;
 	gboolean acquiring_lease;
 	gboolean lease_held;
-	gint64 former_ttl_ms;
 	gint64 next_acquire_us;
 	char *worker_id;
 	guint64 id_incarnation;
@@ -322,6 +324,8 @@
 	gint64 clock_at_us;
 	gint64 clock_requested_us;
 	gint64 granted_until_us;
+	gboolean grants_paused;
+	guint64 resumed_txn;
 	gint64 renewed_until_us;
 	guint grants_in_flight;
 	gint64 grant_expires_ms;
@@ -355,6 +359,9 @@
 
 void exec_on_lease_event(void *data, enum lug_writer_event event);
 void exec_acquire_lease(struct lug_executor *exec, gint64 now_us);
+void exec_pause_grants(struct lug_executor *exec, gint64 now_us);
+void exec_resume_grants(struct lug_executor *exec, gint64 now_us);
+gboolean exec_may_grant(const struct lug_executor *exec);
 void exec_release_idle_lease(struct lug_executor *exec, gint64 now_us);
 void exec_poll(struct lug_executor *exec, gint64 now_us);
 void exec_schedule_poll(struct lug_executor *exec, gint64 after_us, gint64 now_us);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -174,5 +174,6 @@
 	exec->last_end_number = 0;
 	exec->clock_at_us = 0;
 	exec->confirmed_epoch = 0;
+	exec_resume_grants(exec, now_us);
 	exec->failures = 0;
 }
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -134,7 +134,7 @@
 	}
 	log_run(exec, "start_unanswered", &run->id, "no answer from the worker");
 	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
-	    incarnation == exec->worker_incarnation) {
+	    incarnation == exec->worker_incarnation && exec_may_grant(exec)) {
 		send_start(exec, run);
 		return;
 	}
