--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -368,6 +368,7 @@
 	worker->generation = beat->generation;
 	worker->route = *route;
 	worker->last_beat_us = now_us;
+	worker->inherited_version = 0;
 	g_strlcpy(worker->service, beat->service ? beat->service : "", sizeof(worker->service));
 	g_strlcpy(worker->zone, beat->zone ? beat->zone : "", sizeof(worker->zone));
 	g_strfreev(worker->labels);
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -63,6 +63,9 @@
  * @exit_announced: the former incarnation of the worker had announced its exit
  * @lease_row_version: version of the lease's row while a list of the worker's runs is awaited
  * @lease_row_since_us: time since which the row has had that version
+ * @inherited_version: version that the former owner of a shard has seen, 0 for none; see
+ *                     lug_fleet_inherit_leases()
+ * @inherited_since_us: time since which the row has had that version, at least
  * @next_lease_check_us: earliest time to check whether a list is awaited, and read the row if so
  * @lease_call_in_flight: a read or a write of the row is in flight
  */
@@ -98,6 +101,8 @@
 	gboolean exit_announced;
 	gint64 lease_row_version;
 	gint64 lease_row_since_us;
+	gint64 inherited_version;
+	gint64 inherited_since_us;
 	gint64 next_lease_check_us;
 	gboolean lease_call_in_flight;
 };
@@ -146,6 +151,8 @@
 void lug_fleet_add_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step);
 void lug_fleet_remove_unconfirmed(struct lug_fleet_worker *worker, const struct lug_step *step);
 void lug_fleet_set_used(struct lug_fleet_worker *worker, const struct lug_resources *used);
+void lug_fleet_add_watched_leases(const struct lug_fleet *fleet, JsonObject *row, gint64 now_us);
+void lug_fleet_inherit_leases(struct lug_fleet *fleet, JsonObject *row, gint64 now_us);
 void lug_fleet_tick(struct lug_fleet *fleet, gint64 now_us);
 
 #endif
--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -10,6 +10,10 @@
 #define FENCE_MARGIN_US (300 * 1000)
 /* The rates of two instances' clocks differ by less than one part in 50 (2 %). */
 #define CLOCK_DRIFT_DIVISOR 50
+/* Longer than any lease of a worker. */
+#define WATCHED_MAX_MS (60 * 1000)
+/* Leases that the row of a shard names at most. */
+#define WATCHED_LEASES_MAX 64
 /* Stands for the version of a row that does not exist; 0 is that of a row not yet read. */
 #define LEASE_ROW_ABSENT (-1)
 
@@ -122,7 +126,11 @@
 	if (version != worker->lease_row_version) {
 		worker->lease_row_version = version;
 		worker->lease_row_since_us = now_us;
-		return;
+		if (version != worker->inherited_version) {
+			worker->inherited_version = 0;
+			return;
+		}
+		worker->lease_row_since_us = worker->inherited_since_us;
 	}
 	unchanged_us = now_us - worker->lease_row_since_us - FENCE_MARGIN_US;
 	if (!row->version)
@@ -141,13 +149,19 @@
 	return fleet->hooks.unlisted_us(fleet->hooks.data, worker->name, now_us);
 }
 
-/* The agent of a worker with claims is silent, or lives but does not list its runs. */
+/*
+ * The agent of a worker with claims is silent, or lives but does not list its runs, for this
+ * process or already for the former owner of a shard.
+ */
 static gboolean is_list_awaited(const struct lug_fleet *fleet,
 				const struct lug_fleet_worker *worker, gint64 now_us)
 {
 	gint64 since_us = fleet_unlisted_us(fleet, worker, now_us);
 
-	return since_us >= 0 && MAX(since_us, now_us - worker->last_beat_us) >= FLEET_SILENT_US;
+	if (since_us < 0)
+		return FALSE;
+	return worker->inherited_version ||
+	       MAX(since_us, now_us - worker->last_beat_us) >= FLEET_SILENT_US;
 }
 
 static void on_lease_row(void *data, enum lug_status status, const struct lug_row *rows,
@@ -193,3 +207,81 @@
 	lug_store_scan(get_partition(fleet, worker->name), LEASE_TABLE, worker->name, NULL, 1,
 		       on_lease_row, lease_call_new(fleet, worker->name, worker->lease_epoch));
 }
+
+/* What is known of the lease of a silent worker; NULL if nothing is. */
+static JsonObject *watched_lease(const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	gboolean read = worker->lease_row_version != 0;
+	gint64 version = read ? worker->lease_row_version : worker->inherited_version;
+	gint64 since_us = read ? worker->lease_row_since_us : worker->inherited_since_us;
+	JsonObject *lease;
+
+	if (version <= 0)
+		return NULL;
+	lease = json_object_new();
+	json_object_set_string_member(lease, "worker", worker->name);
+	json_object_set_int_member(lease, "version", version);
+	json_object_set_int_member(lease, "unchanged_ms", (now_us - since_us) / 1000);
+	return lease;
+}
+
+/**
+ * lug_fleet_add_watched_leases - add to the row of a shard what is known of the leases of silent
+ * workers: the version of the lease's row, and the time since it was first seen
+ * @fleet: fleet
+ * @row: row, for the shard's next owner
+ * @now_us: current time
+ */
+void lug_fleet_add_watched_leases(const struct lug_fleet *fleet, JsonObject *row, gint64 now_us)
+{
+	JsonArray *leases = json_array_new();
+
+	for (guint i = 0; i < fleet->list->len; i++) {
+		JsonObject *lease = watched_lease(g_ptr_array_index(fleet->list, i), now_us);
+
+		if (lease && json_array_get_length(leases) < WATCHED_LEASES_MAX)
+			json_array_add_object_element(leases, lease);
+		else if (lease)
+			json_object_unref(lease);
+	}
+	if (json_array_get_length(leases))
+		json_object_set_array_member(row, "watched_leases", leases);
+	else
+		json_array_unref(leases);
+}
+
+static void inherit_lease(struct lug_fleet *fleet, JsonObject *lease, gint64 now_us)
+{
+	const char *name = lug_json_str(lease, "worker", "");
+	gint64 version = lug_json_int(lease, "version", 0);
+	gint64 unchanged_ms = lug_json_int(lease, "unchanged_ms", 0);
+	gint64 since_us = now_us - CLAMP(unchanged_ms, 0, WATCHED_MAX_MS) * 1000;
+	struct lug_fleet_worker *worker;
+
+	if (!*name || strlen(name) > LUG_NAME_MAX || version <= 0)
+		return;
+	worker = lug_fleet_get(fleet, name, now_us);
+	if (lug_fleet_is_live(worker, now_us) || version < worker->inherited_version)
+		return;
+	if (version == worker->inherited_version)
+		since_us = MIN(since_us, worker->inherited_since_us);
+	worker->inherited_version = version;
+	worker->inherited_since_us = since_us;
+}
+
+/**
+ * lug_fleet_inherit_leases - take over what the former owner of a shard knew of the leases of
+ * silent workers
+ * @fleet: fleet
+ * @row: row of the shard, may be NULL
+ * @now_us: time at which it was read
+ *
+ * The table service never uses a version twice: a row that has it still has not changed meanwhile.
+ */
+void lug_fleet_inherit_leases(struct lug_fleet *fleet, JsonObject *row, gint64 now_us)
+{
+	JsonArray *leases = lug_json_arr(row, "watched_leases");
+
+	for (guint i = 0; leases && i < json_array_get_length(leases); i++)
+		inherit_lease(fleet, lug_json_item_obj(leases, i), now_us);
+}
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -249,6 +249,7 @@
 	struct lug_shard *shard = data;
 
 	json_object_set_string_member(row, "address", shard->shared.ctx->settings->advertise);
+	lug_fleet_add_watched_leases(shard->shared.fleet, row, lug_now_us());
 }
 
 /*
@@ -407,6 +408,7 @@
  */
 void lug_shard_take(struct lug_shard *shard, const struct lug_row *seen, gint64 now_us)
 {
+	lug_fleet_inherit_leases(shard->shared.fleet, seen->data, now_us);
 	lug_writer_take(shard->writer, seen, now_us);
 }
 
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -233,4 +233,93 @@
 	EXPECT_TRUE(send_beat_without_lists(5, 800));
 	EXPECT_FALSE(send_beat_without_lists(4, 700));
 }
+
+/* Incident lease-watch-begun-anew: each new owner watched the lease of a lost worker from the
+ * start. */
+struct HandOverTest : public FleetTest {
+	/* The shard's row as the former owner left it; its state has claims for w1. */
+	void take_shard_after(gint64 unchanged_ms, gint64 versions_ago = 0)
+	{
+		gint64 version;
+
+		claim_tasks();
+		version = lease_version() - versions_ago;
+		lug_shard_free(shard);
+		lug_fleet_free(fleet);
+		store.calls.clear();
+		create_shard();
+		store.put("0|shard/0",
+			  "{\"owner\":\"o\",\"epoch\":7,\"ttl_ms\":1,\"txn\":\"x\","
+			  "\"watched_leases\":[3,{\"worker\":7},{\"worker\":\"w1\",\"version\":" +
+				  std::to_string(version) +
+				  ",\"unchanged_ms\":" + std::to_string(unchanged_ms) + "}]}");
+		take_shard();
+		run_rounds();
+	}
+
+	gint64 lease_version()
+	{
+		return store.version("w1|worker/w1");
+	}
+
+	std::string shard_row()
+	{
+		return store.rows["0|shard/0"].data;
+	}
+};
+
+TEST_F(HandOverTest, AnOwnerCountsTheTimeThatTheFormerOneHasSeen)
+{
+	take_shard_after(LAPSED_US / 1000);
+	check_leases();
+	EXPECT_TRUE(is_fenced());
+	EXPECT_FALSE(is_claimed()) << state_row("a");
+}
+
+TEST_F(HandOverTest, AnOwnerFencesNoLeaseBeforeItHasExpired)
+{
+	take_shard_after(LAPSED_US / 1000 - 600);
+	check_leases();
+	check_leases();
+	EXPECT_FALSE(is_fenced());
+}
+
+TEST_F(HandOverTest, AnOwnerDoesNotCountTheTimeOfAnEarlierRow)
+{
+	take_shard_after(LAPSED_US / 1000, /* versions_ago */ 1);
+	check_leases();
+	check_leases();
+	EXPECT_FALSE(is_fenced());
+	EXPECT_TRUE(is_claimed());
+}
+
+TEST_F(HandOverTest, AHeartbeatEndsTheWatch)
+{
+	take_shard_after(LAPSED_US / 1000);
+	EXPECT_TRUE(send_beat_without_lists(1));
+	check_leases();
+	check_leases();
+	EXPECT_FALSE(is_fenced());
+}
+
+TEST_F(HandOverTest, AnOwnerStatesWhatItKnowsInItsFirstRowAndAfterThat)
+{
+	take_shard_after(3000);
+	EXPECT_NE(shard_row().find("\"version\":" + std::to_string(lease_version())),
+		  std::string::npos)
+		<< shard_row();
+	check_leases();
+	lug_shard_release(shard, lug_now_us());
+	run_rounds();
+	EXPECT_NE(shard_row().find("\"owner\":\"\""), std::string::npos) << shard_row();
+	EXPECT_NE(shard_row().find("\"unchanged_ms\":3"), std::string::npos) << shard_row();
+}
+
+TEST_F(HandOverTest, TheRowNamesNoLeaseOfAWorkerThatIsHeard)
+{
+	claim_tasks();
+	lug_shard_release(shard, lug_now_us());
+	run_rounds();
+	EXPECT_EQ(shard_row().find("watched_leases"), std::string::npos) << shard_row();
+}
 } // namespace
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -67,9 +67,7 @@
 
 	void SetUp() override
 	{
-		struct lug_fleet_hooks hooks = {on_worker_lost, unlisted_us, this};
 		struct lug_config_source source = {"op", "config", make_queues};
-		struct lug_shard_env shared = {};
 
 		store.put("op/config", "{\"version\":1}");
 		link = lug_link_new(ctx, ignore_message, nullptr, nullptr);
@@ -77,6 +75,15 @@
 		config = lug_config_new(ctx, &store.base, &source, nullptr, nullptr);
 		lug_config_tick(config, lug_now_us());
 		store.settle();
+		create_shard();
+	}
+
+	/* Creates the shard, and the workers known to its process. */
+	void create_shard()
+	{
+		struct lug_fleet_hooks hooks = {on_worker_lost, unlisted_us, this};
+		struct lug_shard_env shared = {};
+
 		fleet = lug_fleet_new(ctx, &store.base, &hooks);
 		shared.ctx = ctx;
 		shared.store = &store.base;
