A stopping agent tells owners at once, so that they send it no tasks

Each such start was given up only when the agent's next process was heard.

Cause: a stopping agent says so in its heartbeats, but exits before the next one is due. Owners take it for live for 1.5 s.

Ruled out: starts refused by agents, lost messages (see the postmortem).

Change: the agent sends a heartbeat to each owner as it begins to stop.

--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -361,6 +361,8 @@
 	agent->stop_deadline_us = now_us + RELEASE_TIMEOUT_US;
 	lug_info(agent->ctx, "stopping");
 	lug_executor_shut_down(agent->executor);
+	/* Owners place nothing on this worker until the next process has sent a heartbeat. */
+	lug_peers_beat_all(agent->peers, now_us);
 	lug_shards_release_all(agent->shards, now_us);
 	return G_SOURCE_CONTINUE;
 }
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -166,6 +166,24 @@
     assert [e[0] for e in deployment.history() if e[0] != "noted"] == ["start", "end"]
 
 
+def test_no_task_is_sent_to_an_agent_that_has_stopped(start_deployment):
+    """Guards against incident starts-sent-to-a-stopped-agent: such tasks waited for long."""
+    deployment = start_deployment(workers=3, shards=1)
+    # One on each worker, with room for another 1000 millicores there.
+    assert deployment.submit(next(JOB_IDS), {"ms": 8000}, [{"count": 3, "cpu": 3000}]) == 200
+    assert deployment.wait_until(
+        lambda: all(worker.running for worker in deployment.workers.values()))
+    name = next(name for name in deployment.workers if name != deployment.owner_name())
+    assert deployment.signal_process(name, signal.SIGTERM) == 0
+    for _ in range(4):
+        job = next(JOB_IDS)
+        assert deployment.submit(job, {"ms": 100}, [{"count": 2, "cpu": 1000}]) == 200
+        wait_for_state(deployment, job, 3)
+    deployment.start(name)
+    assert deployment.wait_until(lambda: deployment.log(name).count("event=started") == 2)
+    assert deployment.violations() == []
+
+
 def test_stopped_owner_releases_its_shards(start_deployment):
     """Another agent acquires a released shard without waiting for the lease to expire."""
     deployment = start_deployment(workers=3, shards=1)
