An odd duration in the row of a lease no longer overflows

What could be seen: an agent's next process tells owners that no earlier run is left, although the worker may hold its lease, if the row states a duration of some 2^53 ms or more.

Cause: the agent multiplied the duration without a bound. Owners bound it at 10 minutes.

Change: both use lug_writer_row_ttl_ms().

Before: ARestartedAgentTakesAnOddLeaseTimeForALongOne failed on.

--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -111,6 +111,7 @@
 guint64 lug_writer_epoch(const struct lug_writer *writer);
 gint64 lug_writer_total(const struct lug_writer *writer);
 guint64 lug_writer_row_epoch(const struct lug_row *row);
+gint64 lug_writer_row_ttl_ms(const struct lug_row *row);
 gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us,
 				gint64 unreadable_ttl_ms);
 
--- a/liblug/store/writer_lease.c
+++ b/liblug/store/writer_lease.c
@@ -111,6 +111,15 @@
 	return writer->total;
 }
 
+/**
+ * lug_writer_row_ttl_ms - duration of the lease that a row states, 0 if it states none
+ * @row: row as read
+ */
+gint64 lug_writer_row_ttl_ms(const struct lug_row *row)
+{
+	return CLAMP(lug_json_int(row->data, "ttl_ms", 0), 0, TTL_MAX_MS);
+}
+
 /**
  * lug_writer_row_is_free - whether the lease of a row can be taken: the row is absent, or the
  * lease was released or has expired
@@ -124,8 +133,7 @@
 gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us,
 				gint64 unreadable_ttl_ms)
 {
-	gint64 ttl_ms = row->data ? lug_json_int(row->data, "ttl_ms", 0) : unreadable_ttl_ms;
-	gint64 ttl_us = CLAMP(ttl_ms, 0, TTL_MAX_MS) * 1000;
+	gint64 ttl_us = (row->data ? lug_writer_row_ttl_ms(row) : unreadable_ttl_ms) * 1000;
 
 	if (!row->version || (row->data && !*lug_json_str(row->data, "owner", "")))
 		return TRUE;
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -178,7 +178,7 @@
  */
 void exec_adopt_lease_row(struct lug_executor *exec, const struct lug_row *row, gint64 now_us)
 {
-	gint64 ttl_ms = MAX(lug_json_int(row->data, "ttl_ms", 0), 0);
+	gint64 ttl_ms = lug_writer_row_ttl_ms(row);
 	gint64 left_ms = lug_json_int(row->data, "lease_left_ms", -1);
 
 	exec->grants_paused = left_ms >= 0;
--- a/tests/unit/executor_unheard_test.cc
+++ b/tests/unit/executor_unheard_test.cc
@@ -69,6 +69,16 @@
 	EXPECT_EQ(beat().lists, 0u);
 }
 
+/* 2^62 ms, in microseconds, is beyond 64 bits. */
+TEST_F(ExecutorUnheardTest, ARestartedAgentTakesAnOddLeaseTimeForALongOne)
+{
+	store.put("w1|worker/w1",
+		  "{\"owner\":\"w1\",\"epoch\":4,\"ttl_ms\":4611686018427387904,\"txn\":\"x\"}");
+	restart_agent();
+	expire_lease();
+	EXPECT_EQ(beat().lists, 0u);
+}
+
 TEST_F(ExecutorUnheardTest, ARestartedAgentWhoseWorkerIsGoneStatesThatItHoldsNoRuns)
 {
 	restart_agent();
