--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -56,6 +56,7 @@
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, epoch);
 	lug_warn(fleet->ctx, "worker_fenced", "worker", worker->name, "lease_epoch", text, "how",
 		 reason);
+	worker->inherited_version = 0;
 	fleet->hooks.lease_ended(fleet->hooks.data, worker->name, epoch);
 }
 
@@ -281,7 +282,8 @@
 void lug_fleet_inherit_leases(struct lug_fleet *fleet, JsonObject *row, gint64 now_us)
 {
 	JsonArray *leases = lug_json_arr(row, "watched_leases");
+	guint n = leases ? MIN(json_array_get_length(leases), WATCHED_LEASES_MAX) : 0;
 
-	for (guint i = 0; leases && i < json_array_get_length(leases); i++)
+	for (guint i = 0; i < n; i++)
 		inherit_lease(fleet, lug_json_item_obj(leases, i), now_us);
 }
