--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -163,6 +163,24 @@
 			;
 	}
 
+	/* Longer than POLL_RETRY_US. */
+	void tick_later()
+	{
+		g_usleep(160 * 1000);
+		tick();
+	}
+
+	/* An integer in the row of the worker's lease, -1 if the row has none of that name. */
+	gint64 lease_row_int(const char *name)
+	{
+		JsonObject *row =
+			lug_json_parse(store.rows["w1|worker/w1"].data.c_str(), -1, nullptr);
+		gint64 value = lug_json_int(row, name, -1);
+
+		json_object_unref(row);
+		return value;
+	}
+
 	/* Answers the oldest open poll with the runs and ends of the fixture. */
 	void answer_poll(enum lug_order_result result = LUG_ORDER_OK)
 	{
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -43,13 +43,6 @@
 		}
 	}
 
-	/* Longer than POLL_RETRY_US. */
-	void tick_later()
-	{
-		g_usleep(160 * 1000);
-		tick();
-	}
-
 	void start_confirmed(const char *job)
 	{
 		start(job);
@@ -75,11 +68,7 @@
 
 	gint64 row_ttl_ms()
 	{
-		JsonObject *object = lug_json_parse(row().c_str(), -1, nullptr);
-		gint64 ttl_ms = lug_json_int(object, "ttl_ms", 0);
-
-		json_object_unref(object);
-		return ttl_ms;
+		return lease_row_int("ttl_ms");
 	}
 
 	void replace_process(const char *former_row)
--- a/tests/unit/executor_pause_test.cc
+++ b/tests/unit/executor_pause_test.cc
@@ -12,19 +12,7 @@
 struct ExecutorPauseTest : public ExecutorFixture {
 	gint64 lease_left_ms()
 	{
-		JsonObject *row =
-			lug_json_parse(store.rows["w1|worker/w1"].data.c_str(), -1, nullptr);
-		gint64 left_ms = lug_json_int(row, "lease_left_ms", -1);
-
-		json_object_unref(row);
-		return left_ms;
-	}
-
-	/* Longer than POLL_RETRY_US. */
-	void tick_later()
-	{
-		g_usleep(160 * 1000);
-		tick();
+		return lease_row_int("lease_left_ms");
 	}
 
 	/* MAX_FAILED_POLLS */
