--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -17,10 +17,12 @@
 #define RENEW_LATE_US (3 * G_USEC_PER_SEC)
 #define MAX_FAILED_POLLS 2
 
+/* @unexpected: list of the runs that the agent did not know to be on the present incarnation */
 static void apply_running(struct lug_executor *exec, const struct lug_worker_running *item,
-			  gint64 now_us)
+			  GString *unexpected, gint64 now_us)
 {
 	struct exec_run *run = exec_find_run(exec, &item->id);
+	gboolean is_expected = run && !run->crashed;
 
 	if (!run) {
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
@@ -28,6 +30,8 @@
 		run->start_sent_us = now_us;
 		run->confirmed_poll = exec->n_polls;
 	}
+	if (!is_expected)
+		exec_list_run(unexpected, run, now_us);
 	run->listed = TRUE;
 	run->crashed = FALSE;
 	run->start_confirmed = TRUE;
@@ -71,17 +75,38 @@
  */
 static void drop_unlisted(struct lug_executor *exec, gint64 now_us)
 {
+	GString *missing = g_string_new(NULL);
+
 	for (guint i = exec->runs->len; i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
 		if (run->listed || run->call_in_flight || run->confirmed_poll >= exec->n_polls ||
 		    (run->state != EXEC_RUNNING && run->state != EXEC_STOPPED))
 			continue;
-		if (run->crashed)
+		if (run->crashed) {
 			exec_end_crashed_run(exec, run, now_us);
-		else
-			exec_remove_run(exec, run);
+			continue;
+		}
+		if (run->state == EXEC_RUNNING)
+			exec_list_run(missing, run, now_us);
+		exec_remove_run(exec, run);
 	}
+	exec_log_runs(exec, "runs_missing", missing, "neither running nor listed as ended");
+	g_string_free(missing, TRUE);
+}
+
+static void apply_runs(struct lug_executor *exec, GArray *running, gint64 now_us)
+{
+	GString *unexpected = g_string_new(NULL);
+
+	for (guint i = 0; i < exec->runs->len; i++)
+		((struct exec_run *)g_ptr_array_index(exec->runs, i))->listed = FALSE;
+	for (guint i = 0; i < running->len; i++)
+		apply_running(exec, &g_array_index(running, struct lug_worker_running, i),
+			      unexpected, now_us);
+	exec_log_runs(exec, "runs_unexpected", unexpected,
+		      "started by another process of the agent, or by a call that was late");
+	g_string_free(unexpected, TRUE);
 }
 
 static void apply_poll_reply(struct lug_executor *exec, const struct lug_worker_poll_reply *reply,
@@ -106,11 +131,7 @@
 		exec->confirmed_epoch = lug_writer_epoch(exec->writer);
 	exec_settle(exec, now_us);
 	exec_record_shares(exec, now_us);
-	for (guint i = 0; i < exec->runs->len; i++)
-		((struct exec_run *)g_ptr_array_index(exec->runs, i))->listed = FALSE;
-	for (guint i = 0; i < reply->running->len; i++)
-		apply_running(exec, &g_array_index(reply->running, struct lug_worker_running, i),
-			      now_us);
+	apply_runs(exec, reply->running, now_us);
 	for (guint i = 0; i < reply->finished->len; i++)
 		apply_finished(exec, &g_array_index(reply->finished, struct lug_worker_finished, i),
 			       now_us);
@@ -172,6 +193,9 @@
 	note_poll_result(exec, reply, now_us);
 	exec->broken_polls = is_poll_broken(exec, reply, now_us) ? exec->broken_polls + 1 : 0;
 	if (reply->result != LUG_ORDER_OK) {
+		if (reply->result == LUG_ORDER_UNKNOWN &&
+		    (exec->poll_expires_ms || exec->poll_acked))
+			exec_log_unanswered_poll(exec);
 		if (reply->result == LUG_ORDER_FENCED)
 			lug_warn(exec->ctx, "worker_fences", "remedy",
 				 "polling again; the lease is acquired anew once its row is lost");
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -9,7 +9,8 @@
  * heartbeats of the worker), executor_lease.c (the worker's lease), executor_outstanding.c (calls
  * that the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
  * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
- * executor_run.c (starts and stops) and executor_report.c (messages to owners).
+ * executor_run.c (starts and stops), executor_report.c (messages to owners) and executor_log.c (log
+ * lines of calls and runs).
  */
 
 /* Table of the leases of workers. */
@@ -385,6 +386,15 @@
 gboolean exec_is_settled(const struct lug_executor *exec);
 void exec_fill_lease_row(void *data, JsonObject *row);
 void exec_adopt_lease_row(struct lug_executor *exec, const struct lug_row *row, gint64 now_us);
+void exec_log_run(const struct lug_executor *exec, const char *event, const struct lug_run_id *id,
+		  const char *reason);
+void exec_log_unanswered(const struct lug_executor *exec, const char *event,
+			 const struct lug_run_id *id, guint64 token, guint64 incarnation);
+void exec_log_unanswered_poll(const struct lug_executor *exec);
+void exec_list_run(GString *list, const struct exec_run *run, gint64 now_us);
+void exec_log_runs(const struct lug_executor *exec, const char *event, const GString *list,
+		   const char *reason);
+void exec_log_restart(const struct lug_executor *exec, guint64 incarnation, gint64 now_us);
 void exec_retry_stops(struct lug_executor *exec, gint64 now_us);
 void exec_reserved(const struct lug_executor *exec, struct lug_resources *out);
 gint64 exec_spare_millicores(const struct lug_executor *exec);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -4,53 +4,6 @@
 
 #include "colocate/crash.h"
 
-/* Length at which the list of runs in the log line of a restart is cut. */
-#define RUN_LIST_MAX_BYTES 400
-
-static const char *state_name(enum exec_state state)
-{
-	static const char *const names[] = {"starting", "running", "unanswered", "stopped"};
-
-	return names[state];
-}
-
-/* Writes each run as NAME:STATE+AGE, where AGE counts from its first start. */
-static void list_runs(const struct lug_executor *exec, GString *out, gint64 now_us)
-{
-	for (guint i = 0; i < exec->runs->len; i++) {
-		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
-		char name[LUG_RUN_NAME_SIZE];
-
-		if (out->len > RUN_LIST_MAX_BYTES) {
-			g_string_append(out, ",...");
-			return;
-		}
-		lug_run_name(&run->id, name, sizeof(name));
-		g_string_append_printf(out, "%s%s:%s+%" G_GINT64_FORMAT "ms", i ? "," : "", name,
-				       state_name(run->state),
-				       (now_us - run->start_sent_us) / 1000);
-	}
-}
-
-static void log_restart(const struct lug_executor *exec, guint64 incarnation, gint64 now_us)
-{
-	GString *runs = g_string_new(NULL);
-	char former[24];
-	char current[24];
-	char silent_ms[24];
-
-	list_runs(exec, runs, now_us);
-	g_snprintf(former, sizeof(former), "%" G_GUINT64_FORMAT, exec->worker_incarnation);
-	g_snprintf(current, sizeof(current), "%" G_GUINT64_FORMAT, incarnation);
-	g_snprintf(silent_ms, sizeof(silent_ms), "%" G_GINT64_FORMAT,
-		   (now_us - exec->last_answer_us) / 1000);
-	lug_warn(exec->ctx, "worker_restarted", "worker", exec->ctx->settings->name, "former",
-		 former, "incarnation", current, "announced",
-		 exec->worker_exiting || exec->draining ? "yes" : "no", "silent_ms", silent_ms,
-		 "runs", runs->str);
-	g_string_free(runs, TRUE);
-}
-
 /* A start that was sent after the worker fell silent did not reach it. */
 static gboolean may_have_run(const struct lug_executor *exec, const struct exec_run *run)
 {
@@ -154,7 +107,7 @@
 	if (!incarnation || incarnation == exec->worker_incarnation)
 		return;
 	if (exec->worker_incarnation) {
-		log_restart(exec, incarnation, now_us);
+		exec_log_restart(exec, incarnation, now_us);
 		exec_note_outstanding_of_former(exec, now_us);
 		exec->restarts++;
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -9,14 +9,15 @@
 #define STOP_RETRY_US (500 * 1000)
 
 /*
- * Context of a start or a stop. The run may be removed during the call. A start brings the end of
- * the lease, for one incarnation of the worker.
+ * Context of a start or a stop, sent to one incarnation of the worker under a fencing token. The
+ * run may be removed during the call. A start brings the end of the lease.
  */
 struct order_call {
 	struct lug_executor *exec;
 	guint64 local_id;
 	gint64 expires_ms;
 	guint64 incarnation;
+	guint64 token;
 };
 
 static struct order_call *order_call_new(struct lug_executor *exec, const struct exec_run *run)
@@ -26,6 +27,7 @@
 	call->exec = exec;
 	call->local_id = run->local_id;
 	call->incarnation = exec->worker_incarnation;
+	call->token = exec_token(exec);
 	return call;
 }
 
@@ -38,21 +40,15 @@
 	order->worker = exec_target_id(exec);
 }
 
-static void log_run(struct lug_executor *exec, const char *event, const struct lug_run_id *id,
-		    const char *reason)
-{
-	char name[LUG_RUN_NAME_SIZE];
-
-	lug_run_name(id, name, sizeof(name));
-	lug_info(exec->ctx, event, "job", id->job, "run", name, "reason", reason);
-}
-
 static void on_stopped(void *data, enum lug_order_result result)
 {
 	struct order_call *call = data;
 	struct lug_executor *exec = call->exec;
 	struct exec_run *run = exec_run_by_local_id(exec, call->local_id);
 
+	if (run && result == LUG_ORDER_UNKNOWN)
+		exec_log_unanswered(exec, "stop_unanswered", &run->id, call->token,
+				    call->incarnation);
 	g_free(call);
 	if (!run)
 		return;
@@ -99,7 +95,7 @@
 		exec_stop_run(exec, run);
 		return;
 	}
-	log_run(exec, "start_refused", &run->id, lug_status_name(refusal_status(result)));
+	exec_log_run(exec, "start_refused", &run->id, lug_status_name(refusal_status(result)));
 	exec_answer_start(exec, run->shard, &run->id, refusal_status(result));
 	exec_remove_run(exec, run);
 }
@@ -110,6 +106,7 @@
 	struct lug_executor *exec = call->exec;
 	struct exec_run *run = exec_run_by_local_id(exec, call->local_id);
 	guint64 incarnation = call->incarnation;
+	guint64 token = call->token;
 
 	exec_note_grant_result(exec, call->expires_ms, result, lug_now_us());
 	g_free(call);
@@ -132,7 +129,7 @@
 		handle_refused_start(exec, run, result);
 		return;
 	}
-	log_run(exec, "start_unanswered", &run->id, "no answer from the worker");
+	exec_log_unanswered(exec, "start_unanswered", &run->id, token, incarnation);
 	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
 	    incarnation == exec->worker_incarnation && exec_may_grant(exec)) {
 		send_start(exec, run);
@@ -304,7 +301,7 @@
 		return;
 	run = exec_find_run(exec, &id);
 	if (run && !run->stopping) {
-		log_run(exec, "run_stopped", &id, "ordered by its owner");
+		exec_log_run(exec, "run_stopped", &id, "ordered by its owner");
 		exec_stop_run(exec, run);
 	}
 }
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -239,6 +239,19 @@
 	return task->state == SHARD_TASK_WAITING && end->outcome == LUG_RUN_DONE;
 }
 
+/* Logs an end as done that does not apply: another run of its task may start, or has. */
+static void log_obsolete_done(struct lug_shard *shard, const struct shard_task *task,
+			      const struct lug_run_id *id, const char *worker)
+{
+	char claimed[64];
+
+	if (!task || task->state == SHARD_TASK_DONE)
+		return;
+	g_snprintf(claimed, sizeof(claimed), "run %u is %s", task->run,
+		   task->state == SHARD_TASK_CLAIMED ? "claimed" : "not claimed");
+	shard_log_run(shard, "done_ignored", id, worker, "reason", claimed);
+}
+
 /**
  * lug_shard_on_run_end - apply the end of a run
  * @shard: shard
@@ -270,6 +283,8 @@
 		apply_run_end(shard, job, task, &ack.id, end, now_us);
 	} else if (!job || job->revision == job->committed_revision) {
 		/* The report is repeated or obsolete, and all changes of the job are stored. */
+		if (end->outcome == LUG_RUN_DONE)
+			log_obsolete_done(shard, task, &ack.id, worker);
 		shard_add_obsolete_end(shard, route, &ack.id, now_us);
 		return;
 	}
