A cancelled run that goes on after its worker's restart: failing tests

The run then goes on for as long as it takes (30 s here), though agent and worker are in touch: the agent takes it for stopped, also when its owner requests the stop again.

--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -153,3 +153,43 @@
     worker.mode = "dark"
     time.sleep(CUT_S)
     assert deployment.violations() == []
+
+
+# The bounds of a site for what follows an acknowledged cancellation: until no task of the job starts,
+# and until a late one has ended (cancel_ms, contact_ms and stop_grace_ms).
+CANCELLED_RUN_S = 3 + 3 + 0.9
+
+
+def leave_one_start(deployment, worker, spec):
+    """Submits a job of one task, whose first start has no answer; the repeated one has."""
+    def is_late(path, body):
+        return path == "/run-start" and not worker.late
+
+    job = next(JOB_IDS)
+    worker.is_late = is_late
+    assert deployment.submit(job, spec) == 200
+    assert deployment.wait_until(lambda: worker.running, 5)
+    worker.is_late = lambda path, body: False
+    assert worker.late
+    return job
+
+
+def test_a_cancelled_run_that_the_next_incarnation_starts_late_is_stopped(start_queue_deployment,
+                                                                           monkeypatch):
+    """Guards against incident stop-of-a-former-incarnation: the former incarnation had confirmed the
+    stop of the run, the next one carried out an earlier start of it, and it ran on."""
+    # Longer than the rest of the former incarnation's life.
+    monkeypatch.setattr(standins, "STOP_DELAY_MS", 900)
+    deployment = start_queue_deployment(workers=1, shards=1)
+    worker = deployment.workers["agent-1"]
+    job = leave_one_start(deployment, worker, {"ms": 30000})
+    assert deployment.request("DELETE", f"/jobs/{job}")[0] == 200
+    assert deployment.wait_until(
+        lambda: any(state["stop_at"] for _, state in worker.running.values()), 3)
+    # The agent has the answer.
+    time.sleep(0.1)
+    worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    assert deployment.wait_until(lambda: worker.running, 3), "the late start is not carried out"
+    time.sleep(CANCELLED_RUN_S)
+    assert worker.running == {}
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -275,7 +275,19 @@
 		lug_executor_on_start(exec, &message, lug_now_us() + later_us);
 	}
 
-	/* Acknowledges the end of a job's first run as its owner. */
+	/* Requests the stop of a job's first run as its owner. */
+	void stop(const char *job)
+	{
+		struct lug_run_id run = id(job);
+		Lug__RunStop message = LUG__RUN_STOP__INIT;
+		Lug__RunId wire;
+
+		lug_run_to_wire(&run, &wire);
+		message.epoch = 1;
+		message.id = &wire;
+		lug_executor_on_stop(exec, &message, lug_now_us());
+	}
+
 	void expect_next_poll_to_acknowledge(guint64 number)
 	{
 		ASSERT_FALSE(worker.polls.empty());
@@ -298,6 +310,7 @@
 		lug_executor_send_heartbeat(exec, &target, lug_now_us());
 	}
 
+	/* Acknowledges the end of a job's first run as its owner. */
 	void ack(const char *job)
 	{
 		struct lug_run_id run = id(job);
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -213,4 +213,29 @@
 	});
 	EXPECT_TRUE(unconfirmed);
 }
+
+/*
+ * Incident stop-of-a-former-incarnation: a run whose stop the former incarnation had confirmed was
+ * started late by the next one, and went on although its job was cancelled.
+ */
+TEST_F(ExecutorRestartTest, AStopThatTheFormerIncarnationHasConfirmedIsSentToTheNextOne)
+{
+	start("a", 3000);
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	stop("a");
+	ASSERT_EQ(worker.orders.back().kind, "stop");
+	worker.answer(LUG_ORDER_OK);
+	incarnation = 200;
+	heartbeat_seq = 0;
+	send_heartbeat();
+	running = {{id("a"), 10}};
+	answer_poll();
+	if (worker.polls.empty())
+		tick_later();
+	answer_poll();
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+	EXPECT_STREQ(worker.orders.back().id.job, "a");
+}
 } // namespace
