A stop that a former incarnation has confirmed is sent to the next one

An agent kept the state "stopped" of a run over a restart of its worker under the same id. The next incarnation, which knows of no stop, carried out an earlier start without an answer; the agent took the listed run for one that was about to end, and ignored its owner's further requests to stop it.

Class: what one incarnation has confirmed is taken for the next one's. A run now names the incarnation that has confirmed its state. If another one lists it, the run counts as started there, and is stopped there if it had been stopped; a confirmation that arrives after the restart does not count, and the stop is repeated.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -17,6 +17,19 @@
 #define RENEW_LATE_US (3 * G_USEC_PER_SEC)
 #define MAX_FAILED_POLLS 2
 
+/*
+ * The present incarnation has started a run that a former one has confirmed, or has had stopped: a
+ * start was carried out late.
+ */
+static void restart_run(struct lug_executor *exec, struct exec_run *run)
+{
+	run->incarnation = exec->worker_incarnation;
+	if (run->state != EXEC_STOPPED)
+		return;
+	run->state = EXEC_UNKNOWN;
+	exec_stop_run(exec, run);
+}
+
 /* @unexpected: list of the runs that the agent did not know to be on the present incarnation */
 static void apply_running(struct lug_executor *exec, const struct lug_worker_running *item,
 			  GString *unexpected, gint64 now_us)
@@ -32,6 +45,8 @@
 	}
 	if (!is_expected)
 		exec_list_run(unexpected, run, now_us);
+	if (run->incarnation != exec->worker_incarnation)
+		restart_run(exec, run);
 	run->listed = TRUE;
 	run->crashed = FALSE;
 	run->start_confirmed = TRUE;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -49,6 +49,8 @@
  * @attributes_missing: started by an earlier process of the agent; its owner has not yet sent its
  *                      attributes: size, image, target, best-effort or not
  * @start_confirmed: the worker has answered a start, or the reply to a poll listed the run
+ * @incarnation: incarnation of the worker that has confirmed the run's state, 0 for none; what it
+ *               has confirmed does not hold for another one that lists the run
  * @stopping: a stop was requested
  * @start_sent_us: when the start was first sent, or when a poll first listed the run
  * @call_in_flight: a start or a stop is in flight
@@ -91,6 +93,7 @@
 	struct lug_resources size;
 	gboolean attributes_missing;
 	gboolean start_confirmed;
+	guint64 incarnation;
 	gboolean stopping;
 	gint64 start_sent_us;
 	gboolean call_in_flight;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -45,6 +45,7 @@
 	struct order_call *call = data;
 	struct lug_executor *exec = call->exec;
 	struct exec_run *run = exec_run_by_local_id(exec, call->local_id);
+	guint64 incarnation = call->incarnation;
 
 	if (run && result == LUG_ORDER_UNKNOWN)
 		exec_log_unanswered(exec, "stop_unanswered", &run->id, call->token,
@@ -53,12 +54,13 @@
 	if (!run)
 		return;
 	run->call_in_flight = FALSE;
-	if (result != LUG_ORDER_OK) {
+	if (result != LUG_ORDER_OK || incarnation != exec->worker_incarnation) {
 		run->stop_retry_us = lug_now_us() + STOP_RETRY_US;
 		return;
 	}
 	run->stop_retry_us = 0;
 	run->confirmed_poll = exec->n_polls;
+	run->incarnation = incarnation;
 	run->state = EXEC_STOPPED;
 }
 
@@ -118,6 +120,7 @@
 		exec_record_shares(exec, lug_now_us());
 		run->state = EXEC_RUNNING;
 		run->confirmed_poll = exec->n_polls;
+		run->incarnation = incarnation;
 		exec_replan_shares(exec, run);
 		exec_answer_start(exec, run->shard, &run->id, LUG_OK);
 		/* The stop was requested while the start was in flight. */
