Runs that outlast the row of their worker's lease are stopped

The agent allows for that with a longer lease, but can't write it to the row, so that owners fence the row after the usual time and start the task elsewhere while it runs.

Class: the end of a lease was left to the worker alone, though the agent, in touch with it, sees the run and knows how long the row keeps others off. Now it stops what the worker still lists at that time, and a second earlier if it knows that the worker may hold a longer lease. What the row states in time goes on as before; nothing is declared lost later or earlier.

ExecutorOutstandingTest.ARunThatOutlastsTheRowOfTheLeaseIsStopped failed before (no stop is sent); 248 unit tests passed.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -376,5 +376,6 @@
 		exec_poll(exec, now_us);
 	exec_retry_stops(exec, now_us);
 	exec_drop_expired(exec, now_us);
+	exec_stop_outlasting_runs(exec, now_us);
 	lug_gauge(exec->ctx, TASKS_RUNNING, exec->runs->len);
 }
--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -10,6 +10,8 @@
 #define EXPIRED_ANSWER_TIMEOUT_US (1500 * 1000)
 /* Time after the announcement of its exit by which a worker has exited. */
 #define WORKER_EXIT_US (500 * 1000)
+/* Longest time between a stop and the end of its run, beyond the margin with which owners fence. */
+#define STOP_TIME_US (1000 * 1000)
 /* Consecutive polls that an exited worker does not accept; a single one may have been reset. */
 #define EXIT_BROKEN_POLLS 2
 
@@ -146,6 +148,46 @@
 		lug_writer_release(exec->writer, now_us);
 }
 
+/*
+ * Time until which the row of the lease keeps owners from fencing it. The lease that the worker may
+ * hold is longer after a restart, and counts only once the row states it.
+ */
+static gint64 row_until_us(const struct lug_executor *exec)
+{
+	return exec_is_settled(exec) ? MAX(exec->row_valid_until_us, exec->granted_until_us)
+				     : exec->row_valid_until_us;
+}
+
+/**
+ * exec_stop_outlasting_runs - stop the runs that the worker may execute for longer than the lease's
+ * row allows
+ *
+ * A worker ends its runs with its lease. That lease can be longer than the row states when a call
+ * to a former incarnation was carried out late and the table service could not be told.
+ */
+void exec_stop_outlasting_runs(struct lug_executor *exec, gint64 now_us)
+{
+	gint64 until_us;
+
+	if (lug_writer_is_held(exec->writer))
+		exec->row_valid_until_us =
+			MAX(exec->row_valid_until_us, lug_writer_valid_until_us(exec->writer));
+	until_us = row_until_us(exec);
+	if (exec->granted_until_us > until_us)
+		until_us -= STOP_TIME_US;
+	if (!exec->row_valid_until_us || now_us < until_us || exec->failed_polls)
+		return;
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (!run->listed || run->stopping)
+			continue;
+		exec_log_run(exec, "run_stopped", &run->id,
+			     "its worker's lease has no longer a row");
+		exec_stop_run(exec, run);
+	}
+}
+
 /*
  * Whether the worker has exited: after the announcement it accepts no connections any more. While
  * it answers, or is out of reach, the announcement may be that of a former incarnation.
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -242,6 +242,7 @@
  * @clock_requested_us: time at which the poll was sent whose answer contained @clock_ms
  * @granted_until_us: time after which no lease sent to the worker, by this process or a former
  *                    one, is valid
+ * @row_valid_until_us: latest lug_writer_valid_until_us() of the lease's row
  * @grants_paused: no call may contain an end of the lease, and the row states how long the worker
  *                 may hold the one that it has, see exec_pause_grants()
  * @resumed_txn: number of the transaction that must be written before such a call, see
@@ -328,6 +329,7 @@
 	gint64 clock_at_us;
 	gint64 clock_requested_us;
 	gint64 granted_until_us;
+	gint64 row_valid_until_us;
 	gboolean grants_paused;
 	guint64 resumed_txn;
 	gint64 renewed_until_us;
@@ -374,6 +376,7 @@
 void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
 void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us);
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us);
+void exec_stop_outlasting_runs(struct lug_executor *exec, gint64 now_us);
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
 guint64 exec_token(const struct lug_executor *exec);
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -293,4 +293,34 @@
 	ASSERT_EQ(worker.orders.size(), 1u);
 	EXPECT_EQ(worker.orders.back().kind, "stop");
 }
+
+/*
+ * Incident stop-of-a-former-incarnation: the table service was away when the worker restarted, so
+ * owners did not know of the extended lease and started the task elsewhere.
+ */
+TEST_F(ExecutorOutstandingTest, ARunThatOutlastsTheRowOfTheLeaseIsStopped)
+{
+	gint64 row_until_us;
+
+	start("a");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	row_until_us = lug_writer_valid_until_us(exec->writer);
+	store.is_silent = true;
+	incarnation += 100;
+	heartbeat_seq = 0;
+	clock_ms = 1000;
+	running = {{id("a"), 10}};
+	send_heartbeat();
+	for (int i = 0; i < 3; i++) {
+		if (worker.polls.empty())
+			tick_later();
+		answer_poll();
+	}
+	lug_executor_tick(exec, row_until_us - 2 * G_USEC_PER_SEC);
+	EXPECT_TRUE(worker.orders.empty()) << "it may go on until then";
+	lug_executor_tick(exec, row_until_us);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+}
 } // namespace
