A share that a former incarnation has confirmed does not hold for the next one

The run's share now counts as full once another incarnation lists it, and the answer to a throttle counts only for the incarnation that it was sent to.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -23,6 +23,9 @@
  */
 static void restart_run(struct lug_executor *exec, struct exec_run *run)
 {
+	/* It starts at its full share; that of a run of a former process is not known. */
+	if (run->incarnation)
+		run->applied_percent = 100;
 	run->incarnation = exec->worker_incarnation;
 	if (run->state != EXEC_STOPPED)
 		return;
--- a/liblug/workflow/executor_throttle.c
+++ b/liblug/workflow/executor_throttle.c
@@ -36,10 +36,14 @@
  */
 #define MIN_START_SPEED 0.4
 
-/* Context of a throttle. The run may be removed during the call. */
+/*
+ * Context of a throttle, sent to one incarnation of the worker. The run may be removed during the
+ * call.
+ */
 struct throttle_call {
 	struct lug_executor *exec;
 	guint64 local_id;
+	guint64 incarnation;
 	guint32 percent;
 };
 
@@ -62,7 +66,7 @@
 	if (run) {
 		exec_record_shares(call->exec, lug_now_us());
 		run->throttle_in_flight = FALSE;
-		if (result == LUG_ORDER_OK)
+		if (result == LUG_ORDER_OK && call->incarnation == call->exec->worker_incarnation)
 			run->applied_percent = call->percent;
 	}
 	g_free(call);
@@ -85,6 +89,7 @@
 	call = g_new0(struct throttle_call, 1);
 	call->exec = exec;
 	call->local_id = run->local_id;
+	call->incarnation = exec->worker_incarnation;
 	call->percent = percent;
 	run->throttle_in_flight = TRUE;
 	lug_count(exec->ctx, THROTTLE_CHANGES, 1);
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -238,4 +238,30 @@
 	EXPECT_EQ(worker.orders.back().kind, "stop");
 	EXPECT_STREQ(worker.orders.back().id.job, "a");
 }
+
+/* A worker starts each run at its full share. */
+TEST_F(ExecutorRestartTest, AShareThatTheFormerIncarnationHasConfirmedDoesNotHoldForTheNextOne)
+{
+	struct lug_run_id run_id = id("b");
+	struct exec_run *run;
+
+	start_best_effort("b", 1000);
+	worker.answer(LUG_ORDER_OK);
+	run = exec_find_run(exec, &run_id);
+	run->share = 0.5;
+	/* Sends a throttle; the next sample, which plans the shares anew, is not due. */
+	exec->last_sample_us = lug_now_us();
+	exec_throttle(exec, lug_now_us());
+	ASSERT_EQ(worker.orders.back().percent, 50u);
+	worker.answer(LUG_ORDER_OK);
+	incarnation = 200;
+	heartbeat_seq = 0;
+	send_heartbeat();
+	running = {{run_id, 10}};
+	exec->last_sample_us = lug_now_us();
+	answer_poll();
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "pace");
+	EXPECT_EQ(worker.orders.back().percent, 50u);
+}
 } // namespace
