Starts of a cancelled job: failing tests

An owner that has accepted a job's cancellation still sends starts of its tasks: those whose claims were being stored meanwhile, and, while the cancellation can't be stored, those that an agent has not received.

--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -162,6 +162,18 @@
 			statuses, lug_now_us());
 	}
 
+	/* Cancels a job that the owner has. */
+	void cancel_job(const char *job, std::vector<enum lug_status> *statuses)
+	{
+		EXPECT_TRUE(lug_shard_cancel_job(
+			shard, job,
+			[](void *data, enum lug_status status) {
+				static_cast<std::vector<enum lug_status> *>(data)->push_back(
+					status);
+			},
+			statuses, lug_now_us()));
+	}
+
 	struct HeldRun {
 		const char *job;
 		guint32 step;
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -232,12 +232,7 @@
 	take_shard_with_worker();
 	add_stored_job("a");
 	run_rounds();
-	EXPECT_TRUE(lug_shard_cancel_job(
-		shard, "a",
-		[](void *data, enum lug_status status) {
-			static_cast<std::vector<enum lug_status> *>(data)->push_back(status);
-		},
-		&statuses, lug_now_us()));
+	cancel_job("a", &statuses);
 	EXPECT_TRUE(statuses.empty());
 	run_rounds();
 	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
@@ -245,6 +240,46 @@
 	EXPECT_FALSE(lug_shard_cancel_job(shard, "b", nullptr, nullptr, lug_now_us()));
 }
 
+/* A job is cancelled while the claims of its first tasks are being stored. */
+TEST_F(ShardTest, ClaimsStoredAfterACancellationAreNotStarted)
+{
+	std::vector<enum lug_status> statuses;
+	FakeStore::Call claims;
+
+	take_shard_with_worker();
+	add_stored_job("a");
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	claims = store.take();
+	cancel_job("a", &statuses);
+	store.answer_txn(claims);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+	run_rounds();
+	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 0u);
+}
+
+/* The cancellation can't be stored while the table service is out of the owner's reach. */
+TEST_F(ShardTest, AStartIsNotSentAgainAfterACancellation)
+{
+	std::vector<enum lug_status> statuses;
+
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	ASSERT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	store.is_silent = true;
+	cancel_job("a", &statuses);
+	/* Longer than START_RESEND_US. */
+	g_usleep(750 * 1000);
+	send_beat({}, 0);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	EXPECT_TRUE(statuses.empty());
+	store.is_silent = false;
+	run_rounds();
+	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
+}
+
 TEST_F(ShardTest, JobWithoutANotificationIsFoundInTheInbox)
 {
 	take_shard_with_worker();
