An owner sends no starts of a job whose cancellation it has accepted

What callers see: a task of a cancelled job starts after its cancellation was accepted, and its work is thrown away. While the owner can't store the cancellation (its table service is away, an entry has stored it in the inbox and answered 200), the owner went on sending such starts to agents that had not received them, for as long as the outage lasts.

Cause: the end of a job is decided in memory and stored by the next transaction; the claims of the transaction in flight were started all the same (send_starts()), and check_claim() repeated a start without looking at the job's end.

Change: neither sends a start once the job's final state is decided. That state never reverts.

Ruled out: placement (place_job() looks at the final state), owners that load the job (they read cancellations before they place tasks, and repeat no start of an earlier owner), runs that have started (stopped with the commit and by each list).

--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -169,7 +169,8 @@
 		return_lost_task(shard, job, task, id, reason);
 		return;
 	}
-	if (check->now_us - task->start_sent_us > START_RESEND_US)
+	if (job->end_state == LUG_WORKFLOW_UNKNOWN &&
+	    check->now_us - task->start_sent_us > START_RESEND_US)
 		shard_send_start(shard, job, task, id, check->now_us);
 }
 
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -235,7 +235,9 @@
 		close_job(shard, job, now_us);
 		return;
 	}
-	send_starts(shard, job, job->committed_revision, now_us);
+	/* The next transaction ends the job, which was cancelled or given up meanwhile. */
+	if (job->end_state == LUG_WORKFLOW_UNKNOWN)
+		send_starts(shard, job, job->committed_revision, now_us);
 }
 
 static void put_ended_rows(struct lug_writer_op *op, const struct shard_job *job)
