A done run whose successor has not started: failing tests

A run that was counted as lost may be reported as done after all. If the next run is claimed, the owner acknowledges that end and starts the next run, although its start has not been sent yet, or was refused by the agent that received it.

--- /dev/null
+++ b/tests/unit/shard_late_end_test.cc
@@ -0,0 +1,69 @@
+#include "shard_fixture.h"
+
+namespace
+{
+/*
+ * A run that was counted as lost may be reported as done after all. Until the start of the next run
+ * is sent, the task need not run again.
+ */
+struct LateEndTest : public ShardFixture {
+	const guint64 *starts = &ctx->metrics->counters[LUG_C_TASKS_STARTED];
+	const guint64 *acks = &ctx->metrics->counters[LUG_C_ENDS_ACKNOWLEDGED];
+
+	/* The first runs of both tasks are lost; the claims of the next ones are being stored. */
+	void lose_first_runs()
+	{
+		take_shard_with_worker();
+		add_stored_job("a");
+		run_rounds();
+		lug_shard_worker_lost(shard, "w1", 1, lug_now_us());
+		place_tasks();
+	}
+
+	void place_tasks()
+	{
+		while (g_main_context_iteration(nullptr, FALSE))
+			;
+		ASSERT_EQ(store.calls.size(), 1u) << "the claims";
+	}
+};
+
+TEST_F(LateEndTest, ALostRunThatIsDoneBeforeTheNextStartIsSentEndsItsTask)
+{
+	lose_first_runs();
+	end_run("a", 0, 0, 1, LUG_RUN_DONE);
+	EXPECT_EQ(*acks, 0u) << "before it is stored";
+	run_rounds();
+	EXPECT_EQ(*starts, 3u) << "the second run of the other task only";
+	EXPECT_NE(state_row("a").find("\"d r2.0."), std::string::npos) << state_row("a");
+	EXPECT_EQ(*acks, 1u);
+	end_run("a", 0, 1, 1, LUG_RUN_DONE);
+	run_rounds();
+	EXPECT_NE(state_row("a").find("\"d r2.0."), std::string::npos)
+		<< "the second run may have started: " << state_row("a");
+}
+
+TEST_F(LateEndTest, ALostRunThatIsDoneAfterItsSuccessorWasRefusedEndsItsTask)
+{
+	lose_first_runs();
+	run_rounds();
+	ASSERT_EQ(*starts, 4u);
+	answer_start("a", 0, 2, LUG_OVER_LIMIT, /* answered_seq */ 4);
+	place_tasks();
+	end_run("a", 0, 0, 1, LUG_RUN_DONE);
+	run_rounds();
+	EXPECT_EQ(*starts, 4u);
+	EXPECT_NE(state_row("a").find("\"d r2.0."), std::string::npos) << state_row("a");
+}
+
+TEST_F(LateEndTest, ALostRunThatIsDoneAfterItsSuccessorWasLostIsIgnored)
+{
+	lose_first_runs();
+	run_rounds();
+	lug_shard_worker_lost(shard, "w1", 1, lug_now_us());
+	end_run("a", 0, 0, 1, LUG_RUN_DONE);
+	run_rounds();
+	EXPECT_NE(state_row("a").find("\"r3.0."), std::string::npos) << state_row("a");
+}
+
+} // namespace
