A lost run that is done ends its task until the next start is sent

What callers see: a task runs again after it was done. A run is counted as lost (its lease fenced), the task is claimed anew at once, and while that claim waits for the table service the run's agent reports it as done. The owner acknowledged the end as obsolete (done_ignored) and started the next run all the same.

Cause: only the end of the task's latest run applies, and a claim makes the next run the latest before its start is sent.

Change: an end as done applies to the latest run that may have started. If that is the one before a claim of this owner whose start is unsent, the claim is given up (log event next_run_withdrawn). The end is acknowledged after its commit, as any other.

Ruled out: claims of a former owner, whose starts may have been sent; other outcomes, which would count twice; long-running tasks, which are started again in any case. A start is sent after the claim's commit only, which finds the task done.

--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -239,6 +239,26 @@
 	return task->state == SHARD_TASK_WAITING && end->outcome == LUG_RUN_DONE;
 }
 
+/* Number of the latest run of a task that may have started. */
+static guint32 latest_started_run(const struct lug_shard *shard, const struct shard_task *task)
+{
+	gboolean unsent = task->state == SHARD_TASK_CLAIMED && !task->start_seq &&
+			  task->shard_epoch == lug_shard_epoch(shard);
+
+	return unsent ? task->run - 1 : task->run;
+}
+
+/* Gives up the claim of a run that has not started, as an earlier run of its task is done. */
+static void withdraw_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
+			   const struct lug_run_id *id, const char *worker)
+{
+	shard_log_run(shard, "next_run_withdrawn", id, worker, "reason",
+		      "the run is done and the next one has not started");
+	if (task->state == SHARD_TASK_CLAIMED)
+		shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
+	task->run = id->run;
+}
+
 /* Logs an end as done that does not apply: another run of its task may start, or has. */
 static void log_obsolete_done(struct lug_shard *shard, const struct shard_task *task,
 			      const struct lug_run_id *id, const char *worker)
@@ -275,6 +295,10 @@
 		return;
 	job = g_hash_table_lookup(shard->jobs, ack.id.job);
 	task = job ? shard_find_task(job, &ack.id) : NULL;
+	if (task && end->outcome == LUG_RUN_DONE && task->run != ack.id.run &&
+	    latest_started_run(shard, task) == ack.id.run &&
+	    !job->workflow->steps[ack.id.step].long_running)
+		withdraw_claim(shard, job, task, &ack.id, worker);
 	if (task && task->run == ack.id.run && is_end_applicable(task, worker, end)) {
 		shard_note_run(job->ended_runs, &ack.id, worker, lug_run_outcome_name(end->outcome),
 			       now_us - job->accepted_us);
