A lost run that is done ends its task although the next run was refused

What callers see: a task runs again after it was done. It was counted as lost, the agent that received its next start refused it (no room, for example), and the former run's agent then reports the end as done. The owner ignored it and claimed a third run.

Cause: the refused run counted as the task's latest although it never started.

Change: the owner counts the runs that were refused without one between them that may have started. An end as done of the run before them applies. The count is not stored: a next owner treats the refused run as one that may have started.

Ruled out: refusals of an older copy of a repeated start (ignored already); a refusal of a start that an earlier owner has sent, which may have sent more copies; a run that was lost between the two (the third test of LateEndTest).

--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -69,6 +69,7 @@
 	}
 	lug_list_remove(&task->claim_node);
 	task->state = SHARD_TASK_WAITING;
+	task->refused_runs = 0;
 	task->worker = NULL;
 	task->confirmed = FALSE;
 	task->begun = FALSE;
@@ -245,7 +246,9 @@
 	gboolean unsent = task->state == SHARD_TASK_CLAIMED && !task->start_seq &&
 			  task->shard_epoch == lug_shard_epoch(shard);
 
-	return unsent ? task->run - 1 : task->run;
+	if (task->state == SHARD_TASK_CLAIMED && !unsent)
+		return task->run;
+	return task->run - task->refused_runs - unsent;
 }
 
 /* Gives up the claim of a run that has not started, as an earlier run of its task is done. */
@@ -257,6 +260,7 @@
 	if (task->state == SHARD_TASK_CLAIMED)
 		shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
 	task->run = id->run;
+	task->refused_runs = 0;
 }
 
 /* Logs an end as done that does not apply: another run of its task may start, or has. */
@@ -343,6 +347,7 @@
 	struct shard_task *task;
 	struct lug_resources used;
 	struct lug_run_id id;
+	guint32 refused_runs;
 
 	if (shard->load_phase != SHARD_LOAD_DONE || !lug_run_from_wire(answer->id, &id))
 		return;
@@ -365,7 +370,10 @@
 			       lug_status_name((enum lug_status)answer->status),
 			       now_us - job->accepted_us);
 		lug_count(shard->shared.ctx, TASKS_REFUSED, 1);
+		/* An earlier owner may have sent further copies of its start. */
+		refused_runs = task->start_seq && answer->has_seq ? task->refused_runs + 1 : 0;
 		shard_release_claim(shard, job, task, &job->workflow->steps[id.step]);
+		task->refused_runs = refused_runs;
 		/* A lack of room is no failure of the worker. */
 		if (fleet_worker && answer->status != LUG_OVER_LIMIT)
 			lug_fleet_record_failure(fleet_worker, now_us);
