Reports to owners of teams' queues: two failing tests

1. lug_owner_on_report() acknowledges a report that is not current at once. An owner that has not learned of its successor thus makes an agent forget the end of an attempt that the successor has started: the successor then takes it for lost. 2. A report as done of an attempt that was counted as lost is acknowledged and ignored while the task waits.

--- a/tests/unit/owner_fence_test.cc
+++ b/tests/unit/owner_fence_test.cc
@@ -2,6 +2,8 @@
 
 #include "fake_store.h"
 
+#include <zmq.h>
+
 extern "C" {
 #include "job/owner_priv.h"
 }
@@ -122,4 +124,70 @@
 	EXPECT_EQ(watch(), nullptr);
 	EXPECT_EQ(task()->state, LUG_TASK_RUNNING);
 }
+
+/* Reports of attempts that the owner does not take for current. */
+struct OwnerReportTest : public OwnerFenceTest {
+	const guint64 *sent = &ctx->metrics->counters[LUG_C_CONTROL_TX_MSGS];
+	void *zmq = zmq_ctx_new();
+	void *agent = zmq_socket(zmq, ZMQ_ROUTER);
+	struct lug_dial *dial = nullptr;
+	struct lug_route route = {};
+
+	/* A connection over which acknowledgements can be sent. */
+	void SetUp() override
+	{
+		Lug__ReportAck ack = LUG__REPORT_ACK__INIT;
+		char endpoint[64] = "";
+		size_t len = sizeof(endpoint);
+		LUG_ENVELOPE(env, REPORT_ACK, report_ack, &ack);
+
+		OwnerFenceTest::SetUp();
+		ASSERT_EQ(zmq_bind(agent, "tcp://127.0.0.1:*"), 0);
+		ASSERT_EQ(zmq_getsockopt(agent, ZMQ_LAST_ENDPOINT, endpoint, &len), 0);
+		dial = lug_dial_new(link, endpoint + strlen("tcp://"), nullptr);
+		lug_dial_route(dial, &route);
+		for (int i = 0; i < 200 && !lug_link_send(link, &route, &env); i++)
+			g_usleep(10 * 1000);
+		ASSERT_EQ(*sent, 1u) << "the connection is up";
+	}
+
+	void TearDown() override
+	{
+		lug_dial_free(dial);
+		OwnerFenceTest::TearDown();
+		zmq_close(agent);
+		zmq_ctx_term(zmq);
+	}
+
+	void report_done(guint32 attempt)
+	{
+		Lug__Report report = LUG__REPORT__INIT;
+		Lug__TaskId id = LUG__TASK_ID__INIT;
+
+		id.job = (char *)"j";
+		id.attempt = attempt;
+		report.task = &id;
+		report.outcome = LUG_OUTCOME_DONE;
+		lug_owner_on_report(owner, &route, "w1", &report, lug_now_us());
+	}
+};
+
+TEST_F(OwnerReportTest, ADisplacedOwnerDoesNotAcknowledgeItsSuccessorsAttempts)
+{
+	store.put("queue/t", "{\"owner\":\"other\",\"epoch\":9,\"ttl_ms\":8000,\"txn\":\"y\"}");
+	report_done(/* attempt */ 2);
+	EXPECT_EQ(*sent, 1u);
+}
+
+TEST_F(OwnerReportTest, ALostAttemptThatIsDoneBeforeTheNextClaimEndsItsTask)
+{
+	store.put("worker/w1", "{\"owner\":\"\",\"state\":\"fenced\",\"epoch\":4}");
+	send_beat(0);
+	check_leases();
+	check_leases();
+	ASSERT_EQ(task()->state, LUG_TASK_PENDING);
+	report_done(/* attempt */ 1);
+	store.settle();
+	EXPECT_NE(store.rows["jobdone/t/j"].data.find("\"done\""), std::string::npos);
+}
 } // namespace
