--- a/tests/unit/shard_late_end_test.cc
+++ b/tests/unit/shard_late_end_test.cc
@@ -24,7 +24,7 @@
 	{
 		while (g_main_context_iteration(nullptr, FALSE))
 			;
-		ASSERT_EQ(store.calls.size(), 1u) << "the claims";
+		ASSERT_EQ(store.calls.size(), 1u) << "the transaction";
 	}
 };
 
@@ -66,4 +66,60 @@
 	EXPECT_NE(state_row("a").find("\"r3.0."), std::string::npos) << state_row("a");
 }
 
+/*
+ * The transaction with an end is carried out, its answer is lost, and other processes take the
+ * shard over before the owner reads its row again.
+ */
+struct LostAnswerTest : public LateEndTest {
+	FakeStore::Call commit;
+
+	void lose_answer()
+	{
+		take_shard_with_worker();
+		add_stored_job("a");
+		run_rounds();
+		end_run("a", 0, 0, 1, LUG_RUN_DONE);
+		place_tasks();
+		commit = store.take();
+		ASSERT_TRUE(store.apply(commit).empty());
+		FakeStore::answer_lost(commit);
+	}
+
+	/* @txn: transaction before that of the process which has the shard now */
+	void take_over(const std::string &txn)
+	{
+		store.put("0|shard/0", "{\"owner\":\"o\",\"epoch\":9,\"ttl_ms\":8000,"
+				       "\"txn\":\"y\",\"prev_txn\":\"" +
+					       txn + "\"}");
+		/* Longer than the delay of a readback. */
+		g_usleep(100 * 1000);
+		run_rounds();
+		EXPECT_EQ(events.back(), LUG_SHARD_LOST);
+		EXPECT_FALSE(store.apply(commit).empty()) << "it is not carried out again";
+	}
+
+	std::string own_txn()
+	{
+		JsonObject *row = lug_json_parse(store.rows["0|shard/0"].data.c_str(), -1, nullptr);
+		std::string txn = lug_json_str(row, "txn", "");
+
+		json_object_unref(row);
+		return txn;
+	}
+};
+
+TEST_F(LostAnswerTest, AnEndIsAcknowledgedIfTheNextOwnerHasFoundIt)
+{
+	lose_answer();
+	EXPECT_EQ(*acks, 0u);
+	take_over(own_txn());
+	EXPECT_EQ(*acks, 1u);
+}
+
+TEST_F(LostAnswerTest, AnEndIsNotAcknowledgedIfItIsUnknownWhatTheNextOwnerHasFound)
+{
+	lose_answer();
+	take_over("z");
+	EXPECT_EQ(*acks, 0u);
+}
 } // namespace
