A late heartbeat of an agent's former process: failing test

An agent whose clock was set back starts again with a lower incarnation, and is known by its higher lease epoch. If the last heartbeat of the former process arrives after that, an owner takes it for that of a later process.

--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -222,6 +222,17 @@
 	EXPECT_EQ(w1()->incarnation, 800u);
 }
 
+/* The former process has the higher incarnation, and its last heartbeat arrives late. */
+TEST_F(FleetTest, ALateHeartbeatOfAnEarlierLeaseIsIgnoredWhileTheWorkerIsHeard)
+{
+	EXPECT_TRUE(send_beat_without_lists(/* lease_epoch */ 4, /* incarnation */ 900));
+	EXPECT_TRUE(send_beat_without_lists(5, 800));
+	EXPECT_FALSE(send_beat_without_lists(4, 900));
+	EXPECT_EQ(w1()->incarnation, 800u);
+	w1()->last_beat_us = lug_now_us() - UNLISTED_US;
+	EXPECT_TRUE(send_beat_without_lists(4, 1000)) << "the row of the lease was lost";
+}
+
 TEST_F(FleetTest, AHeartbeatOfALowerIncarnationIsIgnoredUntilTheHigherOneIsSilent)
 {
 	EXPECT_TRUE(send_beat_without_lists(4, 900));
