A late heartbeat of an agent's former process no longer replaces the present one

What callers see: nothing started for up to a second on a sound worker, and stops sent into a closed connection. An agent whose machine's clock was set back has a lower incarnation than its former process. The last heartbeat of the former one, when it arrived late, was taken for that of a later process: the owner answered to its connection, and ignored the heartbeats of the present process until the former one counted as silent.

Change: while the worker is heard, a heartbeat with an epoch below the highest one heard is ignored whatever its incarnation. Epochs of one agent's leases rise; after a silence a lower one is accepted as before, as the row may have been lost.

Ruled out as a cause of two runs of a task: the late list can't return a claim of the present process's lease (its epoch is not lower than the claim's, and its last sequence number is below that of the claim's start).

--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -327,7 +327,8 @@
 /*
  * Whether a heartbeat belongs to a replaced connection or an earlier process of the agent. A later
  * process has a lower incarnation if its clock was set back. The epoch of its lease shows the order
- * all the same; without one, the process is accepted once the former one is silent.
+ * all the same; without one, the process is accepted once the former one is silent, and so is one
+ * with an earlier epoch, as the row of the lease may have been lost.
  */
 static gboolean is_outdated(const struct lug_fleet_worker *worker, const Lug__Envelope *env,
 			    gint64 now_us)
@@ -337,7 +338,8 @@
 	if (env->incarnation == worker->incarnation)
 		return beat->generation < worker->generation;
 	if (env->incarnation > worker->incarnation)
-		return FALSE;
+		return beat->lease_epoch && beat->lease_epoch < worker->max_lease_epoch &&
+		       lug_fleet_is_live(worker, now_us);
 	if (beat->lease_epoch && beat->lease_epoch != worker->max_lease_epoch)
 		return beat->lease_epoch < worker->max_lease_epoch;
 	return lug_fleet_is_live(worker, now_us);
