Log an end as done that is ignored while its job has changes to store

The event done_ignored was missing where it matters most: when the task has just been counted as lost or claimed anew, so that its job is not yet stored.

--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -309,12 +309,14 @@
 		job->has_incomplete_run = job->has_incomplete_run || end->outcome != LUG_RUN_DONE;
 		shard_save_checkpoint(task, end->checkpoint);
 		apply_run_end(shard, job, task, &ack.id, end, now_us);
-	} else if (!job || job->revision == job->committed_revision) {
-		/* The report is repeated or obsolete, and all changes of the job are stored. */
+	} else {
 		if (end->outcome == LUG_RUN_DONE)
 			log_obsolete_done(shard, task, &ack.id, worker);
-		shard_add_obsolete_end(shard, route, &ack.id, now_us);
-		return;
+		/* The report is repeated or obsolete, and all changes of the job are stored. */
+		if (!job || job->revision == job->committed_revision) {
+			shard_add_obsolete_end(shard, route, &ack.id, now_us);
+			return;
+		}
 	}
 	if (fleet_worker && end->used) {
 		struct lug_resources used;
