An owner without its table service repeats starts: failing test

An owner that can't reach the table service reads no cancellations that entries store in the inbox and answer 200, and doesn't learn that the shard has another owner. It still repeats starts that an agent has not received.

--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -280,6 +280,24 @@
 	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
 }
 
+/* An entry may have stored a cancellation that such an owner can't read. */
+TEST_F(ShardTest, AnOwnerThatCannotCommitSendsNoStartAgain)
+{
+	take_shard_with_worker();
+	add_stored_job("a");
+	run_rounds();
+	ASSERT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	store.is_silent = true;
+	/* Longer than COMMIT_STALL_US and START_RESEND_US. */
+	g_usleep(1300 * 1000);
+	send_beat({}, 0);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	store.is_silent = false;
+	run_rounds();
+	send_beat({}, 0);
+	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 4u);
+}
+
 TEST_F(ShardTest, JobWithoutANotificationIsFoundInTheInbox)
 {
 	take_shard_with_worker();
