An owner that can't commit repeats no starts

An owner that is cut off from the table service reads no cancellations in the inbox, does not learn of its successor, and yet repeated starts that an agent had not received, until agents knew its successor, and without end where there was none.

A start that was lost meanwhile is sent again after the next commit, or by the next owner under a new number. Nothing is counted as lost later.

Ruled out: first starts, which follow a commit; two runs of a task (the agent refuses a start under another lease or of a lower epoch).

--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -125,6 +125,17 @@
 	       task->worker_incarnation < worker->worker_incarnation && !worker->exit_announced;
 }
 
+/*
+ * An owner that can't commit may have been replaced, and can't read the cancellations in the inbox:
+ * it sends no start again, as none of a job whose end is decided.
+ */
+static gboolean may_resend_start(const struct lug_shard *shard, const struct shard_task *task,
+				 gint64 now_us)
+{
+	return now_us - task->start_sent_us > START_RESEND_US &&
+	       task->job->end_state == LUG_WORKFLOW_UNKNOWN && !lug_shard_is_stalled(shard, now_us);
+}
+
 static void check_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			const struct lug_run_id *id, void *data)
 {
@@ -169,8 +180,7 @@
 		return_lost_task(shard, job, task, id, reason);
 		return;
 	}
-	if (job->end_state == LUG_WORKFLOW_UNKNOWN &&
-	    check->now_us - task->start_sent_us > START_RESEND_US)
+	if (may_resend_start(shard, task, check->now_us))
 		shard_send_start(shard, job, task, id, check->now_us);
 }
 
