--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -1,6 +1,7 @@
 """Workers that start again under their former id: what was said by or to the former incarnation."""
 
 import itertools
+import signal
 import time
 
 import pytest
@@ -64,7 +65,7 @@
     worker.is_late = lambda call_path, body: False
 
 
-def start_long_tasks(deployment, worker):
+def start_long_tasks(deployment, worker, run_ms=30000):
     """Waits until the worker is used, and starts tasks on it; the others have room for some more.
 
     Each worker has room for 4 tasks, so that the others can't take all 9.
@@ -78,7 +79,7 @@
     assert deployment.wait_until(is_used, 8)
     time.sleep(0.3)
     job = next(JOB_IDS)
-    assert deployment.submit(job, {"ms": 30000}, [{"count": 9, "cpu": 1000}]) == 200
+    assert deployment.submit(job, {"ms": run_ms}, [{"count": 9, "cpu": 1000}]) == 200
     assert deployment.wait_until(lambda: any(task.startswith(job) for task in worker.running), 8)
     return job
 
@@ -193,3 +194,108 @@
     assert deployment.wait_until(lambda: worker.running, 3), "the late start is not carried out"
     time.sleep(CANCELLED_RUN_S)
     assert worker.running == {}
+
+
+def runs_of(worker, job):
+    return [task for task in worker.running if task.startswith(job)]
+
+
+def test_late_start_of_a_cancelled_run_is_stopped_although_its_owner_has_ended(
+        start_queue_deployment, monkeypatch):
+    """Guards against incident stop-of-a-former-incarnation, with the shard's next owner."""
+    monkeypatch.setattr(standins, "STOP_DELAY_MS", 900)
+    monkeypatch.setattr(standins, "LEASE_MAX_MS", 6000)
+    deployment = start_queue_deployment(workers=3, shards=1)
+    owner = deployment.owner_name()
+    worker = next(worker for name, worker in deployment.workers.items() if name != owner)
+    # The first start of each run has no answer.
+    worker.is_late = lambda path, body: path == "/run-start" and not any(
+        late["task"] == body["task"] for _, late, _ in worker.late)
+    job = next(JOB_IDS)
+    # Room for 4 on each worker.
+    assert deployment.submit(job, {"ms": 30000}, [{"count": 12, "cpu": 1000}]) == 200
+    assert deployment.wait_until(lambda: runs_of(worker, job), 5)
+    assert deployment.request("DELETE", f"/jobs/{job}")[0] == 200
+    assert deployment.wait_until(
+        lambda: any(state["stop_at"] for _, state in worker.running.values()), 3)
+    # The agent has the answer.
+    time.sleep(0.1)
+    deployment.signal_process(owner)
+    worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    assert runs_of(worker, job), "the late start is not carried out"
+    deployment.start(owner)
+    time.sleep(CANCELLED_RUN_S)
+    assert not runs_of(worker, job)
+
+
+def keep_one_acknowledgement(deployment, worker):
+    """Leaves a poll without an answer that acknowledges some ends, at least 8."""
+    def is_late(path, body):
+        return path == "/hold" and body["ack_seq"] >= 8 and not worker.late
+
+    def has_kept():
+        deployment.submit(next(JOB_IDS), {"ms": 50}, [{"count": 12, "cpu": 1000}])
+        time.sleep(0.2)
+        return worker.late
+
+    worker.is_late = is_late
+    assert deployment.wait_until(has_kept, 8)
+    worker.is_late = lambda path, body: False
+
+
+def test_late_acknowledgement_does_not_remove_ends_of_the_next_incarnation(start_queue_deployment):
+    """Guards against incident calls-to-a-former-incarnation: tasks were done that their agent had not
+    seen end, and were started again."""
+    deployment = start_queue_deployment(workers=3, shards=1)
+    worker = deployment.workers["agent-1"]
+    keep_one_acknowledgement(deployment, worker)
+    restart_worker(deployment, worker)
+    job = next(JOB_IDS)
+    # Room for 4 on each worker.
+    assert deployment.submit(job, {"ms": 2000}, [{"count": 12, "cpu": 1000}]) == 200
+    assert deployment.wait_until(lambda: runs_of(worker, job), 8)
+    time.sleep(0.5)
+    worker.mode = "dark"
+    assert deployment.wait_until(lambda: not worker.running, 4)
+    assert worker.finished
+    worker.perform_late()
+    worker.mode = ""
+    wait_for_state(deployment, job)
+    assert deployment.violations() == []
+
+
+@pytest.mark.parametrize("cut", ["worker", "agent"])
+def test_end_behind_a_cut_is_not_noted_after_the_task_was_started_elsewhere(start_with_high_clocks,
+                                                                             cut):
+    """Guards against incident calls-to-a-former-incarnation: a task was done behind a cut, under a
+    lease that was longer than known; its end was acknowledged after another start."""
+    deployment = start_with_high_clocks()
+    # Owners can fence the worker of another agent only.
+    name = next(name for name in deployment.workers if name != deployment.owner_name())
+    worker = deployment.workers[name]
+    keep_one_call(deployment, worker, "/hold")
+    if cut == "agent":
+        worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    job = start_long_tasks(deployment, worker, 2500)
+    if cut == "agent":
+        deployment.signal_process(name, signal.SIGSTOP)
+    else:
+        worker.perform_late()
+        worker.mode = "dark"
+
+    def is_contact_due():
+        """A task was started elsewhere, or the lease of the worker expires soon."""
+        return worker.lease_expires_ms - worker.clock_ms() < 200 or any(
+            event[0] == "start" and event[2].startswith(job) and event[3] > 1
+            for event in deployment.history())
+
+    assert deployment.wait_until(is_contact_due, 12)
+    assert any(end[1].startswith(job) for end in worker.finished)
+    worker.mode = ""
+    if cut == "agent":
+        deployment.signal_process(name, signal.SIGCONT)
+    wait_for_state(deployment, job)
+    assert deployment.wait_until(lambda: not worker.finished, 5), "ends are not acknowledged"
+    assert deployment.violations() == []
