A late start of an earlier run repeats a task: failing tests

Then the first worker restarts under its id. It has no memory of the stop, and before its agent has polled it under the new token it carries out a start of run 1.

Found by random trials (late calls, restarts, cancellations; not in the tree), where it also came about with run 2 on the next incarnation of the same worker and a second restart.

--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -299,3 +299,39 @@
     wait_for_state(deployment, job)
     assert deployment.wait_until(lambda: not worker.finished, 5), "ends are not acknowledged"
     assert deployment.violations() == []
+
+
+@pytest.mark.parametrize("run_ms", [300, 30000], ids=["done", "running"])
+def test_late_start_of_an_earlier_run_does_not_repeat_the_task(start_queue_deployment, run_ms):
+    """Of incident calls-to-a-former-incarnation: a start had no answer, the next run was elsewhere."""
+    deployment = start_queue_deployment(workers=2, shards=1)
+    chosen = []
+
+    def make_is_late(worker):
+        """Leaves the starts on the worker that is chosen first without an answer."""
+        def is_late(path, body):
+            if path != "/run-start" or (chosen and worker is not chosen[0]):
+                return False
+            chosen.append(worker)
+            return True
+
+        return is_late
+
+    for worker in deployment.workers.values():
+        worker.is_late = make_is_late(worker)
+    job = next(JOB_IDS)
+    assert deployment.submit(job, {"ms": run_ms}) == 200
+    assert deployment.wait_until(lambda: chosen, 5)
+    worker = chosen[0]
+    # The next run is placed on the other worker.
+    worker.set_room(0)
+    assert deployment.wait_until(lambda: deployment.history(), 10)
+    if run_ms < 1000:
+        wait_for_state(deployment, job)
+        assert deployment.wait_until(
+            lambda: any(event[0] == "noted" for event in deployment.history()), 3)
+    worker.is_late = lambda path, body: False
+    worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    assert any(event[0] == "start" for event in worker.history), "no late start is carried out"
+    assert deployment.violations() == []
