A run that is carried out again after its noted end: failing test

The worker restarts under its id, and its next incarnation, which knows neither the end nor a fencing token, carries out the first start before it answers a poll.

The test tells the ends of one run in two incarnations apart, which violations() of the rig does not. perform_late() of the stand-in worker can carry out the calls of one path only.

--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -193,3 +193,35 @@
     assert deployment.wait_until(lambda: worker.running, 3), "the late start is not carried out"
     time.sleep(CANCELLED_RUN_S)
     assert worker.running == {}
+
+
+def starts_after_noted_ends(deployment):
+    """Starts of tasks after an end as done that is acknowledged, then or later.
+
+    Unlike violations() of the deployment, it tells apart the ends of one run in two incarnations.
+    """
+    history = deployment.history()
+    done, found = {}, []
+    for i, (kind, _, task, run, outcome) in enumerate(history):
+        if kind == "noted" and outcome == "done":
+            done.setdefault(task, max(k for k in range(i) if history[k][0] == "end"
+                                      and history[k][2:4] == (task, run)))
+    for i, (kind, at, task, run, _) in enumerate(history):
+        if kind == "start" and i > done.get(task, i):
+            found.append(f"{at - history[0][1]:.2f} s: {task}: run {run}")
+    return found
+
+
+def test_a_start_that_was_repeated_is_not_carried_out_after_its_end_is_noted(start_queue_deployment):
+    """The repeated start was answered, the run ended as done; the next incarnation then carries out
+    the first start before it has answered a poll."""
+    deployment = start_queue_deployment(workers=1, shards=1)
+    worker = deployment.workers["agent-1"]
+    job = leave_one_start(deployment, worker, {"ms": 300})
+    wait_for_state(deployment, job)
+    time.sleep(0.5)
+    worker.on_start = worker.perform_late
+    restart_worker(deployment, worker)
+    assert deployment.wait_until(lambda: worker.running, 3), "the late start is not carried out"
+    time.sleep(1)
+    assert starts_after_noted_ends(deployment) == []
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -333,9 +333,13 @@
         elapsed_s = time.monotonic() - self.started_at
         return self.clock_start_ms + int(elapsed_s * 1000 * CLOCK_RATE)
 
-    def perform_late(self):
-        """Carries out the calls that were left without an answer, on the present incarnation."""
-        late, self.late = self.late, []
+    def perform_late(self, only=""):
+        """Carries out the calls that were left without an answer, on the present incarnation.
+
+        only: carries out calls of this path, and leaves the others.
+        """
+        late = [item for item in self.late if only in ("", item[0])]
+        self.late = [item for item in self.late if item not in late]
         return [self._perform(path, body, headers) for path, body, headers in late]
 
     def _send_heartbeats(self):
