An end that a late acknowledgement reaches before its agent: failing test

The worker restarts under its id; before it answers a poll, its next incarnation carries out the start, ends the run as done as its first end, and carries out the acknowledgement. So the end is noted, and neither the agent nor the owner knows of it: the run counts as crashed, and the task is started again.

Three orders of the calls to the former incarnation: the start first; the acknowledgement first, and known to have no answer by then; the acknowledgement still in flight when the start is sent.

--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -225,3 +225,78 @@
     assert deployment.wait_until(lambda: worker.running, 3), "the late start is not carried out"
     time.sleep(1)
     assert starts_after_noted_ends(deployment) == []
+
+
+def is_start(path, body):
+    return path == "/run-start"
+
+
+def is_acknowledgement(path, body):
+    return path == "/hold" and body["ack_seq"] > 0
+
+
+def drain_others(deployment, worker, draining):
+    """Has all workers but one drain, so that tasks are started on that one."""
+    for other in deployment.workers.values():
+        if other is not worker:
+            other.draining = draining
+            other.beat()
+    # Longer than the interval at which agents report to owners.
+    time.sleep(0.7)
+
+
+def leave_start_and_acknowledgement(deployment, worker, order):
+    """Leaves an acknowledgement and all starts of a job without an answer; returns the job.
+
+    An acknowledgement that is not sent is none to wait for.
+    """
+    job, earlier = next(JOB_IDS), next(JOB_IDS)
+    spec = {"ms": 300}
+
+    def has_late(path):
+        return any(item[0] == path for item in worker.late)
+
+    assert deployment.submit(earlier, {"ms": 700 if order == "start-first" else 100}) == 200
+    assert deployment.wait_until(lambda: worker.running, 3)
+    if order == "start-first":
+        worker.is_late = is_start
+        assert deployment.submit(job, spec) == 200
+        assert deployment.wait_until(lambda: has_late("/run-start"), 3)
+    worker.is_late = lambda path, body: is_start(path, body) or \
+        (is_acknowledgement(path, body) and not has_late("/hold"))
+    wait_for_state(deployment, earlier, 3)
+    deployment.wait_until(lambda: has_late("/hold"), 0.5)
+    if order == "acknowledgement-first":
+        # Longer than the agent waits for the answer.
+        time.sleep(2)
+    if order != "start-first":
+        assert deployment.submit(job, spec) == 200
+        assert deployment.wait_until(lambda: has_late("/run-start"), 3)
+    return job
+
+
+@pytest.mark.parametrize("order", ["start-first", "acknowledgement-first",
+                                   "acknowledgement-in-flight"])
+def test_an_end_that_its_agent_has_not_seen_is_not_acknowledged(start_queue_deployment, order):
+    """The next incarnation carries out a start, ends the run as done and then carries out an
+    acknowledgement, all before it answers a poll; both calls were meant for the former one."""
+    deployment = start_queue_deployment(workers=2, shards=1)
+    worker = deployment.workers["agent-1"]
+    drain_others(deployment, worker, True)
+    job = leave_start_and_acknowledgement(deployment, worker, order)
+
+    def start_late():
+        worker.is_late = lambda path, body: False
+        worker.mode = "dark"
+        worker.perform_late("/run-start")
+
+    worker.on_start = start_late
+    restart_worker(deployment, worker)
+    assert deployment.wait_until(
+        lambda: any(event[0] == "end" and event[2].startswith(job) for event in worker.history), 3)
+    worker.perform_late("/hold")
+    worker.mode = ""
+    drain_others(deployment, worker, False)
+    wait_for_state(deployment, job)
+    assert starts_after_noted_ends(deployment) == []
+    assert deployment.violations() == []
