A late start on an incarnation that its agent does not hear: failing test

The lease in the start is a time on the clock of the former incarnation, so the run holds the longest lease (10 s). The agent counts the run as lost with its lease of 6 s, and the task is started elsewhere.

No fix: to count runs with unanswered starts as lost only once no late start can be left would leave the tasks of a worker that is gone for good without a run for 20 s or more (rule LOST).

--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -300,3 +300,22 @@
     wait_for_state(deployment, job)
     assert starts_after_noted_ends(deployment) == []
     assert deployment.violations() == []
+
+
+def test_a_late_start_of_an_incarnation_that_is_not_heard_runs_alone(start_queue_deployment):
+    """The worker restarts while its agent does not reach it, and carries out a start that was meant
+    for the former incarnation. The lease in the start lasts longer there, up to the longest one."""
+    deployment = start_queue_deployment(workers=2, shards=1)
+    worker = deployment.workers["agent-1"]
+    drain_others(deployment, worker, True)
+    worker.is_late = is_start
+    assert deployment.submit(next(JOB_IDS), {"ms": 30000}) == 200
+    assert deployment.wait_until(lambda: worker.late, 3)
+    worker.mode = "dark"
+    drain_others(deployment, worker, False)
+    restart_worker(deployment, worker)
+    time.sleep(1)
+    worker.perform_late()
+    assert worker.running, "the late start is not carried out"
+    time.sleep(CUT_S)
+    assert deployment.violations() == []
