An end is acknowledged later while a start may be carried out late

Cause: an acknowledged end is final, but the next incarnation of the worker knows nothing of it. It can carry out an unanswered start of the same run again; or an unanswered start of another run, and then the acknowledgement, which reaches the end of that run before the agent has seen it.

Change: for 12 s after a start without an answer, and while one has been in flight for more than 0.2 s, an end is acknowledged only 3 s after it was first listed. Its owner has stored it as before, so jobs end as early. Meanwhile the worker is polled each 80 ms, as with ends that owners have not stored. Where all starts are answered in time, nothing changes. A start under another id can't be carried out, and an agent that shuts down does not wait.

This covers the 3 s after an end only; a start that comes later still breaks the rule if the end has been noted. A process of the agent does not know of the unanswered starts of its predecessor.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -16,6 +16,14 @@
 #define EPOCH_MAX (1ULL << 33)
 /* A call without an answer is carried out within this time or never. */
 #define LATE_CALL_US (30 * G_USEC_PER_SEC)
+/*
+ * The time within which acknowledgements allow for a start without an answer: calls are carried out
+ * 2 to 12 s late as a rule. A start that takes longer than SLOW_START_US may get no answer.
+ */
+#define LATE_START_US (12 * G_USEC_PER_SEC)
+#define SLOW_START_US (200 * 1000)
+/* Ends have to be acknowledged within 4 s of being listed. */
+#define ACK_DELAY_MAX_US (3 * G_USEC_PER_SEC)
 
 /**
  * exec_token - fencing token of calls to the present incarnation of the worker
@@ -100,6 +108,45 @@
 	exec->grant_answered_us = 0;
 }
 
+/**
+ * exec_note_late_start - note a start without an answer, which may be carried out late
+ */
+void exec_note_late_start(struct lug_executor *exec, gint64 now_us)
+{
+	exec->late_start_until_us = now_us + LATE_START_US;
+}
+
+static gboolean may_start_late(const struct lug_executor *exec, gint64 now_us)
+{
+	if (now_us < exec->late_start_until_us)
+		return TRUE;
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (run->state == EXEC_STARTING && run->call_in_flight &&
+		    now_us - run->start_sent_us > SLOW_START_US)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/**
+ * exec_may_acknowledge - whether an end may be acknowledged to the worker
+ *
+ * An acknowledged end is final: its run must not start again. Acknowledgements therefore wait while
+ * the next incarnation may carry out a start without an answer. They wait for any such start, as
+ * one that is carried out late may reach the end of another run there. An agent that shuts down
+ * does not wait.
+ */
+gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
+			      gint64 now_us)
+{
+	if (!end->is_stored)
+		return FALSE;
+	return exec->shutting_down || now_us - end->listed_us >= ACK_DELAY_MAX_US ||
+	       !may_start_late(exec, now_us);
+}
+
 static gboolean is_restart_under_same_id(const struct lug_executor *exec)
 {
 	return exec->settled_incarnation && exec->settled_incarnation != exec->worker_incarnation &&
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -7,7 +7,7 @@
 #define BROKEN_POLL_US (500 * 1000)
 /*
  * The worker answers a poll at once while an end is not acknowledged. The next poll is therefore
- * sent when the owners have acknowledged all ends, or after this delay at the latest.
+ * sent when all ends may be acknowledged, or after this delay at the latest.
  */
 #define UNACKED_POLL_US (80 * 1000)
 /*
@@ -79,6 +79,7 @@
 		exec_remove_run(exec, run);
 	end = exec_add_end(exec, &item->id, item->outcome, item->checkpoint);
 	end->number = item->number;
+	end->listed_us = now_us;
 	lug_count(exec->ctx, TASKS_FINISHED, 1);
 	if (item->outcome == LUG_RUN_DONE)
 		exec->failures = 0;
@@ -234,7 +235,7 @@
 	exec->silent_since_us = 0;
 	exec->worker_down = FALSE;
 	exec_resume_grants(exec, now_us);
-	exec_schedule_poll(exec, exec_has_unacked_ends(exec) ? UNACKED_POLL_US : 0, now_us);
+	exec_schedule_poll(exec, exec_has_unacked_ends(exec, now_us) ? UNACKED_POLL_US : 0, now_us);
 }
 
 static gboolean on_poll_due(gpointer data)
@@ -264,33 +265,37 @@
 }
 
 /**
- * exec_has_unacked_ends - check for ends of the current incarnation that owners have not stored
+ * exec_has_unacked_ends - check for ends of the current incarnation that may not be acknowledged
+ * yet
  */
-gboolean exec_has_unacked_ends(const struct lug_executor *exec)
+gboolean exec_has_unacked_ends(const struct lug_executor *exec, gint64 now_us)
 {
 	for (guint i = 0; i < exec->ends->len; i++) {
 		const struct exec_end *end = g_ptr_array_index(exec->ends, i);
 
-		if (!end->is_stored && end->incarnation == exec->worker_incarnation)
+		if (end->incarnation == exec->worker_incarnation &&
+		    !exec_may_acknowledge(exec, end, now_us))
 			return TRUE;
 	}
 	return FALSE;
 }
 
 /*
- * Removes stored ends. Returns the highest number up to which all ends of the worker's current
- * incarnation are stored. Numbers of earlier incarnations are not comparable with these.
+ * Removes stored ends, those of the worker's current incarnation once they may be acknowledged.
+ * Returns the highest number up to which all of these are. Numbers of earlier incarnations are not
+ * comparable with these.
  */
-static guint64 prune_acked_ends(struct lug_executor *exec)
+static guint64 prune_acked_ends(struct lug_executor *exec, gint64 now_us)
 {
-	gboolean unstored_seen = FALSE;
+	gboolean waiting_seen = FALSE;
 
 	for (guint i = 0; i < exec->ends->len;) {
 		struct exec_end *end = g_ptr_array_index(exec->ends, i);
 		gboolean is_current = end->incarnation == exec->worker_incarnation;
 
-		unstored_seen = unstored_seen || (is_current && !end->is_stored);
-		if (!end->is_stored || (is_current && unstored_seen)) {
+		waiting_seen =
+			waiting_seen || (is_current && !exec_may_acknowledge(exec, end, now_us));
+		if (!end->is_stored || (is_current && waiting_seen)) {
 			i++;
 			continue;
 		}
@@ -353,7 +358,7 @@
 	if (exec->closed || exec->poll_in_flight || !lug_writer_is_held(exec->writer) ||
 	    exec->worker_exited)
 		return;
-	acked = prune_acked_ends(exec);
+	acked = prune_acked_ends(exec, now_us);
 	if (known_up && *poll.worker && acked > exec->acknowledged_number)
 		poll.acked_end_number = acked;
 	exec->poll_until_us = 0;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -160,6 +160,7 @@
  * @unconfirmed: the worker had not confirmed the start of a run that ended by its crash
  * @checkpoint: last checkpoint
  * @is_stored: the owner has acknowledged that it has stored the end
+ * @listed_us: when a poll first listed the end, 0 for a run whose worker crashed
  * @sent_us: last time that the end was sent to the owner
  */
 struct exec_end {
@@ -172,6 +173,7 @@
 	gboolean unconfirmed;
 	char *checkpoint;
 	gboolean is_stored;
+	gint64 listed_us;
 	gint64 sent_us;
 };
 
@@ -254,6 +256,8 @@
  * @outstanding_expires_ms: latest end of the lease in the calls that may yet be carried out, by the
  *                    incarnation that they were sent to or a later one; on the clock of the former
  * @outstanding_until_us: time after which none of these calls is carried out any more, 0 for none
+ * @late_start_until_us: time until which a start without an answer may be carried out late, as far
+ *                       as acknowledgements allow for that; 0 for none
  * @fenced_incarnation: incarnation that has answered a poll under the present fencing token, 0 for
  *                      none
  * @settled_id: id of the worker when it was last settled, see exec_settle(); "" for never
@@ -338,6 +342,7 @@
 	gint64 grant_answered_us;
 	gint64 outstanding_expires_ms;
 	gint64 outstanding_until_us;
+	gint64 late_start_until_us;
 	guint64 fenced_incarnation;
 	char *settled_id;
 	guint64 settled_incarnation;
@@ -371,7 +376,7 @@
 void exec_release_idle_lease(struct lug_executor *exec, gint64 now_us);
 void exec_poll(struct lug_executor *exec, gint64 now_us);
 void exec_schedule_poll(struct lug_executor *exec, gint64 after_us, gint64 now_us);
-gboolean exec_has_unacked_ends(const struct lug_executor *exec);
+gboolean exec_has_unacked_ends(const struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_runs(struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
 void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us);
@@ -387,6 +392,9 @@
 			    enum lug_order_result result, gint64 now_us);
 void exec_note_outstanding(struct lug_executor *exec, gint64 expires_ms, gint64 now_us);
 void exec_note_outstanding_of_former(struct lug_executor *exec, gint64 now_us);
+void exec_note_late_start(struct lug_executor *exec, gint64 now_us);
+gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
+			      gint64 now_us);
 void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
 void exec_settle(struct lug_executor *exec, gint64 now_us);
 gboolean exec_is_settled(const struct lug_executor *exec);
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -94,7 +94,7 @@
 		if (lug_run_equal(&end->id, &id))
 			end->is_stored = TRUE;
 	}
-	if (!exec->poll_in_flight && !exec_has_unacked_ends(exec))
+	if (!exec->poll_in_flight && !exec_has_unacked_ends(exec, lug_now_us()))
 		exec_schedule_poll(exec, 0, lug_now_us());
 }
 
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -84,6 +84,7 @@
 		return;
 	g_free(exec->worker_id);
 	exec->worker_id = g_strdup(id);
+	exec->late_start_until_us = 0;
 	for (guint i = exec->runs->len; !is_first && i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -133,6 +133,7 @@
 		return;
 	}
 	exec_log_unanswered(exec, "start_unanswered", &run->id, token, incarnation);
+	exec_note_late_start(exec, lug_now_us());
 	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
 	    incarnation == exec->worker_incarnation && exec_may_grant(exec)) {
 		send_start(exec, run);
--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -223,7 +223,8 @@
     worker.on_start = worker.perform_late
     restart_worker(deployment, worker)
     assert deployment.wait_until(lambda: worker.running, 3), "the late start is not carried out"
-    time.sleep(1)
+    # The time within which ends have to be acknowledged.
+    assert deployment.wait_until(lambda: not worker.running and not worker.finished, 0.3 + 4)
     assert starts_after_noted_ends(deployment) == []
 
 
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -294,6 +294,59 @@
 	EXPECT_EQ(worker.orders.back().kind, "stop");
 }
 
+/* Rule TWICE: the next incarnation may carry out the first start after the end is noted. */
+TEST_F(ExecutorOutstandingTest, AnEndIsNotAcknowledgedWhileAStartMayBeCarriedOutLate)
+{
+	start("a");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	tick_later();
+	expect_next_poll_to_acknowledge(0);
+	answer_poll();
+	/* Gate Acks: it does not wait for longer than ACK_DELAY_MAX_US. */
+	static_cast<struct exec_end *>(g_ptr_array_index(exec->ends, 0))->listed_us -=
+		3 * G_USEC_PER_SEC;
+	tick_later();
+	expect_next_poll_to_acknowledge(1);
+}
+
+/* The end of a run that the next incarnation starts late has the same number. */
+TEST_F(ExecutorOutstandingTest, AnEndIsNotAcknowledgedWhileTheStartOfAnotherRunIsSlow)
+{
+	start_confirmed("a");
+	start("b");
+	/* Longer than SLOW_START_US. */
+	g_usleep(210 * 1000);
+	running.clear();
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	tick_later();
+	expect_next_poll_to_acknowledge(0);
+	answer_poll();
+	worker.answer(LUG_ORDER_OK);
+	tick_later();
+	expect_next_poll_to_acknowledge(1);
+}
+
+TEST_F(ExecutorOutstandingTest, AnEndOfAWorkerWithAnotherIdIsAcknowledgedAtOnce)
+{
+	start("a");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	worker_id = "i-next";
+	restart_worker();
+	start_confirmed("b");
+	running.clear();
+	finished = {{1, id("b")}};
+	answer_poll();
+	ack("b");
+	expect_next_poll_to_acknowledge(1);
+}
+
 /*
  * Incident stop-of-a-former-incarnation: the table service was away when the worker restarted, so
  * owners did not know of the extended lease and started the task elsewhere.
