The fencing token rises when an acknowledgement has no answer

Cause: an acknowledgement without an answer and a start that is sent after it have the same fencing token. The next incarnation of the worker can carry out the start, end the run as done, and then carry out the acknowledgement, which reaches that end before the agent has seen it.

Ruled out: no starts for 12 s after such a poll (an idle worker); starts that wait for an acknowledgement in flight, or a higher token for each of them (polls with acknowledgements are in flight most of the time on a busy worker, so that the token would rise, and calls that overtake each other be refused, though all are answered).

Change: the token is raised when a poll with an acknowledgement has no answer, as with a restart. A worker that has carried out a later start refuses the acknowledgement. A call in flight with the lower token may be refused: a start that is refused has done nothing and is placed anew, stops and throttles are repeated.

--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -36,7 +36,7 @@
 	 */
 	exec->confirmed_epoch = 0;
 	exec->fenced_incarnation = 0;
-	exec->restarts = 0;
+	exec->token_raises = 0;
 	exec_poll(exec, lug_now_us());
 }
 
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -10,9 +10,9 @@
  * former one is carried out any more; this file allows for what was carried out before.
  */
 
-/* Restarts under one lease epoch that a fencing token can tell apart. */
-#define RESTART_BITS 20
-/* Only an odd row of the lease has a higher epoch, whose token does not tell restarts apart. */
+/* Bits of a fencing token that tell apart those under one lease epoch. */
+#define RAISE_BITS 20
+/* Only an odd row of the lease has a higher epoch, whose token is not raised. */
 #define EPOCH_MAX (1ULL << 33)
 /* A call without an answer is carried out within this time or never. */
 #define LATE_CALL_US (30 * G_USEC_PER_SEC)
@@ -28,15 +28,27 @@
 /**
  * exec_token - fencing token of calls to the present incarnation of the worker
  *
- * It rises with each lease epoch, and with each restart of the worker under one epoch.
+ * It rises with each lease epoch, and by exec_raise_token() under one epoch.
  */
 guint64 exec_token(const struct lug_executor *exec)
 {
 	guint64 epoch = lug_writer_epoch(exec->writer);
 
 	if (epoch >= EPOCH_MAX)
-		return (EPOCH_MAX << RESTART_BITS) + (epoch - EPOCH_MAX);
-	return epoch << RESTART_BITS | MIN(exec->restarts, (1u << RESTART_BITS) - 1);
+		return (EPOCH_MAX << RAISE_BITS) + (epoch - EPOCH_MAX);
+	return epoch << RAISE_BITS | MIN(exec->token_raises, (1u << RAISE_BITS) - 1);
+}
+
+/**
+ * exec_raise_token - have the worker refuse earlier calls once it has carried out a later one
+ *
+ * Due with each restart of the worker. Also when an acknowledgement has no answer: the next
+ * incarnation may carry it out after a start that is sent from now on, and it would forget the end
+ * of that run.
+ */
+void exec_raise_token(struct lug_executor *exec)
+{
+	exec->token_raises++;
 }
 
 /**
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -215,6 +215,8 @@
 		if (reply->result == LUG_ORDER_UNKNOWN &&
 		    (exec->poll_expires_ms || exec->poll_acked))
 			exec_log_unanswered_poll(exec);
+		if (reply->result == LUG_ORDER_UNKNOWN && exec->poll_acked)
+			exec_raise_token(exec);
 		if (reply->result == LUG_ORDER_FENCED)
 			lug_warn(exec->ctx, "worker_fences", "remedy",
 				 "polling again; the lease is acquired anew once its row is lost");
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -236,7 +236,7 @@
  * @poll_until_us: when that lease ends on the agent's clock
  * @poll_acked: @acked_end_number that the latest poll has sent, 0 for none
  * @poll_incarnation: @worker_incarnation when the latest poll was sent
- * @restarts: restarts of the worker since the lease was taken, the lower part of the fencing token
+ * @token_raises: lower part of the fencing token, see exec_raise_token()
  * @confirmed_epoch: lease epoch under which the runs on the worker are known: it has answered a
  *                   poll with all its ends, or no earlier run can be left on it; 0 for none
  * @clock_ms: the worker's clock at @clock_at_us
@@ -327,7 +327,7 @@
 	gint64 poll_until_us;
 	guint64 poll_acked;
 	guint64 poll_incarnation;
-	guint restarts;
+	guint token_raises;
 	guint64 confirmed_epoch;
 	gint64 clock_ms;
 	gint64 clock_at_us;
@@ -385,6 +385,7 @@
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
 guint64 exec_token(const struct lug_executor *exec);
+void exec_raise_token(struct lug_executor *exec);
 const char *exec_target_id(const struct lug_executor *exec);
 gboolean exec_is_id_known(const struct lug_executor *exec);
 void exec_note_grant(struct lug_executor *exec, gint64 expires_ms);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -110,7 +110,7 @@
 	if (exec->worker_incarnation) {
 		exec_log_restart(exec, incarnation, now_us);
 		exec_note_outstanding_of_former(exec, now_us);
-		exec->restarts++;
+		exec_raise_token(exec);
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
 		if (!exec->worker_exiting && !exec->draining)
 			mark_crashed_runs(exec);
--- a/tests/integration/test_restarts.py
+++ b/tests/integration/test_restarts.py
@@ -289,6 +289,9 @@
     def start_late():
         worker.is_late = lambda path, body: False
         worker.mode = "dark"
+        # Repeated starts are not carried out: they may have a higher fencing token.
+        starts = [item for item in worker.late if item[0] == "/run-start"]
+        worker.late = starts[:1] + [item for item in worker.late if item not in starts]
         worker.perform_late("/run-start")
 
     worker.on_start = start_late
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -332,6 +332,38 @@
 	expect_next_poll_to_acknowledge(1);
 }
 
+/* The next incarnation may start a run and then carry out an earlier acknowledgement. */
+TEST_F(ExecutorOutstandingTest, TheFencingTokenRisesIfAnAcknowledgementHasNoAnswer)
+{
+	guint64 token = exec_token(exec);
+
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	expect_next_poll_to_acknowledge(1);
+	EXPECT_EQ(worker.polls.front().request.token, token);
+	answer_poll(LUG_ORDER_UNKNOWN);
+	tick_later();
+	EXPECT_GT(worker.polls.front().request.token, token);
+	answer_poll();
+	expect_next_poll_to_acknowledge(1);
+	answer_poll();
+	start("b");
+	EXPECT_GT(worker.orders.back().token, token);
+}
+
+TEST_F(ExecutorOutstandingTest, TheFencingTokenDoesNotRiseIfAnAcknowledgementIsAnswered)
+{
+	guint64 token = exec_token(exec);
+
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	expect_next_poll_to_acknowledge(1);
+	answer_poll();
+	EXPECT_EQ(worker.polls.front().request.token, token);
+}
+
 TEST_F(ExecutorOutstandingTest, AnEndOfAWorkerWithAnotherIdIsAcknowledgedAtOnce)
 {
 	start("a");
