--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -84,6 +84,7 @@
 		return;
 	g_free(exec->worker_id);
 	exec->worker_id = g_strdup(id);
+	exec->late_start_until_us = 0;
 	for (guint i = exec->runs->len; !is_first && i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
@@ -109,7 +110,7 @@
 	if (exec->worker_incarnation) {
 		exec_log_restart(exec, incarnation, now_us);
 		exec_note_outstanding_of_former(exec, now_us);
-		exec->restarts++;
+		exec_raise_token(exec);
 		lug_count(exec->ctx, WORKER_RESTARTS, 1);
 		if (!exec->worker_exiting && !exec->draining)
 			mark_crashed_runs(exec);
