A teams' queue's owner acknowledges obsolete reports only after a commit

What callers see: an owner of a teams' queue that has lost it without knowing acknowledges the end of an attempt that its successor has started. The agent forgets the end, and the successor counts the attempt as lost and runs the task again, although it was done and acknowledged (TWICE).

Cause: lug_owner_on_report() acknowledged a report of an attempt that is not current at once, though only a commit shows that the process still owns the queue.

Ruled out: ends of current attempts, whose acknowledgement follows their commit. A check that the owner has committed a short time before would show nothing about a successor since.

At most a third of the queue's lease passes until an idle owner's next commit; the agent keeps the ended attempt and resends the report until then.

Evidence: ADisplacedOwnerDoesNotAcknowledgeItsSuccessorsAttempts failed in 3 of 3 runs before and passed in 3 of 3 after; so did the new AnObsoleteReportIsAcknowledgedOnceAfterTheNextCommit. Not run on this commit: integration tests.

--- a/liblug/job/outcome.c
+++ b/liblug/job/outcome.c
@@ -33,6 +33,52 @@
 	lug_link_send(owner->env.link, route, &envelope);
 }
 
+/*
+ * A former owner that has not learned of its successor does not know the successor's attempts. Its
+ * acknowledgement would make the agent forget an end that the successor needs, so it is sent once a
+ * later commit has shown that this process still owns the queue.
+ */
+static void add_obsolete_report(struct lug_owner *owner, const struct lug_route *route,
+				const Lug__TaskId *id, gint64 now_us)
+{
+	struct owner_obsolete_report report = {
+		.route = *route,
+		.index = id->index,
+		.attempt = id->attempt,
+		.received_us = now_us,
+	};
+
+	g_strlcpy(report.job, id->job, sizeof(report.job));
+	for (guint i = 0; i < owner->obsolete_reports->len; i++) {
+		const struct owner_obsolete_report *other =
+			&g_array_index(owner->obsolete_reports, struct owner_obsolete_report, i);
+
+		if (other->index == report.index && other->attempt == report.attempt &&
+		    !strcmp(other->job, report.job))
+			return;
+	}
+	g_array_append_val(owner->obsolete_reports, report);
+}
+
+/**
+ * owner_ack_obsolete_reports - acknowledge the obsolete reports that arrived before the last commit
+ * @owner: owner
+ */
+void owner_ack_obsolete_reports(struct lug_owner *owner)
+{
+	gint64 renewed_us = lug_writer_renewed_us(owner->writer);
+
+	for (guint i = owner->obsolete_reports->len; i-- > 0;) {
+		const struct owner_obsolete_report *report =
+			&g_array_index(owner->obsolete_reports, struct owner_obsolete_report, i);
+
+		if (report->received_us > renewed_us)
+			continue;
+		ack_report(owner, &report->route, report->job, report->index, report->attempt);
+		g_array_remove_index_fast(owner->obsolete_reports, i);
+	}
+}
+
 static void on_outcome_committed(void *data, enum lug_status status, gint64 version)
 {
 	struct owner_task_ref *ref = data;
@@ -146,8 +192,8 @@
  * @report: outcome of the attempt
  * @now_us: current time
  *
- * A report of an attempt that is not current is acknowledged without effect, so that the
- * agent stops resending it.
+ * A report of an attempt that is not current is acknowledged without effect after the next commit,
+ * so that the agent stops resending it.
  */
 void lug_owner_on_report(struct lug_owner *owner, const struct lug_route *route, const char *worker,
 			 const Lug__Report *report, gint64 now_us)
@@ -162,8 +208,7 @@
 	task = lug_queue_task(owner->queue, report->task->job, report->task->index);
 	if (!task || task->attempt != report->task->attempt || strcmp(task->worker, worker) ||
 	    task->state >= LUG_TASK_DONE || task->state == LUG_TASK_PENDING) {
-		ack_report(owner, route, report->task->job, report->task->index,
-			   report->task->attempt);
+		add_obsolete_report(owner, route, report->task, now_us);
 		return;
 	}
 	/* A transaction for the task is in flight; the agent resends its report. */
--- a/liblug/job/owner.c
+++ b/liblug/job/owner.c
@@ -68,6 +68,7 @@
 	g_clear_pointer(&owner->queue, lug_queue_free);
 	g_hash_table_remove_all(owner->lease_watches);
 	g_hash_table_remove_all(owner->dropped_jobs);
+	g_array_set_size(owner->obsolete_reports, 0);
 	g_clear_pointer(&owner->scan_after, g_free);
 	owner->load = LOAD_NONE;
 	owner->generation++;
@@ -112,6 +113,7 @@
 	owner->writer = lug_writer_new(env->ctx, env->store, &config);
 	owner->lease_watches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	owner->dropped_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	owner->obsolete_reports = g_array_new(FALSE, FALSE, sizeof(struct owner_obsolete_report));
 	return owner;
 }
 
@@ -127,6 +129,7 @@
 	lug_writer_free(owner->writer);
 	g_hash_table_unref(owner->lease_watches);
 	g_hash_table_unref(owner->dropped_jobs);
+	g_array_unref(owner->obsolete_reports);
 	g_free(owner->team);
 	g_free(owner);
 }
@@ -205,8 +208,9 @@
  * @owner: owner
  * @now_us: current time
  *
- * Renews the lease, rescans the job rows, sends wants, resends unanswered starts and stops,
- * checks the leases of silent workers and closes ended jobs. To be called several times a second.
+ * Renews the lease, rescans the job rows, acknowledges obsolete reports, sends wants, resends
+ * unanswered starts and stops, checks the leases of silent workers and closes ended jobs. To be
+ * called several times a second.
  */
 void lug_owner_tick(struct lug_owner *owner, gint64 now_us)
 {
@@ -220,6 +224,7 @@
 	}
 	if (owner->load != LOAD_DONE)
 		return;
+	owner_ack_obsolete_reports(owner);
 	owner_dispatch_tick(owner, now_us);
 	if (now_us < owner->next_sweep_us)
 		return;
--- a/liblug/job/owner_priv.h
+++ b/liblug/job/owner_priv.h
@@ -37,6 +37,22 @@
 	gboolean committing;
 };
 
+/**
+ * struct owner_obsolete_report - report of an attempt's end that changes nothing
+ * @route: destination of the acknowledgement
+ * @job: job id
+ * @index: index within the job
+ * @attempt: number of the attempt
+ * @received_us: when the report arrived
+ */
+struct owner_obsolete_report {
+	struct lug_route route;
+	char job[LUG_JOB_ID_MAX + 1];
+	guint32 index;
+	guint32 attempt;
+	gint64 received_us;
+};
+
 /**
  * struct lug_owner - one team's queue, as its owner or a candidate for ownership holds it
  * @env: shared dependencies
@@ -55,6 +71,8 @@
  * @lease_watches: leases of silent workers, struct owner_lease_watch by worker
  * @dropped_jobs: ids of removed jobs, each with the sequence number of its removal
  * @last_drop_seq: sequence number of the latest removal of a job
+ * @obsolete_reports: reports to acknowledge after the next commit, array of struct
+ *	owner_obsolete_report
  * @generation: raised by owner_reset(), so that replies to earlier scans are ignored
  */
 struct lug_owner {
@@ -74,6 +92,7 @@
 	GHashTable *lease_watches;
 	GHashTable *dropped_jobs;
 	guint64 last_drop_seq;
+	GArray *obsolete_reports;
 	guint generation;
 };
 
@@ -117,6 +136,7 @@
 		     guint32 index, guint32 attempt);
 void owner_cancel_job(struct lug_owner *owner, struct lug_queue_job *qjob, gint64 now_us);
 void owner_close_jobs(struct lug_owner *owner, gint64 now_us);
+void owner_ack_obsolete_reports(struct lug_owner *owner);
 void owner_lose_attempt(struct lug_owner *owner, struct lug_task *task, gboolean may_have_run,
 			const char *reason, gint64 now_us);
 void owner_fence_tick(struct lug_owner *owner, gint64 now_us);
--- a/tests/unit/owner_fence_test.cc
+++ b/tests/unit/owner_fence_test.cc
@@ -179,6 +179,20 @@
 	EXPECT_EQ(*sent, 1u);
 }
 
+TEST_F(OwnerReportTest, AnObsoleteReportIsAcknowledgedOnceAfterTheNextCommit)
+{
+	report_done(/* attempt */ 2);
+	report_done(/* attempt */ 2);
+	lug_owner_tick(owner, lug_now_us());
+	store.settle();
+	EXPECT_EQ(*sent, 1u) << "the lease's row has not been written since";
+	lug_owner_tick(owner, lug_now_us() + LAPSED_US);
+	EXPECT_EQ(*sent, 1u) << "the renewal has no answer";
+	store.settle();
+	lug_owner_tick(owner, lug_now_us());
+	EXPECT_EQ(*sent, 2u);
+}
+
 TEST_F(OwnerReportTest, ALostAttemptThatIsDoneBeforeTheNextClaimEndsItsTask)
 {
 	store.put("worker/w1", "{\"owner\":\"\",\"state\":\"fenced\",\"epoch\":4}");
