A lost attempt of a teams' queue that is done ends its waiting task

What callers see: a task of a teams' queue runs again after its worker has reported its end as done, and has had that acknowledged, while no later run was claimed (TWICE). The attempt had been counted as lost, for instance after its worker's lease lapsed, and its agent reports the end when it is heard again.

Cause: lug_owner_on_report() took any report for a waiting task for obsolete.

Ruled out: reports other than done; the task waits for its next run in any case. A claim in flight has raised the attempt's number, so the report of the former attempt stays obsolete then. The cancelled tasks of a job don't wait. The queue counts the task as active while the end is committed, and open tasks are counted at final states only, so neither expects a running task. The loss added nothing to used_ms, so the report's use is added once. A waiting task is not confirmed, so its run time is not observed.

Change: an end as done of the attempt whose number and worker a waiting task has is committed and then acknowledged as any other. If the commit fails, the task returns to the state that it had: "running" would repeat the start of the lost attempt.

--- a/liblug/job/outcome.c
+++ b/liblug/job/outcome.c
@@ -95,7 +95,7 @@
 	}
 	if (status != LUG_OK) {
 		/* The agent resends its report; a lost attempt is detected again. */
-		lug_queue_set_state(owner->queue, task, LUG_TASK_RUNNING, now_us);
+		lug_queue_set_state(owner->queue, task, ref->previous, now_us);
 		owner_task_ref_free(ref);
 		return;
 	}
@@ -117,6 +117,7 @@
 	struct lug_writer_op *op;
 
 	ref->next = next;
+	ref->previous = task->state;
 	ref->checkpoint = g_strdup(checkpoint);
 	ref->used_core_ms = task->used_core_ms + used_core_ms;
 	if (task->failures && next == LUG_TASK_PENDING)
@@ -184,6 +185,20 @@
 			 task->attempt, worker, report->outcome, detail);
 }
 
+/*
+ * A task that waits has the number of its latest attempt. If that was counted as lost and yet ended
+ * as done, the task need not run again.
+ */
+static gboolean is_current(const struct lug_task *task, const Lug__Report *report,
+			   const char *worker)
+{
+	if (task->attempt != report->task->attempt || strcmp(task->worker, worker))
+		return FALSE;
+	if (task->state == LUG_TASK_PENDING)
+		return report->outcome == LUG_OUTCOME_DONE;
+	return task->state < LUG_TASK_DONE;
+}
+
 /**
  * lug_owner_on_report - handle an agent's report of an attempt's end
  * @owner: owner
@@ -206,13 +221,12 @@
 	    !report->task->job)
 		return;
 	task = lug_queue_task(owner->queue, report->task->job, report->task->index);
-	if (!task || task->attempt != report->task->attempt || strcmp(task->worker, worker) ||
-	    task->state >= LUG_TASK_DONE || task->state == LUG_TASK_PENDING) {
+	if (!task || !is_current(task, report, worker)) {
 		add_obsolete_report(owner, route, report->task, now_us);
 		return;
 	}
 	/* A transaction for the task is in flight; the agent resends its report. */
-	if (task->state != LUG_TASK_RUNNING)
+	if (task->state == LUG_TASK_CLAIMING || task->state == LUG_TASK_ENDING)
 		return;
 	record_report(owner, task, report, worker, now_us);
 	commit_outcome(owner, task, next_state(task, report->outcome, checkpoint != NULL),
--- a/liblug/job/owner_priv.h
+++ b/liblug/job/owner_priv.h
@@ -98,7 +98,8 @@
 
 /*
  * Identifies a task during an asynchronous call, in which its job may be removed.
- * The members from @next on are the outcome to apply once it is committed.
+ * The members from @next on are the outcome to apply once it is committed, and the state to return
+ * to if it isn't.
  */
 struct owner_task_ref {
 	struct lug_owner *owner;
@@ -108,6 +109,7 @@
 	struct lug_route route;
 	gboolean has_route;
 	enum lug_task_state next;
+	enum lug_task_state previous;
 	char *checkpoint;
 	gint64 used_core_ms;
 	gint64 retry_us;
--- a/tests/unit/owner_fence_test.cc
+++ b/tests/unit/owner_fence_test.cc
@@ -159,6 +159,15 @@
 		zmq_ctx_term(zmq);
 	}
 
+	void lose_attempt()
+	{
+		store.put("worker/w1", "{\"owner\":\"\",\"state\":\"fenced\",\"epoch\":4}");
+		send_beat(0);
+		check_leases();
+		check_leases();
+		ASSERT_EQ(task()->state, LUG_TASK_PENDING);
+	}
+
 	void report_done(guint32 attempt)
 	{
 		Lug__Report report = LUG__REPORT__INIT;
@@ -168,6 +177,7 @@
 		id.attempt = attempt;
 		report.task = &id;
 		report.outcome = LUG_OUTCOME_DONE;
+		report.used_ms = 7;
 		lug_owner_on_report(owner, &route, "w1", &report, lug_now_us());
 	}
 };
@@ -195,11 +205,31 @@
 
 TEST_F(OwnerReportTest, ALostAttemptThatIsDoneBeforeTheNextClaimEndsItsTask)
 {
-	store.put("worker/w1", "{\"owner\":\"\",\"state\":\"fenced\",\"epoch\":4}");
-	send_beat(0);
-	check_leases();
-	check_leases();
-	ASSERT_EQ(task()->state, LUG_TASK_PENDING);
+	lose_attempt();
+	report_done(/* attempt */ 1);
+	EXPECT_EQ(*sent, 1u) << "the end is not stored";
+	store.settle();
+	EXPECT_EQ(*sent, 2u);
+	EXPECT_NE(store.rows["jobdone/t/j"].data.find("\"done\""), std::string::npos);
+	EXPECT_NE(store.rows["jobdone/t/j"].data.find("\"used_ms\":7"), std::string::npos);
+	EXPECT_NE(store.rows["queue/t"].data.find("\"total\":7"), std::string::npos);
+}
+
+TEST_F(OwnerReportTest, ATaskWhoseLateEndIsNotStoredWaitsAgain)
+{
+	struct lug_txn_result refusal = {LUG_BAD_INPUT, 0, nullptr, 0};
+
+	lose_attempt();
+	report_done(/* attempt */ 1);
+	ASSERT_EQ(task()->state, LUG_TASK_ENDING);
+	ASSERT_EQ(store.calls.size(), 1u);
+
+	FakeStore::Call call = store.take();
+
+	call.txn_fn(call.data, &refusal);
+	EXPECT_EQ(task()->state, LUG_TASK_PENDING);
+	EXPECT_EQ(*sent, 1u);
+	store.settle();
 	report_done(/* attempt */ 1);
 	store.settle();
 	EXPECT_NE(store.rows["jobdone/t/j"].data.find("\"done\""), std::string::npos);
