--- a/liblug/job/owner_priv.h
+++ b/liblug/job/owner_priv.h
@@ -37,6 +37,22 @@
 	gboolean committing;
 };
 
+/**
+ * struct owner_obsolete_report - report of an attempt's end that changes nothing
+ * @route: destination of the acknowledgement
+ * @job: job id
+ * @index: index within the job
+ * @attempt: number of the attempt
+ * @received_us: when the report arrived
+ */
+struct owner_obsolete_report {
+	struct lug_route route;
+	char job[LUG_JOB_ID_MAX + 1];
+	guint32 index;
+	guint32 attempt;
+	gint64 received_us;
+};
+
 /**
  * struct lug_owner - one team's queue, as its owner or a candidate for ownership holds it
  * @env: shared dependencies
@@ -55,6 +71,8 @@
  * @lease_watches: leases of silent workers, struct owner_lease_watch by worker
  * @dropped_jobs: ids of removed jobs, each with the sequence number of its removal
  * @last_drop_seq: sequence number of the latest removal of a job
+ * @obsolete_reports: reports to acknowledge after the next commit, array of struct
+ *	owner_obsolete_report
  * @generation: raised by owner_reset(), so that replies to earlier scans are ignored
  */
 struct lug_owner {
@@ -74,12 +92,14 @@
 	GHashTable *lease_watches;
 	GHashTable *dropped_jobs;
 	guint64 last_drop_seq;
+	GArray *obsolete_reports;
 	guint generation;
 };
 
 /*
  * Identifies a task during an asynchronous call, in which its job may be removed.
- * The members from @next on are the outcome to apply once it is committed.
+ * The members from @next on are the outcome to apply once it is committed, and the state to return
+ * to if it isn't.
  */
 struct owner_task_ref {
 	struct lug_owner *owner;
@@ -89,6 +109,7 @@
 	struct lug_route route;
 	gboolean has_route;
 	enum lug_task_state next;
+	enum lug_task_state previous;
 	char *checkpoint;
 	gint64 used_core_ms;
 	gint64 retry_us;
@@ -117,6 +138,7 @@
 		     guint32 index, guint32 attempt);
 void owner_cancel_job(struct lug_owner *owner, struct lug_queue_job *qjob, gint64 now_us);
 void owner_close_jobs(struct lug_owner *owner, gint64 now_us);
+void owner_ack_obsolete_reports(struct lug_owner *owner);
 void owner_lose_attempt(struct lug_owner *owner, struct lug_task *task, gboolean may_have_run,
 			const char *reason, gint64 now_us);
 void owner_fence_tick(struct lug_owner *owner, gint64 now_us);
