Soak: an end noted after its worker's lease lapsed does not count as noted

Cause: the checker knew an end as noted by task and run only, whenever it was acknowledged. Change: the stand-in remembers which ends were acknowledged without a lapse between, by incarnation, and checks the lease before each call too (a poll within 10 ms of its end used to revive it, with its runs). Overlaps are kept by worker, so that a third run beside a second one is seen as well. No other check changes.

--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -143,23 +143,29 @@
     def violations(self):
         """Runs that overlap with another run of their task, or start after the task was done.
 
-        A task counts as done only if an agent has acknowledged the end of the run. Otherwise the
-        end may be unknown to all agents.
+        A task counts as done only if an agent has acknowledged that very end, and the worker's
+        lease had not lapsed between the two. Otherwise the end may be unknown to all agents.
         """
         violations, open_runs, done = [], {}, set()
-        acknowledged = {(e[2], e[3]) for e in self.history() if e[0] == "noted"}
-        for kind, _, task, run, outcome in self.history():
+        noted_ends = set().union(*(worker.noted_ends for worker in self.workers.values()))
+        events = [(event, name) for name, worker in self.workers.items()
+                  for event in worker.history]
+        for event, worker in sorted(events, key=lambda item: item[0][1]):
+            kind, _, task, run, outcome = event
             if kind == "noted":
                 continue
+            runs = open_runs.setdefault(task, set())
             if kind == "start":
-                if task in open_runs:
-                    violations.append(f"{task}: run {run} started during run {open_runs[task]}")
+                if runs:
+                    violations.append(f"{task}: run {run} on {worker} started during "
+                                      + " and ".join(f"run {number} on {other}"
+                                                     for number, other in sorted(runs)))
                 if task in done:
-                    violations.append(f"{task}: run {run} started after the task was done")
-                open_runs[task] = run
-            elif open_runs.get(task) == run:
-                del open_runs[task]
-            if outcome == "done" and (task, run) in acknowledged:
+                    violations.append(f"{task}: run {run} on {worker} started after the task was done")
+                runs.add((run, worker))
+            else:
+                runs.discard((run, worker))
+            if outcome == "done" and event in noted_ends:
                 done.add(task)
         return violations
 
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -299,6 +299,8 @@
         # without an answer.
         self.mode = ""
         self.history = []
+        # Events "end" that the agent took note of while the lease had not lapsed since.
+        self.noted_ends = set()
         self.crashes = 0
         # Time at which the crashed worker is back, 0 while it is up, and its id then, "" for a new one.
         self.down_until = 0
@@ -325,6 +327,8 @@
             # By task: number of the last run that ended or must not start.
             self.last_ended_run = {}
             self.finished = []
+            # By sequence number: the event "end", while the lease has not lapsed since.
+            self.unlapsed_ends = {}
             self.end_seq = 0
             self.seq = 0
             self.on_start()
@@ -336,7 +340,7 @@
     def perform_late(self):
         """Carries out the calls that were left without an answer, on the present incarnation."""
         late, self.late = self.late, []
-        return [self._perform(path, body, headers) for path, body, headers in late]
+        return [self.perform(path, body, headers) for path, body, headers in late]
 
     def _send_heartbeats(self):
         while self.alive:
@@ -359,9 +363,19 @@
         self.end_seq += 1
         self.last_ended_run[task] = run
         self.finished.append([self.end_seq, task, run, outcome, ""])
-        self.history.append(("end", time.monotonic(), task, run, outcome))
+        event = ("end", time.monotonic(), task, run, outcome)
+        self.history.append(event)
+        self.unlapsed_ends[self.end_seq] = event
         self.lock.notify_all()
 
+    def _check_lease(self):
+        """Ends all runs if the lease has lapsed."""
+        if self.clock_ms() < self.lease_expires_ms:
+            return
+        for task in list(self.running):
+            self._end_run(task, "lapsed")
+        self.unlapsed_ends = {}
+
     def _run_tasks(self):
         while self.alive:
             time.sleep(0.01)
@@ -372,11 +386,10 @@
                 if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
                        for _, state in self.running.values()):
                     self._crash_under_task()
+                self._check_lease()
                 for task in list(self.running):
-                    run, state = self.running[task]
-                    if self.clock_ms() >= self.lease_expires_ms:
-                        self._end_run(task, "lapsed")
-                    elif state["stop_at"] and time.monotonic() >= state["stop_at"]:
+                    _, state = self.running[task]
+                    if state["stop_at"] and time.monotonic() >= state["stop_at"]:
                         self._end_run(task, "stopped")
                     elif time.monotonic() >= state["until"]:
                         self._end_run(task, state["how"])
@@ -393,16 +406,18 @@
             self.late.append((path, body, dict(headers)))
             time.sleep(1.5)
             return None
-        answer = self._perform(path, body, headers)
+        answer = self.perform(path, body, headers)
         if self.mode == "mute" and path != "/hold":
             time.sleep(1.0)
             return None
         return answer
 
-    def _perform(self, path, body, headers):
+    def perform(self, path, body, headers):
+        """Carries out a call on the present incarnation; returns its answer, None without one."""
         with self.lock:
             if self.down_until:
                 return None
+            self._check_lease()
             incarnation = self.incarnation
             if headers.get("Expected-Instance", self.id) != self.id:
                 return 421, {"server_time_ms": self.clock_ms()}
@@ -486,6 +501,8 @@
         for row in self.finished:
             if row[0] <= body["ack_seq"]:
                 self.history.append(("noted", time.monotonic(), row[1], row[2], row[3]))
+                if row[0] in self.unlapsed_ends:
+                    self.noted_ends.add(self.unlapsed_ends.pop(row[0]))
         self.finished = [row for row in self.finished if row[0] > body["ack_seq"]]
         while not self.finished and time.monotonic() < until_s and self.mode != "dark" \
                 and not self.down_until:
