Soak: calls carried out late by the next incarnation, cuts after restarts, runs of cancelled jobs

Cause: the soak crashed workers under the same id, but no call reached the next incarnation late, and nothing checked that the runs of cancelled jobs end. Change: faults worker_late and worker_restart_and_cut; some jobs of up to 6 s, half of them cancelled seconds after their submission; stops that take up to 0.9 s. Checked are runs of cancelled and ended jobs that go on, and starts over 3 s after an acknowledged cancellation in calm. The random choices of all existing seeds change.

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -3,7 +3,10 @@
 Meanwhile clients submit and cancel jobs. They submit some jobs twice, also through different
 entries. Faults affect daemons (kill, stop, freeze), the table service (busy, silent, slow, refusing
 callers, losing answers, dropping the history of its change feed) and workers (crash, ignored calls,
-lost answers). Then all faults are undone, and each accepted job must reach the expected state.
+lost answers, calls carried out seconds late, cuts after a restart). Then all faults are undone, and
+each accepted job must reach the expected state. The runs of cancelled and ended jobs must end.
+
+Each seed leaves the events of its workers in run/soak-SEED/workers.log, beside the daemons' logs.
 """
 
 import argparse
@@ -17,6 +20,7 @@
 import time
 
 from hub import QueueDeployment
+from standins import RESTART_MIN_S
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
@@ -28,6 +32,15 @@
 CANCELLED_SHARE, RESUBMITTED_SHARE, FAILING_SHARE, CRASHING_SHARE = 0.1, 0.2, 0.1, 0.03
 # Starts of a task that crashes its workers: fewer than three after the third crash.
 CRASHING_STARTS_MAX = 5
+LONG_SHARE, LONG_CANCELLED_SHARE, LONG_RUN_MS = 0.03, 0.5, (1500, 6000)
+CANCEL_DELAY_S = (0.1, 4.0)
+LATE_SHARE, LATE_DELAY_S = 0.5, (2.0, 6.0)
+RESTART_DELAY_S = (0.3, 3.0)
+CUT_DELAY_S, CUT_HOLD_S = (0.2, 2.0), (1.0, 9.0)
+STOP_DELAYS_S = (0.05, 0.2, 0.5, 0.9)
+# The bounds that the rules name cancel_ms, contact_ms and stop_grace_ms, the latter above the
+# longest of STOP_DELAYS_S and the steps of the stand-in; the rig's stop takes up to 0.9 s.
+CANCEL_S, CONTACT_S, STOP_GRACE_S = 3.0, 3.0, 1.0
 
 
 class Faults:
@@ -36,6 +49,9 @@
     def __init__(self, deployment, rng):
         self.deployment, self.rng = deployment, rng
         self.reserved = set()
+        # Threads that cut workers off or restart them, and what ends them early.
+        self.threads = []
+        self.ended = threading.Event()
         self.injectors = {name[6:]: getattr(self, name) for name in dir(self)
                           if name.startswith("fault_")}
 
@@ -137,21 +153,82 @@
     def fault_worker_mute(self):
         return self._set_worker_mode("mute")
 
+    def fault_worker_late(self):
+        """Half of a worker's calls are carried out late; in half of the cases it also restarts."""
+        worker = self._random_worker()
+        rng = random.Random(self.rng.random())
+        worker.choose_late_delay_s = lambda: rng.uniform(*LATE_DELAY_S)
+        worker.is_late = lambda path, body: rng.random() < LATE_SHARE
+        worker.note("calls are late")
+        if rng.random() < 0.5:
+            self._start_thread(self._restart_later, worker, rng.uniform(*RESTART_DELAY_S))
+
+        def undo():
+            worker.is_late = lambda path, body: False
+        return undo
+
+    def fault_worker_restart_and_cut(self):
+        """The worker restarts and is cut off soon after; in half of the cases it restarts again.
+
+        The cut ends by itself, since it may be longer than other faults.
+        """
+        worker = self._random_worker()
+        delay_s, hold_s = self.rng.uniform(*CUT_DELAY_S), self.rng.uniform(*CUT_HOLD_S)
+        crash_after_s = self.rng.uniform(0, hold_s) if self.rng.random() < 0.5 else None
+        self._start_thread(self._restart_and_cut, worker, delay_s, hold_s, crash_after_s)
+        return lambda: None
+
+    def _start_thread(self, function, *args):
+        self.threads.append(threading.Thread(target=function, args=args, daemon=True))
+        self.threads[-1].start()
+
+    def _restart_later(self, worker, delay_s):
+        if not self.ended.wait(delay_s):
+            worker.crash()
+
+    def _restart_and_cut(self, worker, delay_s, hold_s, crash_after_s):
+        worker.crash()
+        if self.ended.wait(RESTART_MIN_S + delay_s):
+            return
+        worker.mode = "dark"
+        worker.note("is cut off")
+        if crash_after_s is not None and not self.ended.wait(crash_after_s):
+            worker.crash()
+        self.ended.wait(hold_s - (crash_after_s or 0))
+        worker.mode = ""
+        worker.note("is no longer cut off")
+
+    def end(self):
+        """Ends the cuts and restarts to come."""
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+        for worker in self.deployment.workers.values():
+            worker.mode = ""
+
 
 class Soak:
     """One run with a seed."""
 
-    def __init__(self, seed, seconds, net):
+    def __init__(self, seed, seconds, net, often=()):
         self.rng = random.Random(seed)
+        # Faults that are five times as likely as others.
+        self.often = sorted(often) * 4
         self.seconds = seconds
         directory = os.path.join(ROOT, "run", f"soak-{seed}")
         shutil.rmtree(directory, ignore_errors=True)
         self.deployment = QueueDeployment(directory, BUILD, net, workers=WORKERS, entries=ENTRIES)
+        for worker in self.deployment.workers.values():
+            worker.stop_delay_s = self.rng.choice(STOP_DELAYS_S)
+        # Times at which the cancelling of a job was acknowledged, and at which the faults ended.
+        self.cancel_acks, self.calm_since = {}, 0.0
         self.accepted, self.cancelled, self.failing, self.refused = {}, set(), set(), set()
         self.crashing = set()
         self.job_ids = (f"{seed & 0xffffffff:08x}{n:08x}" for n in itertools.count(1))
         self.load_ended = threading.Event()
         self.tally = {}
+        # (time, job) of the long jobs to cancel.
+        self.cancellations = []
 
     def _submit(self, rng):
         job = next(self.job_ids)
@@ -162,6 +239,7 @@
             steps.append({"count": rng.randint(1, 3), "cpu": 800, "after": [0]})
         spec = {"ms": rng.randint(20, 600), "fails": failing_runs}
         self._make_crashing(job, spec)
+        cancel_delay_s = self._make_long(job, spec, steps)
         codes = [self.deployment.submit(job, spec, steps, rng.randint(1, ENTRIES))]
         if codes[0] != 200 or rng.random() < RESUBMITTED_SHARE:
             codes.append(self.deployment.submit(job, spec, steps, rng.randint(1, ENTRIES)))
@@ -173,8 +251,36 @@
         elif all(code in (429, 503) for code in codes):
             self.refused.add(job)
         if 200 in codes and rng.random() < CANCELLED_SHARE:
-            self.cancelled.add(job)
-            self.deployment.request("DELETE", f"/jobs/{job}", entry=rng.randint(1, ENTRIES))
+            self._cancel(job, rng.randint(1, ENTRIES))
+        elif 200 in codes and cancel_delay_s:
+            self.cancellations.append((time.monotonic() + cancel_delay_s, job))
+
+    def _cancel(self, job, entry):
+        self.cancelled.add(job)
+        code, _ = self.deployment.request("DELETE", f"/jobs/{job}", entry=entry)
+        if code in (200, 410):
+            self.cancel_acks[job] = time.monotonic()
+
+    def _cancel_due_jobs(self):
+        """Cancels the long jobs whose time has come, and those that are left after the load."""
+        while not self.load_ended.wait(0.05) or self.cancellations:
+            due = [item for item in self.cancellations
+                   if item[0] <= time.monotonic() or self.load_ended.is_set()]
+            for item in due:
+                self.cancellations.remove(item)
+                self._cancel(item[1], int(item[1], 16) % ENTRIES + 1)
+
+    def _make_long(self, job, spec, steps):
+        """Lets some jobs run for seconds; returns the time until such a job is cancelled, or None.
+
+        The numbers come from the job's id, so that the load of a seed changes little.
+        """
+        rng = random.Random(f"long {job}")
+        if rng.random() >= LONG_SHARE or job in self.crashing:
+            return None
+        spec.update(ms=rng.randint(*LONG_RUN_MS), fails=0)
+        steps[:] = steps[:1]
+        return rng.uniform(*CANCEL_DELAY_S) if rng.random() < LONG_CANCELLED_SHARE else None
 
     def _make_crashing(self, job, spec):
         """Lets a task of some jobs crash its workers, some before they answer the start.
@@ -197,7 +303,7 @@
         until_s = time.monotonic() + self.seconds
         active_faults = []
         while time.monotonic() < until_s:
-            name = self.rng.choice(sorted(faults.injectors))
+            name = self.rng.choice(sorted(faults.injectors) + self.often)
             self.tally[name] = self.tally.get(name, 0) + 1
             active_faults.append((time.monotonic() + self.rng.uniform(*FAULT_HOLD_S),
                                   faults.injectors[name]()))
@@ -207,6 +313,8 @@
                 active_faults.remove(fault)
         for _, undo in active_faults:
             undo()
+        faults.end()
+        self.calm_since = time.monotonic()
 
     def _is_expected_state(self, job, state):
         if job in self.cancelled:
@@ -248,11 +356,92 @@
         violations += [f"{job}: started {starts.count(f'{job}.0.0.0')} times, crashes its workers"
                        for job in sorted(self.crashing)
                        if starts.count(f"{job}.0.0.0") > CRASHING_STARTS_MAX]
+        violations += self._wait_for_runs_of_ended_jobs()
+        violations += self._find_late_orders()
         violations += [f"{name}: an end was acknowledged to another incarnation: {ack}"
                        for name, worker in self.deployment.workers.items()
                        for ack in worker.acks_of_others]
         return violations + self.deployment.violations()
 
+    def _open_runs(self):
+        """Runs that have not ended, as (name of the worker, event "start")."""
+        runs = []
+        for name, worker in self.deployment.workers.items():
+            with worker.lock:
+                for task, (run, _) in worker.running.items():
+                    start = [event for event in worker.history
+                             if event[0] == "start" and event[2:4] == (task, run)][-1]
+                    runs.append((name, start))
+        return runs
+
+    def _wait_for_runs_of_ended_jobs(self):
+        """Waits until no job that was cancelled or has ended has a run; returns those that stay.
+
+        A run may go on for cancel_ms, contact_ms and stop_grace_ms after the faults, the end of its
+        job or its start, whichever is last.
+        """
+        grace_s = CANCEL_S + CONTACT_S + STOP_GRACE_S
+        # The jobs have reached their states by now, and the cancellations were answered.
+        ended_at = {job: time.monotonic() for job in self.accepted
+                    if job in self.cancel_acks or self.deployment.state(job, 1) in
+                    ("completed", "failed", "cancelled")}
+        ended_at.update({job: at for job, at in self.cancel_acks.items() if job in ended_at})
+        while True:
+            now = time.monotonic()
+            runs = [run for run in self._open_runs() if run[1][2].split(".")[0] in ended_at]
+            due = any(worker.due_calls for worker in self.deployment.workers.values())
+            overdue = [run for run in runs
+                       if now > grace_s + max(self.calm_since, run[1][1],
+                                              ended_at[run[1][2].split(".")[0]])]
+            # A call that is due is carried out within LATE_DELAY_S after the faults.
+            if (not runs and not due) or overdue:
+                break
+            time.sleep(0.05)
+        return [f"{start[2]}: run {start[3]} on {name} goes on "
+                f"{now - max(self.calm_since, start[1], ended_at[start[2].split('.')[0]]):.1f} s "
+                "after its job was cancelled or had ended" for name, start in overdue]
+
+    def _find_late_orders(self):
+        """Starts of cancelled jobs that were ordered over cancel_ms after the acknowledgement.
+
+        Counted are those that begin when nothing was disturbed for contact_ms.
+        """
+        late_orders = []
+        for name, worker in self.deployment.workers.items():
+            started_late = {(task, run) for task, run, _ in worker.late_starts}
+            late_orders += [f"{task}: run {run} on {name} started after its job was cancelled"
+                            for kind, at, task, run, _ in worker.history
+                            if kind == "start" and (task, run) not in started_late
+                            and at > self.calm_since + CONTACT_S
+                            and at > self.cancel_acks.get(task.split(".")[0], at) + CANCEL_S]
+        return late_orders
+
+    def _write_worker_log(self):
+        """Writes the events of all workers with the wall-clock time, as in the daemons' logs."""
+        offset_s = time.time() - time.monotonic()
+        lines = []
+        for name, worker in self.deployment.workers.items():
+            with worker.lock:
+                lines += [(at, f"{name} {kind} {task} run {run} {outcome}")
+                          for kind, at, task, run, outcome in worker.history]
+                lines += [(at, f"{name} {text}") for at, text in worker.notes]
+                lines += [(end[1], f"{name} noted without a lapse: {end[2]} run {end[3]}")
+                          for end in worker.noted_ends if end[4] == "done"]
+        lines += [(at, f"cancelled: {job}") for job, at in self.cancel_acks.items()]
+        lines.append((self.calm_since, "faults are undone"))
+        with open(os.path.join(self.deployment.directory, "workers.log"), "w",
+                  encoding="utf-8") as file:
+            for at, text in sorted(lines):
+                clock_s = at + offset_s
+                stamp = time.strftime("%H:%M:%S", time.gmtime(clock_s))
+                file.write(f"{stamp}.{int(clock_s % 1 * 1000):03} {text}\n")
+
+    def dump(self, task):
+        """Lines of the worker log that name a task."""
+        with open(os.path.join(self.deployment.directory, "workers.log"),
+                  encoding="utf-8") as file:
+            return [line.rstrip() for line in file if task in line and " put off " not in line]
+
     def run(self):
         violations = []
         try:
@@ -260,6 +449,7 @@
                 lambda: self.deployment.ready(1) and self.deployment.ready(2), READY_TIMEOUT_S)
             threads = [threading.Thread(target=self._load, args=(self.rng.random(),), daemon=True)
                        for _ in range(3)]
+            threads.append(threading.Thread(target=self._cancel_due_jobs, daemon=True))
             for thread in threads:
                 thread.start()
             self._inject_faults()
@@ -268,6 +458,7 @@
                 thread.join(20)
             violations = self.find_violations() if ready else ["the daemons were not ready in time"]
         finally:
+            self._write_worker_log()
             violations += [f"{name} exited with code {code}"
                            for name, code in self.deployment.close().items()]
         return violations
@@ -279,17 +470,22 @@
     parser.add_argument("--seeds", type=int, default=1,
                         help="number of seeds to run one after the other")
     parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--often", action="append", default=[], metavar="FAULT",
+                        help="a fault that is five times as likely as others")
     parser.add_argument("--net", type=int, default=220)
     args = parser.parse_args()
     failed_seeds = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        soak = Soak(seed, args.seconds, args.net)
+        soak = Soak(seed, args.seconds, args.net, args.often)
         violations = soak.run()
         failed_seeds += bool(violations)
         print(f"seed {seed}: {len(soak.accepted)} jobs accepted, {len(soak.refused)} refused, "
               f"{sum(soak.tally.values())} faults, {len(violations)} violations", flush=True)
         for violation in sorted(set(violations))[:10]:
             print(f"  {violation}")
+        for task in sorted({violation.split(":")[0] for violation in violations})[:5]:
+            for line in soak.dump(task):
+                print(f"    {line}")
     print(f"{args.seeds} seeds, {failed_seeds} with violations")
     return 1 if failed_seeds else 0
 
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import heapq
 import json
 import random
 import socket
@@ -290,6 +291,16 @@
         # perform_late().
         self.is_late = lambda path, body: False
         self.late = []
+        # Seconds after which the worker carries out such a call by itself, in place of perform_late();
+        # one that is due while the worker is down is carried out as the next incarnation starts.
+        self.choose_late_delay_s = None
+        # (time at which it is due, number of the call, path, body, headers), earliest first.
+        self.due_calls = []
+        # (task, run, incarnation) of the runs that were started late.
+        self.late_starts = []
+        # (time, text) of what else happened, and from which incarnation a call was put off.
+        self.notes = []
+        self.stop_delay_s = STOP_DELAY_MS / 1000
         # Called when an incarnation starts, before it accepts calls.
         self.on_start = lambda: None
         self.clock_start_range_ms = CLOCK_START_MS
@@ -342,6 +353,32 @@
         late, self.late = self.late, []
         return [self.perform(path, body, headers) for path, body, headers in late]
 
+    def note(self, text):
+        self.notes.append((time.monotonic(), f"incarnation {self.incarnation}: {text}"))
+
+    def _put_off(self, path, body, headers):
+        """Leaves a call without an answer for now."""
+        if not self.choose_late_delay_s:
+            self.late.append((path, body, headers))
+            return
+        with self.lock:
+            delay_s = self.choose_late_delay_s()
+            # The order of two calls that are due at once does not matter.
+            heapq.heappush(self.due_calls, (time.monotonic() + delay_s, len(self.notes), path,
+                                            body, headers))
+            self.note(f"put off for {delay_s:.2f} s: {path} {json.dumps(body)}")
+
+    def _perform_due_calls(self):
+        while self.due_calls and self.due_calls[0][0] <= time.monotonic():
+            _, _, path, body, headers = heapq.heappop(self.due_calls)
+            count = len(self.history)
+            # Nobody waits for the answer.
+            answer = self.perform(path, dict(body, wait_ms=0), headers)
+            self.late_starts += [(task, run, self.incarnation)
+                                 for kind, _, task, run, _ in self.history[count:]
+                                 if kind == "start"]
+            self.note(f"carried out late: {path} {json.dumps(body)}: {json.dumps(answer)}")
+
     def _send_heartbeats(self):
         while self.alive:
             if self.mode != "dark" and not self.down_until and self.sends_heartbeats:
@@ -379,10 +416,13 @@
     def _run_tasks(self):
         while self.alive:
             time.sleep(0.01)
-            if self.down_until and time.monotonic() >= self.down_until:
-                self.start_incarnation()
-                self.id = self.next_id or f"i-{self.number}-{self.incarnation}"
             with self.lock:
+                if self.down_until and time.monotonic() >= self.down_until:
+                    self.start_incarnation()
+                    self.id = self.next_id or f"i-{self.number}-{self.incarnation}"
+                    self.note(f"started as {self.id}")
+                if not self.down_until:
+                    self._perform_due_calls()
                 if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
                        for _, state in self.running.values()):
                     self._crash_under_task()
@@ -403,7 +443,7 @@
         except ValueError:
             return 400, {}
         if self.is_late(path, body):
-            self.late.append((path, body, dict(headers)))
+            self._put_off(path, body, dict(headers))
             time.sleep(1.5)
             return None
         answer = self.perform(path, body, headers)
@@ -481,7 +521,7 @@
         task, run = body["task"], body["run"]
         if task in self.running and self.running[task][0] == run:
             if not self.running[task][1]["stop_at"]:
-                self.running[task][1]["stop_at"] = time.monotonic() + STOP_DELAY_MS / 1000
+                self.running[task][1]["stop_at"] = time.monotonic() + self.stop_delay_s
         else:
             # A start of this run that arrives later must be refused.
             self.last_ended_run[task] = max(self.last_ended_run.get(task, 0), run)
@@ -518,6 +558,7 @@
         self.running = {}
 
     def _go_down(self, down_s=CRASH_DOWN_S, next_id=""):
+        self.note("goes down")
         self._drop_runs()
         self.server.break_connections()
         self.next_id = next_id
