Soak: longer restarts, and tests of its late calls and checks

The rig also let jobs that should fail become long ones that do not. Change: restarts of the new faults take 0.3 to 2.5 s; failing jobs stay short; the dump names tasks and jobs only.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -6,8 +6,9 @@
 
 import pytest
 from hub import QueueDeployment
+import soak as rig
 from soak import Soak
-from standins import Worker
+from standins import Worker, call
 
 FAULTS_DURATION_S = 6
 # Second octets of the loopback addresses of the deployments.
@@ -21,25 +22,71 @@
     assert soak.accepted
 
 
-@pytest.mark.parametrize("lapses", [False, True], ids=["held", "lapsed"])
-def test_an_end_noted_after_the_lease_lapsed_does_not_count(lapses):
+JOB = "00000000000000d0"
+TASK = f"{JOB}.0.0.0"
+
+
+@pytest.fixture
+def worker():
+    """A worker without an agent."""
     net = next(FREE_NETS)
-    worker = Worker(1, f"127.{net}.0.1:8165", f"127.{net}.0.1:8166")
-    worker.sends_heartbeats = False
+    created = Worker(1, f"127.{net}.0.1:8165", f"127.{net}.0.1:8166")
+    created.sends_heartbeats = False
+    yield created
+    created.close()
+
+
+def order(worker, path, lease_ms=5000, **body):
+    body = {"task": TASK, "expires_ms": worker.clock_ms() + lease_ms, "fencing_token": 1, **body}
+    assert worker.perform(path, body, {})[0] == 200
+
+
+@pytest.mark.parametrize("lapses", [False, True], ids=["held", "lapsed"])
+def test_an_end_noted_after_the_lease_lapsed_does_not_count(worker, lapses):
+    lease_ms = 200 if lapses else 2000
+    order(worker, "/run-start", lease_ms, run=1, spec='{"ms": 20}')
+    time.sleep(0.5)
+    assert worker.history[-1][4] == "done"
+    order(worker, "/hold", lease_ms, ack_seq=1)
+    assert worker.history[-1][0] == "noted"
+    order(worker, "/run-start", lease_ms, run=2, spec='{"ms": 20}')
     checked = SimpleNamespace(workers={"agent-1": worker})
-    task = "00000000000000d0.0.0.0"
-
-    def order(path, **body):
-        expires_ms = worker.clock_ms() + (200 if lapses else 2000)
-        return worker.perform(path, {"expires_ms": expires_ms, "fencing_token": 1, **body}, {})
-
-    try:
-        order("/run-start", task=task, run=1, spec='{"ms": 20}')
-        time.sleep(0.5)
-        assert worker.history[-1][4] == "done"
-        order("/hold", ack_seq=1)
-        assert worker.history[-1][0] == "noted"
-        order("/run-start", task=task, run=2, spec='{"ms": 20}')
-        assert len(QueueDeployment.violations(checked)) == (0 if lapses else 1)
-    finally:
-        worker.close()
+    assert len(QueueDeployment.violations(checked)) == (0 if lapses else 1)
+
+
+def test_a_call_put_off_is_carried_out_by_the_next_incarnation(worker):
+    worker.choose_late_delay_s = lambda: 0.2
+    worker.is_late = lambda path, body: True
+    # A time that has not come on any clock of the next incarnation.
+    body = {"task": TASK, "run": 1, "spec": "{}", "fencing_token": 1, "expires_ms": 10**8}
+    assert call("POST", f"http://{worker.server.server_address[0]}:8165/run-start", body, 0.1)[0] == 0
+    former = worker.incarnation
+    worker.crash(0.6)
+    time.sleep(0.4)
+    assert worker.history == []
+    time.sleep(0.4)
+    assert [event[:1] + event[2:4] for event in worker.history][:1] == [("start", TASK, 1)]
+    assert worker.late_starts == [(TASK, 1, worker.incarnation)]
+    assert worker.incarnation != former
+
+
+@pytest.mark.parametrize("calm_s, cancelled_s, started_late, orders, stays",
+                         [(9, 8, False, 1, 0), (9, 8, True, 0, 0), (9, 1, False, 0, 0),
+                          (1, 8, False, 0, 0), (9, 8, False, 1, 1)])
+def test_the_soak_finds_runs_of_cancelled_jobs(worker, monkeypatch, calm_s, cancelled_s, started_late,
+                                               orders, stays):
+    monkeypatch.setattr(rig, "STOP_GRACE_S", 0.5)
+    monkeypatch.setattr(rig, "CONTACT_S", 1.5)
+    monkeypatch.setattr(rig, "CANCEL_S", 1.5)
+    soak = Soak.__new__(Soak)
+    soak.deployment = SimpleNamespace(workers={"agent-1": worker}, state=lambda job, entry: "cancelled")
+    now = time.monotonic()
+    soak.accepted, soak.cancel_acks, soak.calm_since = {JOB: now}, {JOB: now - cancelled_s}, now - calm_s
+    # The run ends before 3.5 s have passed, or does not.
+    order(worker, "/run-start", run=1, spec=f'{{"ms": {5000 if stays else 1500}}}')
+    if started_late:
+        worker.late_starts.append((TASK, 1, worker.incarnation))
+    assert len(soak.find_late_orders()) == orders
+    assert len(soak.find_runs_of_ended_jobs()) == stays
+    if stays:
+        assert time.monotonic() - now > 3.5
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -36,6 +36,7 @@
 CANCEL_DELAY_S = (0.1, 4.0)
 LATE_SHARE, LATE_DELAY_S = 0.5, (2.0, 6.0)
 RESTART_DELAY_S = (0.3, 3.0)
+DOWN_S = (RESTART_MIN_S, 2.5)
 CUT_DELAY_S, CUT_HOLD_S = (0.2, 2.0), (1.0, 9.0)
 STOP_DELAYS_S = (0.05, 0.2, 0.5, 0.9)
 # The bounds that the rules name cancel_ms, contact_ms and stop_grace_ms, the latter above the
@@ -161,7 +162,8 @@
         worker.is_late = lambda path, body: rng.random() < LATE_SHARE
         worker.note("calls are late")
         if rng.random() < 0.5:
-            self._start_thread(self._restart_later, worker, rng.uniform(*RESTART_DELAY_S))
+            self._start_thread(self._restart_later, worker, rng.uniform(*RESTART_DELAY_S),
+                               rng.uniform(*DOWN_S))
 
         def undo():
             worker.is_late = lambda path, body: False
@@ -175,25 +177,26 @@
         worker = self._random_worker()
         delay_s, hold_s = self.rng.uniform(*CUT_DELAY_S), self.rng.uniform(*CUT_HOLD_S)
         crash_after_s = self.rng.uniform(0, hold_s) if self.rng.random() < 0.5 else None
-        self._start_thread(self._restart_and_cut, worker, delay_s, hold_s, crash_after_s)
+        self._start_thread(self._restart_and_cut, worker, self.rng.uniform(*DOWN_S), delay_s, hold_s,
+                           crash_after_s)
         return lambda: None
 
     def _start_thread(self, function, *args):
         self.threads.append(threading.Thread(target=function, args=args, daemon=True))
         self.threads[-1].start()
 
-    def _restart_later(self, worker, delay_s):
+    def _restart_later(self, worker, delay_s, down_s):
         if not self.ended.wait(delay_s):
-            worker.crash()
+            worker.crash(down_s)
 
-    def _restart_and_cut(self, worker, delay_s, hold_s, crash_after_s):
-        worker.crash()
-        if self.ended.wait(RESTART_MIN_S + delay_s):
+    def _restart_and_cut(self, worker, down_s, delay_s, hold_s, crash_after_s):
+        worker.crash(down_s)
+        if self.ended.wait(down_s + delay_s):
             return
         worker.mode = "dark"
         worker.note("is cut off")
         if crash_after_s is not None and not self.ended.wait(crash_after_s):
-            worker.crash()
+            worker.crash(down_s)
         self.ended.wait(hold_s - (crash_after_s or 0))
         worker.mode = ""
         worker.note("is no longer cut off")
@@ -276,9 +279,9 @@
         The numbers come from the job's id, so that the load of a seed changes little.
         """
         rng = random.Random(f"long {job}")
-        if rng.random() >= LONG_SHARE or job in self.crashing:
+        if rng.random() >= LONG_SHARE or job in self.crashing or spec["fails"]:
             return None
-        spec.update(ms=rng.randint(*LONG_RUN_MS), fails=0)
+        spec["ms"] = rng.randint(*LONG_RUN_MS)
         steps[:] = steps[:1]
         return rng.uniform(*CANCEL_DELAY_S) if rng.random() < LONG_CANCELLED_SHARE else None
 
@@ -356,8 +359,8 @@
         violations += [f"{job}: started {starts.count(f'{job}.0.0.0')} times, crashes its workers"
                        for job in sorted(self.crashing)
                        if starts.count(f"{job}.0.0.0") > CRASHING_STARTS_MAX]
-        violations += self._wait_for_runs_of_ended_jobs()
-        violations += self._find_late_orders()
+        violations += self.find_runs_of_ended_jobs()
+        violations += self.find_late_orders()
         violations += [f"{name}: an end was acknowledged to another incarnation: {ack}"
                        for name, worker in self.deployment.workers.items()
                        for ack in worker.acks_of_others]
@@ -374,7 +377,7 @@
                     runs.append((name, start))
         return runs
 
-    def _wait_for_runs_of_ended_jobs(self):
+    def find_runs_of_ended_jobs(self):
         """Waits until no job that was cancelled or has ended has a run; returns those that stay.
 
         A run may go on for cancel_ms, contact_ms and stop_grace_ms after the faults, the end of its
@@ -401,7 +404,7 @@
                 f"{now - max(self.calm_since, start[1], ended_at[start[2].split('.')[0]]):.1f} s "
                 "after its job was cancelled or had ended" for name, start in overdue]
 
-    def _find_late_orders(self):
+    def find_late_orders(self):
         """Starts of cancelled jobs that were ordered over cancel_ms after the acknowledgement.
 
         Counted are those that begin when nothing was disturbed for contact_ms.
@@ -436,11 +439,12 @@
                 stamp = time.strftime("%H:%M:%S", time.gmtime(clock_s))
                 file.write(f"{stamp}.{int(clock_s % 1 * 1000):03} {text}\n")
 
-    def dump(self, task):
-        """Lines of the worker log that name a task."""
+    def dump(self, name):
+        """The history of a task or job: lines of the worker log."""
         with open(os.path.join(self.deployment.directory, "workers.log"),
                   encoding="utf-8") as file:
-            return [line.rstrip() for line in file if task in line and " put off " not in line]
+            return [line.rstrip()[:250] for line in file
+                    if name in line and " put off " not in line]
 
     def run(self):
         violations = []
@@ -483,8 +487,10 @@
               f"{sum(soak.tally.values())} faults, {len(violations)} violations", flush=True)
         for violation in sorted(set(violations))[:10]:
             print(f"  {violation}")
-        for task in sorted({violation.split(":")[0] for violation in violations})[:5]:
-            for line in soak.dump(task):
+        # Violations of tasks and jobs start with their name.
+        names = {violation.split(":")[0] for violation in violations}
+        for name in sorted(name for name in names if name[:8] == f"{seed:08x}")[:5]:
+            for line in soak.dump(name):
                 print(f"    {line}")
     print(f"{args.seeds} seeds, {failed_seeds} with violations")
     return 1 if failed_seeds else 0
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -569,10 +569,10 @@
         self.crashes += 1
         self._go_down()
 
-    def crash(self):
+    def crash(self, down_s=RESTART_MIN_S):
         """Drops all running tasks; the next incarnation is up after a moment, under the same id."""
         with self.lock:
-            self._go_down(RESTART_MIN_S, self.id)
+            self._go_down(down_s, self.id)
 
     def leave(self):
         """Reports that the worker drains, unregisters it at its agent and ends it for good."""
