--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -221,11 +221,11 @@
 class Soak:
     """One run with a seed."""
 
-    def __init__(self, seed, seconds, net, often=()):
+    def __init__(self, seed, seconds, net, often=(), long_share=LONG_SHARE):
         self.rng = random.Random(seed)
         # Faults that are five times as likely as others.
         self.often = sorted(often) * 4
-        self.seconds = seconds
+        self.seconds, self.long_share = seconds, long_share
         directory = os.path.join(ROOT, "run", f"soak-{seed}")
         shutil.rmtree(directory, ignore_errors=True)
         self.deployment = QueueDeployment(directory, BUILD, net, workers=WORKERS, entries=ENTRIES)
@@ -287,7 +287,7 @@
         The numbers come from the job's id, so that the load of a seed changes little.
         """
         rng = random.Random(f"long {job}")
-        if rng.random() >= LONG_SHARE or job in self.crashing or spec["fails"]:
+        if rng.random() >= self.long_share or job in self.crashing or spec["fails"]:
             return None
         spec["ms"] = rng.randint(*LONG_RUN_MS)
         steps[:] = steps[:1]
@@ -484,11 +484,13 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--often", action="append", default=[], metavar="FAULT",
                         help="a fault that is five times as likely as others")
+    parser.add_argument("--long-share", type=float, default=LONG_SHARE,
+                        help="share of jobs that run for seconds, half of which are cancelled")
     parser.add_argument("--net", type=int, default=220)
     args = parser.parse_args()
     failed_seeds = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        soak = Soak(seed, args.seconds, args.net, args.often)
+        soak = Soak(seed, args.seconds, args.net, args.often, args.long_share)
         violations = soak.run()
         failed_seeds += bool(violations)
         print(f"seed {seed}: {len(soak.accepted)} jobs accepted, {len(soak.refused)} refused, "
