--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import heapq
 import json
 import random
 import socket
@@ -290,6 +291,17 @@
         # perform_late().
         self.is_late = lambda path, body: False
         self.late = []
+        # Seconds after which the worker carries out such a call by itself, in place of perform_late();
+        # one that is due while the worker is down is carried out as the next incarnation starts.
+        self.choose_late_delay_s = None
+        # (time at which it is due, number of the call, path, body, headers), earliest first.
+        self.due_calls = []
+        # (task, run, incarnation) of the runs that were started late.
+        self.late_starts = []
+        # (time, text) of what else happened, and from which incarnation a call was put off.
+        self.notes = []
+        self.performs_late_call = False
+        self.stop_delay_s = STOP_DELAY_MS / 1000
         # Called when an incarnation starts, before it accepts calls.
         self.on_start = lambda: None
         self.clock_start_range_ms = CLOCK_START_MS
@@ -299,6 +311,8 @@
         # without an answer.
         self.mode = ""
         self.history = []
+        # Events "end" that the agent took note of while the lease had not lapsed since.
+        self.noted_ends = set()
         self.crashes = 0
         # Time at which the crashed worker is back, 0 while it is up, and its id then, "" for a new one.
         self.down_until = 0
@@ -325,6 +339,8 @@
             # By task: number of the last run that ended or must not start.
             self.last_ended_run = {}
             self.finished = []
+            # By sequence number: the event "end", while the lease has not lapsed since.
+            self.unlapsed_ends = {}
             self.end_seq = 0
             self.seq = 0
             self.on_start()
@@ -340,7 +356,35 @@
         """
         late = [item for item in self.late if only in ("", item[0])]
         self.late = [item for item in self.late if item not in late]
-        return [self._perform(path, body, headers) for path, body, headers in late]
+        return [self.perform(path, body, headers) for path, body, headers in late]
+
+    def note(self, text):
+        self.notes.append((time.monotonic(), f"incarnation {self.incarnation}: {text}"))
+
+    def _put_off(self, path, body, headers):
+        """Leaves a call without an answer for now."""
+        if not self.choose_late_delay_s:
+            self.late.append((path, body, headers))
+            return
+        with self.lock:
+            delay_s = self.choose_late_delay_s()
+            # The order of two calls that are due at once does not matter.
+            heapq.heappush(self.due_calls, (time.monotonic() + delay_s, len(self.notes), path,
+                                            body, headers))
+            self.note(f"put off for {delay_s:.2f} s: {path} {json.dumps(body)}")
+
+    def _perform_due_calls(self):
+        while self.due_calls and self.due_calls[0][0] <= time.monotonic():
+            _, _, path, body, headers = heapq.heappop(self.due_calls)
+            count = len(self.history)
+            # Nobody waits for the answer.
+            self.performs_late_call = True
+            answer = self.perform(path, dict(body, wait_ms=0), headers)
+            self.performs_late_call = False
+            self.late_starts += [(task, run, self.incarnation)
+                                 for kind, _, task, run, _ in self.history[count:]
+                                 if kind == "start"]
+            self.note(f"carried out late: {path} {json.dumps(body)}: {json.dumps(answer)}")
 
     def _send_heartbeats(self):
         while self.alive:
@@ -363,24 +407,36 @@
         self.end_seq += 1
         self.last_ended_run[task] = run
         self.finished.append([self.end_seq, task, run, outcome, ""])
-        self.history.append(("end", time.monotonic(), task, run, outcome))
+        event = ("end", time.monotonic(), task, run, outcome)
+        self.history.append(event)
+        self.unlapsed_ends[self.end_seq] = event
         self.lock.notify_all()
 
+    def _check_lease(self):
+        """Ends all runs if the lease has lapsed."""
+        if self.clock_ms() < self.lease_expires_ms:
+            return
+        for task in list(self.running):
+            self._end_run(task, "lapsed")
+        self.unlapsed_ends = {}
+
     def _run_tasks(self):
         while self.alive:
             time.sleep(0.01)
-            if self.down_until and time.monotonic() >= self.down_until:
-                self.start_incarnation()
-                self.id = self.next_id or f"i-{self.number}-{self.incarnation}"
             with self.lock:
+                if self.down_until and time.monotonic() >= self.down_until:
+                    self.start_incarnation()
+                    self.id = self.next_id or f"i-{self.number}-{self.incarnation}"
+                    self.note(f"started as {self.id}")
+                if not self.down_until:
+                    self._perform_due_calls()
                 if any(state["crash_at"] and time.monotonic() >= state["crash_at"]
                        for _, state in self.running.values()):
                     self._crash_under_task()
+                self._check_lease()
                 for task in list(self.running):
-                    run, state = self.running[task]
-                    if self.clock_ms() >= self.lease_expires_ms:
-                        self._end_run(task, "lapsed")
-                    elif state["stop_at"] and time.monotonic() >= state["stop_at"]:
+                    _, state = self.running[task]
+                    if state["stop_at"] and time.monotonic() >= state["stop_at"]:
                         self._end_run(task, "stopped")
                     elif time.monotonic() >= state["until"]:
                         self._end_run(task, state["how"])
@@ -394,19 +450,21 @@
         except ValueError:
             return 400, {}
         if self.is_late(path, body):
-            self.late.append((path, body, dict(headers)))
+            self._put_off(path, body, dict(headers))
             time.sleep(1.5)
             return None
-        answer = self._perform(path, body, headers)
+        answer = self.perform(path, body, headers)
         if self.mode == "mute" and path != "/hold":
             time.sleep(1.0)
             return None
         return answer
 
-    def _perform(self, path, body, headers):
+    def perform(self, path, body, headers):
+        """Carries out a call on the present incarnation; returns its answer, None without one."""
         with self.lock:
             if self.down_until:
                 return None
+            self._check_lease()
             incarnation = self.incarnation
             if headers.get("Expected-Instance", self.id) != self.id:
                 return 421, {"server_time_ms": self.clock_ms()}
@@ -470,7 +528,7 @@
         task, run = body["task"], body["run"]
         if task in self.running and self.running[task][0] == run:
             if not self.running[task][1]["stop_at"]:
-                self.running[task][1]["stop_at"] = time.monotonic() + STOP_DELAY_MS / 1000
+                self.running[task][1]["stop_at"] = time.monotonic() + self.stop_delay_s
         else:
             # A start of this run that arrives later must be refused.
             self.last_ended_run[task] = max(self.last_ended_run.get(task, 0), run)
@@ -485,11 +543,14 @@
             self.lease_expires_ms = max(self.lease_expires_ms,
                                         min(body["expires_ms"], self.clock_ms() + LEASE_MAX_MS))
         until_s = time.monotonic() + body.get("wait_ms", 0) / 1000
-        if body["ack_seq"] > self.end_seq:
+        # What a late acknowledgement causes shows in the runs that it makes the agent repeat.
+        if body["ack_seq"] > self.end_seq and not self.performs_late_call:
             self.acks_of_others.append(f"{body['ack_seq']} of {self.end_seq}")
         for row in self.finished:
             if row[0] <= body["ack_seq"]:
                 self.history.append(("noted", time.monotonic(), row[1], row[2], row[3]))
+                if row[0] in self.unlapsed_ends:
+                    self.noted_ends.add(self.unlapsed_ends.pop(row[0]))
         self.finished = [row for row in self.finished if row[0] > body["ack_seq"]]
         while not self.finished and time.monotonic() < until_s and self.mode != "dark" \
                 and not self.down_until:
@@ -505,6 +566,7 @@
         self.running = {}
 
     def _go_down(self, down_s=CRASH_DOWN_S, next_id=""):
+        self.note("goes down")
         self._drop_runs()
         self.server.break_connections()
         self.next_id = next_id
@@ -515,10 +577,10 @@
         self.crashes += 1
         self._go_down()
 
-    def crash(self):
+    def crash(self, down_s=RESTART_MIN_S):
         """Drops all running tasks; the next incarnation is up after a moment, under the same id."""
         with self.lock:
-            self._go_down(RESTART_MIN_S, self.id)
+            self._go_down(down_s, self.id)
 
     def leave(self):
         """Reports that the worker drains, unregisters it at its agent and ends it for good."""
