No other run of a task starts while a start of a stopped one may be carried out late

Callers saw a task run again after it was done, or twice at once (TWICE). All three attempts to start a run had no answer, its agent had it stopped, the worker confirmed that, and the run's room and claim were given back; the next run started on another worker. The first worker then restarted under its id. The next incarnation knows of no stop and of no fencing token before it has answered a poll, and carried out one of the starts.

Class: as with the stop of a former incarnation, what one incarnation has confirmed does not hold for the next. A stopped run with a start without an answer is now held, as its owner is told, for the 12 s within which that start may be carried out (or until the worker has another id, or the next incarnation has answered a poll). So that few runs come to that, a start is repeated six times rather than twice, and not at all once a poll lists the run.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -123,9 +123,10 @@
 /**
  * exec_note_late_start - note a start without an answer, which may be carried out late
  */
-void exec_note_late_start(struct lug_executor *exec, gint64 now_us)
+void exec_note_late_start(struct lug_executor *exec, struct exec_run *run, gint64 now_us)
 {
-	exec->late_start_until_us = now_us + LATE_START_US;
+	run->late_start_until_us = now_us + LATE_START_US;
+	exec->late_start_until_us = run->late_start_until_us;
 }
 
 static gboolean may_start_late(const struct lug_executor *exec, gint64 now_us)
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -106,6 +106,8 @@
 			exec_end_crashed_run(exec, run, now_us);
 			continue;
 		}
+		if (run->state == EXEC_STOPPED && now_us < run->late_start_until_us)
+			continue;
 		if (run->state == EXEC_RUNNING)
 			exec_list_run(missing, run, now_us);
 		exec_remove_run(exec, run);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -29,7 +29,8 @@
  * @EXEC_RUNNING: the worker has confirmed the start
  * @EXEC_UNKNOWN: the outcome of the start is unknown; the run is being stopped
  * @EXEC_STOPPED: the worker has confirmed the stop; the run is removed once a poll sent after that
- *                does not list it
+ *                does not list it, and no start of it can be carried out late by the next
+ *                incarnation, which knows of no stop
  */
 enum exec_state {
 	EXEC_STARTING,
@@ -55,6 +56,7 @@
  * @start_sent_us: when the start was first sent, or when a poll first listed the run
  * @call_in_flight: a start or a stop is in flight
  * @unanswered_starts: starts without an answer
+ * @late_start_until_us: time until which one of them may be carried out late, 0 for none
  * @isolated: its task is suspected to crash its workers
  * @crashed: the worker has crashed, and the run may have been on it; it is kept until a poll of the
  *           next incarnation shows whether it runs there
@@ -98,6 +100,7 @@
 	gint64 start_sent_us;
 	gboolean call_in_flight;
 	guint unanswered_starts;
+	gint64 late_start_until_us;
 	gboolean isolated;
 	gboolean crashed;
 	guint suspected_jobs;
@@ -393,7 +396,7 @@
 			    enum lug_order_result result, gint64 now_us);
 void exec_note_outstanding(struct lug_executor *exec, gint64 expires_ms, gint64 now_us);
 void exec_note_outstanding_of_former(struct lug_executor *exec, gint64 now_us);
-void exec_note_late_start(struct lug_executor *exec, gint64 now_us);
+void exec_note_late_start(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
 gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
 			      gint64 now_us);
 void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -88,6 +88,7 @@
 	for (guint i = exec->runs->len; !is_first && i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
+		run->late_start_until_us = 0;
 		if (run->state != EXEC_STARTING && run->state != EXEC_UNKNOWN)
 			continue;
 		if (run->crashed)
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -4,8 +4,11 @@
 
 #include "colocate/crash.h"
 
-/* Number of unanswered starts after which a run is stopped. Repeating a start is safe. */
-#define MAX_START_ATTEMPTS 3
+/*
+ * Number of unanswered starts after which a run is stopped. Repeating a start is safe, while
+ * another run of the task has to wait until no start of this one can be carried out late.
+ */
+#define MAX_START_ATTEMPTS 7
 #define STOP_RETRY_US (500 * 1000)
 
 /*
@@ -102,6 +105,21 @@
 	exec_remove_run(exec, run);
 }
 
+/* The worker has answered a start, or a poll lists the run. */
+static void confirm_start(struct lug_executor *exec, struct exec_run *run, guint64 incarnation)
+{
+	run->start_confirmed = TRUE;
+	exec_record_shares(exec, lug_now_us());
+	run->state = EXEC_RUNNING;
+	run->confirmed_poll = exec->n_polls;
+	run->incarnation = incarnation;
+	exec_replan_shares(exec, run);
+	exec_answer_start(exec, run->shard, &run->id, LUG_OK);
+	/* The stop was requested while the start was in flight. */
+	if (run->stopping)
+		exec_stop_run(exec, run);
+}
+
 static void on_started(void *data, enum lug_order_result result)
 {
 	struct order_call *call = data;
@@ -116,16 +134,7 @@
 		return;
 	run->call_in_flight = FALSE;
 	if (result == LUG_ORDER_OK) {
-		run->start_confirmed = TRUE;
-		exec_record_shares(exec, lug_now_us());
-		run->state = EXEC_RUNNING;
-		run->confirmed_poll = exec->n_polls;
-		run->incarnation = incarnation;
-		exec_replan_shares(exec, run);
-		exec_answer_start(exec, run->shard, &run->id, LUG_OK);
-		/* The stop was requested while the start was in flight. */
-		if (run->stopping)
-			exec_stop_run(exec, run);
+		confirm_start(exec, run, incarnation);
 		return;
 	}
 	if (result != LUG_ORDER_UNKNOWN) {
@@ -133,7 +142,11 @@
 		return;
 	}
 	exec_log_unanswered(exec, "start_unanswered", &run->id, token, incarnation);
-	exec_note_late_start(exec, lug_now_us());
+	exec_note_late_start(exec, run, lug_now_us());
+	if (run->listed && run->incarnation == exec->worker_incarnation) {
+		confirm_start(exec, run, run->incarnation);
+		return;
+	}
 	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
 	    incarnation == exec->worker_incarnation && exec_may_grant(exec)) {
 		send_start(exec, run);
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -310,6 +310,16 @@
 		lug_executor_send_heartbeat(exec, &target, lug_now_us());
 	}
 
+	/* Lets the time pass within which starts of a job's first run may be carried out late. */
+	void expire_late_starts(const char *job)
+	{
+		struct lug_run_id run = id(job);
+
+		ASSERT_GT(exec_find_run(exec, &run)->late_start_until_us,
+			  lug_now_us() + 11 * G_USEC_PER_SEC);
+		exec_find_run(exec, &run)->late_start_until_us = lug_now_us();
+	}
+
 	/* Acknowledges the end of a job's first run as its owner. */
 	void ack(const char *job)
 	{
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -408,4 +408,20 @@
 	ASSERT_EQ(worker.orders.size(), 1u);
 	EXPECT_EQ(worker.orders.back().kind, "stop");
 }
+
+/* Incident stop-of-a-former-incarnation: the next run started elsewhere, and this one on the next
+ * incarnation. */
+TEST_F(ExecutorOutstandingTest, AStoppedRunIsHeldWhileAStartOfItMayBeCarriedOutLate)
+{
+	start("a");
+	for (int i = 0; i < 7; i++)
+		worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	answer_poll();
+	answer_poll();
+	EXPECT_EQ(exec->runs->len, 1u);
+	expire_late_starts("a");
+	answer_poll();
+	EXPECT_EQ(exec->runs->len, 0u);
+}
 } // namespace
