--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -61,6 +61,32 @@
 		return *held > 0;
 	}
 
+	/*
+	 * The first start of run "a" is carried out by the next incarnation, which the row of the
+	 * lease can't state. Returns the time until which the row keeps owners from fencing it.
+	 */
+	gint64 start_late_without_the_table_service()
+	{
+		gint64 row_until_us;
+
+		start("a");
+		worker.answer(LUG_ORDER_UNKNOWN);
+		worker.answer(LUG_ORDER_OK);
+		row_until_us = lug_writer_valid_until_us(exec->writer);
+		store.is_silent = true;
+		incarnation += 100;
+		heartbeat_seq = 0;
+		clock_ms = 1000;
+		running = {{id("a"), 10}};
+		send_heartbeat();
+		for (int i = 0; i < 3; i++) {
+			if (worker.polls.empty())
+				tick_later();
+			answer_poll();
+		}
+		return row_until_us;
+	}
+
 	std::string row()
 	{
 		return store.rows["w1|worker/w1"].data;
@@ -385,23 +411,8 @@
  */
 TEST_F(ExecutorOutstandingTest, ARunThatOutlastsTheRowOfTheLeaseIsStopped)
 {
-	gint64 row_until_us;
+	gint64 row_until_us = start_late_without_the_table_service();
 
-	start("a");
-	worker.answer(LUG_ORDER_UNKNOWN);
-	worker.answer(LUG_ORDER_OK);
-	row_until_us = lug_writer_valid_until_us(exec->writer);
-	store.is_silent = true;
-	incarnation += 100;
-	heartbeat_seq = 0;
-	clock_ms = 1000;
-	running = {{id("a"), 10}};
-	send_heartbeat();
-	for (int i = 0; i < 3; i++) {
-		if (worker.polls.empty())
-			tick_later();
-		answer_poll();
-	}
 	lug_executor_tick(exec, row_until_us - 2 * G_USEC_PER_SEC);
 	EXPECT_TRUE(worker.orders.empty()) << "it may go on until then";
 	lug_executor_tick(exec, row_until_us);
@@ -424,4 +435,76 @@
 	answer_poll();
 	EXPECT_EQ(exec->runs->len, 0u);
 }
+
+/* The answers of the worker are lost, and its calls are carried out all the same. */
+TEST_F(ExecutorOutstandingTest, ARunThatOutlastsTheRowIsStoppedAlthoughThePollHasNoAnswer)
+{
+	gint64 row_until_us = start_late_without_the_table_service();
+
+	if (worker.polls.empty())
+		tick_later();
+	answer_poll(LUG_ORDER_UNKNOWN);
+	lug_executor_tick(exec, row_until_us);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+}
+
+/* A stop may take almost STOP_TIME_US, after which an owner may start the task elsewhere. */
+TEST_F(ExecutorOutstandingTest, ARunThatOutlastsTheRowIsStoppedInTimeToEndBeforeThat)
+{
+	gint64 row_until_us = start_late_without_the_table_service();
+
+	lug_executor_tick(exec, row_until_us - 900 * 1000);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+}
+
+/* Whether the former incarnation has answered the stop or the next one can't be told. */
+TEST_F(ExecutorOutstandingTest, AStopThatTheFormerIncarnationConfirmsLateIsSentToTheNextOne)
+{
+	start("a");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	stop("a");
+	ASSERT_EQ(worker.orders.back().kind, "stop");
+	incarnation += 100;
+	heartbeat_seq = 0;
+	clock_ms = 1000;
+	running = {{id("a"), 10}};
+	send_heartbeat();
+	for (int i = 0; i < 3; i++) {
+		if (worker.polls.empty())
+			tick_later();
+		answer_poll();
+	}
+	worker.answer(LUG_ORDER_OK);
+	EXPECT_TRUE(worker.orders.empty());
+	lug_executor_tick(exec, lug_now_us() + 600 * 1000);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+}
+
+/* The row states the extended lease, so that owners wait for its end. */
+TEST_F(ExecutorOutstandingTest, ARunWhoseExtendedLeaseTheRowStatesIsNotStoppedBeforeItsEnd)
+{
+	gint64 row_until_us;
+
+	start("a");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	restart_worker();
+	ASSERT_TRUE(exec_is_settled(exec));
+	running = {{id("a"), 10}};
+	if (worker.polls.empty())
+		tick_later();
+	answer_poll();
+	row_until_us = lug_writer_valid_until_us(exec->writer);
+	ASSERT_GT(exec->granted_until_us, row_until_us);
+	store.is_silent = true;
+	lug_executor_tick(exec, row_until_us + 1);
+	EXPECT_TRUE(worker.orders.empty());
+	lug_executor_tick(exec, exec->granted_until_us);
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+}
 } // namespace
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -264,4 +264,30 @@
 	EXPECT_EQ(worker.orders.back().kind, "pace");
 	EXPECT_EQ(worker.orders.back().percent, 50u);
 }
+
+/* The answer to a throttle of the former incarnation arrives after the restart. */
+TEST_F(ExecutorRestartTest, AShareThatTheFormerIncarnationConfirmsLateDoesNotHoldForTheNextOne)
+{
+	struct lug_run_id run_id = id("b");
+	struct exec_run *run;
+
+	start_best_effort("b", 1000);
+	worker.answer(LUG_ORDER_OK);
+	run = exec_find_run(exec, &run_id);
+	run->share = 0.5;
+	exec->last_sample_us = lug_now_us();
+	exec_throttle(exec, lug_now_us());
+	ASSERT_EQ(worker.orders.back().percent, 50u);
+	incarnation = 200;
+	heartbeat_seq = 0;
+	send_heartbeat();
+	running = {{run_id, 10}};
+	exec->last_sample_us = lug_now_us();
+	answer_poll();
+	worker.answer(LUG_ORDER_OK);
+	exec->last_sample_us = lug_now_us();
+	exec_throttle(exec, lug_now_us());
+	ASSERT_EQ(worker.orders.size(), 1u);
+	EXPECT_EQ(worker.orders.back().percent, 50u);
+}
 } // namespace
--- a/tests/unit/shard_late_end_test.cc
+++ b/tests/unit/shard_late_end_test.cc
@@ -66,6 +66,53 @@
 	EXPECT_NE(state_row("a").find("\"r3.0."), std::string::npos) << state_row("a");
 }
 
+/* The second run has not started, and the end is known before the third one is claimed. */
+TEST_F(LateEndTest, ALostRunThatIsDoneBeforeItsSuccessorIsRefusedEndsItsTask)
+{
+	lose_first_runs();
+	run_rounds();
+	ASSERT_EQ(*starts, 4u);
+	end_run("a", 0, 0, 1, LUG_RUN_DONE);
+	run_rounds();
+	answer_start("a", 0, 2, LUG_OVER_LIMIT, /* answered_seq */ 4);
+	run_rounds();
+	EXPECT_EQ(*starts, 4u) << "a third run of a task that is done";
+	EXPECT_NE(state_row("a").find("\"d r2.0."), std::string::npos) << state_row("a");
+}
+
+/* The row of the job does not tell the next owner that the second run was refused. */
+TEST_F(LateEndTest, ALostRunWhoseSuccessorWasRefusedEndsItsTaskForTheNextOwner)
+{
+	lose_first_runs();
+	run_rounds();
+	answer_start("a", 0, 2, LUG_OVER_LIMIT, /* answered_seq */ 4);
+	/* Keeps the task waiting. */
+	lug_fleet_find(fleet, "w1")->ready = FALSE;
+	run_rounds();
+	ASSERT_NE(state_row("a").find("\"w2.0"), std::string::npos) << state_row("a");
+	lug_shard_free(shard);
+	lug_fleet_free(fleet);
+	create_shard();
+	take_shard();
+	run_rounds();
+	end_run("a", 0, 0, 1, LUG_RUN_DONE);
+	run_rounds();
+	send_beat({{"a", 0, 1, 2}}, 0);
+	EXPECT_EQ(state_row("a").find("\"r3.0"), std::string::npos) << state_row("a");
+	EXPECT_NE(state_row("a").find("\"d r2.0."), std::string::npos) << state_row("a");
+}
+
+/* The claim of the second run is lost with its worker's lease before its start is sent. */
+TEST_F(LateEndTest, ALostRunThatIsDoneAfterAnUnsentClaimWasLostEndsItsTask)
+{
+	lose_first_runs();
+	lug_shard_worker_lost(shard, "w1", 1, lug_now_us());
+	end_run("a", 0, 0, 1, LUG_RUN_DONE);
+	run_rounds();
+	EXPECT_EQ(*starts, 3u) << "the other task only";
+	EXPECT_NE(state_row("a").find("\"d r3.0."), std::string::npos) << state_row("a");
+}
+
 /*
  * The transaction with an end is carried out, its answer is lost, and other processes take the
  * shard over before the owner reads its row again.
