A run that outlasts the row of its lease is stopped although a poll has no answer

The stop of a run that outlasts the row waited for polls that are answered; an answer that is lost, as behind a cut, kept it from being sent, while calls to the worker are carried out all the same (TWICE).

--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -175,7 +175,7 @@
 	until_us = row_until_us(exec);
 	if (exec->granted_until_us > until_us)
 		until_us -= STOP_TIME_US;
-	if (!exec->row_valid_until_us || now_us < until_us || exec->failed_polls)
+	if (!exec->row_valid_until_us || now_us < until_us)
 		return;
 	for (guint i = 0; i < exec->runs->len; i++) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
