A task is done once any of its runs is

The changes before accepted such an end only while no later run could have started, by a count of refused runs. A refusal that comes after the end, an owner that has taken over since, and a claim that is lost before its start is sent were not covered.

An owner now takes an end as done of any run of the task (long-running tasks excepted), withdraws the claim of a later run and stops it. The count is gone. Once the later run has started, ignoring and acknowledging the end is no better: each further start is one more.

--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -69,7 +69,6 @@
 	}
 	lug_list_remove(&task->claim_node);
 	task->state = SHARD_TASK_WAITING;
-	task->refused_runs = 0;
 	task->worker = NULL;
 	task->confirmed = FALSE;
 	task->begun = FALSE;
@@ -229,51 +228,33 @@
 }
 
 /*
- * The end of a claimed run applies. For a run that was considered lost only completion applies:
- * a resent failure would be counted twice.
+ * The end of a claimed run applies. For a run that was considered lost only completion applies: a
+ * resent failure would be counted twice. A task is done once any of its runs is.
  */
-static gboolean is_end_applicable(const struct shard_task *task, const char *worker,
-				  const Lug__RunEnd *end)
+static gboolean is_end_applicable(const struct shard_task *task, const struct lug_run_id *id,
+				  const char *worker, const Lug__RunEnd *end)
 {
-	if (task->state == SHARD_TASK_CLAIMED)
+	if (task->state == SHARD_TASK_CLAIMED && task->run == id->run)
 		return !strcmp(task->worker, worker);
-	return task->state == SHARD_TASK_WAITING && end->outcome == LUG_RUN_DONE;
-}
-
-/* Number of the latest run of a task that may have started. */
-static guint32 latest_started_run(const struct lug_shard *shard, const struct shard_task *task)
-{
-	gboolean unsent = task->state == SHARD_TASK_CLAIMED && !task->start_seq &&
-			  task->shard_epoch == lug_shard_epoch(shard);
-
-	if (task->state == SHARD_TASK_CLAIMED && !unsent)
-		return task->run;
-	return task->run - task->refused_runs - unsent;
+	return task->state != SHARD_TASK_DONE && task->run >= id->run &&
+	       end->outcome == LUG_RUN_DONE;
 }
 
-/* Gives up the claim of a run that has not started, as an earlier run of its task is done. */
+/*
+ * Withdraws the claim of a later run, since an earlier one, which was counted as lost, is done. A
+ * start that is lost with the stop is stopped by the agent's next heartbeat.
+ */
 static void withdraw_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
-			   const struct lug_run_id *id, const char *worker)
-{
-	shard_log_run(shard, "next_run_withdrawn", id, worker, "reason",
-		      "the run is done and the next one has not started");
-	if (task->state == SHARD_TASK_CLAIMED)
-		shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
-	task->run = id->run;
-	task->refused_runs = 0;
-}
-
-/* Logs an end as done that does not apply: another run of its task may start, or has. */
-static void log_obsolete_done(struct lug_shard *shard, const struct shard_task *task,
-			      const struct lug_run_id *id, const char *worker)
+			   const struct lug_run_id *done, const char *worker)
 {
-	char claimed[64];
-
-	if (!task || task->state == SHARD_TASK_DONE)
-		return;
-	g_snprintf(claimed, sizeof(claimed), "run %u is %s", task->run,
-		   task->state == SHARD_TASK_CLAIMED ? "claimed" : "not claimed");
-	shard_log_run(shard, "done_ignored", id, worker, "reason", claimed);
+	struct lug_fleet_worker *claimed_for = lug_fleet_find(shard->shared.fleet, task->worker);
+	struct lug_run_id later = *done;
+
+	later.run = task->run;
+	shard_log_run(shard, "claim_withdrawn", &later, task->worker, "done_on", worker);
+	if (claimed_for)
+		shard_send_stop(shard, claimed_for, &later);
+	shard_release_claim(shard, job, task, &job->workflow->steps[done->step]);
 }
 
 /**
@@ -299,24 +280,19 @@
 		return;
 	job = g_hash_table_lookup(shard->jobs, ack.id.job);
 	task = job ? shard_find_task(job, &ack.id) : NULL;
-	if (task && end->outcome == LUG_RUN_DONE && task->run != ack.id.run &&
-	    latest_started_run(shard, task) == ack.id.run &&
-	    !job->workflow->steps[ack.id.step].long_running)
-		withdraw_claim(shard, job, task, &ack.id, worker);
-	if (task && task->run == ack.id.run && is_end_applicable(task, worker, end)) {
+	if (task && is_end_applicable(task, &ack.id, worker, end) &&
+	    (task->run == ack.id.run || !job->workflow->steps[ack.id.step].long_running)) {
+		if (task->run != ack.id.run && task->state == SHARD_TASK_CLAIMED)
+			withdraw_claim(shard, job, task, &ack.id, worker);
 		shard_note_run(job->ended_runs, &ack.id, worker, lug_run_outcome_name(end->outcome),
 			       now_us - job->accepted_us);
 		job->has_incomplete_run = job->has_incomplete_run || end->outcome != LUG_RUN_DONE;
 		shard_save_checkpoint(task, end->checkpoint);
 		apply_run_end(shard, job, task, &ack.id, end, now_us);
-	} else {
-		if (end->outcome == LUG_RUN_DONE)
-			log_obsolete_done(shard, task, &ack.id, worker);
+	} else if (!job || job->revision == job->committed_revision) {
 		/* The report is repeated or obsolete, and all changes of the job are stored. */
-		if (!job || job->revision == job->committed_revision) {
-			shard_add_obsolete_end(shard, route, &ack.id, now_us);
-			return;
-		}
+		shard_add_obsolete_end(shard, route, &ack.id, now_us);
+		return;
 	}
 	if (fleet_worker && end->used) {
 		struct lug_resources used;
@@ -349,7 +325,6 @@
 	struct shard_task *task;
 	struct lug_resources used;
 	struct lug_run_id id;
-	guint32 refused_runs;
 
 	if (shard->load_phase != SHARD_LOAD_DONE || !lug_run_from_wire(answer->id, &id))
 		return;
@@ -372,10 +347,7 @@
 			       lug_status_name((enum lug_status)answer->status),
 			       now_us - job->accepted_us);
 		lug_count(shard->shared.ctx, TASKS_REFUSED, 1);
-		/* An earlier owner may have sent further copies of its start. */
-		refused_runs = task->start_seq && answer->has_seq ? task->refused_runs + 1 : 0;
 		shard_release_claim(shard, job, task, &job->workflow->steps[id.step]);
-		task->refused_runs = refused_runs;
 		/* A lack of room is no failure of the worker. */
 		if (fleet_worker && answer->status != LUG_OVER_LIMIT)
 			lug_fleet_record_failure(fleet_worker, now_us);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -50,8 +50,6 @@
  * @index: index within the step
  * @state: state
  * @run: number of the latest run, 0 before the first
- * @refused_runs: runs before the present claim, or up to @run without one, that were refused in
- *                unbroken order and so never started
  * @failures: failed runs; lost and refused runs are not counted
  * @crash: crashes of workers under the task
  * @worker: worker of the claim, interned, NULL when not claimed
@@ -81,7 +79,6 @@
 	guint32 index;
 	enum shard_task_state state;
 	guint32 run;
-	guint32 refused_runs;
 	guint32 failures;
 	struct lug_crash_history crash;
 	const char *worker;
