--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -15,9 +15,13 @@
 FREE_NETS = itertools.count(211)
 
 
-@pytest.mark.parametrize("seed", [1, 23, 325, 1006])
-def test_the_queue_daemons_under_faults_of_a_seed(seed):
-    soak = Soak(seed, FAULTS_DURATION_S, next(FREE_NETS))
+# Calls that the next incarnation of a worker carries out late.
+LATE = ("worker_late", "worker_restart_and_cut")
+
+
+@pytest.mark.parametrize("seed, often", [(1, ()), (23, ()), (325, ()), (1006, ()), (43002, LATE)])
+def test_the_queue_daemons_under_faults_of_a_seed(seed, often):
+    soak = Soak(seed, FAULTS_DURATION_S, next(FREE_NETS), often)
     assert soak.run() == []
     assert soak.accepted
 
@@ -59,7 +63,8 @@
     worker.is_late = lambda path, body: True
     # A time that has not come on any clock of the next incarnation.
     body = {"task": TASK, "run": 1, "spec": "{}", "fencing_token": 1, "expires_ms": 10**8}
-    assert call("POST", f"http://{worker.server.server_address[0]}:8165/run-start", body, 0.1)[0] == 0
+    address = worker.server.server_address[0]
+    assert call("POST", f"http://{address}:8165/run-start", body, 0.1)[0] == 0
     former = worker.incarnation
     worker.crash(0.6)
     time.sleep(0.4)
@@ -73,15 +78,17 @@
 @pytest.mark.parametrize("calm_s, cancelled_s, started_late, orders, stays",
                          [(9, 8, False, 1, 0), (9, 8, True, 0, 0), (9, 1, False, 0, 0),
                           (1, 8, False, 0, 0), (9, 8, False, 1, 1)])
-def test_the_soak_finds_runs_of_cancelled_jobs(worker, monkeypatch, calm_s, cancelled_s, started_late,
-                                               orders, stays):
+def test_the_soak_finds_runs_of_cancelled_jobs(worker, monkeypatch, calm_s, cancelled_s,
+                                               started_late, orders, stays):
     monkeypatch.setattr(rig, "STOP_GRACE_S", 0.5)
     monkeypatch.setattr(rig, "CONTACT_S", 1.5)
     monkeypatch.setattr(rig, "CANCEL_S", 1.5)
     soak = Soak.__new__(Soak)
-    soak.deployment = SimpleNamespace(workers={"agent-1": worker}, state=lambda job, entry: "cancelled")
+    soak.deployment = SimpleNamespace(workers={"agent-1": worker},
+                                      state=lambda job, entry: "cancelled")
     now = time.monotonic()
-    soak.accepted, soak.cancel_acks, soak.calm_since = {JOB: now}, {JOB: now - cancelled_s}, now - calm_s
+    soak.accepted, soak.cancel_acks = {JOB: now}, {JOB: now - cancelled_s}
+    soak.calm_since = now - calm_s
     # The run ends before 3.5 s have passed, or does not.
     order(worker, "/run-start", run=1, spec=f'{{"ms": {5000 if stays else 1500}}}')
     if started_late:
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -192,7 +192,7 @@
 
     @staticmethod
     def _crash(worker, down_s):
-        """Restarts a worker; its clock starts below the former one, so that late starts are in time."""
+        """Restarts a worker with a clock below the former one, so that late starts are in time."""
         with worker.lock:
             worker.clock_start_range_ms = (standins.CLOCK_START_MS[0], worker.clock_start_ms)
             worker.crash(down_s)
