Comments on the time that late starts are allowed for

No change of behaviour but the wording of one log line: the reason of a run that is stopped as the row of its worker's lease expires. Two constants that stood under one comment have one each.

--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -183,7 +183,7 @@
 		if (!run->listed || run->stopping)
 			continue;
 		exec_log_run(exec, "run_stopped", &run->id,
-			     "its worker's lease has no longer a row");
+			     "the row of its worker's lease expires");
 		exec_stop_run(exec, run);
 	}
 }
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -17,10 +17,11 @@
 /* A call without an answer is carried out within this time or never. */
 #define LATE_CALL_US (30 * G_USEC_PER_SEC)
 /*
- * The time within which acknowledgements allow for a start without an answer: calls are carried out
- * 2 to 12 s late as a rule. A start that takes longer than SLOW_START_US may get no answer.
+ * Time for which acknowledgements, and the tasks of stopped runs, wait for a start without an
+ * answer. It is shorter than LATE_CALL_US: calls are carried out 2 to 12 s late as a rule.
  */
 #define LATE_START_US (12 * G_USEC_PER_SEC)
+/* A start that takes longer may get no answer. */
 #define SLOW_START_US (200 * 1000)
 /* Ends have to be acknowledged within 4 s of being listed. */
 #define ACK_DELAY_MAX_US (3 * G_USEC_PER_SEC)
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -5,8 +5,8 @@
 #include "colocate/crash.h"
 
 /*
- * Number of unanswered starts after which a run is stopped. Repeating a start is safe, while
- * another run of the task has to wait until no start of this one can be carried out late.
+ * Number of unanswered starts after which a run is stopped. Repeating a start is safe; another run
+ * of the task has to wait until no start of this one can be carried out late.
  */
 #define MAX_START_ATTEMPTS 7
 #define STOP_RETRY_US (500 * 1000)
