--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -28,13 +28,17 @@
 		ASSERT_GT(worker.polls.front().request.expires_ms, 0);
 	}
 
-	/* The next incarnation sends its first heartbeat, and answers polls if there are any. */
-	void restart_worker(gint64 next_clock_ms = 1000)
+	/*
+	 * The next incarnation sends its first heartbeat, and answers polls if there are any. It
+	 * lists the runs that it has started late.
+	 */
+	void restart_worker(gint64 next_clock_ms = 1000,
+			    std::vector<std::pair<struct lug_run_id, guint32>> late_runs = {})
 	{
 		incarnation += 100;
 		heartbeat_seq = 0;
 		clock_ms = next_clock_ms;
-		running.clear();
+		running = late_runs;
 		send_heartbeat();
 		for (int i = 0; i < 3; i++) {
 			if (worker.polls.empty())
@@ -74,16 +78,7 @@
 		worker.answer(LUG_ORDER_OK);
 		row_until_us = lug_writer_valid_until_us(exec->writer);
 		store.is_silent = true;
-		incarnation += 100;
-		heartbeat_seq = 0;
-		clock_ms = 1000;
-		running = {{id("a"), 10}};
-		send_heartbeat();
-		for (int i = 0; i < 3; i++) {
-			if (worker.polls.empty())
-				tick_later();
-			answer_poll();
-		}
+		restart_worker(1000, {{id("a"), 10}});
 		return row_until_us;
 	}
 
@@ -467,16 +462,7 @@
 	worker.answer(LUG_ORDER_OK);
 	stop("a");
 	ASSERT_EQ(worker.orders.back().kind, "stop");
-	incarnation += 100;
-	heartbeat_seq = 0;
-	clock_ms = 1000;
-	running = {{id("a"), 10}};
-	send_heartbeat();
-	for (int i = 0; i < 3; i++) {
-		if (worker.polls.empty())
-			tick_later();
-		answer_poll();
-	}
+	restart_worker(1000, {{id("a"), 10}});
 	worker.answer(LUG_ORDER_OK);
 	EXPECT_TRUE(worker.orders.empty());
 	lug_executor_tick(exec, lug_now_us() + 600 * 1000);
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -3,7 +3,21 @@
 /* Crashes and restarts of the worker, see incident task-crashes-worker-after-worker. */
 namespace
 {
-using ExecutorRestartTest = ExecutorFixture;
+struct ExecutorRestartTest : public ExecutorFixture {
+	/* Starts a run and sends a throttle. The next sample, which plans shares anew, is not due.
+	 */
+	void throttle_best_effort_run(const char *job)
+	{
+		struct lug_run_id run_id = id(job);
+
+		start_best_effort(job, 1000);
+		worker.answer(LUG_ORDER_OK);
+		exec_find_run(exec, &run_id)->share = 0.5;
+		exec->last_sample_us = lug_now_us();
+		exec_throttle(exec, lug_now_us());
+		ASSERT_EQ(worker.orders.back().percent, 50u);
+	}
+};
 
 TEST_F(ExecutorRestartTest, RemovesRunsWhenTheWorkerRestarts)
 {
@@ -243,16 +257,8 @@
 TEST_F(ExecutorRestartTest, AShareThatTheFormerIncarnationHasConfirmedDoesNotHoldForTheNextOne)
 {
 	struct lug_run_id run_id = id("b");
-	struct exec_run *run;
 
-	start_best_effort("b", 1000);
-	worker.answer(LUG_ORDER_OK);
-	run = exec_find_run(exec, &run_id);
-	run->share = 0.5;
-	/* Sends a throttle; the next sample, which plans the shares anew, is not due. */
-	exec->last_sample_us = lug_now_us();
-	exec_throttle(exec, lug_now_us());
-	ASSERT_EQ(worker.orders.back().percent, 50u);
+	throttle_best_effort_run("b");
 	worker.answer(LUG_ORDER_OK);
 	incarnation = 200;
 	heartbeat_seq = 0;
@@ -269,15 +275,8 @@
 TEST_F(ExecutorRestartTest, AShareThatTheFormerIncarnationConfirmsLateDoesNotHoldForTheNextOne)
 {
 	struct lug_run_id run_id = id("b");
-	struct exec_run *run;
 
-	start_best_effort("b", 1000);
-	worker.answer(LUG_ORDER_OK);
-	run = exec_find_run(exec, &run_id);
-	run->share = 0.5;
-	exec->last_sample_us = lug_now_us();
-	exec_throttle(exec, lug_now_us());
-	ASSERT_EQ(worker.orders.back().percent, 50u);
+	throttle_best_effort_run("b");
 	incarnation = 200;
 	heartbeat_seq = 0;
 	send_heartbeat();
