--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -241,8 +241,8 @@
 }
 
 /*
- * Withdraws the claim of a later run, since an earlier one, which was counted as lost, is done. A
- * start that is lost with the stop is stopped by the agent's next heartbeat.
+ * Withdraws the claim of a later run, since an earlier one, which was counted as lost, is done. If
+ * the stop is lost, the agent's next heartbeat lists the run without a claim, and it is sent again.
  */
 static void withdraw_claim(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			   const struct lug_run_id *done, const char *worker)
