--- a/liblug/core/settings.h
+++ b/liblug/core/settings.h
@@ -65,6 +65,10 @@
  * @clients: IP:PORT that serves submitters of workflows
  * @ready: IP:PORT that answers readiness checks
  * @control: IP:PORT that receives the worker's heartbeats
+ * @schedule_lookahead_ms: how far ahead placement looks for room, 0 for not at all
+ * @schedule_yield: best-effort tasks yield to serving tasks by the slack of their jobs
+ * @schedule_overload: late jobs are ordered, and hopeless ones refused
+ * @schedule_speed: tasks are placed by the measured speed of workers
  *
  * The table in settings.c maps each key to its member; members of keys that the
  * daemon doesn't accept are zero or empty. Durations are in milliseconds, sizes in bytes,
@@ -111,6 +115,10 @@
 	char *ready;
 	char *control;
 	gint64 colocate_enabled;
+	gint64 schedule_lookahead_ms;
+	gint64 schedule_yield;
+	gint64 schedule_overload;
+	gint64 schedule_speed;
 };
 
 struct lug_settings *lug_settings_load(const char *path, GPtrArray *problems);
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -1537,6 +1537,186 @@
   assert(message->base.descriptor == &lug__run_start__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lug__room_reservation__init
+                     (Lug__RoomReservation         *message)
+{
+  static const Lug__RoomReservation init_value = LUG__ROOM_RESERVATION__INIT;
+  *message = init_value;
+}
+size_t lug__room_reservation__get_packed_size
+                     (const Lug__RoomReservation *message)
+{
+  assert(message->base.descriptor == &lug__room_reservation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lug__room_reservation__pack
+                     (const Lug__RoomReservation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lug__room_reservation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lug__room_reservation__pack_to_buffer
+                     (const Lug__RoomReservation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lug__room_reservation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lug__RoomReservation *
+       lug__room_reservation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lug__RoomReservation *)
+     protobuf_c_message_unpack (&lug__room_reservation__descriptor,
+                                allocator, len, data);
+}
+void   lug__room_reservation__free_unpacked
+                     (Lug__RoomReservation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lug__room_reservation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lug__room_forecast__init
+                     (Lug__RoomForecast         *message)
+{
+  static const Lug__RoomForecast init_value = LUG__ROOM_FORECAST__INIT;
+  *message = init_value;
+}
+size_t lug__room_forecast__get_packed_size
+                     (const Lug__RoomForecast *message)
+{
+  assert(message->base.descriptor == &lug__room_forecast__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lug__room_forecast__pack
+                     (const Lug__RoomForecast *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lug__room_forecast__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lug__room_forecast__pack_to_buffer
+                     (const Lug__RoomForecast *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lug__room_forecast__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lug__RoomForecast *
+       lug__room_forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lug__RoomForecast *)
+     protobuf_c_message_unpack (&lug__room_forecast__descriptor,
+                                allocator, len, data);
+}
+void   lug__room_forecast__free_unpacked
+                     (Lug__RoomForecast *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lug__room_forecast__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lug__run_reserve__init
+                     (Lug__RunReserve         *message)
+{
+  static const Lug__RunReserve init_value = LUG__RUN_RESERVE__INIT;
+  *message = init_value;
+}
+size_t lug__run_reserve__get_packed_size
+                     (const Lug__RunReserve *message)
+{
+  assert(message->base.descriptor == &lug__run_reserve__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lug__run_reserve__pack
+                     (const Lug__RunReserve *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lug__run_reserve__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lug__run_reserve__pack_to_buffer
+                     (const Lug__RunReserve *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lug__run_reserve__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lug__RunReserve *
+       lug__run_reserve__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lug__RunReserve *)
+     protobuf_c_message_unpack (&lug__run_reserve__descriptor,
+                                allocator, len, data);
+}
+void   lug__run_reserve__free_unpacked
+                     (Lug__RunReserve *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lug__run_reserve__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lug__run_reserve_answer__init
+                     (Lug__RunReserveAnswer         *message)
+{
+  static const Lug__RunReserveAnswer init_value = LUG__RUN_RESERVE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t lug__run_reserve_answer__get_packed_size
+                     (const Lug__RunReserveAnswer *message)
+{
+  assert(message->base.descriptor == &lug__run_reserve_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lug__run_reserve_answer__pack
+                     (const Lug__RunReserveAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lug__run_reserve_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lug__run_reserve_answer__pack_to_buffer
+                     (const Lug__RunReserveAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lug__run_reserve_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lug__RunReserveAnswer *
+       lug__run_reserve_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lug__RunReserveAnswer *)
+     protobuf_c_message_unpack (&lug__run_reserve_answer__descriptor,
+                                allocator, len, data);
+}
+void   lug__run_reserve_answer__free_unpacked
+                     (Lug__RunReserveAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lug__run_reserve_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lug__run_answer__init
                      (Lug__RunAnswer         *message)
 {
@@ -4780,7 +4960,7 @@
   (ProtobufCMessageInit) lug__serving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__worker_beat__field_descriptors[17] =
+static const ProtobufCFieldDescriptor lug__worker_beat__field_descriptors[22] =
 {
   {
     "beat",
@@ -4986,22 +5166,87 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__WorkerBeat, has_evacuated),
+    offsetof(Lug__WorkerBeat, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    19,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__WorkerBeat, has_cold_ms),
+    offsetof(Lug__WorkerBeat, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reservation",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__WorkerBeat, reservation),
+    &lug__room_reservation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forecast",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lug__WorkerBeat, n_forecast),
+    offsetof(Lug__WorkerBeat, forecast),
+    &lug__room_forecast__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_permille",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__WorkerBeat, has_speed_permille),
+    offsetof(Lug__WorkerBeat, speed_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__worker_beat__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   4,   /* field[4] = capacity */
+  18,   /* field[18] = cold_ms */
   6,   /* field[6] = draining */
+  17,   /* field[17] = evacuated */
   16,   /* field[16] = failing */
+  20,   /* field[20] = forecast */
   11,   /* field[11] = generation */
   14,   /* field[14] = harm */
   3,   /* field[3] = labels */
   8,   /* field[8] = lease_epoch */
   9,   /* field[9] = life */
   7,   /* field[7] = ready */
+  19,   /* field[19] = reservation */
   1,   /* field[1] = service */
   13,   /* field[13] = servings */
   10,   /* field[10] = shards */
   15,   /* field[15] = spare_millicores */
+  21,   /* field[21] = speed_permille */
   12,   /* field[12] = stopping */
   5,   /* field[5] = used */
   2,   /* field[2] = zone */
@@ -5009,7 +5254,7 @@
 static const ProtobufCIntRange lug__worker_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor lug__worker_beat__descriptor =
 {
@@ -5019,7 +5264,7 @@
   "Lug__WorkerBeat",
   "lug",
   sizeof(Lug__WorkerBeat),
-  17,
+  22,
   lug__worker_beat__field_descriptors,
   lug__worker_beat__field_indices_by_name,
   1,  lug__worker_beat__number_ranges,
@@ -5090,7 +5335,7 @@
   (ProtobufCMessageInit) lug__shard_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__worker_beat_ack__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lug__worker_beat_ack__field_descriptors[6] =
 {
   {
     "beat",
@@ -5152,9 +5397,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forecast_wanted",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__WorkerBeatAck, has_forecast_wanted),
+    offsetof(Lug__WorkerBeatAck, forecast_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__worker_beat_ack__field_indices_by_name[] = {
   0,   /* field[0] = beat */
+  5,   /* field[5] = forecast_wanted */
   3,   /* field[3] = harm */
   4,   /* field[4] = interference_interval */
   1,   /* field[1] = owned */
@@ -5163,7 +5421,7 @@
 static const ProtobufCIntRange lug__worker_beat_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lug__worker_beat_ack__descriptor =
 {
@@ -5173,14 +5431,14 @@
   "Lug__WorkerBeatAck",
   "lug",
   sizeof(Lug__WorkerBeatAck),
-  5,
+  6,
   lug__worker_beat_ack__field_descriptors,
   lug__worker_beat_ack__field_indices_by_name,
   1,  lug__worker_beat_ack__number_ranges,
   (ProtobufCMessageInit) lug__worker_beat_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__run_start__field_descriptors[16] =
+static const ProtobufCFieldDescriptor lug__run_start__field_descriptors[19] =
 {
   {
     "shard",
@@ -5374,12 +5632,51 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expected_ms",
+    17,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Lug__RunStart, has_expected_ms),
+    offsetof(Lug__RunStart, expected_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due_in_ms",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Lug__RunStart, has_due_in_ms),
+    offsetof(Lug__RunStart, due_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "following_ms",
+    19,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Lug__RunStart, has_following_ms),
+    offsetof(Lug__RunStart, following_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__run_start__field_indices_by_name[] = {
   7,   /* field[7] = checkpoint */
+  17,   /* field[17] = due_in_ms */
   1,   /* field[1] = epoch */
+  16,   /* field[16] = expected_ms */
   14,   /* field[14] = fill_millicores */
   8,   /* field[8] = fills */
+  18,   /* field[18] = following_ms */
   4,   /* field[4] = id */
   13,   /* field[13] = image */
   15,   /* field[15] = isolate */
@@ -5396,7 +5693,7 @@
 static const ProtobufCIntRange lug__run_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor lug__run_start__descriptor =
 {
@@ -5406,13 +5703,334 @@
   "Lug__RunStart",
   "lug",
   sizeof(Lug__RunStart),
-  16,
+  19,
   lug__run_start__field_descriptors,
   lug__run_start__field_indices_by_name,
   1,  lug__run_start__number_ranges,
   (ProtobufCMessageInit) lug__run_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lug__room_reservation__field_descriptors[4] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RoomReservation, has_shard),
+    offsetof(Lug__RoomReservation, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RoomReservation, size),
+    &lug__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_in_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RoomReservation, has_ready_in_ms),
+    offsetof(Lug__RoomReservation, ready_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backfill",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__RoomReservation, has_backfill),
+    offsetof(Lug__RoomReservation, backfill),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lug__room_reservation__field_indices_by_name[] = {
+  3,   /* field[3] = backfill */
+  2,   /* field[2] = ready_in_ms */
+  0,   /* field[0] = shard */
+  1,   /* field[1] = size */
+};
+static const ProtobufCIntRange lug__room_reservation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lug__room_reservation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lug.RoomReservation",
+  "RoomReservation",
+  "Lug__RoomReservation",
+  "lug",
+  sizeof(Lug__RoomReservation),
+  4,
+  lug__room_reservation__field_descriptors,
+  lug__room_reservation__field_indices_by_name,
+  1,  lug__room_reservation__number_ranges,
+  (ProtobufCMessageInit) lug__room_reservation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lug__room_forecast__field_descriptors[2] =
+{
+  {
+    "in_ms",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RoomForecast, has_in_ms),
+    offsetof(Lug__RoomForecast, in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RoomForecast, room),
+    &lug__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lug__room_forecast__field_indices_by_name[] = {
+  0,   /* field[0] = in_ms */
+  1,   /* field[1] = room */
+};
+static const ProtobufCIntRange lug__room_forecast__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lug__room_forecast__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lug.RoomForecast",
+  "RoomForecast",
+  "Lug__RoomForecast",
+  "lug",
+  sizeof(Lug__RoomForecast),
+  2,
+  lug__room_forecast__field_descriptors,
+  lug__room_forecast__field_indices_by_name,
+  1,  lug__room_forecast__number_ranges,
+  (ProtobufCMessageInit) lug__room_forecast__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lug__run_reserve__field_descriptors[6] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunReserve, has_shard),
+    offsetof(Lug__RunReserve, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Lug__RunReserve, has_epoch),
+    offsetof(Lug__RunReserve, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RunReserve, id),
+    &lug__run_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RunReserve, size),
+    &lug__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waited_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunReserve, has_waited_ms),
+    offsetof(Lug__RunReserve, waited_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__RunReserve, has_cancel),
+    offsetof(Lug__RunReserve, cancel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lug__run_reserve__field_indices_by_name[] = {
+  5,   /* field[5] = cancel */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = id */
+  0,   /* field[0] = shard */
+  3,   /* field[3] = size */
+  4,   /* field[4] = waited_ms */
+};
+static const ProtobufCIntRange lug__run_reserve__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor lug__run_reserve__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lug.RunReserve",
+  "RunReserve",
+  "Lug__RunReserve",
+  "lug",
+  sizeof(Lug__RunReserve),
+  6,
+  lug__run_reserve__field_descriptors,
+  lug__run_reserve__field_indices_by_name,
+  1,  lug__run_reserve__number_ranges,
+  (ProtobufCMessageInit) lug__run_reserve__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lug__run_reserve_answer__field_descriptors[5] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunReserveAnswer, has_shard),
+    offsetof(Lug__RunReserveAnswer, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RunReserveAnswer, id),
+    &lug__run_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunReserveAnswer, has_status),
+    offsetof(Lug__RunReserveAnswer, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_in_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunReserveAnswer, has_ready_in_ms),
+    offsetof(Lug__RunReserveAnswer, ready_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RunReserveAnswer, used),
+    &lug__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lug__run_reserve_answer__field_indices_by_name[] = {
+  1,   /* field[1] = id */
+  3,   /* field[3] = ready_in_ms */
+  0,   /* field[0] = shard */
+  2,   /* field[2] = status */
+  4,   /* field[4] = used */
+};
+static const ProtobufCIntRange lug__run_reserve_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor lug__run_reserve_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lug.RunReserveAnswer",
+  "RunReserveAnswer",
+  "Lug__RunReserveAnswer",
+  "lug",
+  sizeof(Lug__RunReserveAnswer),
+  5,
+  lug__run_reserve_answer__field_descriptors,
+  lug__run_reserve_answer__field_indices_by_name,
+  1,  lug__run_reserve_answer__number_ranges,
+  (ProtobufCMessageInit) lug__run_reserve_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lug__run_answer__field_descriptors[5] =
 {
   {
@@ -5863,7 +6481,7 @@
   (ProtobufCMessageInit) lug__job_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__job_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lug__job_reply__field_descriptors[7] =
 {
   {
     "id",
@@ -5937,11 +6555,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_after_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__JobReply, has_retry_after_ms),
+    offsetof(Lug__JobReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__job_reply__field_indices_by_name[] = {
   0,   /* field[0] = id */
   5,   /* field[5] = owners */
   3,   /* field[3] = pending */
+  6,   /* field[6] = retry_after_ms */
   4,   /* field[4] = shard */
   2,   /* field[2] = state */
   1,   /* field[1] = status */
@@ -5949,7 +6580,7 @@
 static const ProtobufCIntRange lug__job_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lug__job_reply__descriptor =
 {
@@ -5959,14 +6590,14 @@
   "Lug__JobReply",
   "lug",
   sizeof(Lug__JobReply),
-  6,
+  7,
   lug__job_reply__field_descriptors,
   lug__job_reply__field_indices_by_name,
   1,  lug__job_reply__number_ranges,
   (ProtobufCMessageInit) lug__job_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__envelope__field_descriptors[34] =
+static const ProtobufCFieldDescriptor lug__envelope__field_descriptors[36] =
 {
   {
     "proto",
@@ -6376,6 +7007,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_reserve",
+    39,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lug__Envelope, body_case),
+    offsetof(Lug__Envelope, run_reserve),
+    &lug__run_reserve__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_reserve_answer",
+    40,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lug__Envelope, body_case),
+    offsetof(Lug__Envelope, run_reserve_answer),
+    &lug__run_reserve_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__envelope__field_indices_by_name[] = {
   5,   /* field[5] = beat */
@@ -6401,6 +7056,8 @@
   28,   /* field[28] = run_answer */
   30,   /* field[30] = run_end */
   31,   /* field[31] = run_end_ack */
+  34,   /* field[34] = run_reserve */
+  35,   /* field[35] = run_reserve_answer */
   27,   /* field[27] = run_start */
   29,   /* field[29] = run_stop */
   12,   /* field[12] = start */
@@ -6417,7 +7074,7 @@
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 34 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor lug__envelope__descriptor =
 {
@@ -6427,7 +7084,7 @@
   "Lug__Envelope",
   "lug",
   sizeof(Lug__Envelope),
-  34,
+  36,
   lug__envelope__field_descriptors,
   lug__envelope__field_indices_by_name,
   2,  lug__envelope__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -49,6 +49,10 @@
 typedef struct Lug__ShardOwner Lug__ShardOwner;
 typedef struct Lug__WorkerBeatAck Lug__WorkerBeatAck;
 typedef struct Lug__RunStart Lug__RunStart;
+typedef struct Lug__RoomReservation Lug__RoomReservation;
+typedef struct Lug__RoomForecast Lug__RoomForecast;
+typedef struct Lug__RunReserve Lug__RunReserve;
+typedef struct Lug__RunReserveAnswer Lug__RunReserveAnswer;
 typedef struct Lug__RunAnswer Lug__RunAnswer;
 typedef struct Lug__RunStop Lug__RunStop;
 typedef struct Lug__RunEnd Lug__RunEnd;
@@ -1007,10 +1011,34 @@
    */
   protobuf_c_boolean has_failing;
   uint32_t failing;
+  /*
+   * The agent refuses starts because its availability zone is evacuated.
+   */
+  protobuf_c_boolean has_evacuated;
+  protobuf_c_boolean evacuated;
+  /*
+   * Time for which the worker stays slow after its start.
+   */
+  protobuf_c_boolean has_cold_ms;
+  uint32_t cold_ms;
+  /*
+   * The reservation that the agent holds, if any.
+   */
+  Lug__RoomReservation *reservation;
+  /*
+   * Room expected when running tasks end, in order of time.
+   */
+  size_t n_forecast;
+  Lug__RoomForecast **forecast;
+  /*
+   * Measured speed of the worker, thousandths of nominal speed; absent while not known.
+   */
+  protobuf_c_boolean has_speed_permille;
+  uint32_t speed_permille;
 };
 #define LUG__WORKER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__worker_beat__descriptor) \
-    , 0, 0, NULL, NULL, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, NULL, NULL, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -1064,10 +1092,15 @@
    */
   protobuf_c_boolean has_interference_interval;
   uint32_t interference_interval;
+  /*
+   * A task of the sender's shards waits for room: heartbeats are to contain the forecast.
+   */
+  protobuf_c_boolean has_forecast_wanted;
+  protobuf_c_boolean forecast_wanted;
 };
 #define LUG__WORKER_BEAT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__worker_beat_ack__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -1131,10 +1164,128 @@
    */
   protobuf_c_boolean has_isolate;
   protobuf_c_boolean isolate;
+  /*
+   * Expected run time of the whole task at full speed; 0 if it is not known.
+   */
+  protobuf_c_boolean has_expected_ms;
+  int64_t expected_ms;
+  /*
+   * Time from sending to the job's objective, negative once it has passed.
+   */
+  protobuf_c_boolean has_due_in_ms;
+  int64_t due_in_ms;
+  /*
+   * Expected run time of the longest chain of steps after this one.
+   */
+  protobuf_c_boolean has_following_ms;
+  int64_t following_ms;
 };
 #define LUG__RUN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__run_start__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Room that an agent keeps free for a waiting task.
+ */
+struct  Lug__RoomReservation
+{
+  ProtobufCMessage base;
+  /*
+   * Shard of the task.
+   */
+  protobuf_c_boolean has_shard;
+  uint32_t shard;
+  Lug__Resources *size;
+  /*
+   * Expected time until the room is free.
+   */
+  protobuf_c_boolean has_ready_in_ms;
+  uint32_t ready_in_ms;
+  /*
+   * Tasks that are expected to end before that may still start.
+   */
+  protobuf_c_boolean has_backfill;
+  protobuf_c_boolean backfill;
+};
+#define LUG__ROOM_RESERVATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lug__room_reservation__descriptor) \
+    , 0, 0, NULL, 0, 0, 0, 0 }
+
+
+/*
+ * Room of a worker at a later time.
+ */
+struct  Lug__RoomForecast
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean has_in_ms;
+  uint32_t in_ms;
+  Lug__Resources *room;
+};
+#define LUG__ROOM_FORECAST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lug__room_forecast__descriptor) \
+    , 0, 0, NULL }
+
+
+/*
+ * Asks an agent to keep room free for a waiting task, from the owner of its shard.
+ */
+struct  Lug__RunReserve
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean has_shard;
+  uint32_t shard;
+  protobuf_c_boolean has_epoch;
+  uint64_t epoch;
+  /*
+   * The run that the next claim of the task would have.
+   */
+  Lug__RunId *id;
+  Lug__Resources *size;
+  /*
+   * Time for which the task has waited for room.
+   */
+  protobuf_c_boolean has_waited_ms;
+  uint32_t waited_ms;
+  /*
+   * The reservation is no longer needed.
+   */
+  protobuf_c_boolean has_cancel;
+  protobuf_c_boolean cancel;
+};
+#define LUG__RUN_RESERVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lug__run_reserve__descriptor) \
+    , 0, 0, 0, 0, NULL, NULL, 0, 0, 0, 0 }
+
+
+/*
+ * Agent's answer to a RunReserve; sent again once the room is free.
+ */
+struct  Lug__RunReserveAnswer
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean has_shard;
+  uint32_t shard;
+  Lug__RunId *id;
+  /*
+   * enum lug_status: LUG_OK or LUG_OVER_LIMIT.
+   */
+  protobuf_c_boolean has_status;
+  uint32_t status;
+  /*
+   * Expected time until the room is free, 0 once it is.
+   */
+  protobuf_c_boolean has_ready_in_ms;
+  uint32_t ready_in_ms;
+  /*
+   * Resources reserved for the runs held.
+   */
+  Lug__Resources *used;
+};
+#define LUG__RUN_RESERVE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lug__run_reserve_answer__descriptor) \
+    , 0, 0, NULL, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -1302,10 +1453,15 @@
    */
   size_t n_owners;
   Lug__ShardOwner **owners;
+  /*
+   * With LUG_OVER_LIMIT: the job is not stored and never runs; when the client may return.
+   */
+  protobuf_c_boolean has_retry_after_ms;
+  uint32_t retry_after_ms;
 };
 #define LUG__JOB_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__job_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 typedef enum {
@@ -1338,7 +1494,9 @@
   LUG__ENVELOPE__BODY_RUN_END = 35,
   LUG__ENVELOPE__BODY_RUN_END_ACK = 36,
   LUG__ENVELOPE__BODY_JOB_CALL = 37,
-  LUG__ENVELOPE__BODY_JOB_REPLY = 38
+  LUG__ENVELOPE__BODY_JOB_REPLY = 38,
+  LUG__ENVELOPE__BODY_RUN_RESERVE = 39,
+  LUG__ENVELOPE__BODY_RUN_RESERVE_ANSWER = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LUG__ENVELOPE__BODY__CASE)
 } Lug__Envelope__BodyCase;
 
@@ -1403,6 +1561,8 @@
     Lug__RunEndAck *run_end_ack;
     Lug__JobCall *job_call;
     Lug__JobReply *job_reply;
+    Lug__RunReserve *run_reserve;
+    Lug__RunReserveAnswer *run_reserve_answer;
   };
 };
 #define LUG__ENVELOPE__INIT \
@@ -2056,6 +2216,82 @@
 void   lug__run_start__free_unpacked
                      (Lug__RunStart *message,
                       ProtobufCAllocator *allocator);
+/* Lug__RoomReservation methods */
+void   lug__room_reservation__init
+                     (Lug__RoomReservation         *message);
+size_t lug__room_reservation__get_packed_size
+                     (const Lug__RoomReservation   *message);
+size_t lug__room_reservation__pack
+                     (const Lug__RoomReservation   *message,
+                      uint8_t             *out);
+size_t lug__room_reservation__pack_to_buffer
+                     (const Lug__RoomReservation   *message,
+                      ProtobufCBuffer     *buffer);
+Lug__RoomReservation *
+       lug__room_reservation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lug__room_reservation__free_unpacked
+                     (Lug__RoomReservation *message,
+                      ProtobufCAllocator *allocator);
+/* Lug__RoomForecast methods */
+void   lug__room_forecast__init
+                     (Lug__RoomForecast         *message);
+size_t lug__room_forecast__get_packed_size
+                     (const Lug__RoomForecast   *message);
+size_t lug__room_forecast__pack
+                     (const Lug__RoomForecast   *message,
+                      uint8_t             *out);
+size_t lug__room_forecast__pack_to_buffer
+                     (const Lug__RoomForecast   *message,
+                      ProtobufCBuffer     *buffer);
+Lug__RoomForecast *
+       lug__room_forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lug__room_forecast__free_unpacked
+                     (Lug__RoomForecast *message,
+                      ProtobufCAllocator *allocator);
+/* Lug__RunReserve methods */
+void   lug__run_reserve__init
+                     (Lug__RunReserve         *message);
+size_t lug__run_reserve__get_packed_size
+                     (const Lug__RunReserve   *message);
+size_t lug__run_reserve__pack
+                     (const Lug__RunReserve   *message,
+                      uint8_t             *out);
+size_t lug__run_reserve__pack_to_buffer
+                     (const Lug__RunReserve   *message,
+                      ProtobufCBuffer     *buffer);
+Lug__RunReserve *
+       lug__run_reserve__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lug__run_reserve__free_unpacked
+                     (Lug__RunReserve *message,
+                      ProtobufCAllocator *allocator);
+/* Lug__RunReserveAnswer methods */
+void   lug__run_reserve_answer__init
+                     (Lug__RunReserveAnswer         *message);
+size_t lug__run_reserve_answer__get_packed_size
+                     (const Lug__RunReserveAnswer   *message);
+size_t lug__run_reserve_answer__pack
+                     (const Lug__RunReserveAnswer   *message,
+                      uint8_t             *out);
+size_t lug__run_reserve_answer__pack_to_buffer
+                     (const Lug__RunReserveAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Lug__RunReserveAnswer *
+       lug__run_reserve_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lug__run_reserve_answer__free_unpacked
+                     (Lug__RunReserveAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Lug__RunAnswer methods */
 void   lug__run_answer__init
                      (Lug__RunAnswer         *message);
@@ -2293,6 +2529,18 @@
 typedef void (*Lug__RunStart_Closure)
                  (const Lug__RunStart *message,
                   void *closure_data);
+typedef void (*Lug__RoomReservation_Closure)
+                 (const Lug__RoomReservation *message,
+                  void *closure_data);
+typedef void (*Lug__RoomForecast_Closure)
+                 (const Lug__RoomForecast *message,
+                  void *closure_data);
+typedef void (*Lug__RunReserve_Closure)
+                 (const Lug__RunReserve *message,
+                  void *closure_data);
+typedef void (*Lug__RunReserveAnswer_Closure)
+                 (const Lug__RunReserveAnswer *message,
+                  void *closure_data);
 typedef void (*Lug__RunAnswer_Closure)
                  (const Lug__RunAnswer *message,
                   void *closure_data);
@@ -2354,6 +2602,10 @@
 extern const ProtobufCMessageDescriptor lug__shard_owner__descriptor;
 extern const ProtobufCMessageDescriptor lug__worker_beat_ack__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_start__descriptor;
+extern const ProtobufCMessageDescriptor lug__room_reservation__descriptor;
+extern const ProtobufCMessageDescriptor lug__room_forecast__descriptor;
+extern const ProtobufCMessageDescriptor lug__run_reserve__descriptor;
+extern const ProtobufCMessageDescriptor lug__run_reserve_answer__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_answer__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_stop__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_end__descriptor;
