--- a/liblug/store/scan.c
+++ b/liblug/store/scan.c
@@ -47,7 +47,8 @@
 
 	for (guint i = 0; i < n_rows; i++) {
 		struct lug_row copy = {g_strdup(rows[i].key), rows[i].version,
-				       rows[i].data ? json_object_ref(rows[i].data) : NULL};
+				       rows[i].data ? json_object_ref(rows[i].data) : NULL,
+				       rows[i].deleted};
 
 		g_array_append_val(scan->rows, copy);
 	}
--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -11,11 +11,14 @@
  * absent
  * @data: decoded value, NULL if the row is absent or its value can't be decoded, which the table
  * service client has logged
+ * @deleted: of a change that a watch reports: the row was deleted; tells it apart from one whose
+ *           value can't be decoded
  */
 struct lug_row {
 	char *key;
 	gint64 version;
 	JsonObject *data;
+	gboolean deleted;
 };
 
 /**
@@ -120,10 +123,13 @@
  * @ops: operations
  * @version: version of the whole table service at the scan whose callback is running, from which
  *           a watch can continue; 0 if the table service has no such version
+ * @skipped: number of rows that the answer to the scan or watch whose callback is running has
+ *           without a key or a version, and that are therefore left out
  */
 struct lug_store {
 	const struct lug_store_ops *ops;
 	gint64 version;
+	guint skipped;
 };
 
 static inline void lug_store_txn(struct lug_store *store, const struct lug_txn *txn, lug_txn_fn fn,
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -48,6 +48,7 @@
 
 		base.ops = &ops;
 		base.version = 0;
+		base.skipped = 0;
 	}
 
 	/* A client of one partition. Its rows have the keys PART|TABLE/KEY in FakeStore::rows. */
@@ -72,7 +73,7 @@
 		static const struct lug_store_ops ops = {partition_txn, partition_scan,
 							 free_partition, nullptr, nullptr};
 		Partition *partition =
-			new Partition{{&ops, 0}, reinterpret_cast<FakeStore *>(store), name};
+			new Partition{{&ops, 0, 0}, reinterpret_cast<FakeStore *>(store), name};
 
 		return &partition->base;
 	}
@@ -259,15 +260,16 @@
 			more = found.size() >= call.limit;
 			if (more)
 				break;
-			found.push_back({g_strdup(it->first.c_str() + key_offset),
-					 it->second.version,
-					 lug_json_parse(it->second.data.c_str(), -1, nullptr)});
+			found.push_back(
+				{g_strdup(it->first.c_str() + key_offset), it->second.version,
+				 lug_json_parse(it->second.data.c_str(), -1, nullptr), FALSE});
 		}
 		call.scan_fn(call.data, status, found.data(), static_cast<guint>(found.size()),
 			     more);
 		for (auto &row : found) {
 			g_free(row.key);
-			json_object_unref(row.data);
+			if (row.data)
+				json_object_unref(row.data);
 		}
 	}
 
--- a/tests/unit/shard_map_test.cc
+++ b/tests/unit/shard_map_test.cc
@@ -27,7 +27,7 @@
 	void watch_row(const char *key, const char *data)
 	{
 		struct lug_row row = {const_cast<char *>(key), ++store.revision,
-				      lug_json_parse(data, -1, nullptr)};
+				      lug_json_parse(data, -1, nullptr), FALSE};
 		struct lug_watch_result result = {LUG_OK, &row, 1, row.version};
 
 		lug_shard_map_tick(map, lug_now_us());
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -73,7 +73,7 @@
 {
 	auto it = store.rows.find(std::string("queue/") + key);
 	struct lug_row row = {const_cast<char *>(key), it->second.version,
-			      lug_json_parse(it->second.data.c_str(), -1, nullptr)};
+			      lug_json_parse(it->second.data.c_str(), -1, nullptr), FALSE};
 
 	return row;
 }
@@ -404,7 +404,7 @@
 /* Another writer has overwritten the row; the versions of rows are above all epochs. */
 TEST_F(WriterTest, EpochRisesAfterARowThatCannotBeDecoded)
 {
-	struct lug_row row = {const_cast<char *>("t"), 40, nullptr};
+	struct lug_row row = {const_cast<char *>("t"), 40, nullptr, FALSE};
 
 	EXPECT_EQ(lug_writer_row_epoch(&row), 40u);
 	EXPECT_FALSE(lug_writer_row_is_free(&row, 3000 * ms, 3000)) << "the lease may be held";
@@ -421,7 +421,7 @@
 	EXPECT_FALSE(lug_writer_row_is_free(&row, 3100 * ms, 0));
 	EXPECT_TRUE(lug_writer_row_is_free(&row, 3600 * 1000 * ms, 0)) << "the longest lease";
 	json_object_unref(row.data);
-	row = {const_cast<char *>("t"), 0, nullptr};
+	row = {const_cast<char *>("t"), 0, nullptr, FALSE};
 	EXPECT_EQ(lug_writer_row_epoch(&row), 0u);
 }
 
