--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -10,6 +10,10 @@
 /* The configuration is fresh for this long after an answer: two and a half times the watch wait. */
 #define FRESH_TIMEOUT_US (2300 * 1000)
 #define CALL_RETRY_US (200 * 1000)
+/* Rows of evacuated zones that one read returns at most. */
+#define ZONES_PER_READ 100
+/* Reads after which rows without a key or a version are taken to be there for good. */
+#define SKIPPED_READS_MAX 3
 
 /**
  * struct lug_config - the newest version of the configuration seen
@@ -19,9 +23,15 @@
  * @changed: called after each change to a newer version, may be NULL
  * @data: passed to @changed
  * @queues: current version, NULL before the first one
+ * @evacuation: evacuated zones, NULL if the source has none
+ * @is_first_page: the read of the evacuated zones has not been answered yet
+ * @has_skipped: this read has returned rows without a key or a version
+ * @skipped_reads: consecutive reads that have
+ * @read_sent_us: time at which this read began
  * @watch_after: version of the table after which the next watch reports changes
- * @row_read: the row has been read, so changes are watched
+ * @rows_read: the rows have been read, so changes are watched
  * @call_in_flight: a read or a watch is in flight
+ * @call_sent_us: time at which it was sent
  * @next_us: earliest time of the next call
  * @last_answer_us: time of the latest answer
  */
@@ -32,13 +42,27 @@
 	void (*changed)(void *data);
 	void *data;
 	struct lug_queues *queues;
+	struct lug_evacuation *evacuation;
+	gboolean is_first_page;
+	gboolean has_skipped;
+	guint skipped_reads;
+	gint64 read_sent_us;
 	gint64 watch_after;
-	gboolean row_read;
+	gboolean rows_read;
 	gboolean call_in_flight;
+	gint64 call_sent_us;
 	gint64 next_us;
 	gint64 last_answer_us;
 };
 
+static void on_zone_changed(void *data, const char *zone, gboolean evacuated)
+{
+	struct lug_config *config = data;
+
+	lug_warn(config->ctx, evacuated ? "zone_evacuated" : "zone_returned", "zone", zone);
+	lug_gauge(config->ctx, ZONES_EVACUATED, lug_evacuation_count(config->evacuation));
+}
+
 /**
  * lug_config_new - create an empty configuration
  * @ctx: context
@@ -58,6 +82,9 @@
 	config->source = *source;
 	config->changed = changed;
 	config->data = data;
+	if (source->evacuations)
+		config->evacuation =
+			lug_evacuation_new(ctx->settings->zone, on_zone_changed, config);
 	return config;
 }
 
@@ -70,6 +97,7 @@
 	if (!config)
 		return;
 	lug_queues_free(config->queues);
+	lug_evacuation_free(config->evacuation);
 	g_free(config);
 }
 
@@ -99,47 +127,145 @@
 		config->changed(config->data);
 }
 
-static void on_scan(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
-		    gboolean more)
+/* The key says it all: a row whose value can't be read is an evacuation too. */
+static void apply_zone(struct lug_config *config, const struct lug_row *row)
+{
+	const char *prefix = config->source.evacuations;
+
+	if (!prefix || !g_str_has_prefix(row->key, prefix))
+		return;
+	if (row->deleted)
+		lug_evacuation_remove(config->evacuation, row->key + strlen(prefix));
+	else
+		lug_evacuation_add(config->evacuation, row->key + strlen(prefix));
+}
+
+/* Reads all rows again after a moment, as changes since the latest answer may be missed. */
+static void read_again(struct lug_config *config)
+{
+	config->call_in_flight = FALSE;
+	config->rows_read = FALSE;
+	config->next_us = lug_now_us() + CALL_RETRY_US;
+}
+
+static void on_config(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		      gboolean more)
 {
 	struct lug_config *config = data;
 
 	(void)more;
-	config->call_in_flight = FALSE;
 	if (status != LUG_OK) {
-		config->next_us = lug_now_us() + CALL_RETRY_US;
+		read_again(config);
 		return;
 	}
+	config->call_in_flight = FALSE;
 	config->last_answer_us = lug_now_us();
 	for (guint i = 0; i < n_rows; i++) {
 		apply_row(config, &rows[i]);
-		config->row_read = TRUE;
+		config->rows_read = TRUE;
 	}
-	config->watch_after = config->store->version;
+	/* Changes since the first read are seen by a watch from its version on. */
+	if (!config->evacuation)
+		config->watch_after = config->store->version;
 	/* Without rows, the configuration does not exist yet: read again later. */
 	if (!n_rows)
 		config->next_us = lug_now_us() + CALL_RETRY_US;
 }
 
-static void on_watch(void *data, const struct lug_watch_result *result)
+static void read_config(struct lug_config *config)
+{
+	lug_store_scan(config->store, config->source.table, config->source.key, NULL, 1, on_config,
+		       config);
+}
+
+static void end_zones(struct lug_config *config)
+{
+	lug_evacuation_end_read(config->evacuation, config->read_sent_us);
+	if (!lug_evacuation_is_complete(config->evacuation))
+		lug_warn(config->ctx, "evacuations_left_out", "reason",
+			 "too many rows, or too long a zone", "remedy",
+			 "delete the rows of zones that do not exist");
+}
+
+/*
+ * Whether the read that has ended may lack a zone: it has returned a row without a key or a
+ * version, and the reads before it have not done so often enough. Such a read ends no evacuation.
+ */
+static gboolean may_lack_zone(struct lug_config *config)
+{
+	config->skipped_reads = config->has_skipped ? config->skipped_reads + 1 : 0;
+	return config->has_skipped && config->skipped_reads < SKIPPED_READS_MAX;
+}
+
+/* One page of the evacuated zones. */
+static void on_zones(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
+		     gboolean more)
 {
 	struct lug_config *config = data;
 
-	config->call_in_flight = FALSE;
-	if (result->status == LUG_NOT_FOUND) {
-		/* The table service has dropped the versions since the last watch; read the row. */
-		config->row_read = FALSE;
-		config->next_us = lug_now_us() + CALL_RETRY_US;
+	if (status != LUG_OK) {
+		read_again(config);
+		return;
+	}
+	config->last_answer_us = lug_now_us();
+	if (config->is_first_page)
+		config->watch_after = config->store->version;
+	config->is_first_page = FALSE;
+	config->has_skipped = config->has_skipped || config->store->skipped;
+	for (guint i = 0; i < n_rows; i++)
+		apply_zone(config, &rows[i]);
+	if (more && n_rows) {
+		lug_store_scan(config->store, config->source.table, config->source.evacuations,
+			       rows[n_rows - 1].key, ZONES_PER_READ, on_zones, config);
+		return;
+	}
+	if (more || may_lack_zone(config)) {
+		read_again(config);
 		return;
 	}
+	end_zones(config);
+	read_config(config);
+}
+
+static void read_rows(struct lug_config *config, gint64 now_us)
+{
+	if (!config->evacuation) {
+		read_config(config);
+		return;
+	}
+	config->is_first_page = TRUE;
+	config->has_skipped = FALSE;
+	config->read_sent_us = now_us;
+	lug_evacuation_begin_read(config->evacuation);
+	lug_store_scan(config->store, config->source.table, config->source.evacuations, NULL,
+		       ZONES_PER_READ, on_zones, config);
+}
+
+/*
+ * After a failed watch, or when the table service has dropped the versions since the last one, the
+ * rows are read: that is answered without waiting, and also ends the evacuation of a zone whose
+ * deletion was missed.
+ */
+static void on_watch(void *data, const struct lug_watch_result *result)
+{
+	struct lug_config *config = data;
+
 	if (result->status != LUG_OK) {
-		config->next_us = lug_now_us() + CALL_RETRY_US;
+		read_again(config);
 		return;
 	}
+	config->call_in_flight = FALSE;
 	config->last_answer_us = lug_now_us();
-	for (guint i = 0; i < result->n_rows; i++)
+	for (guint i = 0; i < result->n_rows; i++) {
 		apply_row(config, &result->rows[i]);
+		apply_zone(config, &result->rows[i]);
+	}
 	config->watch_after = MAX(config->watch_after, result->version);
+	/* A change that can't be read may be an evacuation. */
+	if (config->store->skipped)
+		read_again(config);
+	else if (config->evacuation)
+		lug_evacuation_confirm(config->evacuation, config->call_sent_us);
 }
 
 /**
@@ -152,12 +278,12 @@
 	if (config->call_in_flight || now_us < config->next_us)
 		return;
 	config->call_in_flight = TRUE;
-	if (config->row_read)
+	config->call_sent_us = now_us;
+	if (config->rows_read)
 		lug_store_watch(config->store, config->source.table, config->watch_after,
 				WATCH_WAIT_MS, on_watch, config);
 	else
-		lug_store_scan(config->store, config->source.table, config->source.key, NULL, 1,
-			       on_scan, config);
+		read_rows(config, now_us);
 }
 
 /**
@@ -180,3 +306,14 @@
 {
 	return config->queues;
 }
+
+/**
+ * lug_config_evacuation - evacuated zones
+ * @config: configuration
+ *
+ * Return: owned by @config; NULL if its source has none.
+ */
+const struct lug_evacuation *lug_config_evacuation(const struct lug_config *config)
+{
+	return config->evacuation;
+}
--- a/liblug/workflow/config.h
+++ b/liblug/workflow/config.h
@@ -2,6 +2,7 @@
 #define LUG_WORKFLOW_CONFIG_H
 
 #include "core/context.h"
+#include "schedule/evacuation.h"
 #include "workflow/queues.h"
 #include "store/store.h"
 
@@ -12,19 +13,22 @@
  * struct lug_config_source - location of the operators' configuration
  * @table: table
  * @key: key of the row
+ * @evacuations: prefix of the rows that name evacuated zones, NULL for none
  * @decode: parses the row
  */
 struct lug_config_source {
 	const char *table;
 	const char *key;
+	const char *evacuations;
 	lug_queues_decode_fn decode;
 };
 
 /**
  * struct lug_config - the newest version of the configuration seen by this process
  *
- * Reads the operators' row and watches it. Each version is parsed to a struct lug_queues.
- * Older versions than the current one are ignored.
+ * Reads the operators' rows and watches them. Each version of the configuration is parsed to a
+ * struct lug_queues; older versions than the current one are ignored. The rows of evacuated zones
+ * are kept as a struct lug_evacuation.
  */
 struct lug_config;
 
@@ -35,5 +39,6 @@
 void lug_config_tick(struct lug_config *config, gint64 now_us);
 gboolean lug_config_is_fresh(const struct lug_config *config, gint64 now_us);
 const struct lug_queues *lug_config_queues(const struct lug_config *config);
+const struct lug_evacuation *lug_config_evacuation(const struct lug_config *config);
 
 #endif
--- /dev/null
+++ b/tests/unit/config_test.cc
@@ -0,0 +1,182 @@
+#include "shard_fixture.h"
+
+namespace
+{
+/* The operators' rows, read and watched by a process that owns no shard. */
+struct ConfigTest : public testing::Test {
+	FakeStore store;
+	struct lug_ctx *ctx = test_context("w1");
+	struct lug_config *config = nullptr;
+	gint64 now_us = lug_now_us();
+
+	void SetUp() override
+	{
+		struct lug_config_source source = {"op", "config", "evacuate/", make_queues};
+
+		config = lug_config_new(ctx, &store.base, &source, nullptr, nullptr);
+	}
+
+	void TearDown() override
+	{
+		lug_config_free(config);
+		lug_ctx_free(ctx);
+	}
+
+	/* One call later than the retry of a failed one; the reads are answered. */
+	void tick()
+	{
+		now_us += S;
+		lug_config_tick(config, now_us);
+		store.settle();
+	}
+
+	void answer_watch(const std::vector<struct lug_row> &rows, enum lug_status status = LUG_OK)
+	{
+		struct lug_watch_result result = {status, rows.data(), (guint)rows.size(),
+						  store.revision};
+		FakeStore::Watch watch;
+
+		ASSERT_EQ(store.watches.size(), 1u);
+		watch = store.watches.front();
+		store.watches.pop_front();
+		watch.fn(watch.data, &result);
+	}
+
+	struct lug_row change(const char *key, gboolean deleted)
+	{
+		return {const_cast<char *>(key), ++store.revision, nullptr, deleted};
+	}
+
+	guint count()
+	{
+		return lug_evacuation_count(lug_config_evacuation(config));
+	}
+
+	bool is_evacuated(const char *zone)
+	{
+		return lug_evacuation_contains(lug_config_evacuation(config), zone);
+	}
+
+	bool is_read()
+	{
+		return lug_evacuation_is_read(lug_config_evacuation(config));
+	}
+
+	static constexpr gint64 S = G_USEC_PER_SEC;
+};
+
+/* The value of such a row can't be read, as that of a deleted one; only the latter ends anything.
+ */
+TEST_F(ConfigTest, OnlyADeletedRowEndsAnEvacuation)
+{
+	store.put("op/config", "{\"version\":1}");
+	store.put("op/evacuate/a", "not an object");
+	tick();
+	EXPECT_TRUE(is_read() && is_evacuated("a"));
+	EXPECT_EQ(ctx->metrics->gauges[LUG_G_ZONES_EVACUATED], 1);
+	tick();
+	answer_watch({change("evacuate/b", FALSE), change("config", FALSE),
+		      change("evacuated", FALSE), change("evacuate/", FALSE),
+		      change("evacuate/a", FALSE)});
+	EXPECT_TRUE(is_evacuated("a") && is_evacuated("b"));
+	EXPECT_EQ(count(), 2u) << "other rows are no evacuations";
+	tick();
+	answer_watch({change("evacuate/a", TRUE), change("evacuate/b", TRUE),
+		      change("evacuate/b", FALSE)});
+	EXPECT_FALSE(is_evacuated("a"));
+	EXPECT_TRUE(is_evacuated("b")) << "evacuated again";
+}
+
+/* The first page names 100 zones; a change after it is reported only by a watch from there on. */
+TEST_F(ConfigTest, AllPagesAreReadAndChangesMeanwhileAreWatched)
+{
+	gint64 version;
+
+	store.put("op/config", "{\"version\":1}");
+	for (int i = 0; i < 230; i++)
+		store.put("op/evacuate/z" + std::to_string(i), "{}");
+	version = store.revision;
+	store.is_silent = true;
+	tick();
+	store.answer_next();
+	EXPECT_FALSE(is_read());
+	store.put("op/evacuate/a", "{}");
+	store.is_silent = false;
+	store.settle();
+	EXPECT_TRUE(is_read());
+	EXPECT_EQ(count(), 230u);
+	tick();
+	ASSERT_EQ(store.watches.size(), 1u);
+	EXPECT_EQ(store.watches.front().after, version);
+	EXPECT_NE(lug_config_queues(config), nullptr);
+}
+
+/* Before the first configuration there is no watch; evacuations have to be seen all the same. */
+TEST_F(ConfigTest, ZonesAreReadWithoutAConfiguration)
+{
+	tick();
+	EXPECT_TRUE(is_read());
+	store.put("op/evacuate/a", "{}");
+	tick();
+	EXPECT_TRUE(is_evacuated("a"));
+	store.rows.erase("op/evacuate/a");
+	tick();
+	EXPECT_FALSE(is_evacuated("a"));
+}
+
+TEST_F(ConfigTest, TheSetStaysInForceDuringAnOutageAndIsReadAfterIt)
+{
+	store.put("op/config", "{\"version\":1}");
+	store.put("op/evacuate/a", "{}");
+	store.put("op/evacuate/b", "{}");
+	tick();
+	tick();
+	answer_watch({}, LUG_UNAVAILABLE);
+	store.is_silent = true;
+	for (int i = 0; i < 3; i++) {
+		tick();
+		store.answer_scan(store.take(), LUG_UNAVAILABLE);
+		EXPECT_TRUE(store.calls.empty() && is_evacuated("a"));
+	}
+	/* The deletion and the evacuation during the outage are reported by no watch. */
+	store.rows.erase("op/evacuate/a");
+	store.put("op/evacuate/c", "{}");
+	store.is_silent = false;
+	tick();
+	EXPECT_FALSE(is_evacuated("a"));
+	EXPECT_TRUE(is_evacuated("b") && is_evacuated("c"));
+}
+
+TEST_F(ConfigTest, TheSetIsReadAgainAfterItsHistoryWasDiscarded)
+{
+	store.put("op/config", "{\"version\":1}");
+	store.put("op/evacuate/a", "{}");
+	tick();
+	tick();
+	store.rows.erase("op/evacuate/a");
+	store.put("op/evacuate/b", "{}");
+	answer_watch({}, LUG_NOT_FOUND);
+	EXPECT_TRUE(is_evacuated("a"));
+	tick();
+	EXPECT_FALSE(is_evacuated("a"));
+	EXPECT_TRUE(is_evacuated("b"));
+}
+
+/* A row without key or version may be an evacuation, but must not stop all work for ever. */
+TEST_F(ConfigTest, AnAnswerWithRowsThatCannotBeReadIsNotTrustedAtOnce)
+{
+	store.put("op/config", "{\"version\":1}");
+	store.put("op/evacuate/a", "{}");
+	tick();
+	tick();
+	store.base.skipped = 1;
+	store.rows.erase("op/evacuate/a");
+	answer_watch({});
+	tick();
+	tick();
+	EXPECT_TRUE(is_evacuated("a"));
+	tick();
+	EXPECT_FALSE(is_evacuated("a"));
+}
+
+} // namespace
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -67,7 +67,7 @@
 
 	void SetUp() override
 	{
-		struct lug_config_source source = {"op", "config", make_queues};
+		struct lug_config_source source = {"op", "config", "evacuate/", make_queues};
 
 		store.put("op/config", "{\"version\":1}");
 		link = lug_link_new(ctx, ignore_message, nullptr, nullptr);
@@ -184,6 +184,10 @@
 		const char *checkpoint = nullptr;
 	};
 
+	/* Zone in later heartbeats, and whether the agent refuses starts because of it. */
+	const char *beat_zone = "";
+	bool beat_evacuated = false;
+
 	/* Bounds of the lists of later heartbeats, which are complete without them. */
 	Lug__RunId *listed_after = nullptr;
 	Lug__RunId *listed_until = nullptr;
@@ -236,6 +240,8 @@
 		beat.service = (char *)"pool";
 		beat.capacity = &capacity;
 		beat.ready = TRUE;
+		beat.zone = const_cast<char *>(beat_zone);
+		beat.evacuated = beat_evacuated;
 		beat.lease_epoch = lease_epoch;
 		beat.life = life;
 		beat.n_shards = 1;
