--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -395,6 +395,7 @@
 	agent->peers = lug_peers_new(ctx, agent->link, send_beat, agent);
 	agent->executor = lug_executor_new(ctx, agent->store, agent->adapter->new_worker(ctx),
 					   shards, send_to_owner, agent);
+	lug_executor_set_evacuation(agent->executor, lug_config_evacuation(agent->config));
 	create_owner_components(agent);
 	agent->http_server = lug_daemon_http_server_new(ctx, is_ready, agent, err);
 	if (!agent->http_server)
--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -59,6 +59,7 @@
 	exec->worker = worker;
 	exec->worker_id = g_strdup("");
 	exec->settled_id = g_strdup("");
+	exec->zone = g_strdup("");
 	exec->n_shards = n_shards;
 	exec->interference = lug_interference_new();
 	exec->task_shares = g_array_new(FALSE, FALSE, sizeof(struct exec_task_shares));
@@ -98,6 +99,7 @@
 	g_strfreev(exec->labels);
 	g_free(exec->worker_id);
 	g_free(exec->settled_id);
+	g_free(exec->zone);
 	lug_interference_free(exec->interference);
 	g_array_unref(exec->task_shares);
 	g_free(exec->owners);
@@ -282,6 +284,9 @@
 	else
 		exec_extend_lease(exec, heartbeat->clock_ms, now_us);
 	g_strlcpy(exec->service, heartbeat->service, sizeof(exec->service));
+	g_free(exec->zone);
+	exec->zone = g_strdup(heartbeat->zone ? heartbeat->zone : "");
+	exec->cold_until_us = now_us + heartbeat->cold_ms * 1000;
 	if (heartbeat->draining != exec->draining)
 		lug_info(exec->ctx, heartbeat->draining ? "worker_draining" : "worker_ready",
 			 "worker", heartbeat->id);
@@ -369,6 +374,7 @@
  */
 void lug_executor_tick(struct lug_executor *exec, gint64 now_us)
 {
+	exec_follow_evacuation(exec, now_us);
 	exec_acquire_lease(exec, now_us);
 	lug_writer_tick(exec->writer, now_us);
 	exec_release_idle_lease(exec, now_us);
--- a/liblug/workflow/executor.h
+++ b/liblug/workflow/executor.h
@@ -2,6 +2,7 @@
 #define LUG_WORKFLOW_EXECUTOR_H
 
 #include "core/context.h"
+#include "schedule/evacuation.h"
 #include "workflow/shard_map.h"
 #include "workflow/worker.h"
 #include "store/writer.h"
@@ -39,6 +40,8 @@
 struct lug_executor *lug_executor_new(struct lug_ctx *ctx, struct lug_store *store,
 				      struct lug_worker *worker, guint32 n_shards,
 				      lug_owner_send_fn send, void *data);
+void lug_executor_set_evacuation(struct lug_executor *executor,
+				 const struct lug_evacuation *evacuation);
 void lug_executor_close(struct lug_executor *executor);
 void lug_executor_free(struct lug_executor *executor);
 void lug_executor_on_worker_heartbeat(struct lug_executor *executor,
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -9,8 +9,8 @@
  * heartbeats of the worker), executor_lease.c (the worker's lease), executor_outstanding.c (calls
  * that the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
  * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
- * executor_run.c (starts and stops), executor_report.c (messages to owners) and executor_log.c (log
- * lines of calls and runs).
+ * executor_run.c (starts and stops), executor_zone.c (evacuated zones), executor_report.c (messages
+ * to owners) and executor_log.c (log lines of calls and runs).
  */
 
 /* Table of the leases of workers. */
@@ -218,6 +218,10 @@
  * @worker_heartbeat_seq: number of the worker's latest heartbeat to the agent
  * @worker_incarnation: current incarnation of the worker, 0 for not known
  * @service: service whose pool the worker belongs to
+ * @zone: availability zone that the worker's latest heartbeat names, "" for none
+ * @cold_until_us: until then the worker is slow after its start
+ * @evacuation: evacuated zones, NULL for a deployment without evacuations
+ * @zone_evacuated: the worker's zone was evacuated at the latest tick
  * @draining: the worker's latest heartbeat announces that it shuts down soon
  * @worker_exiting: the worker has announced its exit
  * @worker_exited: and has accepted no connections since
@@ -310,6 +314,10 @@
 	gint64 worker_heartbeat_seq;
 	guint64 worker_incarnation;
 	char service[LUG_NAME_MAX + 1];
+	char *zone;
+	gint64 cold_until_us;
+	const struct lug_evacuation *evacuation;
+	gboolean zone_evacuated;
 	gboolean draining;
 	gboolean worker_exiting;
 	gboolean worker_exited;
@@ -402,6 +410,8 @@
 void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
 void exec_settle(struct lug_executor *exec, gint64 now_us);
 gboolean exec_is_settled(const struct lug_executor *exec);
+enum lug_evacuation_verdict exec_check_zone(const struct lug_executor *exec, gint64 now_us);
+void exec_follow_evacuation(struct lug_executor *exec, gint64 now_us);
 void exec_fill_lease_row(void *data, JsonObject *row);
 void exec_adopt_lease_row(struct lug_executor *exec, const struct lug_row *row, gint64 now_us);
 void exec_log_run(const struct lug_executor *exec, const char *event, const struct lug_run_id *id,
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -245,6 +245,8 @@
 
 static void fill_status(struct lug_executor *exec, Lug__WorkerBeat *beat, gint64 now_us)
 {
+	enum lug_evacuation_verdict verdict = exec_check_zone(exec, now_us);
+
 	beat->has_beat = 1;
 	beat->beat = ++exec->sent_heartbeat_seq;
 	beat->service = exec->service;
@@ -254,7 +256,11 @@
 	beat->has_draining = 1;
 	beat->draining = exec->draining;
 	beat->has_ready = 1;
-	beat->ready = exec_is_accepting(exec, now_us);
+	beat->ready = exec_is_accepting(exec, now_us) && verdict == LUG_EVACUATION_OPEN;
+	beat->has_evacuated = verdict == LUG_EVACUATION_EVACUATED;
+	beat->evacuated = beat->has_evacuated;
+	beat->has_cold_ms = exec->cold_until_us > now_us;
+	beat->cold_ms = (guint32)(MAX(exec->cold_until_us - now_us, 0) / 1000);
 	beat->has_stopping = 1;
 	beat->stopping = exec->shutting_down;
 	beat->has_lease_epoch = 1;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -148,7 +148,8 @@
 		return;
 	}
 	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
-	    incarnation == exec->worker_incarnation && exec_may_grant(exec)) {
+	    incarnation == exec->worker_incarnation && exec_may_grant(exec) &&
+	    exec_check_zone(exec, lug_now_us()) == LUG_EVACUATION_OPEN) {
 		send_start(exec, run);
 		return;
 	}
@@ -239,6 +240,19 @@
 	return FALSE;
 }
 
+static gboolean refuses_zone(const struct lug_executor *exec, const struct lug_run_id *id,
+			     gint64 now_us)
+{
+	enum lug_evacuation_verdict verdict = exec_check_zone(exec, now_us);
+
+	if (verdict != LUG_EVACUATION_OPEN)
+		exec_log_run(exec, "start_refused", id,
+			     verdict == LUG_EVACUATION_EVACUATED
+				     ? "the zone is evacuated"
+				     : "the evacuated zones are not known");
+	return verdict != LUG_EVACUATION_OPEN;
+}
+
 /**
  * lug_executor_on_start - handle an owner's request to start a run
  * @exec: executor
@@ -276,7 +290,7 @@
 	 */
 	if (start->lease_epoch != exec->confirmed_epoch)
 		return;
-	if (!exec_is_accepting(exec, now_us)) {
+	if (refuses_zone(exec, &id, now_us) || !exec_is_accepting(exec, now_us)) {
 		exec_answer_start(exec, start->shard, &id, LUG_NOT_RUN);
 		return;
 	}
--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -153,6 +153,7 @@
  * @seq: number of the heartbeat within the incarnation
  * @draining: the worker shuts down soon and takes no new runs
  * @clock_ms: the worker's clock when it sent the heartbeat, 0 when it is not known
+ * @cold_ms: time for which the worker stays slow after its start
  * @capacity: total resources for tasks
  * @labels: kind and rack, NULL-terminated
  */
@@ -164,6 +165,7 @@
 	gint64 seq;
 	gboolean draining;
 	gint64 clock_ms;
+	gint64 cold_ms;
 	struct lug_resources capacity;
 	char **labels;
 };
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -90,6 +90,8 @@
 	guint64 seq = 0;
 	guint64 incarnation = 100;
 	const char *worker_id = "i";
+	const char *zone = "z";
+	gint64 cold_ms = 0;
 	gint64 heartbeat_seq = 0;
 	gint64 clock_ms = 5000;
 	gint64 capacity_millicores = 4000;
@@ -145,7 +147,8 @@
 
 		heartbeat.id = worker_id;
 		heartbeat.service = "pool";
-		heartbeat.zone = "z";
+		heartbeat.zone = zone;
+		heartbeat.cold_ms = cold_ms;
 		heartbeat.incarnation = incarnation;
 		heartbeat.seq = ++heartbeat_seq;
 		heartbeat.draining = draining;
