--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -141,6 +141,17 @@
 	lug_resources_sub(out, &worker->claimed);
 }
 
+/**
+ * lug_fleet_is_evacuated - whether no task may start on a worker because of its zone
+ * @worker: worker
+ * @evacuation: evacuated zones known to this process, may be NULL
+ */
+gboolean lug_fleet_is_evacuated(const struct lug_fleet_worker *worker,
+				const struct lug_evacuation *evacuation)
+{
+	return worker->evacuated || lug_evacuation_contains(evacuation, worker->zone);
+}
+
 /**
  * lug_fleet_claim - reserve resources for a task placed on a worker
  * @worker: worker
@@ -382,6 +393,8 @@
 		worker->exit_announced = worker->draining;
 	worker->draining = beat->draining || beat->stopping;
 	worker->ready = beat->ready;
+	worker->evacuated = beat->evacuated;
+	worker->cold_until_us = now_us + (gint64)beat->cold_ms * 1000;
 	apply_interference(worker, beat);
 	worker->lease_epoch = beat->lease_epoch;
 	worker->max_lease_epoch = MAX(worker->max_lease_epoch, beat->lease_epoch);
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -3,6 +3,7 @@
 
 #include "core/context.h"
 #include "core/resources.h"
+#include "schedule/evacuation.h"
 #include "workflow/interference.h"
 #include "workflow/workflow.h"
 #include "store/store.h"
@@ -51,6 +52,8 @@
  * @pairs: interference that its agent has learned, array of struct lug_interference_pair
  * @draining: accepts no new tasks
  * @ready: accepts starts now
+ * @evacuated: its agent refuses starts because the worker's zone is evacuated
+ * @cold_until_us: until then the worker is slow after its start
  * @lease_epoch: epoch of the worker's lease, 0 while its agent does not know its runs
  * @max_lease_epoch: highest epoch of the worker's lease in a heartbeat
  * @worker_incarnation: incarnation of the worker itself
@@ -89,6 +92,8 @@
 	GArray *pairs;
 	gboolean draining;
 	gboolean ready;
+	gboolean evacuated;
+	gint64 cold_until_us;
 	guint64 lease_epoch;
 	guint64 max_lease_epoch;
 	guint64 worker_incarnation;
@@ -140,6 +145,8 @@
 GPtrArray *lug_fleet_workers(const struct lug_fleet *fleet);
 double lug_fleet_openness(struct lug_fleet_worker *worker, const struct lug_interference *model);
 const struct lug_interference *lug_fleet_interference(const struct lug_fleet *fleet);
+gboolean lug_fleet_is_evacuated(const struct lug_fleet_worker *worker,
+				const struct lug_evacuation *evacuation);
 gboolean lug_fleet_is_live(const struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_room(const struct lug_fleet_worker *worker, struct lug_resources *out);
 void lug_fleet_claim(struct lug_fleet_worker *worker, const struct lug_resources *size);
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -54,6 +54,8 @@
 	const struct lug_step *step = request->step;
 	struct lug_resources room;
 
+	if (lug_fleet_is_evacuated(worker, request->evacuation))
+		return FALSE;
 	if (!worker->ready || worker->draining || !lug_fleet_is_live(worker, now_us) ||
 	    now_us < worker->avoid_until_us || strcmp(worker->service, request->service) != 0)
 		return FALSE;
@@ -249,8 +251,20 @@
 	return MAX(score + g_rand_double(rng) * SCORE_NOISE, 0);
 }
 
+/* Whether a worker is preferred: a warm one to a cold one, otherwise by score. */
+static gboolean is_better(const struct lug_fleet_worker *worker, double score,
+			  const struct lug_fleet_worker *best, double best_score, gint64 now_us)
+{
+	gboolean is_cold = now_us < worker->cold_until_us;
+
+	if (is_cold != (now_us < best->cold_until_us))
+		return !is_cold;
+	return score > best_score;
+}
+
 /**
- * lug_placement_choose - choose the eligible worker with the highest score
+ * lug_placement_choose - choose the eligible warm worker with the highest score, a cold one if
+ * there is none
  * @workers: array of struct lug_fleet_worker *
  * @request: task
  * @rng: random source
@@ -274,7 +288,7 @@
 		    (request->excluded_worker && !strcmp(request->excluded_worker, worker->name)))
 			continue;
 		score = worker_score(request, image, worker, rng, now_us);
-		if (score < 0 || (best && score <= best_score))
+		if (score < 0 || (best && !is_better(worker, score, best, best_score, now_us)))
 			continue;
 		best = worker;
 		best_score = score;
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -14,6 +14,7 @@
  * full speed
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
  * @isolate: the task is suspected to crash its workers
+ * @evacuation: evacuated zones, whose workers are excluded; may be NULL
  * @job: id of its job
  * @count_on_worker: counts the tasks of the same step and occurrence on a worker
  * @data: passed to @count_on_worker
@@ -26,6 +27,7 @@
 	double min_speed;
 	const char *excluded_worker;
 	gboolean isolate;
+	const struct lug_evacuation *evacuation;
 	const char *job;
 	guint32 (*count_on_worker)(void *data, const char *worker);
 	void *data;
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -62,6 +62,23 @@
 	g_string_truncate(runs, 0);
 }
 
+/*
+ * Returns a claim that was not sent to waiting, if its worker's zone was evacuated since. The next
+ * transaction stores that.
+ */
+static gboolean return_evacuated_claim(struct lug_shard *shard, struct shard_job *job,
+				       struct shard_task *task, const struct lug_run_id *id)
+{
+	const struct lug_fleet_worker *worker = lug_fleet_find(shard->shared.fleet, task->worker);
+
+	if (!worker || !lug_fleet_is_evacuated(worker, shard_evacuation(shard)))
+		return FALSE;
+	shard_log_run(shard, "claim_returned", id, task->worker, "reason", "the zone is evacuated");
+	shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
+	shard_job_mark_changed(shard, job);
+	return TRUE;
+}
+
 static void send_starts(struct lug_shard *shard, struct shard_job *job, guint64 revision,
 			gint64 now_us)
 {
@@ -81,6 +98,8 @@
 				    task->shard_epoch != lug_shard_epoch(shard))
 					continue;
 				shard_task_run_id(job, occ, s, i - job->first_task[s], &id);
+				if (return_evacuated_claim(shard, job, task, &id))
+					continue;
 				shard_send_start(shard, job, task, &id, now_us);
 				shard_note_run(runs, &id, task->worker, NULL, 0);
 			}
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -25,6 +25,10 @@
 
 /**
  * shard_send_start - send the start of a claimed task, with the next sequence number
+ *
+ * For a worker of an evacuated zone, the message only withdraws a start that was sent before:
+ * agents ignore a start for another lease epoch, but drop any with a lower sequence number
+ * afterwards. The next heartbeat shows whether the run began.
  */
 void shard_send_start(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 		      const struct lug_run_id *id, gint64 now_us)
@@ -51,7 +55,8 @@
 	start.has_seq = 1;
 	start.seq = task->start_seq;
 	start.has_lease_epoch = 1;
-	start.lease_epoch = task->lease_epoch;
+	start.lease_epoch =
+		lug_fleet_is_evacuated(worker, shard_evacuation(shard)) ? 0 : task->lease_epoch;
 	start.id = &run;
 	start.size = &wire;
 	start.spec = job->workflow->spec;
@@ -303,6 +308,7 @@
 						.service = def ? def->service : "",
 						.interference =
 							lug_fleet_interference(shard->shared.fleet),
+						.evacuation = shard_evacuation(shard),
 						.min_speed = RELOCATION_MIN_SPEED,
 						.job = job->workflow->id,
 						.count_on_worker = count_on_worker,
@@ -322,7 +328,7 @@
 	shard_step_size(step, &request.size);
 	other = lug_placement_choose(lug_fleet_workers(shard->shared.fleet), &request,
 				     shard->shared.ctx->rng, now_us);
-	if (!other || g_intern_string(other->name) == task->worker)
+	if (!other || g_intern_string(other->name) == task->worker || now_us < other->cold_until_us)
 		return;
 	task->relocating = TRUE;
 	shard_send_stop(shard, lug_fleet_find(shard->shared.fleet, task->worker), id);
@@ -337,6 +343,7 @@
 						.service = service,
 						.interference =
 							lug_fleet_interference(shard->shared.fleet),
+						.evacuation = shard_evacuation(shard),
 						.min_speed = MIN_SPEED,
 						.job = job->workflow->id,
 						.count_on_worker = count_on_worker,
@@ -387,13 +394,13 @@
  * @now_us: current time
  *
  * Does nothing while a transaction is in flight, so that the next transaction stores all changes
- * that have accumulated.
+ * that have accumulated, nor before the evacuated zones are read.
  */
 void shard_place_tasks(struct lug_shard *shard, gint64 now_us)
 {
 	guint claims_left = CLAIMS_PER_PASS;
 
-	if (shard->jobs_in_flight)
+	if (shard->jobs_in_flight || !lug_evacuation_is_read(shard_evacuation(shard)))
 		return;
 	sort_jobs(shard, now_us);
 	SHARD_FOREACH_JOB(shard, job)
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -327,6 +327,11 @@
 	gboolean cancel;
 };
 
+static inline const struct lug_evacuation *shard_evacuation(const struct lug_shard *shard)
+{
+	return lug_config_evacuation(shard->shared.config);
+}
+
 struct shard_ref *shard_ref_new(struct lug_shard *shard, const char *id);
 gboolean shard_ref_is_valid(const struct shard_ref *ref);
 
--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -283,6 +283,40 @@
 	EXPECT_EQ(choose(), nullptr);
 }
 
+/* Workers that were started shortly before work returns to their zone make its tasks late. */
+TEST_F(PlacementTest, ColdWorkerIsUsedWhenNoWarmOneHasRoom)
+{
+	struct lug_fleet_worker *cold = add("a", 16000);
+	struct lug_fleet_worker *warm = add("b", 16000);
+
+	cold->cold_until_us = 1000001;
+	warm->claimed.millicores = 15000;
+	EXPECT_EQ(choose(), warm);
+	std::swap(workers->pdata[0], workers->pdata[1]);
+	EXPECT_EQ(choose(), warm);
+	warm->claimed.millicores = 16000;
+	EXPECT_EQ(choose(), cold);
+	warm->claimed.millicores = 15000;
+	cold->cold_until_us = 1000000;
+	EXPECT_EQ(choose(), cold) << "warm now, and emptier";
+}
+
+TEST_F(PlacementTest, WorkersOfEvacuatedZonesAreExcluded)
+{
+	struct lug_evacuation *zones = lug_evacuation_new("z", nullptr, nullptr);
+	struct lug_fleet_worker *worker = add("a", 16000);
+
+	g_strlcpy(worker->zone, "y", sizeof(worker->zone));
+	request.evacuation = zones;
+	EXPECT_EQ(choose(), worker);
+	lug_evacuation_add(zones, "y");
+	EXPECT_EQ(choose(), nullptr);
+	lug_evacuation_remove(zones, "y");
+	worker->evacuated = TRUE;
+	EXPECT_EQ(choose(), nullptr);
+	lug_evacuation_free(zones);
+}
+
 TEST_F(PlacementTest, DataRackCountsMoreThanRoom)
 {
 	struct lug_fleet_worker *near = add("a", 16000);
