--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -22,7 +22,10 @@
 class QueueDeployment:
     """Stand-in table service and workers, with agents and entries as real processes on loopback."""
 
-    def __init__(self, directory, build, net, workers=2, entries=1, shards=2, cpu=4000):
+    def __init__(self, directory, build, net, workers=2, entries=1, shards=2, cpu=4000,
+                 zones=("z",)):
+        # Daemon N is in zone N of these, in turn.
+        self.zones = zones
         self.directory, self.build, self.net = str(directory), build, net
         self.processes = {}
         self.shards = shards
@@ -35,6 +38,7 @@
         for number in range(1, workers + 1):
             self.workers[f"agent-{number}"] = Worker(number, self.address(number, 8165),
                                                      self.address(number, 8166), cpu)
+            self.workers[f"agent-{number}"].zone = self.zone(number)
         for number in range(1, workers + 1):
             self.start(f"agent-{number}")
         for number in range(1, entries + 1):
@@ -46,6 +50,9 @@
     def address(self, host, port):
         return f"127.{self.net}.0.{host}:{port}"
 
+    def zone(self, number):
+        return self.zones[(int(number) - 1) % len(self.zones)]
+
     def put_config(self, queues=("jobs",), attempts=2):
         # Versions rise, but are not consecutive.
         self.version += 3
@@ -60,7 +67,8 @@
         # The source is an address without port: the last two characters are ":0".
         role, number = name.rsplit("-", 1)
         host = int(number) + (100 if role == "entry" else 0)
-        lines = [f"daemon: queue-{role}", f"name: {name}", "region: r", "zone: z",
+        lines = [f"daemon: queue-{role}", f"name: {name}", "region: r",
+                 f"zone: {self.zone(number)}",
                  f"source: {self.address(host, 0)[:-2]}",
                  f"inner: {self.address(host, 7720)}", f"http: {self.address(host, 7735)}",
                  f"platform: {{url: 'http://{self.address(250, 8169)}', timeout: 700ms}}",
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -278,6 +278,7 @@
         self.id = f"i-{number}"
         self.heartbeat_address = heartbeat_address
         self.cpu = cpu
+        self.zone = "z"
         # (time, room) of the latest changes of the room, and starts that exceeded it.
         self.rooms = [(0.0, cpu)]
         self.starts_over_room = []
@@ -395,7 +396,7 @@
     def beat(self):
         """Sends one heartbeat to the agent."""
         self.seq += 1
-        body = {"service": "pool", "address": "x", "zone": "z", "version": "v1",
+        body = {"service": "pool", "address": "x", "zone": self.zone, "version": "v1",
                 "capacity": 8, "state": "draining" if self.draining else "ready",
                 "cold_remaining_ms": 0, "labels": ["a", "r1"], "seq": self.seq,
                 "room": {"cpu": self.cpu, "mem_mb": 4096, "gpu": 0},
