--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -319,6 +319,19 @@
 	}
 }
 
+/*
+ * Starts that the agent refused before this process knew of the evacuation were counted as
+ * failures, which would keep work from the worker when its zone returns.
+ */
+static void apply_evacuation(struct lug_fleet_worker *worker, gboolean evacuated)
+{
+	if (evacuated && !worker->evacuated) {
+		worker->failures = 0;
+		worker->avoid_until_us = 0;
+	}
+	worker->evacuated = evacuated;
+}
+
 static void average_interference(struct lug_fleet *fleet, gint64 now_us)
 {
 	GPtrArray *reports;
@@ -393,7 +406,7 @@
 		worker->exit_announced = worker->draining;
 	worker->draining = beat->draining || beat->stopping;
 	worker->ready = beat->ready;
-	worker->evacuated = beat->evacuated;
+	apply_evacuation(worker, beat->evacuated);
 	worker->cold_until_us = now_us + (gint64)beat->cold_ms * 1000;
 	apply_interference(worker, beat);
 	worker->lease_epoch = beat->lease_epoch;
--- a/tests/unit/shard_evacuation_test.cc
+++ b/tests/unit/shard_evacuation_test.cc
@@ -137,6 +137,13 @@
 	answer_start("j", 0, 1, LUG_NOT_RUN);
 	EXPECT_EQ(worker_of("j"), "");
 	EXPECT_EQ(lug_fleet_find(fleet, "w1")->failures, 0u);
+	change("evacuate/a", TRUE);
+	run_rounds();
+	answer_start("j", 0, 2, LUG_NOT_RUN);
+	EXPECT_EQ(lug_fleet_find(fleet, "w1")->failures, 1u) << "refused for an unknown reason";
+	beat_evacuated = true;
+	beat("w1");
+	EXPECT_EQ(lug_fleet_find(fleet, "w1")->failures, 0u) << "refused for the evacuation";
 }
 
 /* The owner's process was started during the evacuation and takes over a shard at once. */
