--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -141,6 +141,17 @@
 	lug_resources_sub(out, &worker->claimed);
 }
 
+/**
+ * lug_fleet_is_evacuated - whether no task may start on a worker because of its zone
+ * @worker: worker
+ * @evacuation: evacuated zones known to this process, may be NULL
+ */
+gboolean lug_fleet_is_evacuated(const struct lug_fleet_worker *worker,
+				const struct lug_evacuation *evacuation)
+{
+	return worker->evacuated || lug_evacuation_contains(evacuation, worker->zone);
+}
+
 /**
  * lug_fleet_claim - reserve resources for a task placed on a worker
  * @worker: worker
@@ -308,6 +319,19 @@
 	}
 }
 
+/*
+ * Starts that the agent refused before this process knew of the evacuation were counted as
+ * failures, which would keep work from the worker when its zone returns.
+ */
+static void apply_evacuation(struct lug_fleet_worker *worker, gboolean evacuated)
+{
+	if (evacuated && !worker->evacuated) {
+		worker->failures = 0;
+		worker->avoid_until_us = 0;
+	}
+	worker->evacuated = evacuated;
+}
+
 static void average_interference(struct lug_fleet *fleet, gint64 now_us)
 {
 	GPtrArray *reports;
@@ -382,6 +406,8 @@
 		worker->exit_announced = worker->draining;
 	worker->draining = beat->draining || beat->stopping;
 	worker->ready = beat->ready;
+	apply_evacuation(worker, beat->evacuated);
+	worker->cold_until_us = now_us + (gint64)beat->cold_ms * 1000;
 	apply_interference(worker, beat);
 	worker->lease_epoch = beat->lease_epoch;
 	worker->max_lease_epoch = MAX(worker->max_lease_epoch, beat->lease_epoch);
