--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -47,6 +47,13 @@
 	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
 	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
 	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")     \
+	X(HALTS_NORMAL, "halts_normal", "Halts of best-effort tasks of urgency NORMAL")   \
+	X(HALTS_SLACK, "halts_slack", "Halts of best-effort tasks of urgency SLACK")      \
+	X(HALTS_LATE, "halts_late", "Halts of best-effort tasks of urgency LATE")         \
+	X(OVER_TARGET_OWN_MS, "over_target_own_ms",                                       \
+	  "Milliseconds of serving tasks over target by their own load")                  \
+	X(OVER_TARGET_SHARED_MS, "over_target_best_effort_ms",                            \
+	  "Milliseconds of serving tasks over target by best-effort tasks")               \
 	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                   \
 	X(LEASES_LOST, "leases_lost", "Leases found held by another")                     \
 	X(TABLE_UPDATES, "table_updates", "Newer versions of the weights and limits")     \
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -1,6 +1,7 @@
 #ifndef LUG_WORKFLOW_EXECUTOR_PRIV_H
 #define LUG_WORKFLOW_EXECUTOR_PRIV_H
 
+#include "schedule/yield.h"
 #include "workflow/executor.h"
 #include "workflow/interference.h"
 
@@ -86,6 +87,9 @@
  * @all_halted_us: time at which all best-effort tasks were halted for this task, 0 for none
  * @all_halted_metric: tail latency in ms at @all_halted_us
  * @halted: a best-effort task whose share is set to 0 to protect a serving task
+ * @was_halted: @halted before the latest sample
+ * @yield: whether a best-effort task yields
+ * @yield_serving: whether the yielding tasks beside a serving task are halted for it
  */
 struct exec_run {
 	struct lug_run_id id;
@@ -128,6 +132,9 @@
 	gint64 all_halted_us;
 	gint64 all_halted_metric;
 	gboolean halted;
+	gboolean was_halted;
+	struct lug_yield_task yield;
+	struct lug_yield_serving yield_serving;
 };
 
 /**
@@ -288,6 +295,7 @@
  * @shares_recorded: @task_shares has been updated since @last_sample_us
  * @shares_updated_us: last update of @task_shares
  * @last_sample_us: time of the latest sample
+ * @halts_yielding: the latest sample has halted the yielding tasks
  */
 struct lug_executor {
 	struct lug_ctx *ctx;
@@ -369,6 +377,7 @@
 	gboolean shares_recorded;
 	gint64 shares_updated_us;
 	gint64 last_sample_us;
+	gboolean halts_yielding;
 };
 
 void exec_on_lease_event(void *data, enum lug_writer_event event);
@@ -430,7 +439,9 @@
 GArray *exec_serving_tasks(const struct lug_executor *exec, gint64 now_us);
 void exec_record_shares(struct lug_executor *exec, gint64 now_us);
 gboolean exec_allows_best_effort(const struct lug_executor *exec, const char *image,
-				 gint64 millicores, gint64 now_us);
+				 gint64 millicores, enum lug_urgency urgency, gint64 now_us);
+struct lug_yield_task exec_read_urgency(const struct lug_executor *exec, const Lug__RunStart *start,
+					guint32 progress_percent, gint64 now_us);
 void exec_replan_shares(struct lug_executor *exec, struct exec_run *run);
 void exec_throttle(struct lug_executor *exec, gint64 now_us);
 void exec_report_end(struct lug_executor *exec, struct exec_end *end, gint64 now_us);
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -192,7 +192,7 @@
 }
 
 static void apply_attributes(struct lug_executor *exec, const struct lug_run_id *id,
-			     const Lug__RunStart *start)
+			     const Lug__RunStart *start, gint64 now_us)
 {
 	struct exec_run *run = exec_find_run(exec, id);
 
@@ -202,6 +202,7 @@
 	/* The share set by an earlier process of the agent is not known. */
 	run->applied_percent = 0;
 	set_attributes(run, start);
+	run->yield = exec_read_urgency(exec, start, run->progress_percent, now_us);
 	exec_replan_shares(exec, run);
 }
 
@@ -251,6 +252,7 @@
 void lug_executor_on_start(struct lug_executor *exec, const Lug__RunStart *start, gint64 now_us)
 {
 	struct lug_resources size;
+	struct lug_yield_task yield;
 	struct lug_run_id id;
 	struct exec_run *run;
 
@@ -259,7 +261,7 @@
 	lug_resources_from_wire(start->size, &size);
 	/* Not a start: it brings the missing attributes of a run. */
 	if (start->size_only) {
-		apply_attributes(exec, &id, start);
+		apply_attributes(exec, &id, start, now_us);
 		return;
 	}
 	if (!accept_seq(exec, start) || has_ended(exec, &id))
@@ -285,15 +287,17 @@
 		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
+	yield = exec_read_urgency(exec, start, 0, now_us);
 	if (start->fills &&
 	    !exec_allows_best_effort(exec, g_intern_string(start->image ? start->image : ""),
-				     start->fill_millicores, now_us)) {
+				     start->fill_millicores, yield.effective, now_us)) {
 		lug_count(exec->ctx, TASKS_REFUSED, 1);
 		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
 	run = exec_add_run(exec, &id, EXEC_STARTING);
 	set_attributes(run, start);
+	run->yield = yield;
 	run->spec = g_strdup(start->spec ? start->spec : "");
 	run->checkpoint = g_strdup(start->checkpoint ? start->checkpoint : "");
 	run->isolated = start->isolate;
--- a/liblug/workflow/executor_throttle.c
+++ b/liblug/workflow/executor_throttle.c
@@ -2,12 +2,16 @@
 
 #include <string.h>
 
+#include "schedule/yield_limits.h"
+
 /*
  * The reported tail latency is a moving average (AVERAGE_TIME_CONSTANT_US in serving_load.c), so
  * more frequent samples add little information. Shorter than POLL_WAIT_MS, so that each poll that
  * waits for its full time gives a sample.
  */
 #define SAMPLE_INTERVAL_US (240 * 1000)
+/* Bounds the time that one sample counts for, as before the first one and when polls fail. */
+#define SAMPLE_SPAN_MAX_US (500 * 1000)
 /* Shares are planned for the load expected when the next sample takes effect. */
 #define PLAN_AHEAD_US (400 * 1000)
 /*
@@ -229,41 +233,87 @@
 	exec->shares_recorded = FALSE;
 }
 
-static void plan_shares(struct lug_executor *exec, gint64 now_us)
+static gboolean is_yielding(const struct exec_run *run)
 {
-	GArray *servings = exec_serving_tasks(exec, now_us);
-	struct lug_interference_task *tasks =
-		g_new0(struct lug_interference_task, exec->runs->len + 1);
-	guint n = 0;
+	return lug_yield_is_yielding(run->yield.effective);
+}
+
+/* The active best-effort tasks that yield, or those that don't, in the order of the runs. */
+static GArray *list_tasks(const struct lug_executor *exec, gboolean yielding)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct lug_interference_task));
 
 	for (guint i = 0; i < exec->runs->len; i++) {
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+		struct lug_interference_task task = {run->image, run->share, run->strength};
 
-		if (!is_active_best_effort(run))
-			continue;
-		tasks[n].image = run->image;
-		tasks[n].strength = run->strength;
-		tasks[n++].share = run->share;
+		if (is_active_best_effort(run) && is_yielding(run) == yielding)
+			g_array_append_val(out, task);
 	}
-	lug_interference_plan(exec->interference,
-			      (struct lug_interference_serving_task *)(void *)servings->data,
-			      servings->len, tasks, n);
-	n = 0;
-	/* @tasks and @servings are in the order of the runs. */
-	for (guint i = 0, k = 0; i < exec->runs->len; i++) {
+	return out;
+}
+
+/* Sets the shares from a list of list_tasks(), and releases it. */
+static void apply_shares(struct lug_executor *exec, gboolean yielding, GArray *tasks)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (is_active_best_effort(run) && is_yielding(run) == yielding)
+			run->share = g_array_index(tasks, struct lug_interference_task, n++).share;
+	}
+	g_array_unref(tasks);
+}
+
+static void apply_pressures(struct lug_executor *exec, const GArray *servings)
+{
+	guint n = 0;
+
+	/* @servings is in the order of the runs. */
+	for (guint i = 0; i < exec->runs->len; i++) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
-		if (is_active_best_effort(run))
-			run->share = tasks[n++].share;
 		if (is_serving(run) && run->limit > 0)
 			run->pressure =
-				g_array_index(servings, struct lug_interference_serving_task, k++)
+				g_array_index(servings, struct lug_interference_serving_task, n++)
 					.pressure;
 	}
-	g_free(tasks);
+}
+
+static void plan_shares(struct lug_executor *exec, gint64 now_us)
+{
+	GArray *servings = exec_serving_tasks(exec, now_us);
+	GArray *normal = list_tasks(exec, FALSE);
+	GArray *yielding = list_tasks(exec, TRUE);
+
+	lug_interference_plan(
+		exec->interference, (struct lug_interference_serving_task *)(void *)servings->data,
+		servings->len, (struct lug_interference_task *)(void *)normal->data, normal->len);
+	if (yielding->len)
+		lug_interference_plan_yielding(
+			exec->interference,
+			(struct lug_interference_serving_task *)(void *)servings->data,
+			servings->len, (struct lug_interference_task *)(void *)yielding->data,
+			yielding->len, LUG_YIELD_MARGIN);
+	apply_shares(exec, FALSE, normal);
+	apply_shares(exec, TRUE, yielding);
+	apply_pressures(exec, servings);
 	g_array_unref(servings);
 }
 
+static void update_urgencies(struct lug_executor *exec, gint64 now_us)
+{
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (is_active_best_effort(run))
+			lug_yield_update_task(&run->yield, run->progress_percent,
+					      run->halted || run->share <= 0, now_us);
+	}
+}
+
 static void halt_interfering(struct lug_executor *exec, const struct exec_run *serving,
 			     gboolean all)
 {
@@ -277,11 +327,45 @@
 	}
 }
 
+static gboolean is_overloaded_alone(const struct exec_run *run)
+{
+	struct lug_interference_serving_task serving = {run->image, run->load.level, run->limit, 0};
+
+	return lug_interference_is_overloaded_alone(&serving);
+}
+
+/* Halts the yielding tasks if they put a serving task over its target, see yield.h. */
+static void halt_yielding(struct lug_executor *exec, gint64 now_us)
+{
+	gboolean halting = FALSE;
+
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (is_serving(run) &&
+		    lug_yield_update_serving(
+			    &run->yield_serving, run->metric > run->target_ms,
+			    is_overloaded_alone(run) || now_us < run->unprotected_until_us, now_us))
+			halting = TRUE;
+	}
+	exec->halts_yielding = halting;
+	for (guint i = 0; i < exec->runs->len && halting; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (is_active_best_effort(run) && is_yielding(run))
+			run->halted = TRUE;
+	}
+}
+
 /* Decides anew which best-effort tasks are halted; see HALT_INTERFERING_AFTER_US. */
 static void update_halted_tasks(struct lug_executor *exec, gint64 now_us)
 {
-	for (guint i = 0; i < exec->runs->len; i++)
-		((struct exec_run *)g_ptr_array_index(exec->runs, i))->halted = FALSE;
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		run->was_halted = run->halted;
+		run->halted = FALSE;
+	}
 	for (guint i = 0; i < exec->runs->len; i++) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 		gint64 over_span_us;
@@ -311,6 +395,56 @@
 		}
 		halt_interfering(exec, run, over_span_us >= HALT_ALL_AFTER_US);
 	}
+	if (exec->ctx->settings->schedule_yield)
+		halt_yielding(exec, now_us);
+}
+
+/* Counts the tasks that this sample halts, and limits the shares of those that it lets continue. */
+static void note_halt_changes(struct lug_executor *exec)
+{
+	for (guint i = 0; i < exec->runs->len; i++) {
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (!run->halted && run->was_halted && is_yielding(run))
+			run->share = MIN(run->share, LUG_YIELD_RETURN_SHARE);
+		if (!run->halted || run->was_halted)
+			continue;
+		if (run->yield.effective == LUG_URGENCY_SLACK)
+			lug_count(exec->ctx, HALTS_SLACK, 1);
+		else if (run->yield.effective == LUG_URGENCY_LATE)
+			lug_count(exec->ctx, HALTS_LATE, 1);
+		else
+			lug_count(exec->ctx, HALTS_NORMAL, 1);
+	}
+}
+
+static gboolean has_running_best_effort(const struct lug_executor *exec)
+{
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (is_active_best_effort(run) && run->applied_percent)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Counts the time since the last sample for each serving task over its target. */
+static void count_over_target(struct lug_executor *exec, gint64 now_us)
+{
+	gint64 span_ms = MIN(now_us - exec->last_sample_us, SAMPLE_SPAN_MAX_US) / 1000;
+	gboolean shared = has_running_best_effort(exec);
+
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		if (!is_serving(run) || run->metric <= run->target_ms)
+			continue;
+		if (shared && !is_overloaded_alone(run))
+			lug_count(exec->ctx, OVER_TARGET_SHARED_MS, span_ms);
+		else
+			lug_count(exec->ctx, OVER_TARGET_OWN_MS, span_ms);
+	}
 }
 
 static void throttle_all(struct lug_executor *exec)
@@ -328,23 +462,52 @@
  * @exec: executor
  * @image: image of the task, interned
  * @millicores: millicores that the task can use
+ * @urgency: urgency of the task
  * @now_us: current time
  *
  * Several owners place tasks at the same time, each from the latest heartbeat. A task works at its
  * full share until it is throttled, so tasks that start together could saturate serving tasks.
  */
 gboolean exec_allows_best_effort(const struct lug_executor *exec, const char *image,
-				 gint64 millicores, gint64 now_us)
+				 gint64 millicores, enum lug_urgency urgency, gint64 now_us)
 {
 	GArray *servings = exec_serving_tasks(exec, now_us);
 	double spare = (double)exec_spare_millicores(exec) / (double)MAX(millicores, 1);
-	struct lug_interference_assessment assessment = lug_interference_assess(
-		exec->interference, image,
-		(const struct lug_interference_serving_task *)(void *)servings->data,
-		servings->len);
+	gboolean yields = lug_yield_is_yielding(urgency);
+	const struct lug_interference_serving_task *data =
+		(const struct lug_interference_serving_task *)(void *)servings->data;
+	struct lug_interference_assessment assessment =
+		yields ? lug_interference_assess_yielding(exec->interference, image, data,
+							  servings->len, LUG_YIELD_MARGIN)
+		       : lug_interference_assess(exec->interference, image, data, servings->len);
 
 	g_array_unref(servings);
-	return assessment.share * CLAMP(spare, 0, 1) >= MIN_START_SPEED;
+	if (yields && exec->halts_yielding)
+		return FALSE;
+	return assessment.share * CLAMP(spare, 0, 1) >=
+	       lug_yield_start_speed(urgency, MIN_START_SPEED);
+}
+
+/**
+ * exec_read_urgency - compute the urgency of a task from the attributes that its owner has sent
+ * @exec: executor
+ * @start: attributes
+ * @progress_percent: progress of the task
+ * @now_us: time at which @start was received
+ *
+ * An owner of an earlier release sends no times, and the task is NORMAL.
+ */
+struct lug_yield_task exec_read_urgency(const struct lug_executor *exec, const Lug__RunStart *start,
+					guint32 progress_percent, gint64 now_us)
+{
+	struct lug_yield_task out = {0};
+
+	if (!exec->ctx->settings->schedule_yield || !start->fills || !start->has_due_in_ms)
+		return out;
+	lug_urgency_set_times(&out.times, start->due_in_ms, start->expected_ms, start->following_ms,
+			      now_us);
+	lug_yield_update_task(&out, progress_percent, FALSE, now_us);
+	return out;
 }
 
 /**
@@ -359,6 +522,9 @@
 	if (!run->best_effort)
 		return;
 	plan_shares(exec, lug_now_us());
+	/* Until the next sample decides anew. */
+	if (exec->halts_yielding && is_yielding(run))
+		run->halted = TRUE;
 	throttle_all(exec);
 }
 
@@ -371,9 +537,13 @@
 {
 	if (now_us - exec->last_sample_us >= SAMPLE_INTERVAL_US) {
 		update_interference(exec, now_us);
+		count_over_target(exec, now_us);
 		exec->last_sample_us = now_us;
+		if (exec->ctx->settings->schedule_yield)
+			update_urgencies(exec, now_us);
 		plan_shares(exec, now_us);
 		update_halted_tasks(exec, now_us);
+		note_halt_changes(exec);
 	}
 	throttle_all(exec);
 }
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -388,6 +388,7 @@
 	worker->worker_incarnation = beat->life;
 	worker->spare_millicores = beat->spare_millicores;
 	worker->refused_best_effort = FALSE;
+	worker->refused_yielding = FALSE;
 	worker->reported_failures = beat->failing;
 	return worker;
 }
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -43,6 +43,7 @@
  * @confirmed: part of @claimed that the agent has acknowledged
  * @spare_millicores: millicores that no task used at the last heartbeat
  * @refused_best_effort: the worker has refused a best-effort task since its last heartbeat
+ * @refused_yielding: the same for a task that yields to serving tasks
  * @unconfirmed: best-effort and serving tasks placed there that the agent hasn't confirmed, array
  * of struct lug_fleet_unconfirmed
  * @serving_tasks: serving tasks with their utilisations, array of struct
@@ -83,6 +84,7 @@
 	struct lug_resources confirmed;
 	gint64 spare_millicores;
 	gboolean refused_best_effort;
+	gboolean refused_yielding;
 	GArray *unconfirmed;
 	GArray *serving_tasks;
 	double openness;
--- a/liblug/workflow/interference.c
+++ b/liblug/workflow/interference.c
@@ -25,6 +25,8 @@
 #define STRENGTH_MAX 5.0
 /* Throttling a task of a smaller weight frees less utilisation than the load varies by. */
 #define THROTTLED_WEIGHT_MIN 0.05
+/* Yielding tasks are throttled for any positive weight: several small ones add up. */
+#define YIELDING_WEIGHT_MIN G_MINDOUBLE
 /*
  * Prediction errors of more standard deviations are clipped. Bursts of requests to one serving task
  * cause such outliers.
@@ -365,38 +367,34 @@
 	return serving->limit - UTILISATION_MARGIN - serving->own_load - serving->pressure;
 }
 
-/*
- * A serving task that misses its target through its own load would miss it without best-effort
- * tasks as well, so they aren't throttled for it. It counts as such when its own load is above the
- * limit by more than half of the margin.
+/**
+ * lug_interference_is_overloaded_alone - whether a serving task misses its target by its own load
+ * @serving: serving task
+ *
+ * It would miss its target without best-effort tasks as well, so they aren't throttled for it. It
+ * counts as such when its own load is above the limit by more than half of the margin.
  */
-static gboolean is_overloaded_alone(const struct lug_interference_serving_task *serving)
+gboolean lug_interference_is_overloaded_alone(const struct lug_interference_serving_task *serving)
 {
 	return serving->own_load > serving->limit + UTILISATION_MARGIN / 2;
 }
 
-/**
- * lug_interference_assess - assess one more best-effort task beside a worker's serving tasks
- * @model: model
- * @image: image of the best-effort task, interned
- * @serving_tasks: serving tasks of the worker
- * @n: number of @serving_tasks
- */
-struct lug_interference_assessment
-lug_interference_assess(const struct lug_interference *model, const char *image,
-			const struct lug_interference_serving_task *serving_tasks, guint n)
+static struct lug_interference_assessment
+assess(const struct lug_interference *model, const char *image,
+       const struct lug_interference_serving_task *serving_tasks, guint n, double margin,
+       double weight_min)
 {
 	struct lug_interference_assessment out = {1, SLACK_MAX, TRUE};
 
 	for (guint i = 0; i < n; i++) {
 		double weight = lug_interference_weight(model, serving_tasks[i].image, image);
-		double slack = lug_interference_slack(&serving_tasks[i]);
+		double slack = lug_interference_slack(&serving_tasks[i]) - margin;
 
 		out.slack = MIN(out.slack, slack - weight);
-		if (weight < THROTTLED_WEIGHT_MIN)
+		out.harmless = out.harmless && weight < THROTTLED_WEIGHT_MIN;
+		if (weight < weight_min)
 			continue;
-		out.harmless = FALSE;
-		if (!is_overloaded_alone(&serving_tasks[i]))
+		if (!lug_interference_is_overloaded_alone(&serving_tasks[i]))
 			out.share = MIN(out.share, slack / weight);
 	}
 	if (out.share < SHARE_MIN)
@@ -404,6 +402,36 @@
 	return out;
 }
 
+/**
+ * lug_interference_assess - assess one more best-effort task beside a worker's serving tasks
+ * @model: model
+ * @image: image of the best-effort task, interned
+ * @serving_tasks: serving tasks of the worker
+ * @n: number of @serving_tasks
+ */
+struct lug_interference_assessment
+lug_interference_assess(const struct lug_interference *model, const char *image,
+			const struct lug_interference_serving_task *serving_tasks, guint n)
+{
+	return assess(model, image, serving_tasks, n, 0, THROTTLED_WEIGHT_MIN);
+}
+
+/**
+ * lug_interference_assess_yielding - assess one more yielding task beside a worker's serving tasks
+ * @model: model
+ * @image: image of the best-effort task, interned
+ * @serving_tasks: serving tasks of the worker
+ * @n: number of @serving_tasks
+ * @margin: see lug_interference_plan_yielding()
+ */
+struct lug_interference_assessment
+lug_interference_assess_yielding(const struct lug_interference *model, const char *image,
+				 const struct lug_interference_serving_task *serving_tasks, guint n,
+				 double margin)
+{
+	return assess(model, image, serving_tasks, n, margin, YIELDING_WEIGHT_MIN);
+}
+
 /**
  * lug_interference_openness - fraction of the known best-effort images that are harmless on a
  * worker
@@ -435,39 +463,52 @@
 }
 
 /*
- * Reduces shares, in proportion to the tasks' pressure at full share, until the serving task is
- * expected to meet its target. This minimises the sum of the squared reductions.
+ * Reduces shares, in proportion to the tasks' pressure at full share, until a serving task
+ * with the utilisation @base without them is expected to be at most at @limit. This minimises the
+ * sum of the squared reductions. Tasks whose pressure at full share is less than @weight_min keep
+ * their shares.
  */
-static void reduce_shares(const struct lug_interference *model,
-			  const struct lug_interference_serving_task *serving,
+static void reduce_shares(const struct lug_interference *model, const char *serving_image,
+			  double base, double limit, double weight_min,
 			  struct lug_interference_task *tasks, guint n)
 {
-	double excess = serving->own_load + total_pressure(model, serving->image, tasks, n) -
-			(serving->limit - UTILISATION_MARGIN);
+	double excess = base + total_pressure(model, serving_image, tasks, n) - limit;
 
 	for (guint round = 0; round < REDUCE_ROUNDS_MAX && excess > EXCESS_MIN; round++) {
 		double sum_squares = 0;
 
 		for (guint i = 0; i < n; i++) {
-			double pressure = full_share_pressure(model, serving->image, &tasks[i]);
+			double pressure = full_share_pressure(model, serving_image, &tasks[i]);
 
-			if (pressure >= THROTTLED_WEIGHT_MIN && tasks[i].share > 0)
+			if (pressure >= weight_min && tasks[i].share > 0)
 				sum_squares += pressure * pressure;
 		}
 		if (sum_squares <= 0)
 			return;
 		for (guint i = 0; i < n; i++) {
-			double pressure = full_share_pressure(model, serving->image, &tasks[i]);
+			double pressure = full_share_pressure(model, serving_image, &tasks[i]);
 
-			if (pressure >= THROTTLED_WEIGHT_MIN)
+			if (pressure >= weight_min)
 				tasks[i].share =
 					MAX(tasks[i].share - pressure * excess / sum_squares, 0);
 		}
-		excess = serving->own_load + total_pressure(model, serving->image, tasks, n) -
-			 (serving->limit - UTILISATION_MARGIN);
+		excess = base + total_pressure(model, serving_image, tasks, n) - limit;
 	}
 }
 
+static void raise_shares(struct lug_interference_task *tasks, guint n)
+{
+	for (guint i = 0; i < n; i++)
+		tasks[i].share = MIN(tasks[i].share + SHARE_RISE_MAX, 1);
+}
+
+static void round_small_shares(struct lug_interference_task *tasks, guint n)
+{
+	for (guint i = 0; i < n; i++)
+		if (tasks[i].share < SHARE_MIN)
+			tasks[i].share = 0;
+}
+
 /**
  * lug_interference_plan - compute the shares of a worker's best-effort tasks
  * @model: model
@@ -483,19 +524,53 @@
 			   guint n_serving_tasks, struct lug_interference_task *tasks,
 			   guint n_tasks)
 {
-	for (guint i = 0; i < n_tasks; i++)
-		tasks[i].share = MIN(tasks[i].share + SHARE_RISE_MAX, 1);
-	for (guint i = 0; i < n_serving_tasks; i++)
-		if (!is_overloaded_alone(&serving_tasks[i]))
-			reduce_shares(model, &serving_tasks[i], tasks, n_tasks);
-	for (guint i = 0; i < n_tasks; i++)
-		if (tasks[i].share < SHARE_MIN)
-			tasks[i].share = 0;
+	raise_shares(tasks, n_tasks);
+	for (guint i = 0; i < n_serving_tasks; i++) {
+		const struct lug_interference_serving_task *serving = &serving_tasks[i];
+
+		if (!lug_interference_is_overloaded_alone(serving))
+			reduce_shares(model, serving->image, serving->own_load,
+				      serving->limit - UTILISATION_MARGIN, THROTTLED_WEIGHT_MIN,
+				      tasks, n_tasks);
+	}
+	round_small_shares(tasks, n_tasks);
 	for (guint i = 0; i < n_serving_tasks; i++)
 		serving_tasks[i].pressure =
 			total_pressure(model, serving_tasks[i].image, tasks, n_tasks);
 }
 
+/**
+ * lug_interference_plan_yielding - compute the shares of the tasks that yield to the planned ones
+ * @model: model
+ * @serving_tasks: serving tasks with the pressure of the tasks planned before, to which that of
+ *                 @tasks is added
+ * @n_serving_tasks: number of @serving_tasks
+ * @tasks: yielding best-effort tasks with their present shares, which are replaced by the new ones
+ * @n_tasks: number of @tasks
+ * @margin: utilisation that they leave free below each limit, beyond what other tasks leave
+ *
+ * Each of them with any positive weight is reduced where there is no room for all.
+ */
+void lug_interference_plan_yielding(const struct lug_interference *model,
+				    struct lug_interference_serving_task *serving_tasks,
+				    guint n_serving_tasks, struct lug_interference_task *tasks,
+				    guint n_tasks, double margin)
+{
+	raise_shares(tasks, n_tasks);
+	for (guint i = 0; i < n_serving_tasks; i++) {
+		const struct lug_interference_serving_task *serving = &serving_tasks[i];
+
+		if (!lug_interference_is_overloaded_alone(serving))
+			reduce_shares(model, serving->image, serving->own_load + serving->pressure,
+				      serving->limit - UTILISATION_MARGIN - margin,
+				      YIELDING_WEIGHT_MIN, tasks, n_tasks);
+	}
+	round_small_shares(tasks, n_tasks);
+	for (guint i = 0; i < n_serving_tasks; i++)
+		serving_tasks[i].pressure +=
+			total_pressure(model, serving_tasks[i].image, tasks, n_tasks);
+}
+
 /**
  * lug_interference_pairs - estimates of all pairs for which the model has samples
  * @model: model
--- a/liblug/workflow/interference.h
+++ b/liblug/workflow/interference.h
@@ -105,6 +105,7 @@
 				struct lug_interference_observed_task *present, guint n);
 double lug_interference_strength_var(double var, gint64 span_us);
 double lug_interference_slack(const struct lug_interference_serving_task *serving);
+gboolean lug_interference_is_overloaded_alone(const struct lug_interference_serving_task *serving);
 void lug_interference_merge(struct lug_interference *model,
 			    const struct lug_interference_pair *pair);
 double lug_interference_openness(const struct lug_interference *model,
@@ -115,10 +116,18 @@
 struct lug_interference_assessment
 lug_interference_assess(const struct lug_interference *model, const char *image,
 			const struct lug_interference_serving_task *serving_tasks, guint n);
+struct lug_interference_assessment
+lug_interference_assess_yielding(const struct lug_interference *model, const char *image,
+				 const struct lug_interference_serving_task *serving_tasks, guint n,
+				 double margin);
 void lug_interference_plan(const struct lug_interference *model,
 			   struct lug_interference_serving_task *serving_tasks,
 			   guint n_serving_tasks, struct lug_interference_task *tasks,
 			   guint n_tasks);
+void lug_interference_plan_yielding(const struct lug_interference *model,
+				    struct lug_interference_serving_task *serving_tasks,
+				    guint n_serving_tasks, struct lug_interference_task *tasks,
+				    guint n_tasks, double margin);
 GArray *lug_interference_pairs(const struct lug_interference *model);
 gboolean lug_interference_from_wire(const Lug__HarmPair *wire, struct lug_interference_pair *out);
 void lug_interference_to_wire(const struct lug_interference_pair *pair, Lug__HarmPair *wire);
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "schedule/yield_limits.h"
+
 /* Random part of a score, so that owners with equal views choose different workers. */
 #define SCORE_NOISE 0.1
 /* Penalty for a worker outside the rack that holds the task's data. */
@@ -57,7 +59,8 @@
 	if (!worker->ready || worker->draining || !lug_fleet_is_live(worker, now_us) ||
 	    now_us < worker->avoid_until_us || strcmp(worker->service, request->service) != 0)
 		return FALSE;
-	if (step->best_effort && worker->refused_best_effort)
+	if (step->best_effort &&
+	    (worker->refused_best_effort || (request->yields && worker->refused_yielding)))
 		return FALSE;
 	if (request->isolate && now_us < worker->isolated_until_us &&
 	    strcmp(worker->isolated_job, request->job) != 0)
@@ -137,6 +140,16 @@
 	return mix.has_several ? AFFINITY_SEVERAL : 0;
 }
 
+static struct lug_interference_assessment
+assess(const struct lug_placement_request *request, const char *image,
+       const struct lug_interference_serving_task *serving_tasks, guint n)
+{
+	if (request->yields)
+		return lug_interference_assess_yielding(request->interference, image, serving_tasks,
+							n, LUG_YIELD_MARGIN);
+	return lug_interference_assess(request->interference, image, serving_tasks, n);
+}
+
 /* Assesses the requested task on a worker as if the unconfirmed tasks already ran. */
 static struct lug_interference_assessment
 assess_with_unconfirmed(const struct lug_placement_request *request, const char *image,
@@ -148,16 +161,14 @@
 	struct lug_interference_assessment assessment;
 
 	if (!worker->unconfirmed->len)
-		return lug_interference_assess(request->interference, image, serving_tasks,
-					       worker->serving_tasks->len);
+		return assess(request, image, serving_tasks, worker->serving_tasks->len);
 	with_unconfirmed =
 		g_memdup2(serving_tasks, sizeof(*serving_tasks) * worker->serving_tasks->len);
 	for (guint i = 0; i < worker->serving_tasks->len; i++)
 		LUG_FLEET_FOREACH_BEST_EFFORT (worker, task)
 			with_unconfirmed[i].pressure += lug_interference_weight(
 				request->interference, with_unconfirmed[i].image, task->image);
-	assessment = lug_interference_assess(request->interference, image, with_unconfirmed,
-					     worker->serving_tasks->len);
+	assessment = assess(request, image, with_unconfirmed, worker->serving_tasks->len);
 	g_free(with_unconfirmed);
 	return assessment;
 }
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -12,6 +12,7 @@
  * @interference: learned interference
  * @min_speed: a best-effort task stays queued when no worker lets it run at this part of its
  * full speed
+ * @yields: the task yields to serving tasks, see schedule/yield.h
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
  * @isolate: the task is suspected to crash its workers
  * @job: id of its job
@@ -24,6 +25,7 @@
 	const char *service;
 	const struct lug_interference *interference;
 	double min_speed;
+	gboolean yields;
 	const char *excluded_worker;
 	gboolean isolate;
 	const char *job;
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -84,7 +84,7 @@
 
 /* Sends a run's size, image and target to an agent that knows the run only from a poll. */
 static void send_run_attributes(struct lug_shard *shard, const struct lug_route *route,
-				const struct shard_job *job, const struct lug_run_id *id)
+				struct shard_job *job, const struct lug_run_id *id, gint64 now_us)
 {
 	const struct lug_step *step = &job->workflow->steps[id->step];
 	Lug__RunStart start = LUG__RUN_START__INIT;
@@ -111,6 +111,7 @@
 	start.target_ms = (guint32)step->target_ms;
 	start.has_size_only = 1;
 	start.size_only = 1;
+	shard_fill_times(shard, job, id, &start, now_us);
 	lug_link_send(shard->shared.link, route, &env);
 }
 
@@ -156,7 +157,7 @@
 			task->crash = (struct lug_crash_history){0};
 		shard_save_checkpoint(task, held->checkpoint);
 		if (held->unsized)
-			send_run_attributes(shard, &worker->route, job, id);
+			send_run_attributes(shard, &worker->route, job, id, check->now_us);
 		else if (held->has_share)
 			shard_relocate_if_slow(shard, job, task, id, held->share, check->now_us);
 		return;
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -353,6 +353,9 @@
 			lug_fleet_record_failure(fleet_worker, now_us);
 		else if (fleet_worker && lug_crash_is_suspect(&task->crash))
 			lug_fleet_isolate(fleet_worker, "", now_us);
+		else if (fleet_worker && shard_waiting_urgency(shard, job, id.occurrence, id.step,
+							       now_us) != LUG_URGENCY_NORMAL)
+			fleet_worker->refused_yielding = TRUE;
 		else if (fleet_worker && job->workflow->steps[id.step].best_effort)
 			fleet_worker->refused_best_effort = TRUE;
 		shard_job_mark_changed(shard, job);
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -1,3 +1,4 @@
+#include "schedule/yield.h"
 #include "workflow/placement.h"
 #include "workflow/shard_priv.h"
 
@@ -69,6 +70,7 @@
 	start.priority = job->priority;
 	start.has_isolate = lug_crash_is_suspect(&task->crash);
 	start.isolate = start.has_isolate;
+	shard_fill_times(shard, job, id, &start, now_us);
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
@@ -175,12 +177,13 @@
 	return longest;
 }
 
-/*
- * Updates a job's priority and deadline, and whether it can still meet the deadline. A job that
- * can't is placed after those that can: it would miss its objective anyway and could make the next
- * job miss its own.
+/**
+ * shard_update_sort_keys - update a job's priority and deadline, and whether it can still meet it
+ *
+ * A job that can't is placed after those that can: it would miss its objective anyway and could
+ * make the next job miss its own.
  */
-static void update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
+void shard_update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
 {
 	const struct lug_queue_def *def =
 		lug_queues_find(lug_config_queues(shard->shared.config), job->workflow->queue);
@@ -208,7 +211,7 @@
 	shard->next_sort_us = now_us + SORT_INTERVAL_US;
 	SHARD_FOREACH_JOB(shard, job)
 	{
-		update_sort_keys(shard, job, now_us);
+		shard_update_sort_keys(shard, job, now_us);
 	}
 	g_ptr_array_sort(shard->placement_order, compare_jobs);
 }
@@ -333,14 +336,16 @@
 		       guint32 s, const char *service, guint *claims_left, gint64 now_us)
 {
 	struct worker_count count = {job, occ, s};
-	struct lug_placement_request request = {.step = &job->workflow->steps[s],
-						.service = service,
-						.interference =
-							lug_fleet_interference(shard->shared.fleet),
-						.min_speed = MIN_SPEED,
-						.job = job->workflow->id,
-						.count_on_worker = count_on_worker,
-						.data = &count};
+	enum lug_urgency urgency = shard_waiting_urgency(shard, job, occ->number, s, now_us);
+	struct lug_placement_request request = {
+		.step = &job->workflow->steps[s],
+		.service = service,
+		.interference = lug_fleet_interference(shard->shared.fleet),
+		.min_speed = lug_yield_start_speed(urgency, MIN_SPEED),
+		.yields = lug_yield_is_yielding(urgency),
+		.job = job->workflow->id,
+		.count_on_worker = count_on_worker,
+		.data = &count};
 
 	shard_step_size(request.step, &request.size);
 	for (guint32 i = job->first_task[s];
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -3,6 +3,7 @@
 
 #include "colocate/crash.h"
 #include "core/list.h"
+#include "schedule/urgency.h"
 #include "workflow/shard.h"
 
 /*
@@ -10,8 +11,9 @@
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_inbox.c (jobs and
  * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
  * (placement and starts), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison
- * of claims with heartbeats, lost runs), shard_ack.c (acknowledgements of ends), shard_report.c
- * (log of what is overdue) and shard_commit.c (transactions).
+ * of claims with heartbeats, lost runs), shard_due.c (urgency of tasks), shard_ack.c
+ * (acknowledgements of ends), shard_report.c (log of what is overdue) and shard_commit.c
+ * (transactions).
  */
 
 /*
@@ -364,6 +366,11 @@
 
 void shard_relocate_if_slow(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			    const struct lug_run_id *id, guint32 share_percent, gint64 now_us);
+void shard_update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us);
+void shard_fill_times(struct lug_shard *shard, struct shard_job *job, const struct lug_run_id *id,
+		      Lug__RunStart *start, gint64 now_us);
+enum lug_urgency shard_waiting_urgency(struct lug_shard *shard, const struct shard_job *job,
+				       guint32 occurrence, guint32 step, gint64 now_us);
 void shard_begin_due_occurrences(struct lug_shard *shard, gint64 now_us);
 void shard_place_tasks(struct lug_shard *shard, gint64 now_us);
 void shard_send_start(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
