--- a/liblug/schedule/urgency.c
+++ b/liblug/schedule/urgency.c
@@ -21,6 +21,26 @@
 	times->following_us = CLAMP(following_ms, 0, max_ms) * 1000;
 }
 
+/* Expected run time of the rest of the task and of the steps after it. */
+static gint64 work_left_us(const struct lug_urgency_times *times, guint32 progress_percent)
+{
+	return times->expected_us / 100 * (100 - MIN(progress_percent, 100)) + times->following_us;
+}
+
+/**
+ * lug_urgency_slack_us - time that a task's job has left beyond its work
+ * @times: times of a task whose job has an objective
+ * @progress_percent: progress of the task, in percent of its work
+ * @now_us: current time
+ *
+ * Return: microseconds, negative when the objective is expected to be missed.
+ */
+gint64 lug_urgency_slack_us(const struct lug_urgency_times *times, guint32 progress_percent,
+			    gint64 now_us)
+{
+	return times->due_us - now_us - work_left_us(times, progress_percent);
+}
+
 static gboolean is_late(double left_us, double work_us, enum lug_urgency previous)
 {
 	double fraction = previous == LUG_URGENCY_LATE ? LUG_URGENCY_LATE_LEAVE_FRACTION
@@ -52,8 +72,7 @@
 			     enum lug_urgency previous, gint64 now_us)
 {
 	double left_us = (double)(times->due_us - now_us);
-	double work_us = (double)times->expected_us * (100 - MIN(progress_percent, 100)) / 100 +
-			 (double)times->following_us;
+	double work_us = (double)work_left_us(times, progress_percent);
 
 	if (!times->has_due)
 		return LUG_URGENCY_NORMAL;
--- a/liblug/schedule/urgency.h
+++ b/liblug/schedule/urgency.h
@@ -31,6 +31,8 @@
 
 void lug_urgency_set_times(struct lug_urgency_times *times, gint64 due_in_ms, gint64 expected_ms,
 			   gint64 following_ms, gint64 now_us);
+gint64 lug_urgency_slack_us(const struct lug_urgency_times *times, guint32 progress_percent,
+			    gint64 now_us);
 enum lug_urgency lug_urgency(const struct lug_urgency_times *times, guint32 progress_percent,
 			     enum lug_urgency previous, gint64 now_us);
 
--- a/liblug/schedule/yield.c
+++ b/liblug/schedule/yield.c
@@ -11,6 +11,46 @@
 	return urgency != LUG_URGENCY_NORMAL;
 }
 
+/*
+ * Time for which a late task that does not run counts as NORMAL from now on, 0 if it is LATE. The
+ * spans follow from the times alone, so that its owner and the agent that it asks agree.
+ */
+static gint64 normal_span_left_us(const struct lug_urgency_times *times, guint32 progress_percent,
+				  gint64 now_us)
+{
+	gint64 late_us = MAX(-lug_urgency_slack_us(times, progress_percent, now_us), 0);
+	gint64 in_cycle_us = late_us % (LUG_YIELD_STOPPED_MAX_US + LUG_YIELD_NORMAL_SPAN_US);
+
+	if (in_cycle_us < LUG_YIELD_STOPPED_MAX_US)
+		return 0;
+	return LUG_YIELD_STOPPED_MAX_US + LUG_YIELD_NORMAL_SPAN_US - in_cycle_us;
+}
+
+/**
+ * lug_yield_init_task - compute the urgency of a task that waits or that an agent begins to hold
+ * @task: set
+ * @times: times of the task
+ * @progress_percent: its progress, in percent of its work
+ * @now_us: current time
+ *
+ * A late task that waits for a worker counts as NORMAL from time to time, like one at share 0.
+ */
+void lug_yield_init_task(struct lug_yield_task *task, const struct lug_urgency_times *times,
+			 guint32 progress_percent, gint64 now_us)
+{
+	gint64 normal_us = 0;
+
+	*task = (struct lug_yield_task){.times = *times};
+	task->urgency = lug_urgency(times, progress_percent, LUG_URGENCY_NORMAL, now_us);
+	task->effective = task->urgency;
+	if (task->urgency == LUG_URGENCY_LATE)
+		normal_us = normal_span_left_us(times, progress_percent, now_us);
+	if (!normal_us)
+		return;
+	task->normal_until_us = now_us + normal_us;
+	task->effective = LUG_URGENCY_NORMAL;
+}
+
 /* Whether a late task counts as NORMAL, so that it does not starve. */
 static gboolean is_kept_from_starving(struct lug_yield_task *task, gboolean stopped, gint64 now_us)
 {
--- a/liblug/schedule/yield.h
+++ b/liblug/schedule/yield.h
@@ -30,6 +30,8 @@
 };
 
 gboolean lug_yield_is_yielding(enum lug_urgency urgency);
+void lug_yield_init_task(struct lug_yield_task *task, const struct lug_urgency_times *times,
+			 guint32 progress_percent, gint64 now_us);
 void lug_yield_update_task(struct lug_yield_task *task, guint32 progress_percent, gboolean stopped,
 			   gint64 now_us);
 gboolean lug_yield_update_serving(struct lug_yield_serving *serving, gboolean over_target,
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -83,6 +83,7 @@
  * @pressure: utilisation taken by the tasks beside a serving task
  * @over_target_since_us: time since which the tail latency has been above @target_ms, 0 while it is
  *                        not
+ * @over_target_shared: best-effort tasks have run in that time
  * @unprotected_until_us: time until which no best-effort task is halted to protect this task
  * @all_halted_us: time at which all best-effort tasks were halted for this task, 0 for none
  * @all_halted_metric: tail latency in ms at @all_halted_us
@@ -128,6 +129,7 @@
 	double limit;
 	double pressure;
 	gint64 over_target_since_us;
+	gboolean over_target_shared;
 	gint64 unprotected_until_us;
 	gint64 all_halted_us;
 	gint64 all_halted_metric;
--- a/liblug/workflow/executor_throttle.c
+++ b/liblug/workflow/executor_throttle.c
@@ -436,11 +436,17 @@
 	gboolean shared = has_running_best_effort(exec);
 
 	for (guint i = 0; i < exec->runs->len; i++) {
-		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
-		if (!is_serving(run) || run->metric <= run->target_ms)
+		if (!is_serving(run))
 			continue;
-		if (shared && !is_overloaded_alone(run))
+		if (run->metric <= run->target_ms) {
+			run->over_target_shared = FALSE;
+			continue;
+		}
+		/* The tail latency is a moving average, which falls some time after a halt. */
+		run->over_target_shared = run->over_target_shared || shared;
+		if (run->over_target_shared && !is_overloaded_alone(run))
 			lug_count(exec->ctx, OVER_TARGET_SHARED_MS, span_ms);
 		else
 			lug_count(exec->ctx, OVER_TARGET_OWN_MS, span_ms);
@@ -501,12 +507,13 @@
 					guint32 progress_percent, gint64 now_us)
 {
 	struct lug_yield_task out = {0};
+	struct lug_urgency_times times;
 
 	if (!exec->ctx->settings->schedule_yield || !start->fills || !start->has_due_in_ms)
 		return out;
-	lug_urgency_set_times(&out.times, start->due_in_ms, start->expected_ms, start->following_ms,
+	lug_urgency_set_times(&times, start->due_in_ms, start->expected_ms, start->following_ms,
 			      now_us);
-	lug_yield_update_task(&out, progress_percent, FALSE, now_us);
+	lug_yield_init_task(&out, &times, progress_percent, now_us);
 	return out;
 }
 
--- a/liblug/workflow/shard_due.c
+++ b/liblug/workflow/shard_due.c
@@ -1,4 +1,3 @@
-#include "schedule/yield.h"
 #include "workflow/shard_priv.h"
 
 static gint64 expected_ms(const struct lug_step *step)
@@ -67,19 +66,22 @@
 }
 
 /**
- * shard_waiting_urgency - compute the urgency of the waiting tasks of a step
+ * shard_task_urgency - compute the urgency by which a task is placed
  * @shard: shard
  * @job: job
- * @occurrence: number of their occurrence
- * @step: number of their step
+ * @occurrence: number of its occurrence
+ * @step: number of its step
+ * @progress_percent: its progress, 0 for a task that waits
  * @now_us: current time
  *
- * Return: NORMAL for tasks that are not best-effort and while schedule.yield is off.
+ * Return: NORMAL for a task that is not best-effort and while schedule.yield is off.
  */
-enum lug_urgency shard_waiting_urgency(struct lug_shard *shard, const struct shard_job *job,
-				       guint32 occurrence, guint32 step, gint64 now_us)
+enum lug_urgency shard_task_urgency(const struct lug_shard *shard, const struct shard_job *job,
+				    guint32 occurrence, guint32 step, guint32 progress_percent,
+				    gint64 now_us)
 {
-	struct lug_urgency_times times = {0};
+	struct lug_urgency_times times;
+	struct lug_yield_task task;
 
 	if (!shard->shared.ctx->settings->schedule_yield ||
 	    !job->workflow->steps[step].best_effort || !job->deadline_us ||
@@ -88,5 +90,6 @@
 	lug_urgency_set_times(&times, (job->deadline_us - now_us) / 1000,
 			      expected_ms(&job->workflow->steps[step]),
 			      following_ms(job->workflow, step), now_us);
-	return lug_urgency(&times, 0, LUG_URGENCY_NORMAL, now_us);
+	lug_yield_init_task(&task, &times, progress_percent, now_us);
+	return task.effective;
 }
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -353,8 +353,8 @@
 			lug_fleet_record_failure(fleet_worker, now_us);
 		else if (fleet_worker && lug_crash_is_suspect(&task->crash))
 			lug_fleet_isolate(fleet_worker, "", now_us);
-		else if (fleet_worker && shard_waiting_urgency(shard, job, id.occurrence, id.step,
-							       now_us) != LUG_URGENCY_NORMAL)
+		else if (fleet_worker && lug_yield_is_yielding(shard_task_urgency(
+						 shard, job, id.occurrence, id.step, 0, now_us)))
 			fleet_worker->refused_yielding = TRUE;
 		else if (fleet_worker && job->workflow->steps[id.step].best_effort)
 			fleet_worker->refused_best_effort = TRUE;
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -1,4 +1,3 @@
-#include "schedule/yield.h"
 #include "workflow/placement.h"
 #include "workflow/shard_priv.h"
 
@@ -311,6 +310,7 @@
 						.count_on_worker = count_on_worker,
 						.data = &count};
 	struct lug_fleet_worker *other;
+	enum lug_urgency urgency;
 
 	if (share_percent >= SLOW_SHARE_PERCENT || step->max_per_worker || step->gang ||
 	    task->relocating) {
@@ -323,6 +323,9 @@
 	    (!step->checkpointing && task->progress_percent > MAX_LOST_PROGRESS_PERCENT))
 		return;
 	shard_step_size(step, &request.size);
+	urgency = shard_task_urgency(shard, job, id->occurrence, id->step, task->progress_percent,
+				     now_us);
+	request.yields = lug_yield_is_yielding(urgency);
 	other = lug_placement_choose(lug_fleet_workers(shard->shared.fleet), &request,
 				     shard->shared.ctx->rng, now_us);
 	if (!other || g_intern_string(other->name) == task->worker)
@@ -336,18 +339,18 @@
 		       guint32 s, const char *service, guint *claims_left, gint64 now_us)
 {
 	struct worker_count count = {job, occ, s};
-	enum lug_urgency urgency = shard_waiting_urgency(shard, job, occ->number, s, now_us);
-	struct lug_placement_request request = {
-		.step = &job->workflow->steps[s],
-		.service = service,
-		.interference = lug_fleet_interference(shard->shared.fleet),
-		.min_speed = lug_yield_start_speed(urgency, MIN_SPEED),
-		.yields = lug_yield_is_yielding(urgency),
-		.job = job->workflow->id,
-		.count_on_worker = count_on_worker,
-		.data = &count};
+	enum lug_urgency urgency = shard_task_urgency(shard, job, occ->number, s, 0, now_us);
+	struct lug_placement_request request = {.step = &job->workflow->steps[s],
+						.service = service,
+						.interference =
+							lug_fleet_interference(shard->shared.fleet),
+						.job = job->workflow->id,
+						.count_on_worker = count_on_worker,
+						.data = &count};
 
 	shard_step_size(request.step, &request.size);
+	request.min_speed = lug_yield_start_speed(urgency, MIN_SPEED);
+	request.yields = lug_yield_is_yielding(urgency);
 	for (guint32 i = job->first_task[s];
 	     i < job->first_task[s + 1] && *claims_left && has_room_for_claim(shard, job); i++) {
 		struct shard_task *task = &occ->tasks[i];
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -3,7 +3,7 @@
 
 #include "colocate/crash.h"
 #include "core/list.h"
-#include "schedule/urgency.h"
+#include "schedule/yield.h"
 #include "workflow/shard.h"
 
 /*
@@ -369,8 +369,9 @@
 void shard_update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us);
 void shard_fill_times(struct lug_shard *shard, struct shard_job *job, const struct lug_run_id *id,
 		      Lug__RunStart *start, gint64 now_us);
-enum lug_urgency shard_waiting_urgency(struct lug_shard *shard, const struct shard_job *job,
-				       guint32 occurrence, guint32 step, gint64 now_us);
+enum lug_urgency shard_task_urgency(const struct lug_shard *shard, const struct shard_job *job,
+				    guint32 occurrence, guint32 step, guint32 progress_percent,
+				    gint64 now_us);
 void shard_begin_due_occurrences(struct lug_shard *shard, gint64 now_us);
 void shard_place_tasks(struct lug_shard *shard, gint64 now_us);
 void shard_send_start(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -231,8 +231,12 @@
 		return made;
 	}
 
-	/* Starts a best-effort task, whose cores are not reserved. */
-	void start_best_effort(const char *job, gint64 millicores)
+	/*
+	 * Starts a best-effort task, whose cores are not reserved, or sends its attributes again.
+	 * @due_in_ms: time to the objective of its job, whose task takes 1 s; NULL for none
+	 */
+	void start_best_effort(const char *job, gint64 millicores,
+			       const gint64 *due_in_ms = nullptr, bool size_only = false)
 	{
 		struct lug_run_id run = id(job);
 		struct lug_resources size = {0, 1, 0};
@@ -251,6 +255,10 @@
 		message.fills = 1;
 		message.fill_millicores = millicores;
 		message.image = (char *)"i";
+		message.size_only = size_only;
+		message.has_due_in_ms = due_in_ms != nullptr;
+		message.due_in_ms = due_in_ms ? *due_in_ms : 0;
+		message.expected_ms = due_in_ms ? 1000 : 0;
 		lug_executor_on_start(exec, &message, lug_now_us());
 	}
 
