--- a/tests/unit/yield_test.cc
+++ b/tests/unit/yield_test.cc
@@ -331,11 +331,11 @@
 	EXPECT_EQ(tasks[0].run->applied_percent, 100u);
 	while (servings[0].average_ms > TARGET_MS)
 		sample();
-	EXPECT_EQ(tasks[1].run->applied_percent, 0u) << "it returns LUG_YIELD_RETURN_US later";
-	sample();
-	EXPECT_EQ(tasks[1].run->applied_percent, 0u);
-	sample();
-	EXPECT_EQ(tasks[1].run->applied_percent, 50u);
+	for (gint64 clear_us = 0; clear_us < LUG_YIELD_RETURN_US; clear_us += SAMPLE_US) {
+		EXPECT_EQ(tasks[1].run->applied_percent, 0u);
+		sample();
+	}
+	EXPECT_EQ(tasks[1].run->applied_percent, (guint32)(LUG_YIELD_RETURN_SHARE * 100));
 }
 
 /* Halting others for a serving task that misses its target by itself would gain nothing. */
@@ -423,6 +423,22 @@
 	EXPECT_EQ(urgency("a"), LUG_URGENCY_SLACK);
 }
 
+/* Between two samples, a new task would run at its full share beside the halted ones. */
+TEST_F(YieldStartTest, NoYieldingTaskStartsWhileTheyAreHalted)
+{
+	struct lug_run_id run = id("a");
+
+	start_best_effort("a", 1000, &slack_ms);
+	exec->halts_yielding = TRUE;
+	worker.answer(LUG_ORDER_OK);
+	EXPECT_TRUE(exec_find_run(exec, &run)->halted);
+	answers.clear();
+	start_best_effort("b", 1000, &slack_ms);
+	start_best_effort("normal", 1000, &normal_ms);
+	ASSERT_EQ(answers.size(), 1u);
+	EXPECT_EQ(answers[0], std::make_pair(std::string("b#1"), LUG_OVER_LIMIT));
+}
+
 /* What an owner sends with the starts of a job's tasks. */
 struct YieldOwnerTest : ShardFixture {
 	struct shard_job *job = nullptr;
