--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -335,11 +335,16 @@
 	lug_count(shard->shared.ctx, TASKS_EVICTED, 1);
 }
 
+static void set_urgency(struct lug_placement_request *request, enum lug_urgency urgency)
+{
+	request->min_speed = lug_yield_start_speed(urgency, MIN_SPEED);
+	request->yields = lug_yield_is_yielding(urgency);
+}
+
 static void place_step(struct lug_shard *shard, struct shard_job *job, struct shard_occurrence *occ,
 		       guint32 s, const char *service, guint *claims_left, gint64 now_us)
 {
 	struct worker_count count = {job, occ, s};
-	enum lug_urgency urgency = shard_task_urgency(shard, job, occ->number, s, 0, now_us);
 	struct lug_placement_request request = {.step = &job->workflow->steps[s],
 						.service = service,
 						.interference =
@@ -349,8 +354,6 @@
 						.data = &count};
 
 	shard_step_size(request.step, &request.size);
-	request.min_speed = lug_yield_start_speed(urgency, MIN_SPEED);
-	request.yields = lug_yield_is_yielding(urgency);
 	for (guint32 i = job->first_task[s];
 	     i < job->first_task[s + 1] && *claims_left && has_room_for_claim(shard, job); i++) {
 		struct shard_task *task = &occ->tasks[i];
@@ -358,6 +361,9 @@
 
 		if (task->state != SHARD_TASK_WAITING || now_us < task->not_before_us)
 			continue;
+		if (request.min_speed <= 0)
+			set_urgency(&request,
+				    shard_task_urgency(shard, job, occ->number, s, 0, now_us));
 		request.excluded_worker = task->failed_on;
 		request.isolate = lug_crash_is_suspect(&task->crash);
 		worker = choose_worker(shard, &request, now_us);
