--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -74,6 +74,7 @@
 	start.priority = job->priority;
 	start.has_isolate = lug_crash_is_suspect(&task->crash);
 	start.isolate = start.has_isolate;
+	shard_fill_times(shard, job, id, &start, now_us);
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
@@ -180,12 +181,13 @@
 	return longest;
 }
 
-/*
- * Updates a job's priority and deadline, and whether it can still meet the deadline. A job that
- * can't is placed after those that can: it would miss its objective anyway and could make the next
- * job miss its own.
+/**
+ * shard_update_sort_keys - update a job's priority and deadline, and whether it can still meet it
+ *
+ * A job that can't is placed after those that can: it would miss its objective anyway and could
+ * make the next job miss its own.
  */
-static void update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
+void shard_update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
 {
 	const struct lug_queue_def *def =
 		lug_queues_find(lug_config_queues(shard->shared.config), job->workflow->queue);
@@ -213,7 +215,7 @@
 	shard->next_sort_us = now_us + SORT_INTERVAL_US;
 	SHARD_FOREACH_JOB(shard, job)
 	{
-		update_sort_keys(shard, job, now_us);
+		shard_update_sort_keys(shard, job, now_us);
 	}
 	g_ptr_array_sort(shard->placement_order, compare_jobs);
 }
@@ -314,6 +316,7 @@
 						.count_on_worker = count_on_worker,
 						.data = &count};
 	struct lug_fleet_worker *other;
+	enum lug_urgency urgency;
 
 	if (share_percent >= SLOW_SHARE_PERCENT || step->max_per_worker || step->gang ||
 	    task->relocating) {
@@ -326,6 +329,9 @@
 	    (!step->checkpointing && task->progress_percent > MAX_LOST_PROGRESS_PERCENT))
 		return;
 	shard_step_size(step, &request.size);
+	urgency = shard_task_urgency(shard, job, id->occurrence, id->step, task->progress_percent,
+				     now_us);
+	request.yields = lug_yield_is_yielding(urgency);
 	other = lug_placement_choose(lug_fleet_workers(shard->shared.fleet), &request,
 				     shard->shared.ctx->rng, now_us);
 	if (!other || g_intern_string(other->name) == task->worker || now_us < other->cold_until_us)
@@ -335,6 +341,12 @@
 	lug_count(shard->shared.ctx, TASKS_EVICTED, 1);
 }
 
+static void set_urgency(struct lug_placement_request *request, enum lug_urgency urgency)
+{
+	request->min_speed = lug_yield_start_speed(urgency, MIN_SPEED);
+	request->yields = lug_yield_is_yielding(urgency);
+}
+
 static void place_step(struct lug_shard *shard, struct shard_job *job, struct shard_occurrence *occ,
 		       guint32 s, const char *service, guint *claims_left, gint64 now_us)
 {
@@ -344,7 +356,6 @@
 						.interference =
 							lug_fleet_interference(shard->shared.fleet),
 						.evacuation = shard_evacuation(shard),
-						.min_speed = MIN_SPEED,
 						.job = job->workflow->id,
 						.count_on_worker = count_on_worker,
 						.data = &count};
@@ -357,6 +368,9 @@
 
 		if (task->state != SHARD_TASK_WAITING || now_us < task->not_before_us)
 			continue;
+		if (request.min_speed <= 0)
+			set_urgency(&request,
+				    shard_task_urgency(shard, job, occ->number, s, 0, now_us));
 		request.excluded_worker = task->failed_on;
 		request.isolate = lug_crash_is_suspect(&task->crash);
 		worker = choose_worker(shard, &request, now_us);
