--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -68,7 +68,9 @@
 	X(TASKS_PENDING, "tasks_pending", "Batch tasks waiting in owned queues")        \
 	X(QUEUES_OWNED, "queues_owned", "Queues owned by this process")                 \
 	X(STORE_UP, "store_up", "1 while the table service answers")                    \
-	X(DRAINING, "draining", "1 while leaving")
+	X(DRAINING, "draining", "1 while leaving")                                      \
+	X(WORKER_SPEED, "worker_speed_permille",                                        \
+	  "Measured speed of the agent's worker, thousandths; 0 while not known")
 
 #define LUG_HISTOGRAMS(X)                                                       \
 	X(REQUEST_US, "request_us", "Whole time of a request, microseconds")    \
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -158,6 +158,7 @@
 			       now_us);
 	if (complete)
 		drop_unlisted(exec, now_us);
+	exec_measure_speed(exec, now_us);
 	exec_throttle(exec, now_us);
 }
 
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -1,6 +1,7 @@
 #ifndef LUG_WORKFLOW_EXECUTOR_PRIV_H
 #define LUG_WORKFLOW_EXECUTOR_PRIV_H
 
+#include "schedule/speed.h"
 #include "workflow/executor.h"
 #include "workflow/interference.h"
 
@@ -9,8 +10,8 @@
  * heartbeats of the worker), executor_lease.c (the worker's lease), executor_outstanding.c (calls
  * that the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
  * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
- * executor_run.c (starts and stops), executor_report.c (messages to owners) and executor_log.c (log
- * lines of calls and runs).
+ * executor_speed.c (speed of the worker), executor_run.c (starts and stops), executor_report.c
+ * (messages to owners) and executor_log.c (log lines of calls and runs).
  */
 
 /* Table of the leases of workers. */
@@ -72,6 +73,8 @@
  * @best_effort_millicores: millicores that it can use
  * @image: image, interned
  * @target_ms: target tail latency, 0 for a task that does not serve
+ * @expected_ms: expected run time of the whole task at full speed, 0 for long-running or not known
+ * @progress: progress since the start of the present sample of the worker's speed
  * @applied_percent: share last confirmed by a throttle, in percent
  * @throttle_in_flight: a throttle is in flight
  * @share: planned share, 0 to 1
@@ -115,6 +118,8 @@
 	gint64 best_effort_millicores;
 	const char *image;
 	guint32 target_ms;
+	gint64 expected_ms;
+	struct lug_speed_task progress;
 	guint32 applied_percent;
 	gboolean throttle_in_flight;
 	double share;
@@ -288,6 +293,8 @@
  * @shares_recorded: @task_shares has been updated since @last_sample_us
  * @shares_updated_us: last update of @task_shares
  * @last_sample_us: time of the latest sample
+ * @speed: measured speed of the worker
+ * @speed_incarnation: incarnation of the worker that it was measured on
  */
 struct lug_executor {
 	struct lug_ctx *ctx;
@@ -369,6 +376,8 @@
 	gboolean shares_recorded;
 	gint64 shares_updated_us;
 	gint64 last_sample_us;
+	struct lug_speed speed;
+	guint64 speed_incarnation;
 };
 
 void exec_on_lease_event(void *data, enum lug_writer_event event);
@@ -433,6 +442,7 @@
 				 gint64 millicores, gint64 now_us);
 void exec_replan_shares(struct lug_executor *exec, struct exec_run *run);
 void exec_throttle(struct lug_executor *exec, gint64 now_us);
+void exec_measure_speed(struct lug_executor *exec, gint64 now_us);
 void exec_report_end(struct lug_executor *exec, struct exec_end *end, gint64 now_us);
 
 #endif
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -265,6 +265,8 @@
 	beat->failing = exec->failures;
 	beat->has_spare_millicores = 1;
 	beat->spare_millicores = exec_spare_millicores(exec);
+	beat->speed_permille = lug_speed_permille(&exec->speed, now_us);
+	beat->has_speed_permille = beat->speed_permille > 0;
 }
 
 static void fill_interference(struct lug_executor *exec, Lug__WorkerBeat *beat,
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -189,6 +189,7 @@
 	run->best_effort_millicores = start->fill_millicores;
 	run->image = g_intern_string(start->image ? start->image : "");
 	run->target_ms = start->target_ms;
+	run->expected_ms = start->expected_ms;
 }
 
 static void apply_attributes(struct lug_executor *exec, const struct lug_run_id *id,
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "colocate/crash.h"
+#include "schedule/speed.h"
 #include "workflow/run.h"
 
 #define AVERAGE_INTERVAL_US (1000 * 1000)
@@ -129,6 +130,18 @@
 	return worker->incarnation && now_us - worker->last_beat_us < FLEET_SILENT_US;
 }
 
+/**
+ * lug_fleet_speed - speed of a worker as its agent has reported it
+ * @worker: worker
+ * @now_us: current time
+ *
+ * Return: fraction of nominal, 0 for not known.
+ */
+double lug_fleet_speed(const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	return lug_speed_reported(worker->speed_permille, worker->last_beat_us, now_us);
+}
+
 /**
  * lug_fleet_room - free resources of a worker, as far as this process knows
  * @worker: worker
@@ -387,6 +400,7 @@
 	worker->max_lease_epoch = MAX(worker->max_lease_epoch, beat->lease_epoch);
 	worker->worker_incarnation = beat->life;
 	worker->spare_millicores = beat->spare_millicores;
+	worker->speed_permille = fleet->ctx->settings->schedule_speed ? beat->speed_permille : 0;
 	worker->refused_best_effort = FALSE;
 	worker->reported_failures = beat->failing;
 	return worker;
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -42,6 +42,8 @@
  * @claimed: resources reserved by the owners in this process
  * @confirmed: part of @claimed that the agent has acknowledged
  * @spare_millicores: millicores that no task used at the last heartbeat
+ * @speed_permille: speed in the last heartbeat, thousandths of nominal; 0 for not known, or when
+ * speeds are not used
  * @refused_best_effort: the worker has refused a best-effort task since its last heartbeat
  * @unconfirmed: best-effort and serving tasks placed there that the agent hasn't confirmed, array
  * of struct lug_fleet_unconfirmed
@@ -82,6 +84,7 @@
 	struct lug_resources claimed;
 	struct lug_resources confirmed;
 	gint64 spare_millicores;
+	guint32 speed_permille;
 	gboolean refused_best_effort;
 	GArray *unconfirmed;
 	GArray *serving_tasks;
@@ -141,6 +144,7 @@
 double lug_fleet_openness(struct lug_fleet_worker *worker, const struct lug_interference *model);
 const struct lug_interference *lug_fleet_interference(const struct lug_fleet *fleet);
 gboolean lug_fleet_is_live(const struct lug_fleet_worker *worker, gint64 now_us);
+double lug_fleet_speed(const struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_room(const struct lug_fleet_worker *worker, struct lug_resources *out);
 void lug_fleet_claim(struct lug_fleet_worker *worker, const struct lug_resources *size);
 void lug_fleet_confirm(struct lug_fleet_worker *worker, const struct lug_resources *size);
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "schedule/speed.h"
+
 /* Random part of a score, so that owners with equal views choose different workers. */
 #define SCORE_NOISE 0.1
 /* Penalty for a worker outside the rack that holds the task's data. */
@@ -36,6 +38,11 @@
 #define ISOLATION_PENALTY 6.0
 /* Less than a step between two affinities, more than the noise. */
 #define IMAGE_RANK_WEIGHT 1.5
+/*
+ * Factor for the score of a slow worker. It ranks last, but is used when the others are full or all
+ * workers are slow; scores are below 30, those of other eligible workers rarely below 1.
+ */
+#define SLOW_WORKER_FACTOR 0.001
 
 static gboolean has_label(const struct lug_fleet_worker *worker, const char *label)
 {
@@ -59,6 +66,8 @@
 		return FALSE;
 	if (step->best_effort && worker->refused_best_effort)
 		return FALSE;
+	if (request->nominal_only && !lug_speed_is_target(lug_fleet_speed(worker, now_us)))
+		return FALSE;
 	if (request->isolate && now_us < worker->isolated_until_us &&
 	    strcmp(worker->isolated_job, request->job) != 0)
 		return FALSE;
@@ -175,7 +184,7 @@
 
 /* Score of a worker for a best-effort task; negative when the task should stay queued. */
 static double best_effort_score(const struct lug_placement_request *request, const char *image,
-				struct lug_fleet_worker *worker)
+				struct lug_fleet_worker *worker, gint64 now_us)
 {
 	struct lug_interference_assessment assessment;
 	double speed = spare_core_share(request, worker);
@@ -191,6 +200,10 @@
 	 */
 	if (speed < request->min_speed)
 		return -1;
+	/* A waiting task is not held back by slow workers, as all of them may be slow. */
+	speed *= lug_speed_factor(lug_fleet_speed(worker, now_us));
+	if (request->moving && speed < request->min_speed)
+		return -1;
 	score = (double)worker->spare_millicores / (double)MAX(worker->capacity.millicores, 1) +
 		SPEED_WEIGHT * speed + SLACK_WEIGHT * assessment.slack + SCORE_OFFSET;
 	if (assessment.harmless)
@@ -227,7 +240,7 @@
 	double score;
 
 	if (request->step->best_effort) {
-		score = best_effort_score(request, image, worker);
+		score = best_effort_score(request, image, worker, now_us);
 		if (score < 0)
 			return score;
 	} else if (request->step->target_ms) {
@@ -246,7 +259,10 @@
 		score -= REMOTE_PENALTY;
 	score -= FAILURE_PENALTY *
 		 MIN(MAX(worker->failures, worker->reported_failures), FAILURES_MAX);
-	return MAX(score + g_rand_double(rng) * SCORE_NOISE, 0);
+	score = MAX(score + g_rand_double(rng) * SCORE_NOISE, 0);
+	if (!request->step->best_effort && lug_speed_is_slow(lug_fleet_speed(worker, now_us)))
+		score *= SLOW_WORKER_FACTOR;
+	return score;
 }
 
 /**
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -12,6 +12,8 @@
  * @interference: learned interference
  * @min_speed: a best-effort task stays queued when no worker lets it run at this part of its
  * full speed
+ * @moving: the task runs elsewhere; @min_speed allows for the speed of the worker too
+ * @nominal_only: only workers known to run at nominal speed are considered
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
  * @isolate: the task is suspected to crash its workers
  * @job: id of its job
@@ -24,6 +26,8 @@
 	const char *service;
 	const struct lug_interference *interference;
 	double min_speed;
+	gboolean moving;
+	gboolean nominal_only;
 	const char *excluded_worker;
 	gboolean isolate;
 	const char *job;
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -109,6 +109,8 @@
 	start.fills = step->best_effort;
 	start.has_target_ms = 1;
 	start.target_ms = (guint32)step->target_ms;
+	start.has_expected_ms = !step->long_running && step->declared_ms > 0;
+	start.expected_ms = start.has_expected_ms ? step->declared_ms : 0;
 	start.has_size_only = 1;
 	start.size_only = 1;
 	lug_link_send(shard->shared.link, route, &env);
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -76,6 +76,7 @@
 	task->progress_percent = 0;
 	task->slow_since_us = 0;
 	task->relocating = FALSE;
+	task->move.slow_since_us = 0;
 }
 
 /**
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -69,6 +69,8 @@
 	start.priority = job->priority;
 	start.has_isolate = lug_crash_is_suspect(&task->crash);
 	start.isolate = start.has_isolate;
+	start.has_expected_ms = !step->long_running && step->declared_ms > 0;
+	start.expected_ms = start.has_expected_ms ? step->declared_ms : 0;
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
@@ -280,6 +282,44 @@
 	return lug_placement_choose(workers, request, shard->shared.ctx->rng, now_us);
 }
 
+/* Whether the task's share has been low for so long that it may move; see SLOW_SHARE_PERCENT. */
+static gboolean is_share_low(struct shard_task *task, const struct lug_step *step,
+			     guint32 share_percent, gint64 now_us)
+{
+	if (share_percent >= SLOW_SHARE_PERCENT) {
+		task->slow_since_us = 0;
+		return FALSE;
+	}
+	if (!task->slow_since_us)
+		task->slow_since_us = now_us;
+	return now_us - task->slow_since_us >= SLOW_DURATION_US &&
+	       (step->checkpointing || task->progress_percent <= MAX_LOST_PROGRESS_PERCENT);
+}
+
+/* A task without checkpoints stays, as it would lose its progress. */
+static gboolean may_leave_slow_worker(const struct lug_shard *shard, struct shard_task *task,
+				      const struct lug_step *step, gint64 now_us)
+{
+	const struct lug_fleet_worker *worker = lug_fleet_find(shard->shared.fleet, task->worker);
+
+	return worker && step->checkpointing &&
+	       lug_speed_may_move(&task->move, lug_fleet_speed(worker, now_us), now_us);
+}
+
+static void note_move(const struct lug_shard *shard, struct shard_task *task,
+		      const struct lug_run_id *id, const struct lug_fleet_worker *other)
+{
+	const struct lug_fleet_worker *worker = lug_fleet_find(shard->shared.fleet, task->worker);
+	char name[LUG_RUN_NAME_SIZE];
+	char speed[16];
+
+	task->move.n_moves++;
+	lug_run_name(id, name, sizeof(name));
+	g_snprintf(speed, sizeof(speed), "%u", worker->speed_permille);
+	lug_info(shard->shared.ctx, "run_moved", "job", id->job, "run", name, "worker",
+		 worker->name, "speed_permille", speed, "to", other->name);
+}
+
 /**
  * shard_relocate_if_slow - stop a throttled best-effort task that would be faster elsewhere
  * @shard: shard
@@ -289,6 +329,7 @@
  * @share_percent: its share
  * @now_us: current time
  *
+ * A task with checkpoints also moves off a slow worker, to one known to run at nominal speed.
  * The task is placed again once the end of its run arrives, with its checkpoint.
  */
 void shard_relocate_if_slow(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
@@ -304,20 +345,20 @@
 						.interference =
 							lug_fleet_interference(shard->shared.fleet),
 						.min_speed = RELOCATION_MIN_SPEED,
+						.moving = TRUE,
 						.job = job->workflow->id,
 						.count_on_worker = count_on_worker,
 						.data = &count};
 	struct lug_fleet_worker *other;
+	gboolean is_low;
 
-	if (share_percent >= SLOW_SHARE_PERCENT || step->max_per_worker || step->gang ||
-	    task->relocating) {
+	if (step->max_per_worker || step->gang || task->relocating) {
 		task->slow_since_us = 0;
 		return;
 	}
-	if (!task->slow_since_us)
-		task->slow_since_us = now_us;
-	if (now_us - task->slow_since_us < SLOW_DURATION_US ||
-	    (!step->checkpointing && task->progress_percent > MAX_LOST_PROGRESS_PERCENT))
+	is_low = is_share_low(task, step, share_percent, now_us);
+	request.nominal_only = may_leave_slow_worker(shard, task, step, now_us) && !is_low;
+	if (!is_low && !request.nominal_only)
 		return;
 	shard_step_size(step, &request.size);
 	other = lug_placement_choose(lug_fleet_workers(shard->shared.fleet), &request,
@@ -325,6 +366,8 @@
 	if (!other || g_intern_string(other->name) == task->worker)
 		return;
 	task->relocating = TRUE;
+	if (request.nominal_only)
+		note_move(shard, task, id, other);
 	shard_send_stop(shard, lug_fleet_find(shard->shared.fleet, task->worker), id);
 	lug_count(shard->shared.ctx, TASKS_EVICTED, 1);
 }
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -3,6 +3,7 @@
 
 #include "colocate/crash.h"
 #include "core/list.h"
+#include "schedule/speed.h"
 #include "workflow/shard.h"
 
 /*
@@ -70,6 +71,7 @@
  * @metric: latest reported tail latency of a serving task in ms, millicores in use for other tasks
  * @slow_since_us: start of the current period of slow work, 0 when not slow
  * @relocating: the run was stopped to continue on another worker
+ * @move: moves off slow workers
  */
 struct shard_task {
 	struct lug_list claim_node;
@@ -99,6 +101,7 @@
 	gint64 metric;
 	gint64 slow_since_us;
 	gboolean relocating;
+	struct lug_speed_move move;
 };
 
 /**
