--- a/liblug/schedule/speed.c
+++ b/liblug/schedule/speed.c
@@ -20,10 +20,19 @@
  */
 #define RECENT_US (600 * 1000)
 /*
- * Expected run times are off by up to nine tenths, and 3 in 100 tasks take seven times as long. The
- * tasks of one job may all be off alike, so those of several jobs are needed.
+ * Expected run times are off by up to nine tenths, and 3 in 100 tasks take seven times as long.
+ * Samples that rely on them are needed from several jobs, as the tasks of one may be off alike.
  */
 #define MIN_TASKS 3
+/* Fewer percent in a sample are too coarse for the comparison with later ones. */
+#define MIN_OWN_PERCENT 3
+/*
+ * A task that is slower by its expected run time may as well show that the worker is slow. Its own
+ * speed is learned only when the worker's has not changed for longer than older samples of other
+ * tasks are used.
+ */
+#define OWN_SPEED_DOUBTFUL 0.4
+#define OWN_SPEED_DOUBT_US (900 * 1000)
 /* A change holds for half a second, two polls; less, as the time between polls varies. */
 #define HOLD_US (400 * 1000)
 /* Smaller changes are smoothed, not held back. */
@@ -74,6 +83,45 @@
 	task->share = progress->share;
 }
 
+/*
+ * Learns a task's own speed from its samples on a worker that is not slow. A sample during which
+ * the worker has changed must not count, so a later one confirms it.
+ */
+static void learn_own_speed(const struct lug_speed *speed, struct lug_speed_task *task,
+			    double sample, guint32 step, gint64 now_us)
+{
+	gboolean is_doubtful = task->candidate < OWN_SPEED_DOUBTFUL;
+
+	if (task->own_speed > 0)
+		return;
+	if (speed->value < LUG_SPEED_SLOW || speed->changing_since_us) {
+		task->candidate = 0;
+		return;
+	}
+	if (task->candidate > 0 &&
+	    (!is_doubtful || now_us - task->candidate_since_us >= OWN_SPEED_DOUBT_US)) {
+		task->own_speed = task->candidate;
+		return;
+	}
+	if (task->candidate <= 0)
+		task->candidate_since_us = now_us;
+	task->candidate = step >= MIN_OWN_PERCENT ? sample : 0;
+}
+
+static void add_sample(struct lug_speed *speed, struct lug_speed_task *task,
+		       const struct lug_speed_progress *progress, double nominal, gint64 now_us)
+{
+	guint32 step = progress->percent - task->percent;
+	struct lug_speed_sample *sample = sample_slot(speed, progress->task);
+
+	learn_own_speed(speed, task, step / nominal, step, now_us);
+	sample->task = progress->task;
+	sample->job = progress->job;
+	sample->is_relative = task->own_speed > 0;
+	sample->speed = step / nominal / (sample->is_relative ? task->own_speed : 1);
+	sample->at_us = now_us;
+}
+
 /**
  * lug_speed_observe - note the progress of a task
  * @speed: speed of its worker; gets a sample once the task's progress allows for one
@@ -87,7 +135,6 @@
 		       const struct lug_speed_progress *progress, gint64 now_us)
 {
 	gint64 span_us = progress->at_us - task->at_us;
-	struct lug_speed_sample *sample;
 	double nominal;
 
 	/* The progress of a task that is about to end may be cut to 99. */
@@ -103,11 +150,7 @@
 	nominal = (double)span_us * task->share / ((double)progress->expected_ms * 10);
 	if (span_us < MIN_SPAN_US || nominal < MIN_STEP_PERCENT)
 		return;
-	sample = sample_slot(speed, progress->task);
-	sample->task = progress->task;
-	sample->job = progress->job;
-	sample->speed = (double)(progress->percent - task->percent) / nominal;
-	sample->at_us = now_us;
+	add_sample(speed, task, progress, nominal, now_us);
 	start_sample(task, progress);
 }
 
@@ -128,38 +171,48 @@
 }
 
 /*
- * Number of the samples, newest first, that show the present speed: the recent ones, and as many
- * older ones as are needed; 0 when there are too few.
+ * Collects the samples that show the present speed: the recent ones, and as many older ones as are
+ * needed. @samples are sorted, newest first. Returns their number, 0 when there are too few.
  */
-static guint count_used(const struct lug_speed_sample *samples, guint n, gint64 now_us)
+static guint collect(const struct lug_speed *speed, gboolean relative_only, gint64 now_us,
+		     struct lug_speed_sample *out)
 {
-	gboolean several_jobs = FALSE;
-	guint used = 0;
+	gboolean enough = FALSE;
+	gboolean several_jobs = relative_only;
+	guint n = 0;
 
-	for (; used < n; used++) {
-		if (used >= MIN_TASKS && several_jobs && now_us - samples[used].at_us > RECENT_US)
+	for (guint i = 0; i < speed->n_samples; i++) {
+		const struct lug_speed_sample *sample = &speed->samples[i];
+
+		/* Those of ended tasks must not outweigh recent samples of new ones. */
+		if ((enough || relative_only) && now_us - sample->at_us > RECENT_US)
 			break;
-		several_jobs = several_jobs || samples[used].job != samples[0].job;
+		if (relative_only && !sample->is_relative)
+			continue;
+		out[n++] = *sample;
+		several_jobs = several_jobs || sample->job != out[0].job;
+		enough = n >= MIN_TASKS && several_jobs;
 	}
-	return used >= MIN_TASKS && several_jobs ? used : 0;
+	return enough ? n : 0;
 }
 
 /* Median of the samples, 0 when there are too few. Discards samples that are too old. */
 static double median_of_samples(struct lug_speed *speed, gint64 now_us)
 {
-	struct lug_speed_sample sorted[LUG_SPEED_TASKS_MAX];
+	struct lug_speed_sample used[LUG_SPEED_TASKS_MAX];
 	guint n;
 
 	qsort(speed->samples, speed->n_samples, sizeof(*speed->samples), compare_newest_first);
 	while (speed->n_samples &&
 	       now_us - speed->samples[speed->n_samples - 1].at_us > SAMPLE_MAX_AGE_US)
 		speed->n_samples--;
-	n = count_used(speed->samples, speed->n_samples, now_us);
+	n = collect(speed, TRUE, now_us, used);
+	if (!n)
+		n = collect(speed, FALSE, now_us, used);
 	if (!n)
 		return 0;
-	memcpy(sorted, speed->samples, n * sizeof(*sorted));
-	qsort(sorted, n, sizeof(*sorted), compare_speeds);
-	return CLAMP((sorted[(n - 1) / 2].speed + sorted[n / 2].speed) / 2, SPEED_MIN, SPEED_MAX);
+	qsort(used, n, sizeof(*used), compare_speeds);
+	return CLAMP((used[(n - 1) / 2].speed + used[n / 2].speed) / 2, SPEED_MIN, SPEED_MAX);
 }
 
 static double closer_to(double reference, double a, double b)
--- a/liblug/schedule/speed.h
+++ b/liblug/schedule/speed.h
@@ -13,11 +13,19 @@
  * @at_us: start of the sample on the worker's clock, 0 for none
  * @percent: progress at that time
  * @share: share at which the task has worked since then, 0 to 1
+ * @own_speed: its speed by the expected run time while the worker was not slow, 0 for not known.
+ *             Later samples are relative to it, which removes the error of the expected run time
+ * @candidate: latest sample, becomes @own_speed if the worker's speed does not change with it; 0
+ *             for none
+ * @candidate_since_us: time since which there has been a candidate, microseconds, monotonic
  */
 struct lug_speed_task {
 	gint64 at_us;
 	guint32 percent;
 	double share;
+	double own_speed;
+	double candidate;
+	gint64 candidate_since_us;
 };
 
 /**
@@ -44,12 +52,14 @@
  * @task: see struct lug_speed_progress
  * @job: see struct lug_speed_progress
  * @speed: fraction of nominal speed
+ * @is_relative: it is relative to the task's own speed, see struct lug_speed_task
  * @at_us: time at which it was taken, microseconds, monotonic
  */
 struct lug_speed_sample {
 	guint64 task;
 	guint job;
 	double speed;
+	gboolean is_relative;
 	gint64 at_us;
 };
 
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -93,6 +93,8 @@
 	gint64 heartbeat_seq = 0;
 	gint64 clock_ms = 5000;
 	gint64 capacity_millicores = 4000;
+	/* Expected run time of the tasks that are started, 0 for not known. */
+	gint64 expected_ms = 0;
 	/* What polls return: runs with their progress in percent, and numbered ends. */
 	std::vector<std::pair<struct lug_run_id, guint32>> running;
 	std::vector<std::pair<guint64, struct lug_run_id>> finished;
@@ -251,6 +253,7 @@
 		message.fills = 1;
 		message.fill_millicores = millicores;
 		message.image = (char *)"i";
+		message.expected_ms = expected_ms;
 		lug_executor_on_start(exec, &message, lug_now_us());
 	}
 
@@ -272,6 +275,7 @@
 		message.size = &wire_size;
 		message.spec = (char *)"s";
 		message.isolate = isolate;
+		message.expected_ms = expected_ms;
 		lug_executor_on_start(exec, &message, lug_now_us() + later_us);
 	}
 
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -187,6 +187,8 @@
 	/* Bounds of the lists of later heartbeats, which are complete without them. */
 	Lug__RunId *listed_after = nullptr;
 	Lug__RunId *listed_until = nullptr;
+	/* Speed of the worker in later heartbeats, 0 for not known. */
+	guint32 speed_permille = 0;
 
 	/*
 	 * Delivers a heartbeat of a worker's agent, which holds the runs of @list.
@@ -241,6 +243,8 @@
 		beat.n_shards = 1;
 		beat.shards = shards;
 		beat.spare_millicores = spare_millicores;
+		beat.has_speed_permille = speed_permille > 0;
+		beat.speed_permille = speed_permille;
 		env.from = const_cast<char *>(worker_name);
 		env.incarnation = lease_epoch;
 		env.body_case = LUG__ENVELOPE__BODY_WORKER_BEAT;
--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -249,6 +249,29 @@
 	}
 };
 
+/* A slow worker makes tasks late, but when all are slow the work has to run all the same. */
+TEST_F(PlacementTest, SlowWorkersRankLastAndAreUsedWhenAllAreSlow)
+{
+	struct lug_fleet_worker *slow = add("a", 16000);
+	struct lug_fleet_worker *full = add("b", 16000);
+
+	slow->speed_permille = 200;
+	full->claimed.millicores = 14000;
+	full->spare_millicores = 14000;
+	for (int best_effort : {0, 1}) {
+		step.best_effort = best_effort;
+		full->speed_permille = 1000;
+		EXPECT_EQ(choose(), full);
+		full->speed_permille = 0;
+		EXPECT_EQ(choose(), full) << "not known to be slow";
+		full->speed_permille = 200;
+		EXPECT_EQ(choose(), slow) << "all are slow";
+		slow->speed_permille = 2000;
+		EXPECT_EQ(choose(), slow) << "out of range";
+		slow->speed_permille = 200;
+	}
+}
+
 TEST_F(PlacementTest, ChoosesTheWorkerWithMoreRoom)
 {
 	struct lug_fleet_worker *full = add("a", 16000);
