--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -43,6 +43,8 @@
  * @claimed: resources reserved by the owners in this process
  * @confirmed: part of @claimed that the agent has acknowledged
  * @spare_millicores: millicores that no task used at the last heartbeat
+ * @speed_permille: speed in the last heartbeat, thousandths of nominal; 0 for not known, or when
+ * speeds are not used
  * @refused_best_effort: the worker has refused a best-effort task since its last heartbeat
  * @refused_yielding: the same for a task that yields to serving tasks
  * @unconfirmed: best-effort and serving tasks placed there that the agent hasn't confirmed, array
@@ -86,6 +88,7 @@
 	struct lug_resources claimed;
 	struct lug_resources confirmed;
 	gint64 spare_millicores;
+	guint32 speed_permille;
 	gboolean refused_best_effort;
 	gboolean refused_yielding;
 	GArray *unconfirmed;
@@ -150,6 +153,7 @@
 gboolean lug_fleet_is_evacuated(const struct lug_fleet_worker *worker,
 				const struct lug_evacuation *evacuation);
 gboolean lug_fleet_is_live(const struct lug_fleet_worker *worker, gint64 now_us);
+double lug_fleet_speed(const struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_room(const struct lug_fleet_worker *worker, struct lug_resources *out);
 void lug_fleet_claim(struct lug_fleet_worker *worker, const struct lug_resources *size);
 void lug_fleet_confirm(struct lug_fleet_worker *worker, const struct lug_resources *size);
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "schedule/speed.h"
 #include "schedule/yield_limits.h"
 
 /* Random part of a score, so that owners with equal views choose different workers. */
@@ -38,6 +39,11 @@
 #define ISOLATION_PENALTY 6.0
 /* Less than a step between two affinities, more than the noise. */
 #define IMAGE_RANK_WEIGHT 1.5
+/*
+ * Factor for the score of a slow worker. It ranks last, but is used when the others are full or all
+ * workers are slow; scores are below 30, those of other eligible workers rarely below 1.
+ */
+#define SLOW_WORKER_FACTOR 0.001
 
 static gboolean has_label(const struct lug_fleet_worker *worker, const char *label)
 {
@@ -64,6 +70,8 @@
 	if (step->best_effort &&
 	    (worker->refused_best_effort || (request->yields && worker->refused_yielding)))
 		return FALSE;
+	if (request->nominal_only && !lug_speed_is_target(lug_fleet_speed(worker, now_us)))
+		return FALSE;
 	if (request->isolate && now_us < worker->isolated_until_us &&
 	    strcmp(worker->isolated_job, request->job) != 0)
 		return FALSE;
@@ -188,7 +196,7 @@
 
 /* Score of a worker for a best-effort task; negative when the task should stay queued. */
 static double best_effort_score(const struct lug_placement_request *request, const char *image,
-				struct lug_fleet_worker *worker)
+				struct lug_fleet_worker *worker, gint64 now_us)
 {
 	struct lug_interference_assessment assessment;
 	double speed = spare_core_share(request, worker);
@@ -204,6 +212,10 @@
 	 */
 	if (speed < request->min_speed)
 		return -1;
+	/* A waiting task is not held back by slow workers, as all of them may be slow. */
+	speed *= lug_speed_factor(lug_fleet_speed(worker, now_us));
+	if (request->moving && speed < request->min_speed)
+		return -1;
 	score = (double)worker->spare_millicores / (double)MAX(worker->capacity.millicores, 1) +
 		SPEED_WEIGHT * speed + SLACK_WEIGHT * assessment.slack + SCORE_OFFSET;
 	if (assessment.harmless)
@@ -240,7 +252,7 @@
 	double score;
 
 	if (request->step->best_effort) {
-		score = best_effort_score(request, image, worker);
+		score = best_effort_score(request, image, worker, now_us);
 		if (score < 0)
 			return score;
 	} else if (request->step->target_ms) {
@@ -259,7 +271,10 @@
 		score -= REMOTE_PENALTY;
 	score -= FAILURE_PENALTY *
 		 MIN(MAX(worker->failures, worker->reported_failures), FAILURES_MAX);
-	return MAX(score + g_rand_double(rng) * SCORE_NOISE, 0);
+	score = MAX(score + g_rand_double(rng) * SCORE_NOISE, 0);
+	if (!request->step->best_effort && lug_speed_is_slow(lug_fleet_speed(worker, now_us)))
+		score *= SLOW_WORKER_FACTOR;
+	return score;
 }
 
 /* Whether a worker is preferred: a warm one to a cold one, otherwise by score. */
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -13,6 +13,8 @@
  * @min_speed: a best-effort task stays queued when no worker lets it run at this part of its
  * full speed
  * @yields: the task yields to serving tasks, see schedule/yield.h
+ * @moving: the task runs elsewhere; @min_speed allows for the speed of the worker too
+ * @nominal_only: only workers known to run at nominal speed are considered
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
  * @isolate: the task is suspected to crash its workers
  * @evacuation: evacuated zones, whose workers are excluded; may be NULL
@@ -27,6 +29,8 @@
 	const struct lug_interference *interference;
 	double min_speed;
 	gboolean yields;
+	gboolean moving;
+	gboolean nominal_only;
 	const char *excluded_worker;
 	gboolean isolate;
 	const struct lug_evacuation *evacuation;
