--- a/tests/unit/executor_evacuation_test.cc
+++ b/tests/unit/executor_evacuation_test.cc
@@ -117,6 +117,24 @@
 	EXPECT_NE(exec_find_run(exec, &run_a), nullptr);
 }
 
+/* Owners withdraw a start by one for lease epoch 0, also from an agent that knows of no evacuation.
+ */
+TEST_F(ExecutorEvacuationTest, AWithdrawnStartThatArrivesLaterIsDropped)
+{
+	read();
+	seq = 1;
+	start("a", 1000, /* lease_epoch */ 0);
+	seq = 0;
+	start("a");
+	EXPECT_TRUE(worker.orders.empty());
+	EXPECT_TRUE(answers.empty());
+	send_beat_to_owner(0, [&](const Lug__WorkerBeat &beat) {
+		ASSERT_EQ(beat.n_shards, 1u);
+		EXPECT_EQ(beat.shards[0]->last_seq, 2u) << "tells the owner that it won't run";
+		EXPECT_EQ(beat.shards[0]->n_held, 0u);
+	});
+}
+
 /* The next poll makes the worker refuse starts that wait somewhere on their way to it. */
 TEST_F(ExecutorEvacuationTest, StartsSentBeforeAreFencedOnce)
 {
