--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -259,7 +259,7 @@
 		return;
 	}
 	if (call->kind == LUG_JOB_NEW && call->relay_in_flight) {
-		gateway_finish_relay(call, (enum lug_status)reply->status);
+		gateway_finish_relay(call, (enum lug_status)reply->status, reply->retry_after_ms);
 		return;
 	}
 	/* Reply to the notification of a stored job. Without LUG_OK the notification is resent. */
--- a/liblug/workflow/gateway.h
+++ b/liblug/workflow/gateway.h
@@ -32,7 +32,12 @@
  */
 struct lug_gateway;
 
-/* Outcome of a submission or a cancellation. */
+/*
+ * Outcome of a submission. @retry_after_ms: time after which to submit the job again, 0 when it is
+ * not known.
+ */
+typedef void (*lug_gateway_submit_fn)(void *data, enum lug_status status, gint64 retry_after_ms);
+/* Outcome of a cancellation. */
 typedef void (*lug_gateway_fn)(void *data, enum lug_status status);
 /* State of a job; LUG_NOT_FOUND without such a job, LUG_UNAVAILABLE when it can't be read. */
 typedef void (*lug_gateway_state_fn)(void *data, enum lug_status status,
@@ -47,7 +52,7 @@
 				    struct lug_link *link, struct lug_shard_map *shard_map);
 void lug_gateway_free(struct lug_gateway *gateway);
 void lug_gateway_submit(struct lug_gateway *gateway, struct lug_workflow *workflow,
-			gint64 deadline_us, lug_gateway_fn fn, void *data);
+			gint64 deadline_us, lug_gateway_submit_fn fn, void *data);
 void lug_gateway_state(struct lug_gateway *gateway, const char *job, lug_gateway_state_fn fn,
 		       void *data);
 void lug_gateway_cancel(struct lug_gateway *gateway, const char *job, lug_gateway_fn fn,
--- a/liblug/workflow/gateway_owner.c
+++ b/liblug/workflow/gateway_owner.c
@@ -1,7 +1,12 @@
 #include "workflow/gateway.h"
 
-/* Where to send the reply to call @id once the job's change is committed. */
+/*
+ * Where to send the reply to call @id once the job's change is committed. @shard and @job are those
+ * of a job to store, else NULL.
+ */
 struct deferred_reply {
+	struct lug_shard *shard;
+	char *job;
 	struct lug_link *link;
 	struct lug_route route;
 	guint64 id;
@@ -24,7 +29,13 @@
 
 	reply.has_status = 1;
 	reply.status = (guint32)status;
+	if (status == LUG_OVER_LIMIT && deferred->job) {
+		reply.has_retry_after_ms = 1;
+		reply.retry_after_ms =
+			(guint32)lug_shard_retry_after_ms(deferred->shard, deferred->job);
+	}
 	send_reply(deferred->link, &deferred->route, deferred->id, &reply);
+	g_free(deferred->job);
 	g_free(deferred);
 }
 
@@ -53,6 +64,8 @@
 	deferred->link = link;
 	deferred->route = *route;
 	deferred->id = call->id;
+	deferred->shard = shard;
+	deferred->job = g_strdup(call->job);
 	lug_shard_store_job(shard, call->job, call->body ? call->body : "", on_committed, deferred,
 			    now_us);
 }
--- a/liblug/workflow/gateway_priv.h
+++ b/liblug/workflow/gateway_priv.h
@@ -48,7 +48,8 @@
  * @body: text of the job's row (submission only)
  * @version: version of the row that this call wrote, else 0
  * @workflow: job (submission only)
- * @fn: receives the outcome of a submission or a cancellation
+ * @submit_fn: receives the outcome of a submission
+ * @fn: receives the outcome of a cancellation
  * @state_fn: receives the state of a job
  * @pending_fn: receives the number of pending jobs
  * @data: passed to the callback
@@ -78,6 +79,7 @@
 	char *body;
 	gint64 version;
 	struct lug_workflow *workflow;
+	lug_gateway_submit_fn submit_fn;
 	lug_gateway_fn fn;
 	lug_gateway_state_fn state_fn;
 	lug_gateway_pending_fn pending_fn;
@@ -104,7 +106,7 @@
 gboolean gateway_send_call(struct gateway_call *call, guint32 shard);
 void gateway_read_tables(struct gateway_call *call);
 void gateway_finish_cancel(struct gateway_call *call, enum lug_status status, const char *basis);
-void gateway_finish_relay(struct gateway_call *call, enum lug_status status);
+void gateway_finish_relay(struct gateway_call *call, enum lug_status status, gint64 retry_after_ms);
 void gateway_submit_tick(struct gateway_call *call, gint64 now_us);
 
 #endif
--- a/liblug/workflow/gateway_submit.c
+++ b/liblug/workflow/gateway_submit.c
@@ -42,8 +42,8 @@
 	call->notify_until_us = now_us + NOTIFY_TIMEOUT_US;
 	call->retry_us = now_us + NOTIFY_RETRY_US;
 	gateway_send_call(call, call->shard);
-	call->fn(call->data, LUG_OK);
-	call->fn = NULL;
+	call->submit_fn(call->data, LUG_OK, 0);
+	call->submit_fn = NULL;
 }
 
 static void refuse_job(struct gateway_call *call)
@@ -54,7 +54,7 @@
 		   call->outcome_unknown
 			   ? "the outcome of an attempt to store it is unknown"
 			   : "neither its owner nor the table service could store it");
-	call->fn(call->data, status);
+	call->submit_fn(call->data, status, 0);
 	gateway_call_free(call);
 }
 
@@ -62,7 +62,7 @@
 static void refuse_large_job(struct gateway_call *call)
 {
 	log_submit(call, "job_refused", "its row is too large for the table service");
-	call->fn(call->data, LUG_TOO_LARGE);
+	call->submit_fn(call->data, LUG_TOO_LARGE, 0);
 	gateway_call_free(call);
 }
 
@@ -132,22 +132,33 @@
 /**
  * gateway_finish_relay - handle the outcome of a request to the owner to store a job
  * @call: submission; may be freed
- * @status: LUG_OK when the job is stored, LUG_UNKNOWN when it may be
+ * @status: LUG_OK when the job is stored, LUG_UNKNOWN when it may be, LUG_OVER_LIMIT when the owner
+ * refuses it
+ * @retry_after_ms: with LUG_OVER_LIMIT, time after which to submit it again
  */
-void gateway_finish_relay(struct gateway_call *call, enum lug_status status)
+void gateway_finish_relay(struct gateway_call *call, enum lug_status status, gint64 retry_after_ms)
 {
 	gint64 now_us = lug_now_us();
 
 	call->relay_in_flight = FALSE;
 	if (status == LUG_OK) {
 		log_submit(call, "job_accepted", "stored by its owner");
-		call->fn(call->data, LUG_OK);
+		call->submit_fn(call->data, LUG_OK, 0);
+		gateway_call_free(call);
+		return;
+	}
+	/* An earlier attempt of this call may still store the job, so the refusal can't be passed
+	 * on. */
+	if (status == LUG_OVER_LIMIT && !call->outcome_unknown) {
+		log_submit(call, "job_refused", "its owner can't complete it in time");
+		call->submit_fn(call->data, LUG_OVER_LIMIT, retry_after_ms);
 		gateway_call_free(call);
 		return;
 	}
 	if (status == LUG_UNKNOWN)
 		call->outcome_unknown = TRUE;
-	call->gateway->owner_failed_us[call->shard] = now_us;
+	if (status != LUG_OVER_LIMIT)
+		call->gateway->owner_failed_us[call->shard] = now_us;
 	if (is_store_failing(call, now_us))
 		schedule_retry(call, now_us);
 	else
@@ -189,18 +200,19 @@
  * @workflow: validated job, owned by the gateway after the call
  * @deadline_us: time after which the submission is abandoned
  * @fn: LUG_OK: stored; LUG_TOO_LARGE: not stored, and refused again if it is repeated;
+ * LUG_OVER_LIMIT: not stored, to be submitted again later;
  * LUG_UNAVAILABLE: not stored; LUG_UNKNOWN: it may be stored, now or later
  * @data: passed to @fn
  */
 void lug_gateway_submit(struct lug_gateway *gateway, struct lug_workflow *workflow,
-			gint64 deadline_us, lug_gateway_fn fn, void *data)
+			gint64 deadline_us, lug_gateway_submit_fn fn, void *data)
 {
 	struct gateway_call *call = gateway_call_new(gateway, LUG_JOB_NEW, workflow->id);
 
 	call->workflow = workflow;
 	call->body = lug_workflow_encode(workflow);
 	call->deadline_us = deadline_us;
-	call->fn = fn;
+	call->submit_fn = fn;
 	call->data = data;
 	if ((gint64)strlen(call->body) > gateway->ctx->settings->platform_row_bytes)
 		refuse_large_job(call);
@@ -216,7 +228,7 @@
 void gateway_submit_tick(struct gateway_call *call, gint64 now_us)
 {
 	if (call->relay_in_flight && now_us >= call->answer_due_us)
-		gateway_finish_relay(call, LUG_UNKNOWN);
+		gateway_finish_relay(call, LUG_UNKNOWN, 0);
 	else if (!call->relay_in_flight && !call->txn_in_flight && now_us >= call->retry_us)
 		retry_submit(call, now_us);
 }
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -169,6 +169,7 @@
 	job->refused_runs = g_string_new(NULL);
 	job->store_waiters = g_array_new(FALSE, FALSE, sizeof(struct shard_waiter));
 	job->priority = def ? def->priority : 0;
+	job->order.priority = job->priority;
 	age_ms = g_get_real_time() / 1000 - workflow->accepted_ms;
 	job->accepted_us = now_us - CLAMP(age_ms, 0, MAX_JOB_AGE_MS) * 1000;
 	g_hash_table_insert(shard->jobs, workflow->id, job);
@@ -318,6 +319,7 @@
 	shard->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	shard->claims = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	shard->placement_order = g_ptr_array_new();
+	shard->admission = lug_admission_new();
 	shard->obsolete_ends = g_array_new(FALSE, FALSE, sizeof(struct shard_obsolete_end));
 	shard->ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return shard;
@@ -355,6 +357,7 @@
 	}
 	g_ptr_array_unref(order);
 	g_hash_table_remove_all(shard->claims);
+	lug_admission_reset(shard->admission);
 	g_array_set_size(shard->obsolete_ends, 0);
 	shard->load_phase = SHARD_LOAD_NONE;
 	shard->scanning = FALSE;
@@ -393,6 +396,7 @@
 	g_hash_table_unref(shard->jobs);
 	g_hash_table_unref(shard->claims);
 	g_hash_table_unref(shard->ended_jobs);
+	lug_admission_free(shard->admission);
 	g_array_unref(shard->obsolete_ends);
 	g_ptr_array_unref(shard->placement_order);
 	g_free(shard);
@@ -534,6 +538,7 @@
 void lug_shard_tick(struct lug_shard *shard, gint64 now_us)
 {
 	lug_writer_tick(shard->writer, now_us);
+	shard_admission_tick(shard, now_us);
 	if (!lug_shard_is_active(shard))
 		return;
 	/* A commit extends the lease by queue_lease_ms from the time at which it was sent. */
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -154,6 +154,8 @@
 {
 	char *id = g_strdup(job->workflow->id);
 
+	if (status != LUG_CONFLICT)
+		shard_admit_all(shard, lug_now_us());
 	shard_notify_waiters(job->store_waiters, status == LUG_CONFLICT ? LUG_OK : status);
 	drop_job(shard, job);
 	if (status == LUG_CONFLICT)
--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -93,6 +93,7 @@
 			remove_cancel(shard, row->key);
 		return;
 	}
+	shard_check_found_job(shard, job, lug_now_us());
 	if (cancel)
 		cancel_live_job(shard, job);
 	else
--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -27,18 +27,50 @@
 			 "cancel the job and submit it again");
 		return;
 	}
-	shard_job_new(shard, workflow, version, now_us);
+	shard_check_found_job(shard, shard_job_new(shard, workflow, version, now_us), now_us);
 	shard_begin_due_occurrences(shard, now_us);
 	lug_shard_wake(shard);
 }
 
+/**
+ * shard_store_admitted - add a job that is to be stored
+ * @shard: shard
+ * @workflow: definition, taken over
+ * @body: text of the job's row
+ * @waiter: called once, as by lug_shard_store_job()
+ * @now_us: current time
+ */
+void shard_store_admitted(struct lug_shard *shard, struct lug_workflow *workflow, const char *body,
+			  const struct shard_waiter *waiter, gint64 now_us)
+{
+	struct shard_job *job = g_hash_table_lookup(shard->jobs, workflow->id);
+	gboolean ended = g_hash_table_contains(shard->ended_jobs, workflow->id);
+
+	/* It may have been added while the tables were read. */
+	if (ended || job) {
+		lug_workflow_free(workflow);
+		if (ended || !job->unstored_body)
+			waiter->fn(waiter->data, LUG_OK);
+		else
+			g_array_append_val(job->store_waiters, *waiter);
+		return;
+	}
+	job = shard_job_new(shard, workflow, 0, now_us);
+	job->first_us = lug_admission_admit(shard->admission, workflow->id);
+	job->unstored_body = g_strdup(body);
+	g_array_append_val(job->store_waiters, *waiter);
+	shard_begin_due_occurrences(shard, now_us);
+	shard_job_mark_changed(shard, job);
+}
+
 /**
  * lug_shard_store_job - store a job in one transaction with the claims of its first tasks
  * @shard: shard
  * @id: job
  * @body: text of the job's row
  * @fn: called once with LUG_OK when the job is stored, LUG_UNAVAILABLE or LUG_FENCED when it is
- *      not, LUG_UNKNOWN when it may be, and LUG_BAD_INPUT when @body is invalid
+ *      not, LUG_UNKNOWN when it may be, LUG_OVER_LIMIT when it is refused, see
+ *      lug_shard_retry_after_ms(), and LUG_BAD_INPUT when @body is invalid
  * @data: passed to @fn
  * @now_us: current time
  */
@@ -49,6 +81,10 @@
 	struct shard_waiter waiter = {fn, data};
 	struct lug_workflow *workflow;
 
+	if (job && job->withheld && !shard_release_withheld_job(shard, job, body, now_us)) {
+		fn(data, LUG_UNKNOWN);
+		return;
+	}
 	if (g_hash_table_contains(shard->ended_jobs, id) || (job && !job->unstored_body)) {
 		fn(data, LUG_OK);
 		return;
@@ -66,11 +102,8 @@
 		fn(data, LUG_BAD_INPUT);
 		return;
 	}
-	job = shard_job_new(shard, workflow, 0, now_us);
-	job->unstored_body = g_strdup(body);
-	g_array_append_val(job->store_waiters, waiter);
-	shard_begin_due_occurrences(shard, now_us);
-	shard_job_mark_changed(shard, job);
+	if (!shard_try_refuse(shard, workflow, body, &waiter, now_us))
+		shard_store_admitted(shard, workflow, body, &waiter, now_us);
 }
 
 /**
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -83,6 +83,8 @@
  */
 void shard_mark_begun(struct shard_job *job, struct shard_task *task)
 {
+	if (!task->begun)
+		job->last_start_us = lug_now_us();
 	task->begun = TRUE;
 	job->was_confirmed = TRUE;
 }
@@ -217,6 +219,7 @@
 	/* A long-running task waits for its next run, whatever the outcome. */
 	if (outcome == LUG_RUN_DONE && !step->long_running) {
 		task->state = SHARD_TASK_DONE;
+		shard_note_ended(shard, job, step, now_us);
 		record_done_task(shard, job, find_occurrence(job, id->occurrence), id->step);
 	} else if (outcome == LUG_RUN_FAILED && !step->long_running) {
 		task->failures++;
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -139,26 +139,23 @@
 	}
 }
 
-/* Order of placement: lowest priority number first, then feasible jobs, then by deadline. */
+/* Order of placement, see set_order_key(). */
 static gint compare_jobs(gconstpointer a, gconstpointer b)
 {
 	const struct shard_job *left = *(const struct shard_job *const *)a;
 	const struct shard_job *right = *(const struct shard_job *const *)b;
 
-	if (left->priority != right->priority)
-		return left->priority < right->priority ? -1 : 1;
-	if (left->infeasible != right->infeasible)
-		return left->infeasible ? 1 : -1;
-	return left->deadline_us < right->deadline_us ? -1 : left->deadline_us > right->deadline_us;
+	return lug_order_compare(&left->order, &right->order);
 }
 
-/*
- * Longest chain of declared run times of a job's steps. Completed steps of @occ, which may be NULL,
- * count as 0.
+/**
+ * shard_critical_path_ms - longest chain of declared run times of a job's steps
+ * @workflow: definition of the job
+ * @occ: occurrence whose completed steps count as 0, NULL for none
  */
-static gint64 critical_path_ms(const struct shard_job *job, const struct shard_occurrence *occ)
+gint64 shard_critical_path_ms(const struct lug_workflow *workflow,
+			      const struct shard_occurrence *occ)
 {
-	const struct lug_workflow *workflow = job->workflow;
 	gint64 *ends = g_new0(gint64, workflow->n_steps + 1);
 	gint64 longest = 0;
 
@@ -175,6 +172,29 @@
 	return longest;
 }
 
+/*
+ * Sets a job's place: lowest priority number first, then feasible jobs, then by deadline; with
+ * schedule.overload as in schedule/order.h. @remaining_us is negative when the job can't be late.
+ */
+static void set_order_key(const struct lug_shard *shard, struct shard_job *job, gint64 remaining_us,
+			  gint64 now_us)
+{
+	struct lug_order_job order = {.priority = job->priority,
+				      .accepted_us = job->accepted_us,
+				      .first_us = job->first_us,
+				      .deadline_us = job->deadline_us,
+				      .remaining_us = remaining_us,
+				      .last_start_us = job->last_start_us};
+
+	if (shard->shared.ctx->settings->schedule_overload) {
+		lug_order_make_key(&order, now_us, &job->order);
+		return;
+	}
+	job->order.priority = job->priority;
+	job->order.group = job->infeasible ? LUG_ORDER_LATE : LUG_ORDER_IN_TIME;
+	job->order.due_us = job->deadline_us;
+}
+
 /*
  * Updates a job's priority and deadline, and whether it can still meet the deadline. A job that
  * can't is placed after those that can: it would miss its objective anyway and could make the next
@@ -184,20 +204,22 @@
 {
 	const struct lug_queue_def *def =
 		lug_queues_find(lug_config_queues(shard->shared.config), job->workflow->queue);
+	gint64 remaining_us = -1;
 
 	if (!def)
 		return;
 	job->priority = def->priority;
 	job->deadline_us = job->accepted_us +
-			   (gint64)(def->slo_factor * (double)critical_path_ms(job, NULL) * 1000) +
+			   (gint64)(def->slo_factor *
+				    (double)shard_critical_path_ms(job->workflow, NULL) * 1000) +
 			   def->slo_ms * 1000;
-	job->infeasible = FALSE;
 	if (job->occurrences->len == 1 && !job->workflow->scheduled)
-		job->infeasible =
-			now_us + (gint64)(FEASIBLE_WORK_FRACTION * 1000 *
-					  (double)critical_path_ms(
-						  job, g_ptr_array_index(job->occurrences, 0))) >
-			job->deadline_us;
+		remaining_us =
+			(gint64)(FEASIBLE_WORK_FRACTION * 1000 *
+				 (double)shard_critical_path_ms(
+					 job->workflow, g_ptr_array_index(job->occurrences, 0)));
+	job->infeasible = remaining_us >= 0 && now_us + remaining_us > job->deadline_us;
+	set_order_key(shard, job, remaining_us, now_us);
 }
 
 static void sort_jobs(struct lug_shard *shard, gint64 now_us)
@@ -211,6 +233,7 @@
 		update_sort_keys(shard, job, now_us);
 	}
 	g_ptr_array_sort(shard->placement_order, compare_jobs);
+	shard_sample_backlog(shard, now_us);
 }
 
 static gboolean is_step_ready(const struct shard_job *job, const struct shard_occurrence *occ,
@@ -370,7 +393,7 @@
 	const struct lug_queue_def *def =
 		lug_queues_find(lug_config_queues(shard->shared.config), job->workflow->queue);
 
-	if (job->end_state != LUG_WORKFLOW_UNKNOWN || !def)
+	if (job->end_state != LUG_WORKFLOW_UNKNOWN || job->withheld || !def)
 		return;
 	for (guint k = 0; k < job->occurrences->len; k++) {
 		struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -3,6 +3,7 @@
 
 #include "colocate/crash.h"
 #include "core/list.h"
+#include "schedule/admission.h"
 #include "workflow/shard.h"
 
 /*
@@ -11,7 +12,7 @@
  * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
  * (placement and starts), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison
  * of claims with heartbeats, lost runs), shard_ack.c (acknowledgements of ends), shard_report.c
- * (log of what is overdue) and shard_commit.c (transactions).
+ * (log of what is overdue), shard_admit.c (refusal of new jobs) and shard_commit.c (transactions).
  */
 
 /*
@@ -177,6 +178,10 @@
  * @accepted_us: when it was accepted
  * @deadline_us: end of the time that its queue's objective allows for the declared work
  * @infeasible: it can't meet its deadline
+ * @order: place among the jobs of the shard
+ * @first_us: when it was first submitted, if that submission was refused; 0 otherwise
+ * @last_start_us: when a worker last confirmed the start of a task, 0 for never under this owner
+ * @withheld: no task starts before its client submits it again, see shard_check_found_job()
  * @was_claimed: a task has been claimed
  * @was_confirmed: a worker has confirmed a start, without which no task has begun
  * @end_state: final state once decided, LUG_WORKFLOW_UNKNOWN before
@@ -207,6 +212,10 @@
 	gint64 accepted_us;
 	gint64 deadline_us;
 	gboolean infeasible;
+	struct lug_order_key order;
+	gint64 first_us;
+	gint64 last_start_us;
+	gboolean withheld;
 	gboolean was_claimed;
 	gboolean was_confirmed;
 	enum lug_workflow_state end_state;
@@ -280,6 +289,9 @@
  * @generation: number of ownership changes; a struct shard_ref of an earlier one is invalid
  * @next_sweep_us: next deletion of rows of ended jobs
  * @next_report_us: next search for claims and waiting tasks to log
+ * @admission: measurements of the backlog and memory of refused jobs
+ * @admit_all_until_us: no job is refused before this time, see shard_admit_all()
+ * @last_tick_us: latest call of lug_shard_tick()
  */
 struct lug_shard {
 	struct lug_shard_env shared;
@@ -311,6 +323,9 @@
 	guint generation;
 	gint64 next_sweep_us;
 	gint64 next_report_us;
+	struct lug_admission *admission;
+	gint64 admit_all_until_us;
+	gint64 last_tick_us;
 };
 
 /**
@@ -360,12 +375,27 @@
 void shard_load_job_row(struct lug_shard *shard, const struct lug_row *row, gint64 now_us);
 void shard_load_inbox_row(struct lug_shard *shard, const char *key);
 void shard_inbox_tick(struct lug_shard *shard, gint64 now_us);
+
+void shard_sample_backlog(struct lug_shard *shard, gint64 now_us);
+void shard_note_ended(struct lug_shard *shard, const struct shard_job *job,
+		      const struct lug_step *step, gint64 now_us);
+void shard_admit_all(struct lug_shard *shard, gint64 now_us);
+void shard_admission_tick(struct lug_shard *shard, gint64 now_us);
+gboolean shard_try_refuse(struct lug_shard *shard, struct lug_workflow *workflow, const char *body,
+			  const struct shard_waiter *waiter, gint64 now_us);
+void shard_store_admitted(struct lug_shard *shard, struct lug_workflow *workflow, const char *body,
+			  const struct shard_waiter *waiter, gint64 now_us);
+void shard_check_found_job(struct lug_shard *shard, struct shard_job *job, gint64 now_us);
+gboolean shard_release_withheld_job(struct lug_shard *shard, struct shard_job *job,
+				    const char *body, gint64 now_us);
 void shard_reset_state(struct lug_shard *shard);
 
 void shard_relocate_if_slow(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			    const struct lug_run_id *id, guint32 share_percent, gint64 now_us);
 void shard_begin_due_occurrences(struct lug_shard *shard, gint64 now_us);
 void shard_place_tasks(struct lug_shard *shard, gint64 now_us);
+gint64 shard_critical_path_ms(const struct lug_workflow *workflow,
+			      const struct shard_occurrence *occ);
 void shard_send_start(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 		      const struct lug_run_id *id, gint64 now_us);
 void shard_send_stop(struct lug_shard *shard, const struct lug_fleet_worker *worker,
