--- a/liblug/workflow/shard_admit.c
+++ b/liblug/workflow/shard_admit.c
@@ -12,6 +12,8 @@
 #define ADMIT_ALL_US (5 * G_USEC_PER_SEC)
 /* Entries wait RELAY_TIMEOUT_US (gateway_submit.c) for an answer before they store a job. */
 #define ANSWER_MAX_US (200 * 1000)
+/* Clients are told to return in 25 s at most. */
+#define WITHHELD_MAX_US (60 * G_USEC_PER_SEC)
 
 /* A job that is to be refused, once it is certain that it is not stored. */
 struct pending_refusal {
@@ -67,7 +69,7 @@
 {
 	const struct lug_queue_def *def = find_queue(shard, job->workflow);
 
-	if (!def || job->withheld || job->end_state != LUG_WORKFLOW_UNKNOWN)
+	if (!def || job->withheld_us || job->end_state != LUG_WORKFLOW_UNKNOWN)
 		return;
 	for (int best_effort = 0; best_effort < 2; best_effort++) {
 		struct lug_admission_job item = {.order = job->order};
@@ -110,14 +112,12 @@
 		}
 }
 
-/* A withheld job ends once the memory of its refusal has, as its client has not returned. */
+/* A withheld job ends when its client has not returned for WITHHELD_MAX_US. */
 static void end_withheld_jobs(struct lug_shard *shard, gint64 now_us)
 {
 	SHARD_FOREACH_JOB(shard, job)
 	{
-		if (job->withheld &&
-		    !lug_admission_is_superseded(shard->admission, job->workflow->id,
-						 job->workflow->accepted_ms, now_us))
+		if (job->withheld_us && now_us - job->withheld_us > WITHHELD_MAX_US)
 			shard_set_end_state(shard, job, LUG_WORKFLOW_CANCELLED);
 	}
 }
@@ -228,12 +228,13 @@
 static void refuse(struct lug_shard *shard, struct pending_refusal *pending, gint64 now_us)
 {
 	log_refusal(shard, pending);
-	if (pending->decision.superseded)
+	if (pending->decision.superseded) {
 		lug_count(shard->shared.ctx, JOBS_REFUSED_SUPERSEDED, 1);
-	else
+	} else {
 		lug_count(shard->shared.ctx, JOBS_REFUSED_BACKLOG, 1);
-	pending->request.id = pending->workflow->id;
-	lug_admission_refuse(shard->admission, &pending->request, &pending->decision, now_us);
+		lug_admission_refuse(shard->admission, &pending->request, &pending->decision,
+				     now_us);
+	}
 	pending->waiter.fn(pending->waiter.data, LUG_OVER_LIMIT);
 }
 
@@ -280,9 +281,11 @@
 		free_pending(pending);
 		return FALSE;
 	}
-	if (may_be_stored(pending, status, rows, n_rows) ||
-	    is_known(shard, pending->workflow->id) || now_us < shard->admit_all_until_us ||
-	    now_us - pending->received_us > ANSWER_MAX_US) {
+	/* A superseded submission is not stored in any case; a row of it would be withheld. */
+	if (!pending->decision.superseded &&
+	    (may_be_stored(pending, status, rows, n_rows) ||
+	     is_known(shard, pending->workflow->id) || now_us < shard->admit_all_until_us ||
+	     now_us - pending->received_us > ANSWER_MAX_US)) {
 		admit(shard, pending, now_us);
 		free_pending(pending);
 		return FALSE;
@@ -343,7 +346,7 @@
 			     (const struct lug_admission_job *)jobs->data, jobs->len,
 			     g_rand_double(shard->shared.ctx->rng), now_us, &decision);
 	g_array_unref(jobs);
-	if (!decision.refused || now_us < shard->admit_all_until_us)
+	if (!decision.refused || (!decision.superseded && now_us < shard->admit_all_until_us))
 		return FALSE;
 	pending = g_new0(struct pending_refusal, 1);
 	pending->ref = shard_ref_new(shard, workflow->id);
@@ -372,9 +375,10 @@
 	if (!shard->shared.ctx->settings->schedule_overload)
 		return;
 	shard_admit_all(shard, now_us);
-	job->withheld = lug_admission_is_superseded(shard->admission, workflow->id,
-						    workflow->accepted_ms, now_us);
-	if (job->withheld)
+	if (lug_admission_is_superseded(shard->admission, workflow->id, workflow->accepted_ms,
+					now_us))
+		job->withheld_us = now_us;
+	if (job->withheld_us)
 		lug_info(shard->shared.ctx, "job_withheld", "job", workflow->id, "shard",
 			 shard->name, "reason", "a later submission of it was refused");
 	else
@@ -401,7 +405,7 @@
 	lug_workflow_free(workflow);
 	if (superseded)
 		return FALSE;
-	job->withheld = FALSE;
+	job->withheld_us = 0;
 	job->first_us = lug_admission_admit(shard->admission, job->workflow->id);
 	lug_shard_wake(shard);
 	return TRUE;
--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -81,7 +81,7 @@
 	struct shard_waiter waiter = {fn, data};
 	struct lug_workflow *workflow;
 
-	if (job && job->withheld && !shard_release_withheld_job(shard, job, body, now_us)) {
+	if (job && job->withheld_us && !shard_release_withheld_job(shard, job, body, now_us)) {
 		fn(data, LUG_UNKNOWN);
 		return;
 	}
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -393,7 +393,7 @@
 	const struct lug_queue_def *def =
 		lug_queues_find(lug_config_queues(shard->shared.config), job->workflow->queue);
 
-	if (job->end_state != LUG_WORKFLOW_UNKNOWN || job->withheld || !def)
+	if (job->end_state != LUG_WORKFLOW_UNKNOWN || job->withheld_us || !def)
 		return;
 	for (guint k = 0; k < job->occurrences->len; k++) {
 		struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -181,7 +181,8 @@
  * @order: place among the jobs of the shard
  * @first_us: when it was first submitted, if that submission was refused; 0 otherwise
  * @last_start_us: when a worker last confirmed the start of a task, 0 for never under this owner
- * @withheld: no task starts before its client submits it again, see shard_check_found_job()
+ * @withheld_us: when it was withheld: no task starts before its client submits it again, see
+ *               shard_check_found_job(); 0 for not
  * @was_claimed: a task has been claimed
  * @was_confirmed: a worker has confirmed a start, without which no task has begun
  * @end_state: final state once decided, LUG_WORKFLOW_UNKNOWN before
@@ -215,7 +216,7 @@
 	struct lug_order_key order;
 	gint64 first_us;
 	gint64 last_start_us;
-	gboolean withheld;
+	gint64 withheld_us;
 	gboolean was_claimed;
 	gboolean was_confirmed;
 	enum lug_workflow_state end_state;
--- /dev/null
+++ b/tests/unit/shard_admit_test.cc
@@ -0,0 +1,173 @@
+#include "shard_fixture.h"
+
+namespace
+{
+/* New jobs at an owner whose backlog takes hours. */
+struct ShardAdmitTest : public ShardFixture {
+	std::vector<enum lug_status> statuses;
+
+	static std::string body(int accepted_ms, int count = 1, int estimate_ms = 1000)
+	{
+		return "{\"queue\":\"q\",\"spec\":\"s\",\"occurrences\":1,\"accepted_ms\":" +
+		       std::to_string(accepted_ms) +
+		       ",\"steps\":[{\"count\":" + std::to_string(count) +
+		       ",\"millicores\":1000,\"memory\":1,\"estimate_ms\":" +
+		       std::to_string(estimate_ms) + "}]}";
+	}
+
+	void submit(const char *job, int accepted_ms)
+	{
+		lug_shard_store_job(
+			shard, job, body(accepted_ms).c_str(),
+			[](void *data, enum lug_status status) {
+				static_cast<ShardAdmitTest *>(data)->statuses.push_back(status);
+			},
+			this, lug_now_us());
+	}
+
+	void take_shard_with_backlog()
+	{
+		struct lug_admission_kind kind = {g_intern_string("pool"), FALSE, 0};
+		const struct lug_queue_def *def = lug_queues_find(lug_config_queues(config), "q");
+
+		ctx->settings->schedule_overload = TRUE;
+		const_cast<struct lug_queue_def *>(def)->slo_factor = 2;
+		take_shard_with_worker();
+		add_stored_job("backlog", body(1, 1000, 100000).c_str());
+		run_rounds();
+		/* What the owner would measure in some seconds. */
+		lug_admission_reset(shard->admission);
+		for (int i = 0; i < 10; i++)
+			lug_admission_add_ended(shard->admission, &kind, 1e6, lug_now_us());
+		for (int ms : {1200, 700, 200, 0}) {
+			struct lug_admission_job job = {kind, {0, LUG_ORDER_IN_TIME, 0}, 1e12, 0};
+
+			lug_admission_sample(shard->admission, &job, 1, lug_now_us() - ms * 1000);
+		}
+		shard->admit_all_until_us = 0;
+	}
+
+	guint64 refusals() const
+	{
+		return ctx->metrics->counters[LUG_C_JOBS_REFUSED_BACKLOG];
+	}
+};
+
+TEST_F(ShardAdmitTest, HopelessJobIsRefusedAndNotStored)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OVER_LIMIT});
+	EXPECT_GE(lug_shard_retry_after_ms(shard, "a"), 1000);
+	EXPECT_EQ(refusals(), 1u);
+	EXPECT_FALSE(has_row("live/a") || has_row("inbox/a") || has_row("ended/a"));
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_UNKNOWN);
+}
+
+TEST_F(ShardAdmitTest, NothingIsRefusedWithTheSettingOff)
+{
+	take_shard_with_backlog();
+	ctx->settings->schedule_overload = FALSE;
+	submit("a", 5000);
+	run_rounds();
+	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
+	EXPECT_TRUE(has_row("live/a"));
+}
+
+/* An entry's own transaction, or an earlier owner, may have left rows unknown to this owner. */
+TEST_F(ShardAdmitTest, KnownJobIsNeverRefused)
+{
+	take_shard_with_backlog();
+	submit("backlog", 5000);
+	store.put("0|live/stored", body(4000));
+	submit("stored", 5000);
+	store.put("0|ended/ended", "{\"state\":\"completed\",\"queue\":\"q\"}");
+	submit("ended", 5000);
+	submit("pending", 5000);
+	struct shard_waiter waiter = {[](void *, enum lug_status) {}, nullptr};
+
+	/* It is added while the tables are read. */
+	shard_store_admitted(shard, lug_workflow_decode_text("pending", body(5000).c_str()),
+			     body(5000).c_str(), &waiter, lug_now_us());
+	run_rounds();
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>(4, LUG_OK)));
+	EXPECT_EQ(refusals(), 0u);
+}
+
+/* Guards against a refusal while an entry may be storing the job by itself. */
+TEST_F(ShardAdmitTest, JobIsAdmittedWhenAnEntryMayStoreIt)
+{
+	take_shard_with_backlog();
+	/* The tables answer later than an entry waits. */
+	submit("slow", 5000);
+	g_usleep(250 * 1000);
+	run_rounds();
+	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
+	shard->admit_all_until_us = 0;
+	add_stored_job("other", body(4000).c_str());
+	submit("after", 5000);
+	run_rounds();
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>(2, LUG_OK)));
+	EXPECT_EQ(refusals(), 0u);
+}
+
+/* A transaction of an earlier submission takes effect after a later one was refused. */
+TEST_F(ShardAdmitTest, RefusedJobThatIsStoredLateStartsOnlyOnceItReturns)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	ASSERT_EQ(statuses, std::vector<enum lug_status>{LUG_OVER_LIMIT});
+	add_stored_job("a", body(4000).c_str());
+	send_beat({}, 0, 1, "w2");
+	EXPECT_EQ(state_row("a").find("r1."), std::string::npos) << state_row("a");
+	ASSERT_TRUE(shard->jobs && g_hash_table_contains(shard->jobs, "a"));
+	submit("a", 7000);
+	EXPECT_EQ(statuses.back(), LUG_OK);
+	run_rounds();
+	send_beat({}, 0, 1, "w3");
+	EXPECT_FALSE(((struct shard_job *)g_hash_table_lookup(shard->jobs, "a"))->withheld_us);
+}
+
+/* The entry of a refused submission stores the job when the refusal doesn't reach it in time. */
+TEST_F(ShardAdmitTest, RefusedJobThatItsOwnEntryStoresIsNotWithheld)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	add_stored_job("a", body(5000).c_str());
+	run_rounds();
+	EXPECT_FALSE(((struct shard_job *)g_hash_table_lookup(shard->jobs, "a"))->withheld_us);
+}
+
+/* A call of an entry arrives after a later submission was refused. */
+TEST_F(ShardAdmitTest, EarlierSubmissionOfARefusedJobIsRefusedToo)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	shard_admit_all(shard, lug_now_us());
+	submit("a", 4000);
+	run_rounds();
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>(2, LUG_OVER_LIMIT)));
+	submit("a", 7000);
+	run_rounds();
+	EXPECT_EQ(statuses.back(), LUG_OK);
+}
+
+/* Guards against a withheld job that stays for ever. */
+TEST_F(ShardAdmitTest, WithheldJobEndsWhenItsClientDoesNotReturn)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	add_stored_job("a", body(4000).c_str());
+	((struct shard_job *)g_hash_table_lookup(shard->jobs, "a"))->withheld_us -=
+		61 * G_USEC_PER_SEC;
+	shard->order_valid = FALSE;
+	run_rounds();
+	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_CANCELLED);
+}
+
+} // namespace
