--- a/tests/integration/test_overload.py
+++ b/tests/integration/test_overload.py
@@ -42,17 +42,27 @@
     return deployment
 
 
-def test_hopeless_job_is_refused_at_once_and_never_starts(overloaded):
-    deployment = overloaded
-    job = "a" * 16
-    # Nothing is refused in the first 5 s of an owner.
+def submit_until_refused(deployment):
+    """Submits jobs 100, 101, ... until one is refused. Nothing is refused in an owner's first 5 s."""
     for number in range(100, 160):
-        code, retry_after = submit(deployment, f"/jobs/{number:016x}", 1)
+        code, _ = submit(deployment, f"/jobs/{number:016x}", 1)
         if code == 503:
-            break
+            return number
         assert code == 200
         time.sleep(0.25)
-    assert code == 503
+    return None
+
+
+def cancel_backlog(deployment):
+    for job in BACKLOG:
+        assert deployment.wait_until(
+            lambda: deployment.request("DELETE", f"/urgent/{job}")[0] == 200)
+
+
+def test_hopeless_job_is_refused_at_once_and_never_starts(overloaded):
+    deployment = overloaded
+    job = "a" * 16
+    assert submit_until_refused(deployment)
     began_s = time.monotonic()
     code, retry_after = submit(deployment, f"/jobs/{job}", 1)
     assert code == 503 and time.monotonic() - began_s < 0.3
@@ -63,10 +73,27 @@
     assert f"event=job_refused job={job}" in log and "expected_ms=" in log
     # A known job is not refused, whatever the backlog.
     assert submit(deployment, f"/jobs/{100:016x}", 1)[0] == 200
-    for other in BACKLOG:
-        assert deployment.request("DELETE", f"/urgent/{other}")[0] == 200
+    cancel_backlog(deployment)
     wait_for_state(deployment, f"{100:016x}")
     assert not [e for e in deployment.history() if e[0] == "start" and job in e[2]]
     assert deployment.wait_until(lambda: submit(deployment, f"/jobs/{job}", 1)[0] == 200)
     wait_for_state(deployment, job)
     assert deployment.violations() == []
+
+
+def test_death_of_the_owner_loses_no_job(overloaded):
+    """Accepted jobs run under the next owner; the refused one runs only as it is submitted again."""
+    deployment = overloaded
+    refused = submit_until_refused(deployment)
+    assert refused
+    deployment.signal_process(deployment.owner_name())
+    time.sleep(3)
+    cancel_backlog(deployment)
+    for number in range(100, refused):
+        wait_for_state(deployment, f"{number:016x}", 20)
+    job = f"{refused:016x}"
+    assert deployment.state(job) == 410
+    assert not [e for e in deployment.history() if e[0] == "start" and job in e[2]]
+    assert submit(deployment, f"/jobs/{job}", 1)[0] == 200
+    wait_for_state(deployment, job)
+    assert deployment.violations() == []
