--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -45,6 +45,8 @@
 	X(ENDS_ACKNOWLEDGED, "ends_acknowledged", "Acknowledged ends of runs")            \
 	X(TASKS_GIVEN_UP, "tasks_given_up", "Tasks given up because they crash workers")  \
 	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
+	X(JOBS_REFUSED_BACKLOG, "jobs_refused_backlog", "Jobs refused by the backlog")    \
+	X(JOBS_REFUSED_SUPERSEDED, "jobs_refused_superseded", "Outdated submissions")     \
 	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
 	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")     \
 	X(HALTS_NORMAL, "halts_normal", "Halts of best-effort tasks of urgency NORMAL")   \
