--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -51,6 +51,7 @@
 	fleet->store = store;
 	fleet->hooks = *hooks;
 	fleet->interference = lug_interference_new();
+	fleet->estimates = lug_estimates_new();
 	fleet->list = g_ptr_array_new_with_free_func(worker_free);
 	fleet->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->partitions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, partition_free);
@@ -66,6 +67,7 @@
 	if (!fleet)
 		return;
 	lug_interference_free(fleet->interference);
+	lug_estimates_free(fleet->estimates);
 	g_hash_table_unref(fleet->partitions);
 	g_hash_table_unref(fleet->by_name);
 	g_ptr_array_unref(fleet->list);
@@ -268,6 +270,17 @@
 	return fleet->interference;
 }
 
+/**
+ * lug_fleet_estimates - run times learned by the owners in this process
+ * @fleet: fleet
+ *
+ * Return: estimates, owned by the fleet.
+ */
+struct lug_estimates *lug_fleet_estimates(const struct lug_fleet *fleet)
+{
+	return fleet->estimates;
+}
+
 /**
  * lug_fleet_openness - openness of a worker to best-effort tasks, computed once for each heartbeat
  * @worker: worker
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -3,6 +3,7 @@
 
 #include "core/context.h"
 #include "core/resources.h"
+#include "schedule/estimate.h"
 #include "workflow/interference.h"
 #include "workflow/workflow.h"
 #include "store/store.h"
@@ -140,6 +141,7 @@
 GPtrArray *lug_fleet_workers(const struct lug_fleet *fleet);
 double lug_fleet_openness(struct lug_fleet_worker *worker, const struct lug_interference *model);
 const struct lug_interference *lug_fleet_interference(const struct lug_fleet *fleet);
+struct lug_estimates *lug_fleet_estimates(const struct lug_fleet *fleet);
 gboolean lug_fleet_is_live(const struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_room(const struct lug_fleet_worker *worker, struct lug_resources *out);
 void lug_fleet_claim(struct lug_fleet_worker *worker, const struct lug_resources *size);
--- a/liblug/workflow/fleet_priv.h
+++ b/liblug/workflow/fleet_priv.h
@@ -21,6 +21,7 @@
  * @partitions: clients for the partitions with the workers' leases, by name of the agent
  * @interference: average of what the agents report
  * @next_average_us: earliest time of the next averaging
+ * @estimates: run times learned by the owners of this process
  */
 struct lug_fleet {
 	struct lug_ctx *ctx;
@@ -31,6 +32,7 @@
 	GHashTable *partitions;
 	struct lug_interference *interference;
 	gint64 next_average_us;
+	struct lug_estimates *estimates;
 };
 
 gint64 fleet_unlisted_us(const struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -4,6 +4,8 @@
 
 /* A start that the worker's agent has not received this long after it was sent is resent. */
 #define START_RESEND_US (700 * 1000)
+/* Below this share a run has been throttled, so that its run time is not learned. */
+#define UNTHROTTLED_PERCENT 95
 /* A long-running task that has run for this long is no longer suspected of earlier crashes. */
 #define CRASH_FORGET_US (10 * G_USEC_PER_SEC)
 
@@ -150,6 +152,8 @@
 		shard_confirm_reservation(shard, task, &job->workflow->steps[id->step]);
 		task->progress_percent = held->percent;
 		task->metric = held->figure;
+		if (held->has_share && held->share < UNTHROTTLED_PERCENT)
+			task->timed_since_us = 0;
 		/* A run that has lasted is not the cause of earlier crashes. */
 		if (job->workflow->steps[id->step].long_running && task->start_seq &&
 		    check->now_us - task->start_sent_us > CRASH_FORGET_US)
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -73,6 +73,7 @@
 	task->confirmed = FALSE;
 	task->begun = FALSE;
 	task->start_seq = 0;
+	task->timed_since_us = 0;
 	task->progress_percent = 0;
 	task->slow_since_us = 0;
 	task->relocating = FALSE;
@@ -205,6 +206,8 @@
 	} else {
 		job->was_confirmed = TRUE;
 	}
+	if (outcome == LUG_RUN_DONE)
+		shard_learn_run_time(shard, job, task, id, now_us);
 	if (task->state == SHARD_TASK_CLAIMED)
 		shard_release_claim(shard, job, task, step);
 	if (worker && outcome == LUG_RUN_DONE)
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -44,6 +44,7 @@
 	lug_run_to_wire(id, &run);
 	task->start_seq = ++shard->last_start_seq;
 	task->start_sent_us = now_us;
+	task->timed_since_us = task->checkpoint ? 0 : now_us;
 	start.has_shard = 1;
 	start.shard = shard->number;
 	start.has_epoch = 1;
@@ -69,6 +70,8 @@
 	start.priority = job->priority;
 	start.has_isolate = lug_crash_is_suspect(&task->crash);
 	start.isolate = start.has_isolate;
+	start.has_expected_ms = 1;
+	start.expected_ms = shard_expected_ms(shard, job, step);
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
 }
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -9,9 +9,10 @@
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_inbox.c (jobs and
  * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
- * (placement and starts), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison
- * of claims with heartbeats, lost runs), shard_ack.c (acknowledgements of ends), shard_report.c
- * (log of what is overdue) and shard_commit.c (transactions).
+ * (placement and starts), shard_estimate.c (expected run times), shard_outcome.c (ended runs and
+ * refused starts), shard_beat.c (comparison of claims with heartbeats, lost runs), shard_ack.c
+ * (acknowledgements of ends), shard_report.c (log of what is overdue) and shard_commit.c
+ * (transactions).
  */
 
 /*
@@ -59,6 +60,8 @@
  * @start_seq: sequence number of the start message in this shard epoch, 0 when not sent
  * @claim_revision: job revision that contains the claim; the start is sent once it is committed
  * @start_sent_us: when the start was last sent
+ * @timed_since_us: the same; 0 when the run time says nothing about other runs: it resumes from a
+ *                  checkpoint, was throttled or was started by an earlier owner
  * @confirmed: the worker's agent reserves resources for the run
  * @begun: the worker has confirmed the start
  * @failed_on: worker of the latest failed run, interned, NULL for none
@@ -88,6 +91,7 @@
 	guint64 start_seq;
 	guint64 claim_revision;
 	gint64 start_sent_us;
+	gint64 timed_since_us;
 	gboolean confirmed;
 	gboolean begun;
 	const char *failed_on;
@@ -362,6 +366,11 @@
 void shard_inbox_tick(struct lug_shard *shard, gint64 now_us);
 void shard_reset_state(struct lug_shard *shard);
 
+gint64 shard_expected_ms(const struct lug_shard *shard, const struct shard_job *job,
+			 const struct lug_step *step);
+void shard_learn_run_time(struct lug_shard *shard, const struct shard_job *job,
+			  const struct shard_task *task, const struct lug_run_id *id,
+			  gint64 now_us);
 void shard_relocate_if_slow(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			    const struct lug_run_id *id, guint32 share_percent, gint64 now_us);
 void shard_begin_due_occurrences(struct lug_shard *shard, gint64 now_us);
