--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -10,6 +10,8 @@
  * store_*: calls of this process's client of the table service
  * tasks_finished: at an agent, successful attempts; at a queue agent, all attempts that ended
  * tasks_throttled: calls to the worker that lower or raise the share of its tasks
+ * reservations_*, tasks_backfilled: of room for a waiting task, at the agent that keeps it;
+ *	reservations_expired counts those that lapsed too
  * denied: calls answered 401, without a valid token
  * strangers: internal connections refused because their key is unknown
  */
@@ -46,6 +48,10 @@
 	X(TASKS_GIVEN_UP, "tasks_given_up", "Tasks given up because they crash workers")  \
 	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
 	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
+	X(RESERVATIONS_GRANTED, "reservations_granted", "Reservations of room granted")   \
+	X(RESERVATIONS_USED, "reservations_used", "Reservations used by their task")      \
+	X(RESERVATIONS_EXPIRED, "reservations_expired", "Reservations ended unused")      \
+	X(TASKS_BACKFILLED, "tasks_backfilled", "Starts in room reserved for later")      \
 	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")     \
 	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                   \
 	X(LEASES_LOST, "leases_lost", "Leases found held by another")                     \
@@ -70,12 +76,14 @@
 	X(STORE_UP, "store_up", "1 while the table service answers")                    \
 	X(DRAINING, "draining", "1 while leaving")
 
-#define LUG_HISTOGRAMS(X)                                                       \
-	X(REQUEST_US, "request_us", "Whole time of a request, microseconds")    \
-	X(BACKEND_US, "backend_us", "Time of the backend server, microseconds") \
-	X(QUEUE_US, "queue_us", "Wait for a slot, microseconds")                \
-	X(TXN_US, "txn_us", "Time of a transaction, microseconds")              \
-	X(TASK_WAIT_US, "task_wait_us", "Wait of a batch task for its start, microseconds")
+#define LUG_HISTOGRAMS(X)                                                                    \
+	X(REQUEST_US, "request_us", "Whole time of a request, microseconds")                 \
+	X(BACKEND_US, "backend_us", "Time of the backend server, microseconds")              \
+	X(QUEUE_US, "queue_us", "Wait for a slot, microseconds")                             \
+	X(TXN_US, "txn_us", "Time of a transaction, microseconds")                           \
+	X(TASK_WAIT_US, "task_wait_us", "Wait of a batch task for its start, microseconds")  \
+	X(WAIT_SMALL_US, "task_wait_small_us", "Wait for room, below 2 cores, microseconds") \
+	X(WAIT_LARGE_US, "task_wait_large_us", "Wait for room, of 2 cores or more, microseconds")
 
 #define X(id, name, help) LUG_C_##id,
 enum lug_counter { LUG_COUNTERS(X) LUG_COUNTER_COUNT };
--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -97,6 +97,7 @@
 	struct lug_heartbeat_target target = {
 		.generation = lug_dial_generation(peer->dial),
 		.n_sent = peer->n_beats,
+		.forecast_wanted = peer->forecast_wanted,
 		.is_owner = is_owned_by_target,
 		.send = send_to_target,
 		.data = &receiver,
@@ -169,6 +170,8 @@
 	ack.interference_interval = interference_interval(agent);
 	ack.has_stalled = 1;
 	ack.stalled = lug_shards_is_stalled(agent->shards, now_us);
+	ack.has_forecast_wanted = lug_fleet_wants_forecast(agent->fleet, now_us);
+	ack.forecast_wanted = ack.has_forecast_wanted;
 	lug_link_send(agent->link, route, &env);
 	g_free(owned);
 	g_free(owned_ptrs);
@@ -210,6 +213,7 @@
 	if (!peer)
 		return;
 	peer->stalled = ack->stalled;
+	peer->forecast_wanted = ack->forecast_wanted;
 	lug_executor_merge_interference(agent->executor, ack);
 	for (gsize i = 0; i < ack->n_owned; i++) {
 		const Lug__ShardOwner *owner = ack->owned[i];
@@ -255,6 +259,9 @@
 	case LUG__ENVELOPE__BODY_RUN_STOP:
 		lug_executor_on_stop(agent->executor, env->run_stop, now_us);
 		return;
+	case LUG__ENVELOPE__BODY_RUN_RESERVE:
+		lug_executor_on_reserve(agent->executor, env->run_reserve, now_us);
+		return;
 	case LUG__ENVELOPE__BODY_RUN_END_ACK:
 		lug_executor_ack_end(agent->executor, env->run_end_ack);
 		return;
@@ -263,6 +270,13 @@
 		if (shard)
 			lug_shard_on_start_answer(shard, env->from, env->run_answer, now_us);
 		return;
+	case LUG__ENVELOPE__BODY_RUN_RESERVE_ANSWER:
+		shard = lug_shards_find_active(agent->shards, env->run_reserve_answer->shard);
+		if (!shard)
+			return;
+		lug_shard_on_reserve_answer(shard, env->from, env->run_reserve_answer, now_us);
+		lug_shard_wake(shard);
+		return;
 	case LUG__ENVELOPE__BODY_RUN_END:
 		shard = lug_shards_find_active(agent->shards, env->run_end->shard);
 		if (shard)
--- a/liblug/member/peers.h
+++ b/liblug/member/peers.h
@@ -25,6 +25,7 @@
  * @first_unanswered_us: time of the first heartbeat since the last message from it, 0 if none
  * @send_failing_since_us: time since which heartbeats can't be sent, 0 if they can
  * @last_added_us: time at which lug_peers_add() was last called for it
+ * @forecast_wanted: it asks for forecasts of room in heartbeats
  * @stalled: it reports that no commit to one of its shards has succeeded recently
  */
 struct lug_peer {
@@ -41,6 +42,7 @@
 	gint64 first_unanswered_us;
 	gint64 send_failing_since_us;
 	gint64 last_added_us;
+	gboolean forecast_wanted;
 	gboolean stalled;
 };
 
--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -61,6 +61,7 @@
 	exec->settled_id = g_strdup("");
 	exec->n_shards = n_shards;
 	exec->interference = lug_interference_new();
+	exec->reserve = exec_reserve_new();
 	exec->task_shares = g_array_new(FALSE, FALSE, sizeof(struct exec_task_shares));
 	exec->owners = g_new0(struct exec_owner, n_shards);
 	exec->send = send;
@@ -99,6 +100,7 @@
 	g_free(exec->worker_id);
 	g_free(exec->settled_id);
 	lug_interference_free(exec->interference);
+	exec_reserve_free(exec->reserve);
 	g_array_unref(exec->task_shares);
 	g_free(exec->owners);
 	g_free(exec);
@@ -377,5 +379,6 @@
 	exec_retry_stops(exec, now_us);
 	exec_drop_expired(exec, now_us);
 	exec_stop_outlasting_runs(exec, now_us);
+	exec_reserve_step(exec, now_us);
 	lug_gauge(exec->ctx, TASKS_RUNNING, exec->runs->len);
 }
--- a/liblug/workflow/executor.h
+++ b/liblug/workflow/executor.h
@@ -24,6 +24,7 @@
  * struct lug_heartbeat_target - a process that owns shards, and gets heartbeats
  * @generation: generation of the connection to it
  * @n_sent: heartbeats sent to it before
+ * @forecast_wanted: a task of its shards waits for room
  * @is_owner: returns whether it owns a shard
  * @send: sends a heartbeat to it; FALSE when it was not sent
  * @data: passed to @is_owner and @send
@@ -31,6 +32,7 @@
 struct lug_heartbeat_target {
 	guint32 generation;
 	guint64 n_sent;
+	gboolean forecast_wanted;
 	gboolean (*is_owner)(void *data, guint32 shard);
 	gboolean (*send)(void *data, Lug__Envelope *env);
 	void *data;
@@ -48,6 +50,8 @@
 void lug_executor_on_start(struct lug_executor *executor, const Lug__RunStart *start,
 			   gint64 now_us);
 void lug_executor_on_stop(struct lug_executor *executor, const Lug__RunStop *stop, gint64 now_us);
+void lug_executor_on_reserve(struct lug_executor *executor, const Lug__RunReserve *message,
+			     gint64 now_us);
 void lug_executor_ack_end(struct lug_executor *executor, const Lug__RunEndAck *ack);
 void lug_executor_merge_interference(struct lug_executor *executor, const Lug__WorkerBeatAck *ack);
 gboolean lug_executor_send_heartbeat(struct lug_executor *executor,
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -43,6 +43,7 @@
 	if (!run) {
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
+		run->resumed = TRUE;
 		run->start_sent_us = now_us;
 		run->confirmed_poll = exec->n_polls;
 	}
@@ -75,6 +76,8 @@
 	if (item->number <= exec->last_end_number)
 		return;
 	exec->last_end_number = item->number;
+	if (run && item->outcome == LUG_RUN_DONE)
+		exec_reserve_learn(exec, run, now_us);
 	if (run)
 		exec_remove_run(exec, run);
 	end = exec_add_end(exec, &item->id, item->outcome, item->checkpoint);
@@ -159,6 +162,7 @@
 	if (complete)
 		drop_unlisted(exec, now_us);
 	exec_throttle(exec, now_us);
+	exec_reserve_step(exec, now_us);
 }
 
 /* Whether the worker's side has refused or closed the connection of the poll. */
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -1,6 +1,7 @@
 #ifndef LUG_WORKFLOW_EXECUTOR_PRIV_H
 #define LUG_WORKFLOW_EXECUTOR_PRIV_H
 
+#include "schedule/forecast.h"
 #include "workflow/executor.h"
 #include "workflow/interference.h"
 
@@ -9,7 +10,8 @@
  * heartbeats of the worker), executor_lease.c (the worker's lease), executor_outstanding.c (calls
  * that the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
  * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
- * executor_run.c (starts and stops), executor_report.c (messages to owners) and executor_log.c (log
+ * executor_run.c (starts and stops), executor_report.c (messages to owners), executor_reserve.c
+ * (reservation of room for a waiting task) and executor_log.c (log
  * lines of calls and runs).
  */
 
@@ -72,6 +74,9 @@
  * @best_effort_millicores: millicores that it can use
  * @image: image, interned
  * @target_ms: target tail latency, 0 for a task that does not serve
+ * @expected_ms: expected run time at full speed in ms, 0 for not known
+ * @resumed: it resumes from a checkpoint or was started by an earlier process of the agent, so that
+ *           its progress does not show its speed
  * @applied_percent: share last confirmed by a throttle, in percent
  * @throttle_in_flight: a throttle is in flight
  * @share: planned share, 0 to 1
@@ -115,6 +120,8 @@
 	gint64 best_effort_millicores;
 	const char *image;
 	guint32 target_ms;
+	gint64 expected_ms;
+	gboolean resumed;
 	guint32 applied_percent;
 	gboolean throttle_in_flight;
 	double share;
@@ -288,6 +295,7 @@
  * @shares_recorded: @task_shares has been updated since @last_sample_us
  * @shares_updated_us: last update of @task_shares
  * @last_sample_us: time of the latest sample
+ * @reserve: reservation of room for a waiting task
  */
 struct lug_executor {
 	struct lug_ctx *ctx;
@@ -369,6 +377,23 @@
 	gboolean shares_recorded;
 	gint64 shares_updated_us;
 	gint64 last_sample_us;
+	struct exec_reserve *reserve;
+};
+
+/**
+ * struct exec_beat_lookahead - what the look-ahead members of one heartbeat message point to
+ * @reservation: reservation in force
+ * @reserved: its size
+ * @forecast: room at later times
+ * @forecast_ptrs: pointers to @forecast
+ * @rooms: resources of @forecast
+ */
+struct exec_beat_lookahead {
+	Lug__RoomReservation reservation;
+	Lug__Resources reserved;
+	Lug__RoomForecast forecast[LUG_FORECAST_POINTS_MAX];
+	Lug__RoomForecast *forecast_ptrs[LUG_FORECAST_POINTS_MAX];
+	Lug__Resources rooms[LUG_FORECAST_POINTS_MAX];
 };
 
 void exec_on_lease_event(void *data, enum lug_writer_event event);
@@ -434,5 +459,13 @@
 void exec_replan_shares(struct lug_executor *exec, struct exec_run *run);
 void exec_throttle(struct lug_executor *exec, gint64 now_us);
 void exec_report_end(struct lug_executor *exec, struct exec_end *end, gint64 now_us);
+struct exec_reserve *exec_reserve_new(void);
+void exec_reserve_free(struct exec_reserve *reserve);
+void exec_reserve_step(struct lug_executor *exec, gint64 now_us);
+gboolean exec_reserve_admits(struct lug_executor *exec, const struct lug_run_id *id,
+			     const Lug__RunStart *start, gint64 now_us);
+void exec_reserve_learn(struct lug_executor *exec, const struct exec_run *run, gint64 now_us);
+void exec_reserve_fill(const struct lug_executor *exec, Lug__WorkerBeat *beat,
+		       gboolean forecast_wanted, struct exec_beat_lookahead *out, gint64 now_us);
 
 #endif
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -339,6 +339,7 @@
 	GArray *servings = exec_serving_tasks(exec, now_us);
 	GArray *pairs = lug_interference_pairs(exec->interference);
 	Lug__WorkerBeat beat = LUG__WORKER_BEAT__INIT;
+	struct exec_beat_lookahead lookahead;
 	struct lug_resources used;
 	Lug__Resources used_wire;
 	Lug__Resources capacity_wire;
@@ -363,6 +364,7 @@
 	}
 	beat.shards = buffers.shard_ptrs;
 	fill_interference(exec, &beat, target, servings, pairs, &buffers);
+	exec_reserve_fill(exec, &beat, target->forecast_wanted, &lookahead, now_us);
 	sent = target->send(target->data, &env);
 	for (guint i = 0; i < beat.n_shards; i++)
 		g_free(buffers.shards[i].held);
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -189,6 +189,7 @@
 	run->best_effort_millicores = start->fill_millicores;
 	run->image = g_intern_string(start->image ? start->image : "");
 	run->target_ms = start->target_ms;
+	run->expected_ms = start->expected_ms;
 }
 
 static void apply_attributes(struct lug_executor *exec, const struct lug_run_id *id,
@@ -292,10 +293,15 @@
 		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
+	if (!exec_reserve_admits(exec, &id, start, now_us)) {
+		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
+		return;
+	}
 	run = exec_add_run(exec, &id, EXEC_STARTING);
 	set_attributes(run, start);
 	run->spec = g_strdup(start->spec ? start->spec : "");
 	run->checkpoint = g_strdup(start->checkpoint ? start->checkpoint : "");
+	run->resumed = *run->checkpoint != '\0';
 	run->isolated = start->isolate;
 	run->start_sent_us = now_us;
 	send_start(exec, run);
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -52,6 +52,7 @@
 	fleet->hooks = *hooks;
 	fleet->interference = lug_interference_new();
 	fleet->estimates = lug_estimates_new();
+	fleet->pools = g_array_new(FALSE, TRUE, sizeof(struct lug_fleet_pool));
 	fleet->list = g_ptr_array_new_with_free_func(worker_free);
 	fleet->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->partitions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, partition_free);
@@ -68,6 +69,7 @@
 		return;
 	lug_interference_free(fleet->interference);
 	lug_estimates_free(fleet->estimates);
+	g_array_unref(fleet->pools);
 	g_hash_table_unref(fleet->partitions);
 	g_hash_table_unref(fleet->by_name);
 	g_ptr_array_unref(fleet->list);
@@ -402,6 +404,7 @@
 	worker->spare_millicores = beat->spare_millicores;
 	worker->refused_best_effort = FALSE;
 	worker->reported_failures = beat->failing;
+	fleet_apply_lookahead(fleet, worker, beat, now_us);
 	return worker;
 }
 
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -4,6 +4,7 @@
 #include "core/context.h"
 #include "core/resources.h"
 #include "schedule/estimate.h"
+#include "schedule/reservation.h"
 #include "workflow/interference.h"
 #include "workflow/workflow.h"
 #include "store/store.h"
@@ -29,6 +30,42 @@
 			     (worker)->unconfirmed, struct lug_fleet_unconfirmed, task##_i); \
 		     task && task->best_effort; task = NULL)
 
+/**
+ * struct lug_fleet_reservation - room that a worker's agent keeps for a waiting task
+ * @held: there is one; the other members are valid
+ * @shard: shard of the task
+ * @holder: see lug_reservation_holder(), 0 for a task of another process
+ * @size: reserved resources
+ * @ready_us: when the room is expected to be free
+ * @backfill: runs that end before that may still start
+ */
+struct lug_fleet_reservation {
+	gboolean held;
+	guint32 shard;
+	guint64 holder;
+	struct lug_resources size;
+	gint64 ready_us;
+	gboolean backfill;
+};
+
+/**
+ * struct lug_fleet_pool - the workers of one service that take starts
+ * @service: service
+ * @summed_us: when the members below were computed
+ * @n_workers: number of workers
+ * @free_millicores: their free thousandths of a core
+ * @capacity_millicores: all of their thousandths of a core
+ * @scarce: see lug_pack_is_scarce()
+ */
+struct lug_fleet_pool {
+	char service[LUG_NAME_MAX + 1];
+	gint64 summed_us;
+	guint n_workers;
+	gint64 free_millicores;
+	gint64 capacity_millicores;
+	gboolean scarce;
+};
+
 /**
  * struct lug_fleet_worker - a worker as its agent's heartbeats describe it
  * @name: name of its agent
@@ -69,6 +106,12 @@
  * @inherited_since_us: time since which the row has had that version, at least
  * @next_lease_check_us: earliest time to check whether a list is awaited, and read the row if so
  * @lease_call_in_flight: a read or a write of the row is in flight
+ * @reservation: room kept for a waiting task
+ * @forecast: room at later times, of the last heartbeat, in order of time
+ * @n_forecast: number of @forecast
+ * @reserve_after_us: no reservation is asked for before this time
+ * @refused_millicores: the agent has refused a task of this size, for which room is known there,
+ *                      since its last heartbeat; 0 for none
  */
 struct lug_fleet_worker {
 	char name[LUG_NAME_MAX + 1];
@@ -106,6 +149,11 @@
 	gint64 inherited_since_us;
 	gint64 next_lease_check_us;
 	gboolean lease_call_in_flight;
+	struct lug_fleet_reservation reservation;
+	struct lug_forecast_point forecast[LUG_FORECAST_POINTS_MAX];
+	guint n_forecast;
+	gint64 reserve_after_us;
+	gint64 refused_millicores;
 };
 
 /**
@@ -144,6 +192,13 @@
 struct lug_estimates *lug_fleet_estimates(const struct lug_fleet *fleet);
 gboolean lug_fleet_is_live(const struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_room(const struct lug_fleet_worker *worker, struct lug_resources *out);
+void lug_fleet_room_for(const struct lug_fleet_worker *worker, guint64 holder, gint64 promised_ms,
+			gint64 now_us, struct lug_resources *out);
+const struct lug_fleet_pool *lug_fleet_sum_pool(struct lug_fleet *fleet, const char *service,
+						gint64 now_us);
+void lug_fleet_want_forecast(struct lug_fleet *fleet, gint64 now_us);
+gboolean lug_fleet_wants_forecast(const struct lug_fleet *fleet, gint64 now_us);
+guint lug_fleet_count_reservation(struct lug_fleet *fleet, gint change);
 void lug_fleet_claim(struct lug_fleet_worker *worker, const struct lug_resources *size);
 void lug_fleet_confirm(struct lug_fleet_worker *worker, const struct lug_resources *size);
 void lug_fleet_release(struct lug_fleet_worker *worker, const struct lug_resources *size,
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -1,4 +1,5 @@
 #include "workflow/placement.h"
+#include "schedule/pack.h"
 
 #include <string.h>
 
@@ -43,16 +44,15 @@
 }
 
 /**
- * lug_placement_is_eligible - check whether a worker may run a task now
+ * lug_placement_is_suitable - check whether a worker may run a task once it has room
  * @request: task
  * @worker: worker
  * @now_us: current time
  */
-gboolean lug_placement_is_eligible(const struct lug_placement_request *request,
+gboolean lug_placement_is_suitable(const struct lug_placement_request *request,
 				   const struct lug_fleet_worker *worker, gint64 now_us)
 {
 	const struct lug_step *step = request->step;
-	struct lug_resources room;
 
 	if (!worker->ready || worker->draining || !lug_fleet_is_live(worker, now_us) ||
 	    now_us < worker->avoid_until_us || strcmp(worker->service, request->service) != 0)
@@ -64,13 +64,35 @@
 		return FALSE;
 	if (*step->label && !has_label(worker, step->label))
 		return FALSE;
-	lug_fleet_room(worker, &room);
-	if (!lug_resources_fit(&request->size, &room))
-		return FALSE;
 	return !step->max_per_worker ||
 	       request->count_on_worker(request->data, worker->name) < step->max_per_worker;
 }
 
+static gboolean has_room(const struct lug_placement_request *request,
+			 const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	struct lug_resources room;
+
+	if (worker->refused_millicores && request->size.millicores >= worker->refused_millicores &&
+	    worker->reservation.holder != request->holder)
+		return FALSE;
+	lug_fleet_room_for(worker, request->holder, request->promised_ms, now_us, &room);
+	return lug_resources_fit(&request->size, &room);
+}
+
+/**
+ * lug_placement_is_eligible - check whether a worker may run a task now
+ * @request: task
+ * @worker: worker
+ * @now_us: current time
+ */
+gboolean lug_placement_is_eligible(const struct lug_placement_request *request,
+				   const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	return has_room(request, worker, now_us) &&
+	       lug_placement_is_suitable(request, worker, now_us);
+}
+
 /*
  * Rank of a worker for serving tasks of an image, the same for all owners (rendezvous hashing), so
  * that owners which place at the same time agree on the next empty worker.
@@ -235,7 +257,8 @@
 			IMAGE_RANK_WEIGHT * image_rank(image, worker->name) + SCORE_OFFSET;
 	} else {
 		lug_fleet_room(worker, &room);
-		score = (double)room.millicores / (double)MAX(worker->capacity.millicores, 1) +
+		score = lug_pack_score(room.millicores, worker->capacity.millicores,
+				       request->pack) +
 			SCORE_OFFSET;
 	}
 	if (request->isolate)
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -14,6 +14,9 @@
  * full speed
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
  * @isolate: the task is suspected to crash its workers
+ * @holder: see lug_reservation_holder(), 0 without look-ahead placement
+ * @promised_ms: time within which its run will almost surely end, in ms, 0 for not known
+ * @pack: prefer the fullest worker, so that large gaps stay whole
  * @job: id of its job
  * @count_on_worker: counts the tasks of the same step and occurrence on a worker
  * @data: passed to @count_on_worker
@@ -26,11 +29,16 @@
 	double min_speed;
 	const char *excluded_worker;
 	gboolean isolate;
+	guint64 holder;
+	gint64 promised_ms;
+	gboolean pack;
 	const char *job;
 	guint32 (*count_on_worker)(void *data, const char *worker);
 	void *data;
 };
 
+gboolean lug_placement_is_suitable(const struct lug_placement_request *request,
+				   const struct lug_fleet_worker *worker, gint64 now_us);
 gboolean lug_placement_is_eligible(const struct lug_placement_request *request,
 				   const struct lug_fleet_worker *worker, gint64 now_us);
 struct lug_fleet_worker *lug_placement_choose(GPtrArray *workers,
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -319,6 +319,7 @@
 	shard->claims = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	shard->placement_order = g_ptr_array_new();
 	shard->obsolete_ends = g_array_new(FALSE, FALSE, sizeof(struct shard_obsolete_end));
+	shard->reserves = shard_reserves_new();
 	shard->ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return shard;
 }
@@ -356,6 +357,7 @@
 	g_ptr_array_unref(order);
 	g_hash_table_remove_all(shard->claims);
 	g_array_set_size(shard->obsolete_ends, 0);
+	shard_reserve_reset(shard);
 	shard->load_phase = SHARD_LOAD_NONE;
 	shard->scanning = FALSE;
 	shard->reading_inbox = FALSE;
@@ -394,6 +396,7 @@
 	g_hash_table_unref(shard->claims);
 	g_hash_table_unref(shard->ended_jobs);
 	g_array_unref(shard->obsolete_ends);
+	g_array_unref(shard->reserves);
 	g_ptr_array_unref(shard->placement_order);
 	g_free(shard);
 }
--- a/liblug/workflow/shard.h
+++ b/liblug/workflow/shard.h
@@ -97,6 +97,8 @@
 
 void lug_shard_on_start_answer(struct lug_shard *shard, const char *worker,
 			       const Lug__RunAnswer *answer, gint64 now_us);
+void lug_shard_on_reserve_answer(struct lug_shard *shard, const char *worker_name,
+				 const Lug__RunReserveAnswer *answer, gint64 now_us);
 void lug_shard_on_run_end(struct lug_shard *shard, const struct lug_route *route,
 			  const char *worker, const Lug__RunEnd *end, gint64 now_us);
 void lug_shard_on_beat(struct lug_shard *shard, struct lug_fleet_worker *worker,
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -111,6 +111,8 @@
 	start.fills = step->best_effort;
 	start.has_target_ms = 1;
 	start.target_ms = (guint32)step->target_ms;
+	start.has_expected_ms = 1;
+	start.expected_ms = shard_expected_ms(shard, job, step);
 	start.has_size_only = 1;
 	start.size_only = 1;
 	lug_link_send(shard->shared.link, route, &env);
@@ -219,6 +221,7 @@
 		return;
 	if (claims)
 		shard_note_list(shard, worker->name, claims, now_us);
+	shard_reserve_on_beat(shard, worker, now_us);
 	check.runs = index_held(held);
 	for_each_claim(shard, worker->name, check_claim, &check);
 	g_hash_table_unref(check.runs);
--- a/liblug/workflow/shard_estimate.c
+++ b/liblug/workflow/shard_estimate.c
@@ -2,6 +2,8 @@
 
 /* The step comes first, so that a long name doesn't hide it. */
 #define ESTIMATE_KEY_SIZE 256
+/* A promise exceeds the expected run time by one part in so many, as the agent's does at least. */
+#define PROMISE_MARGIN_DIVISOR 4
 
 static void estimate_key(const struct shard_job *job, const struct lug_step *step,
 			 char key[ESTIMATE_KEY_SIZE])
@@ -10,6 +12,18 @@
 		   job->workflow->queue, step->image);
 }
 
+static gint64 estimate_ms(const struct lug_shard *shard, const struct shard_job *job,
+			  const struct lug_step *step, double quantile)
+{
+	char key[ESTIMATE_KEY_SIZE];
+
+	if (step->long_running)
+		return 0;
+	estimate_key(job, step, key);
+	return lug_estimates_ms(lug_fleet_estimates(shard->shared.fleet), key, step->declared_ms,
+				quantile);
+}
+
 /**
  * shard_expected_ms - expected run time of a task at full speed
  * @shard: shard
@@ -22,13 +36,24 @@
 gint64 shard_expected_ms(const struct lug_shard *shard, const struct shard_job *job,
 			 const struct lug_step *step)
 {
-	char key[ESTIMATE_KEY_SIZE];
+	return estimate_ms(shard, job, step, LUG_ESTIMATES_EXPECTED);
+}
 
-	if (step->long_running)
-		return 0;
-	estimate_key(job, step, key);
-	return lug_estimates_ms(lug_fleet_estimates(shard->shared.fleet), key, step->declared_ms,
-				LUG_ESTIMATES_EXPECTED);
+/**
+ * shard_promised_ms - time within which a task at full speed will almost surely end
+ * @shard: shard
+ * @job: job
+ * @step: one of its steps
+ *
+ * Return: ms; 0 as for shard_expected_ms().
+ */
+gint64 shard_promised_ms(const struct lug_shard *shard, const struct shard_job *job,
+			 const struct lug_step *step)
+{
+	gint64 expected_ms = shard_expected_ms(shard, job, step);
+
+	return MAX(estimate_ms(shard, job, step, LUG_ESTIMATES_PROMISED),
+		   expected_ms + expected_ms / PROMISE_MARGIN_DIVISOR);
 }
 
 /**
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -85,6 +85,7 @@
 void shard_mark_begun(struct shard_job *job, struct shard_task *task)
 {
 	task->begun = TRUE;
+	task->blocked_since_us = 0;
 	job->was_confirmed = TRUE;
 }
 
@@ -364,4 +365,6 @@
 		lug_resources_from_wire(answer->used, &used);
 		lug_fleet_set_used(fleet_worker, &used);
 	}
+	if (fleet_worker && answer->status == LUG_OVER_LIMIT)
+		shard_reserve_refused(shard, job, &id, fleet_worker, now_us);
 }
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -252,6 +252,7 @@
 		       struct lug_fleet_worker *worker, const struct lug_placement_request *request,
 		       gint64 now_us)
 {
+	shard_reserve_claimed(shard, task, worker, request, now_us);
 	task->state = SHARD_TASK_CLAIMED;
 	task->run++;
 	task->worker = g_intern_string(worker->name);
@@ -346,6 +347,7 @@
 						.data = &count};
 
 	shard_step_size(request.step, &request.size);
+	shard_reserve_fill_request(shard, job, occ->number, &request, now_us);
 	for (guint32 i = job->first_task[s];
 	     i < job->first_task[s + 1] && *claims_left && has_room_for_claim(shard, job); i++) {
 		struct shard_task *task = &occ->tasks[i];
@@ -358,8 +360,10 @@
 		worker = choose_worker(shard, &request, now_us);
 		if (!worker && request.isolate)
 			continue;
-		if (!worker)
+		if (!worker) {
+			shard_reserve_blocked(shard, job, occ, i, &request, now_us);
 			return;
+		}
 		claim_task(shard, job, task, worker, &request, now_us);
 		if (request.isolate)
 			lug_fleet_isolate(worker, job->workflow->id, now_us);
@@ -396,6 +400,7 @@
 {
 	guint claims_left = CLAIMS_PER_PASS;
 
+	shard_reserve_check(shard, now_us);
 	if (shard->jobs_in_flight)
 		return;
 	sort_jobs(shard, now_us);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -3,13 +3,15 @@
 
 #include "colocate/crash.h"
 #include "core/list.h"
+#include "workflow/placement.h"
 #include "workflow/shard.h"
 
 /*
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_inbox.c (jobs and
  * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
- * (placement and starts), shard_estimate.c (expected run times), shard_outcome.c (ended runs and
+ * (placement and starts), shard_estimate.c (expected run times), shard_reserve.c
+ * (reservations for waiting tasks), shard_outcome.c (ended runs and
  * refused starts), shard_beat.c (comparison of claims with heartbeats, lost runs), shard_ack.c
  * (acknowledgements of ends), shard_report.c (log of what is overdue) and shard_commit.c
  * (transactions).
@@ -68,6 +70,7 @@
  * @checkpoint: checkpoint to resume from, NULL for none
  * @not_before_us: earliest time of the next claim
  * @waiting_since_us: when a long-running task was last seen to begin waiting, 0 while it is claimed
+ * @blocked_since_us: time since which no worker has had room for the task, 0 once it runs
  * @delay_logged: the present delay of the task was logged
  * @progress_percent: latest reported progress, in percent of the task's work
  * @metric: latest reported tail latency of a serving task in ms, millicores in use for other tasks
@@ -98,6 +101,7 @@
 	char *checkpoint;
 	gint64 not_before_us;
 	gint64 waiting_since_us;
+	gint64 blocked_since_us;
 	gboolean delay_logged;
 	guint32 progress_percent;
 	gint64 metric;
@@ -284,6 +288,9 @@
  * @generation: number of ownership changes; a struct shard_ref of an earlier one is invalid
  * @next_sweep_us: next deletion of rows of ended jobs
  * @next_report_us: next search for claims and waiting tasks to log
+ * @reserves: reservations asked for, array of struct shard_reserve
+ * @next_search_us: next search for workers to ask for reservations
+ * @searches_left: number of workers that may be searched for before that
  */
 struct lug_shard {
 	struct lug_shard_env shared;
@@ -315,6 +322,9 @@
 	guint generation;
 	gint64 next_sweep_us;
 	gint64 next_report_us;
+	GArray *reserves;
+	gint64 next_search_us;
+	guint searches_left;
 };
 
 /**
@@ -368,9 +378,28 @@
 
 gint64 shard_expected_ms(const struct lug_shard *shard, const struct shard_job *job,
 			 const struct lug_step *step);
+gint64 shard_promised_ms(const struct lug_shard *shard, const struct shard_job *job,
+			 const struct lug_step *step);
 void shard_learn_run_time(struct lug_shard *shard, const struct shard_job *job,
 			  const struct shard_task *task, const struct lug_run_id *id,
 			  gint64 now_us);
+GArray *shard_reserves_new(void);
+void shard_reserve_reset(struct lug_shard *shard);
+void shard_reserve_check(struct lug_shard *shard, gint64 now_us);
+void shard_reserve_fill_request(const struct lug_shard *shard, const struct shard_job *job,
+				guint32 occurrence, struct lug_placement_request *request,
+				gint64 now_us);
+void shard_reserve_blocked(struct lug_shard *shard, struct shard_job *job,
+			   struct shard_occurrence *occ, guint32 first,
+			   const struct lug_placement_request *request, gint64 now_us);
+void shard_reserve_claimed(struct lug_shard *shard, const struct shard_task *task,
+			   struct lug_fleet_worker *worker,
+			   const struct lug_placement_request *request, gint64 now_us);
+void shard_reserve_on_beat(struct lug_shard *shard, const struct lug_fleet_worker *worker,
+			   gint64 now_us);
+void shard_reserve_refused(struct lug_shard *shard, const struct shard_job *job,
+			   const struct lug_run_id *id, struct lug_fleet_worker *worker,
+			   gint64 now_us);
 void shard_relocate_if_slow(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			    const struct lug_run_id *id, guint32 share_percent, gint64 now_us);
 void shard_begin_due_occurrences(struct lug_shard *shard, gint64 now_us);
