--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <tuple>
 
 #include "fake_store.h"
 
@@ -85,6 +86,8 @@
 	struct lug_executor *exec = nullptr;
 	std::vector<std::pair<std::string, enum lug_status>> answers;
 	std::vector<std::string> ends;
+	/* Answers to requests for reservations: run, status and time until the room is free. */
+	std::vector<std::tuple<std::string, enum lug_status, guint32>> reserve_answers;
 	/* Number of suspected jobs by run, of the runs reported as crashed. */
 	std::map<std::string, guint32> crashed;
 	guint64 seq = 0;
@@ -114,6 +117,11 @@
 		if (env->body_case == LUG__ENVELOPE__BODY_RUN_ANSWER)
 			test->answers.emplace_back(text(env->run_answer->id),
 						   (enum lug_status)env->run_answer->status);
+		if (env->body_case == LUG__ENVELOPE__BODY_RUN_RESERVE_ANSWER)
+			test->reserve_answers.emplace_back(
+				text(env->run_reserve_answer->id),
+				(enum lug_status)env->run_reserve_answer->status,
+				env->run_reserve_answer->ready_in_ms);
 		if (env->body_case == LUG__ENVELOPE__BODY_RUN_END)
 			test->ends.push_back(text(env->run_end->id));
 		if (env->body_case == LUG__ENVELOPE__BODY_RUN_END &&
