--- a/liblug/schedule/reservation.c
+++ b/liblug/schedule/reservation.c
@@ -9,6 +9,23 @@
 	return MAX(n_workers / LUG_RESERVATION_WORKERS_EACH, 1);
 }
 
+/**
+ * lug_reservation_is_worthwhile - whether a task that waits for room is to ask for a reservation
+ * @millicores: its cores, in thousandths
+ * @usual_millicores: mean cores of the tasks of limited run time that were placed lately, 0 for not
+ *                    known
+ * @long_running: its run time is not limited
+ *
+ * When many small tasks wait, each of them fits into the next gap: they would use up the
+ * reservations that large ones need.
+ */
+gboolean lug_reservation_is_worthwhile(gint64 millicores, gint64 usual_millicores,
+				       gboolean long_running)
+{
+	return long_running || (usual_millicores > 0 &&
+				millicores >= LUG_RESERVATION_SIZE_FACTOR * usual_millicores);
+}
+
 /**
  * lug_reservation_holder - number that identifies the tasks of one step of one occurrence
  * @job: id of the job
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -71,6 +71,7 @@
  * @not_before_us: earliest time of the next claim
  * @waiting_since_us: when a long-running task was last seen to begin waiting, 0 while it is claimed
  * @blocked_since_us: time since which no worker has had room for the task, 0 once it runs
+ * @next_ask_us: earliest time to search for a worker to ask for a reservation
  * @delay_logged: the present delay of the task was logged
  * @progress_percent: latest reported progress, in percent of the task's work
  * @metric: latest reported tail latency of a serving task in ms, millicores in use for other tasks
@@ -102,6 +103,7 @@
 	gint64 not_before_us;
 	gint64 waiting_since_us;
 	gint64 blocked_since_us;
+	gint64 next_ask_us;
 	gboolean delay_logged;
 	guint32 progress_percent;
 	gint64 metric;
@@ -291,6 +293,10 @@
  * @reserves: reservations asked for, array of struct shard_reserve
  * @next_search_us: next search for workers to ask for reservations
  * @searches_left: number of workers that may be searched for before that
+ * @largest_blocked: size of the largest task that might have asked since the last of these
+ *                   searches, in thousandths of a core
+ * @ask_millicores: the same for the time before, 0 for none; smaller tasks don't ask now
+ * @usual_millicores: moving average of the sizes of placed tasks of limited run time
  */
 struct lug_shard {
 	struct lug_shard_env shared;
@@ -325,6 +331,9 @@
 	GArray *reserves;
 	gint64 next_search_us;
 	guint searches_left;
+	gint64 largest_blocked;
+	gint64 ask_millicores;
+	gint64 usual_millicores;
 };
 
 /**
--- a/liblug/workflow/shard_reserve.c
+++ b/liblug/workflow/shard_reserve.c
@@ -14,6 +14,10 @@
 #define SEARCH_INTERVAL_US (100 * 1000)
 /* Tasks of this size or more are large in the histograms of waits. */
 #define LARGE_MILLICORES 2000
+/* Weight of a claim in the moving average of sizes, as a divisor. */
+#define USUAL_DIVISOR 32
+/* A task for which no worker was found searches again after this time. */
+#define SEARCH_AGAIN_US (500 * 1000)
 
 /**
  * struct shard_reserve - a reservation that a waiting task has asked for
@@ -182,6 +186,8 @@
 		return;
 	shard->next_search_us = now_us + SEARCH_INTERVAL_US;
 	shard->searches_left = SEARCHES_MAX;
+	shard->ask_millicores = shard->largest_blocked;
+	shard->largest_blocked = 0;
 }
 
 /**
@@ -258,7 +264,7 @@
 	return shard->searches_left > 0;
 }
 
-static void ask_for_room(struct lug_shard *shard, const struct shard_task *task,
+static void ask_for_room(struct lug_shard *shard, struct shard_task *task,
 			 const struct lug_placement_request *request, gint64 now_us)
 {
 	struct shard_reserve reserve = {.holder = request->holder,
@@ -268,10 +274,16 @@
 	struct lug_fleet_worker *worker;
 
 	if (now_us - task->blocked_since_us < LUG_RESERVATION_WAIT_US ||
-	    !may_search(shard, request, now_us) || has_reserve(shard, task))
+	    now_us < task->next_ask_us || has_reserve(shard, task))
+		return;
+	/* The largest tasks ask first, as the small ones fit into the next gap. */
+	shard->largest_blocked = MAX(shard->largest_blocked, request->size.millicores);
+	if (!shard->ask_millicores || request->size.millicores < shard->ask_millicores ||
+	    !may_search(shard, request, now_us))
 		return;
 	shard->searches_left--;
 	worker = find_worker(shard, request, now_us);
+	task->next_ask_us = now_us + SEARCH_AGAIN_US;
 	if (!worker)
 		return;
 	reserve.worker = g_intern_string(worker->name);
@@ -297,17 +309,21 @@
  * @request: request for placement of the step's tasks
  * @now_us: current time
  *
- * Only tasks with reserved cores wait for room that runs free when they end.
+ * Only tasks with reserved cores wait for room that becomes free when others end.
  */
 void shard_reserve_blocked(struct lug_shard *shard, struct shard_job *job,
 			   struct shard_occurrence *occ, guint32 first,
 			   const struct lug_placement_request *request, gint64 now_us)
 {
 	guint32 step = (guint32)(request->step - job->workflow->steps);
+	gboolean worthwhile;
 
 	if (lookahead_us(shard) <= 0 || request->size.millicores <= 0)
 		return;
-	lug_fleet_want_forecast(shard->shared.fleet, now_us);
+	worthwhile = lug_reservation_is_worthwhile(
+		request->size.millicores, shard->usual_millicores, request->step->long_running);
+	if (worthwhile)
+		lug_fleet_want_forecast(shard->shared.fleet, now_us);
 	for (guint32 i = first; i < job->first_task[step + 1]; i++) {
 		struct shard_task *task = &occ->tasks[i];
 
@@ -315,7 +331,8 @@
 			continue;
 		if (!task->blocked_since_us)
 			task->blocked_since_us = now_us;
-		ask_for_room(shard, task, request, now_us);
+		if (worthwhile)
+			ask_for_room(shard, task, request, now_us);
 	}
 }
 
@@ -330,6 +347,13 @@
 		lug_observe(shard->shared.ctx, WAIT_SMALL_US, MAX(waited_us, 0));
 }
 
+static void note_usual_size(struct lug_shard *shard, gint64 millicores)
+{
+	if (!shard->usual_millicores)
+		shard->usual_millicores = millicores;
+	shard->usual_millicores += (millicores - shard->usual_millicores) / USUAL_DIVISOR;
+}
+
 /* Index of a reservation, of any worker if @worker is NULL; the number of reservations if none. */
 static guint find_reserve(const struct lug_shard *shard, guint64 holder, const char *worker)
 {
@@ -374,6 +398,8 @@
 	if (lookahead_us(shard) <= 0)
 		return;
 	observe_wait(shard, task, &request->size, now_us);
+	if (!request->step->long_running && request->size.millicores > 0)
+		note_usual_size(shard, request->size.millicores);
 	used = find_reserve(shard, request->holder, g_intern_string(worker->name));
 	if (used == shard->reserves->len)
 		return;
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -22,8 +22,11 @@
 class QueueDeployment:
     """Stand-in table service and workers, with agents and entries as real processes on loopback."""
 
-    def __init__(self, directory, build, net, workers=2, entries=1, shards=2, cpu=4000):
+    def __init__(self, directory, build, net, workers=2, entries=1, shards=2, cpu=4000,
+                 agent_settings=()):
         self.directory, self.build, self.net = str(directory), build, net
+        # Further lines of the agents' settings.
+        self.agent_settings = list(agent_settings)
         self.processes = {}
         self.shards = shards
         os.makedirs(self.directory, exist_ok=True)
@@ -68,7 +71,7 @@
         if role == "agent":
             lines += [f"control: {self.address(host, 8166)}",
                       f"worker: {{url: 'http://{self.address(host, 8165)}'}}",
-                      "lease: {worker: 6s, worker_max: 10s, queue: 8s}"]
+                      "lease: {worker: 6s, worker_max: 10s, queue: 8s}"] + self.agent_settings
         else:
             lines += [f"clients: {self.address(host, 8161)}", f"ready: {self.address(host, 8167)}",
                       "lease: {queue: 8s}"]
--- a/tests/unit/lookahead_test.cc
+++ b/tests/unit/lookahead_test.cc
@@ -345,6 +345,10 @@
 	EXPECT_FALSE(lug_pack_is_scarce(4000, 16000));
 	EXPECT_GT(lug_pack_score(8000, 16000, FALSE), lug_pack_score(1000, 16000, FALSE));
 	EXPECT_LT(lug_pack_score(8000, 16000, TRUE), lug_pack_score(1000, 16000, TRUE));
+	EXPECT_TRUE(lug_reservation_is_worthwhile(3000, 2000, TRUE));
+	EXPECT_TRUE(lug_reservation_is_worthwhile(4000, 2000, FALSE));
+	EXPECT_FALSE(lug_reservation_is_worthwhile(3000, 2000, FALSE));
+	EXPECT_FALSE(lug_reservation_is_worthwhile(3000, 0, FALSE)) << "nothing is known yet";
 	EXPECT_EQ(lug_reservation_limit(0), 1u);
 	EXPECT_EQ(lug_reservation_limit(68), 4u);
 }
--- a/tests/unit/shard_reserve_test.cc
+++ b/tests/unit/shard_reserve_test.cc
@@ -48,8 +48,19 @@
 		run_rounds();
 		EXPECT_TRUE(lug_fleet_wants_forecast(fleet, lug_now_us()));
 		EXPECT_EQ(shard->reserves->len, 0u) << "it waits for too short a time";
+		wait_to_ask();
+	}
+
+	/*
+	 * Longer than LUG_RESERVATION_WAIT_US and SEARCH_INTERVAL_US: the largest task is found in
+	 * one interval and asks in the next.
+	 */
+	void wait_to_ask()
+	{
 		g_usleep(310 * 1000);
 		run_rounds();
+		g_usleep(110 * 1000);
+		run_rounds();
 	}
 
 	void answer(const char *worker, enum lug_status status, guint32 ready_in_ms,
@@ -87,8 +98,7 @@
 	beat("w1", 4000);
 	add_stored_job("big", body("\"lasting\":1", 3000).c_str());
 	run_rounds();
-	g_usleep(310 * 1000);
-	run_rounds();
+	wait_to_ask();
 	EXPECT_EQ(shard->reserves->len, 0u);
 	EXPECT_FALSE(lug_fleet_wants_forecast(fleet, lug_now_us()));
 	EXPECT_EQ(ctx->metrics->histograms[LUG_H_WAIT_LARGE_US].count, 0u);
@@ -125,12 +135,32 @@
 	beat("w2", 5000);
 	EXPECT_EQ(shard->reserves->len, 1u) << "one for each 16 workers";
 	answer("w1", LUG_OVER_LIMIT, 0, 8000);
-	g_usleep(110 * 1000);
-	run_rounds();
+	wait_to_ask();
 	ASSERT_EQ(shard->reserves->len, 1u);
 	EXPECT_GT(lug_fleet_find(fleet, "w2")->reserve_after_us, lug_now_us());
 }
 
+/*
+ * Guards against small tasks, which wait as long in an overload, that use up the reservations. On
+ * real daemons they kept a large task waiting for 15 s.
+ */
+TEST_F(ShardReserveTest, SmallTasksLeaveTheReservationsToLargeOnes)
+{
+	ctx->settings->schedule_lookahead_ms = 2000;
+	take_shard();
+	run_rounds();
+	beat("w1", 4000, 800, /* used */ 7000);
+	add_stored_job("small", body("\"estimate_ms\":500", 500, 20).c_str());
+	add_stored_job("middle", body("\"lasting\":1", 1200).c_str());
+	add_stored_job("big", body("\"lasting\":1", 3000).c_str());
+	run_rounds();
+	ASSERT_EQ(*started, 2u) << "two of the small ones";
+	wait_to_ask();
+	ASSERT_EQ(shard->reserves->len, 1u);
+	answer("w1", LUG_OK, 500, 8000);
+	EXPECT_EQ(lug_fleet_find(fleet, "w1")->reservation.size.millicores, 3000);
+}
+
 /* Guards against reservations that outlive their job. */
 TEST_F(ShardReserveTest, CancelledJobGivesTheRoomBack)
 {
