--- a/liblug/workflow/shard_reserve.c
+++ b/liblug/workflow/shard_reserve.c
@@ -283,9 +283,10 @@
 		return;
 	shard->searches_left--;
 	worker = find_worker(shard, request, now_us);
-	task->next_ask_us = now_us + SEARCH_AGAIN_US;
-	if (!worker)
+	if (!worker) {
+		task->next_ask_us = now_us + SEARCH_AGAIN_US;
 		return;
+	}
 	reserve.worker = g_intern_string(worker->name);
 	g_strlcpy(reserve.id.job, request->job, sizeof(reserve.id.job));
 	reserve.id.occurrence = task->occurrence;
