--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -10,6 +10,8 @@
  * store_*: calls of this process's client of the table service
  * tasks_finished: at an agent, successful attempts; at a queue agent, all attempts that ended
  * tasks_throttled: calls to the worker that lower or raise the share of its tasks
+ * reservations_*, tasks_backfilled: of room for a waiting task, at the agent that keeps it;
+ *	reservations_expired counts those that lapsed too
  * denied: calls answered 401, without a valid token
  * strangers: internal connections refused because their key is unknown
  */
@@ -48,6 +50,10 @@
 	X(JOBS_REFUSED_BACKLOG, "jobs_refused_backlog", "Jobs refused by the backlog")    \
 	X(JOBS_REFUSED_SUPERSEDED, "jobs_refused_superseded", "Outdated submissions")     \
 	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
+	X(RESERVATIONS_GRANTED, "reservations_granted", "Reservations of room granted")   \
+	X(RESERVATIONS_USED, "reservations_used", "Reservations used by their task")      \
+	X(RESERVATIONS_EXPIRED, "reservations_expired", "Reservations ended unused")      \
+	X(TASKS_BACKFILLED, "tasks_backfilled", "Starts in room reserved for later")      \
 	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")     \
 	X(HALTS_NORMAL, "halts_normal", "Halts of best-effort tasks of urgency NORMAL")   \
 	X(HALTS_SLACK, "halts_slack", "Halts of best-effort tasks of urgency SLACK")      \
@@ -82,12 +88,14 @@
 	X(WORKER_SPEED, "worker_speed_permille",                                        \
 	  "Measured speed of the agent's worker, thousandths; 0 while not known")
 
-#define LUG_HISTOGRAMS(X)                                                       \
-	X(REQUEST_US, "request_us", "Whole time of a request, microseconds")    \
-	X(BACKEND_US, "backend_us", "Time of the backend server, microseconds") \
-	X(QUEUE_US, "queue_us", "Wait for a slot, microseconds")                \
-	X(TXN_US, "txn_us", "Time of a transaction, microseconds")              \
-	X(TASK_WAIT_US, "task_wait_us", "Wait of a batch task for its start, microseconds")
+#define LUG_HISTOGRAMS(X)                                                                    \
+	X(REQUEST_US, "request_us", "Whole time of a request, microseconds")                 \
+	X(BACKEND_US, "backend_us", "Time of the backend server, microseconds")              \
+	X(QUEUE_US, "queue_us", "Wait for a slot, microseconds")                             \
+	X(TXN_US, "txn_us", "Time of a transaction, microseconds")                           \
+	X(TASK_WAIT_US, "task_wait_us", "Wait of a batch task for its start, microseconds")  \
+	X(WAIT_SMALL_US, "task_wait_small_us", "Wait for room, below 2 cores, microseconds") \
+	X(WAIT_LARGE_US, "task_wait_large_us", "Wait for room, of 2 cores or more, microseconds")
 
 #define X(id, name, help) LUG_C_##id,
 enum lug_counter { LUG_COUNTERS(X) LUG_COUNTER_COUNT };
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -1,6 +1,7 @@
 #ifndef LUG_WORKFLOW_EXECUTOR_PRIV_H
 #define LUG_WORKFLOW_EXECUTOR_PRIV_H
 
+#include "schedule/forecast.h"
 #include "schedule/speed.h"
 #include "schedule/yield.h"
 #include "workflow/executor.h"
@@ -12,8 +13,8 @@
  * that the next incarnation of the worker may carry out), executor_poll.c (polls of the worker),
  * executor_restart.c (restarts of the worker), executor_throttle.c (shares of best-effort tasks),
  * executor_speed.c (speed of the worker), executor_run.c (starts and stops), executor_zone.c
- * (evacuated zones), executor_report.c (messages to owners) and executor_log.c (log lines of calls
- * and runs).
+ * (evacuated zones), executor_reserve.c (reservation of room for a waiting task),
+ * executor_report.c (messages to owners) and executor_log.c (log lines of calls and runs).
  */
 
 /* Table of the leases of workers. */
@@ -77,6 +78,8 @@
  * @target_ms: target tail latency, 0 for a task that does not serve
  * @expected_ms: expected run time of the whole task at full speed, 0 for long-running or not known
  * @progress: progress since the start of the present sample of the worker's speed
+ * @resumed: it resumes from a checkpoint or was started by an earlier process of the agent, so that
+ *           its progress does not show its speed
  * @applied_percent: share last confirmed by a throttle, in percent
  * @throttle_in_flight: a throttle is in flight
  * @share: planned share, 0 to 1
@@ -126,6 +129,7 @@
 	guint32 target_ms;
 	gint64 expected_ms;
 	struct lug_speed_task progress;
+	gboolean resumed;
 	guint32 applied_percent;
 	gboolean throttle_in_flight;
 	double share;
@@ -310,6 +314,7 @@
  * @halts_yielding: the latest sample has halted the yielding tasks
  * @speed: measured speed of the worker
  * @speed_incarnation: incarnation of the worker that it was measured on
+ * @reserve: reservation of room for a waiting task
  */
 struct lug_executor {
 	struct lug_ctx *ctx;
@@ -398,6 +403,23 @@
 	gboolean halts_yielding;
 	struct lug_speed speed;
 	guint64 speed_incarnation;
+	struct exec_reserve *reserve;
+};
+
+/**
+ * struct exec_beat_lookahead - what the look-ahead members of one heartbeat message point to
+ * @reservation: reservation in force
+ * @reserved: its size
+ * @forecast: room at later times
+ * @forecast_ptrs: pointers to @forecast
+ * @rooms: resources of @forecast
+ */
+struct exec_beat_lookahead {
+	Lug__RoomReservation reservation;
+	Lug__Resources reserved;
+	Lug__RoomForecast forecast[LUG_FORECAST_POINTS_MAX];
+	Lug__RoomForecast *forecast_ptrs[LUG_FORECAST_POINTS_MAX];
+	Lug__Resources rooms[LUG_FORECAST_POINTS_MAX];
 };
 
 void exec_on_lease_event(void *data, enum lug_writer_event event);
@@ -468,5 +490,13 @@
 void exec_throttle(struct lug_executor *exec, gint64 now_us);
 void exec_measure_speed(struct lug_executor *exec, gint64 now_us);
 void exec_report_end(struct lug_executor *exec, struct exec_end *end, gint64 now_us);
+struct exec_reserve *exec_reserve_new(void);
+void exec_reserve_free(struct exec_reserve *reserve);
+void exec_reserve_step(struct lug_executor *exec, gint64 now_us);
+gboolean exec_reserve_admits(struct lug_executor *exec, const struct lug_run_id *id,
+			     const Lug__RunStart *start, gint64 now_us);
+void exec_reserve_learn(struct lug_executor *exec, const struct exec_run *run, gint64 now_us);
+void exec_reserve_fill(const struct lug_executor *exec, Lug__WorkerBeat *beat,
+		       gboolean forecast_wanted, struct exec_beat_lookahead *out, gint64 now_us);
 
 #endif
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -310,11 +310,16 @@
 		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
 		return;
 	}
+	if (!exec_reserve_admits(exec, &id, start, now_us)) {
+		exec_answer_start(exec, start->shard, &id, LUG_OVER_LIMIT);
+		return;
+	}
 	run = exec_add_run(exec, &id, EXEC_STARTING);
 	set_attributes(run, start);
 	run->yield = yield;
 	run->spec = g_strdup(start->spec ? start->spec : "");
 	run->checkpoint = g_strdup(start->checkpoint ? start->checkpoint : "");
+	run->resumed = *run->checkpoint != '\0';
 	run->isolated = start->isolate;
 	run->start_sent_us = now_us;
 	send_start(exec, run);
--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -52,6 +52,8 @@
 	fleet->store = store;
 	fleet->hooks = *hooks;
 	fleet->interference = lug_interference_new();
+	fleet->estimates = lug_estimates_new();
+	fleet->pools = g_array_new(FALSE, TRUE, sizeof(struct lug_fleet_pool));
 	fleet->list = g_ptr_array_new_with_free_func(worker_free);
 	fleet->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->partitions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, partition_free);
@@ -67,6 +69,8 @@
 	if (!fleet)
 		return;
 	lug_interference_free(fleet->interference);
+	lug_estimates_free(fleet->estimates);
+	g_array_unref(fleet->pools);
 	g_hash_table_unref(fleet->partitions);
 	g_hash_table_unref(fleet->by_name);
 	g_ptr_array_unref(fleet->list);
@@ -292,6 +296,17 @@
 	return fleet->interference;
 }
 
+/**
+ * lug_fleet_estimates - run times learned by the owners in this process
+ * @fleet: fleet
+ *
+ * Return: estimates, owned by the fleet.
+ */
+struct lug_estimates *lug_fleet_estimates(const struct lug_fleet *fleet)
+{
+	return fleet->estimates;
+}
+
 /**
  * lug_fleet_openness - openness of a worker to best-effort tasks, computed once for each heartbeat
  * @worker: worker
@@ -430,6 +445,7 @@
 	worker->refused_best_effort = FALSE;
 	worker->refused_yielding = FALSE;
 	worker->reported_failures = beat->failing;
+	fleet_apply_lookahead(fleet, worker, beat, now_us);
 	return worker;
 }
 
--- a/liblug/workflow/placement.h
+++ b/liblug/workflow/placement.h
@@ -18,6 +18,9 @@
  * @excluded_worker: worker that is excluded because the task has failed there, NULL for none
  * @isolate: the task is suspected to crash its workers
  * @evacuation: evacuated zones, whose workers are excluded; may be NULL
+ * @holder: see lug_reservation_holder(), 0 without look-ahead placement
+ * @promised_ms: time within which its run will almost surely end, in ms, 0 for not known
+ * @pack: prefer the fullest worker, so that large gaps stay whole
  * @job: id of its job
  * @count_on_worker: counts the tasks of the same step and occurrence on a worker
  * @data: passed to @count_on_worker
@@ -34,11 +37,16 @@
 	const char *excluded_worker;
 	gboolean isolate;
 	const struct lug_evacuation *evacuation;
+	guint64 holder;
+	gint64 promised_ms;
+	gboolean pack;
 	const char *job;
 	guint32 (*count_on_worker)(void *data, const char *worker);
 	void *data;
 };
 
+gboolean lug_placement_is_suitable(const struct lug_placement_request *request,
+				   const struct lug_fleet_worker *worker, gint64 now_us);
 gboolean lug_placement_is_eligible(const struct lug_placement_request *request,
 				   const struct lug_fleet_worker *worker, gint64 now_us);
 struct lug_fleet_worker *lug_placement_choose(GPtrArray *workers,
--- a/liblug/workflow/shard_admit.c
+++ b/liblug/workflow/shard_admit.c
@@ -26,15 +26,11 @@
 	gint64 received_us;
 };
 
-/* Run time of a task, in ms at full speed. */
-static gint64 estimate_ms(const struct lug_step *step)
-{
-	return step->declared_ms;
-}
-
+/* By declared run times, for the work that waits as for the work that ends: only the ratio counts.
+ */
 static double task_work(const struct lug_step *step)
 {
-	return (double)estimate_ms(step) * (double)step->size.millicores;
+	return (double)step->declared_ms * (double)step->size.millicores;
 }
 
 static void make_kind(const struct lug_queue_def *def, gboolean best_effort,
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -4,6 +4,8 @@
 
 /* A start that the worker's agent has not received this long after it was sent is resent. */
 #define START_RESEND_US (700 * 1000)
+/* Below this share a run has been throttled, so that its run time is not learned. */
+#define UNTHROTTLED_PERCENT 95
 /* A long-running task that has run for this long is no longer suspected of earlier crashes. */
 #define CRASH_FORGET_US (10 * G_USEC_PER_SEC)
 
@@ -109,8 +111,8 @@
 	start.fills = step->best_effort;
 	start.has_target_ms = 1;
 	start.target_ms = (guint32)step->target_ms;
-	start.has_expected_ms = !step->long_running && step->declared_ms > 0;
-	start.expected_ms = start.has_expected_ms ? step->declared_ms : 0;
+	start.has_expected_ms = 1;
+	start.expected_ms = shard_expected_ms(shard, job, step);
 	start.has_size_only = 1;
 	start.size_only = 1;
 	shard_fill_times(shard, job, id, &start, now_us);
@@ -153,6 +155,8 @@
 		shard_confirm_reservation(shard, task, &job->workflow->steps[id->step]);
 		task->progress_percent = held->percent;
 		task->metric = held->figure;
+		if (held->has_share && held->share < UNTHROTTLED_PERCENT)
+			task->timed_since_us = 0;
 		/* A run that has lasted is not the cause of earlier crashes. */
 		if (job->workflow->steps[id->step].long_running && task->start_seq &&
 		    check->now_us - task->start_sent_us > CRASH_FORGET_US)
@@ -218,6 +222,7 @@
 		return;
 	if (claims)
 		shard_note_list(shard, worker->name, claims, now_us);
+	shard_reserve_on_beat(shard, worker, now_us);
 	check.runs = index_held(held);
 	for_each_claim(shard, worker->name, check_claim, &check);
 	g_hash_table_unref(check.runs);
--- a/liblug/workflow/shard_due.c
+++ b/liblug/workflow/shard_due.c
@@ -1,13 +1,9 @@
 #include "workflow/shard_priv.h"
 
-static gint64 expected_ms(const struct lug_step *step)
-{
-	return step->declared_ms;
-}
-
 /* Expected run time of the longest chain of steps after a step. */
-static gint64 following_ms(const struct lug_workflow *workflow, guint32 step)
+static gint64 following_ms(const struct lug_shard *shard, const struct shard_job *job, guint32 step)
 {
+	const struct lug_workflow *workflow = job->workflow;
 	/* The longest chain from @step to the end of each step, -1 for steps that don't follow. */
 	gint64 *ends = g_new(gint64, workflow->n_steps);
 	gint64 longest = 0;
@@ -17,7 +13,7 @@
 		for (guint32 i = 0; s > step && i < workflow->steps[s].n_after; i++)
 			ends[s] = MAX(ends[s], ends[workflow->steps[s].after[i]]);
 		if (s > step && ends[s] >= 0)
-			ends[s] += expected_ms(&workflow->steps[s]);
+			ends[s] += shard_expected_ms(shard, job, &workflow->steps[s]);
 		longest = MAX(longest, ends[s]);
 	}
 	g_free(ends);
@@ -57,12 +53,10 @@
 	/* After a takeover, heartbeats may arrive before the first pass of placement. */
 	if (!job->deadline_us)
 		shard_update_sort_keys(shard, job, now_us);
-	start->has_expected_ms = 1;
-	start->expected_ms = expected_ms(&job->workflow->steps[id->step]);
 	start->has_due_in_ms = 1;
 	start->due_in_ms = (job->deadline_us - now_us) / 1000;
 	start->has_following_ms = 1;
-	start->following_ms = following_ms(job->workflow, id->step);
+	start->following_ms = following_ms(shard, job, id->step);
 }
 
 /**
@@ -88,8 +82,8 @@
 	    !has_objective(shard, job, occurrence, step))
 		return LUG_URGENCY_NORMAL;
 	lug_urgency_set_times(&times, (job->deadline_us - now_us) / 1000,
-			      expected_ms(&job->workflow->steps[step]),
-			      following_ms(job->workflow, step), now_us);
+			      shard_expected_ms(shard, job, &job->workflow->steps[step]),
+			      following_ms(shard, job, step), now_us);
 	lug_yield_init_task(&task, &times, progress_percent, now_us);
 	return task.effective;
 }
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -73,6 +73,7 @@
 	task->confirmed = FALSE;
 	task->begun = FALSE;
 	task->start_seq = 0;
+	task->timed_since_us = 0;
 	task->progress_percent = 0;
 	task->slow_since_us = 0;
 	task->relocating = FALSE;
@@ -87,6 +88,7 @@
 	if (!task->begun)
 		job->last_start_us = lug_now_us();
 	task->begun = TRUE;
+	task->blocked_since_us = 0;
 	job->was_confirmed = TRUE;
 }
 
@@ -208,6 +210,8 @@
 	} else {
 		job->was_confirmed = TRUE;
 	}
+	if (outcome == LUG_RUN_DONE)
+		shard_learn_run_time(shard, job, task, id, now_us);
 	if (task->state == SHARD_TASK_CLAIMED)
 		shard_release_claim(shard, job, task, step);
 	if (worker && outcome == LUG_RUN_DONE)
@@ -369,4 +373,6 @@
 		lug_resources_from_wire(answer->used, &used);
 		lug_fleet_set_used(fleet_worker, &used);
 	}
+	if (fleet_worker && answer->status == LUG_OVER_LIMIT)
+		shard_reserve_refused(shard, job, &id, fleet_worker, now_us);
 }
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -48,6 +48,7 @@
 	lug_run_to_wire(id, &run);
 	task->start_seq = ++shard->last_start_seq;
 	task->start_sent_us = now_us;
+	task->timed_since_us = task->checkpoint ? 0 : now_us;
 	start.has_shard = 1;
 	start.shard = shard->number;
 	start.has_epoch = 1;
@@ -74,8 +75,8 @@
 	start.priority = job->priority;
 	start.has_isolate = lug_crash_is_suspect(&task->crash);
 	start.isolate = start.has_isolate;
-	start.has_expected_ms = !step->long_running && step->declared_ms > 0;
-	start.expected_ms = start.has_expected_ms ? step->declared_ms : 0;
+	start.has_expected_ms = 1;
+	start.expected_ms = shard_expected_ms(shard, job, step);
 	shard_fill_times(shard, job, id, &start, now_us);
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
@@ -281,6 +282,7 @@
 		       struct lug_fleet_worker *worker, const struct lug_placement_request *request,
 		       gint64 now_us)
 {
+	shard_reserve_claimed(shard, task, worker, request, now_us);
 	task->state = SHARD_TASK_CLAIMED;
 	task->run++;
 	task->worker = g_intern_string(worker->name);
@@ -427,6 +429,7 @@
 						.data = &count};
 
 	shard_step_size(request.step, &request.size);
+	shard_reserve_fill_request(shard, job, occ->number, &request, now_us);
 	for (guint32 i = job->first_task[s];
 	     i < job->first_task[s + 1] && *claims_left && has_room_for_claim(shard, job); i++) {
 		struct shard_task *task = &occ->tasks[i];
@@ -442,8 +445,10 @@
 		worker = choose_worker(shard, &request, now_us);
 		if (!worker && request.isolate)
 			continue;
-		if (!worker)
+		if (!worker) {
+			shard_reserve_blocked(shard, job, occ, i, &request, now_us);
 			return;
+		}
 		claim_task(shard, job, task, worker, &request, now_us);
 		if (request.isolate)
 			lug_fleet_isolate(worker, job->workflow->id, now_us);
@@ -480,6 +485,7 @@
 {
 	guint claims_left = CLAIMS_PER_PASS;
 
+	shard_reserve_check(shard, now_us);
 	if (shard->jobs_in_flight || !lug_evacuation_is_read(shard_evacuation(shard)))
 		return;
 	sort_jobs(shard, now_us);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -6,16 +6,18 @@
 #include "schedule/admission.h"
 #include "schedule/speed.h"
 #include "schedule/yield.h"
+#include "workflow/placement.h"
 #include "workflow/shard.h"
 
 /*
  * Shared by the files that implement struct lug_shard: shard.c (ownership, job table), shard_job.c
  * (submission, queries, cancellation), shard_load.c (loading rows), shard_inbox.c (jobs and
  * cancellations that entries have stored), shard_row.c (encoding of job state), shard_place.c
- * (placement and starts), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison
- * of claims with heartbeats, lost runs), shard_due.c (urgency of tasks), shard_ack.c
- * (acknowledgements of ends), shard_report.c (log of what is overdue), shard_admit.c (refusal of
- * new jobs) and shard_commit.c (transactions).
+ * (placement and starts), shard_estimate.c (expected run times), shard_reserve.c (reservations for
+ * waiting tasks), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison of
+ * claims with heartbeats, lost runs), shard_due.c (urgency of tasks), shard_ack.c (acknowledgements
+ * of ends), shard_report.c (log of what is overdue), shard_admit.c (refusal of new jobs) and
+ * shard_commit.c (transactions).
  */
 
 /*
@@ -63,12 +65,16 @@
  * @start_seq: sequence number of the start message in this shard epoch, 0 when not sent
  * @claim_revision: job revision that contains the claim; the start is sent once it is committed
  * @start_sent_us: when the start was last sent
+ * @timed_since_us: the same; 0 when the run time says nothing about other runs: it resumes from a
+ *                  checkpoint, was throttled or was started by an earlier owner
  * @confirmed: the worker's agent reserves resources for the run
  * @begun: the worker has confirmed the start
  * @failed_on: worker of the latest failed run, interned, NULL for none
  * @checkpoint: checkpoint to resume from, NULL for none
  * @not_before_us: earliest time of the next claim
  * @waiting_since_us: when a long-running task was last seen to begin waiting, 0 while it is claimed
+ * @blocked_since_us: time since which no worker has had room for the task, 0 once it runs
+ * @next_ask_us: earliest time to search for a worker to ask for a reservation
  * @delay_logged: the present delay of the task was logged
  * @progress_percent: latest reported progress, in percent of the task's work
  * @metric: latest reported tail latency of a serving task in ms, millicores in use for other tasks
@@ -93,12 +99,15 @@
 	guint64 start_seq;
 	guint64 claim_revision;
 	gint64 start_sent_us;
+	gint64 timed_since_us;
 	gboolean confirmed;
 	gboolean begun;
 	const char *failed_on;
 	char *checkpoint;
 	gint64 not_before_us;
 	gint64 waiting_since_us;
+	gint64 blocked_since_us;
+	gint64 next_ask_us;
 	gboolean delay_logged;
 	guint32 progress_percent;
 	gint64 metric;
@@ -298,6 +307,13 @@
  * @admission: measurements of the backlog and memory of refused jobs
  * @admit_all_until_us: no job is refused before this time, see shard_admit_all()
  * @last_tick_us: latest call of lug_shard_tick()
+ * @reserves: reservations asked for, array of struct shard_reserve
+ * @next_search_us: next search for workers to ask for reservations
+ * @searches_left: number of workers that may be searched for before that
+ * @largest_blocked: size of the largest task that might have asked since the last of these
+ *                   searches, in thousandths of a core
+ * @ask_millicores: the same for the time before, 0 for none; smaller tasks don't ask now
+ * @usual_millicores: moving average of the sizes of placed tasks of limited run time
  */
 struct lug_shard {
 	struct lug_shard_env shared;
@@ -332,6 +348,12 @@
 	struct lug_admission *admission;
 	gint64 admit_all_until_us;
 	gint64 last_tick_us;
+	GArray *reserves;
+	gint64 next_search_us;
+	guint searches_left;
+	gint64 largest_blocked;
+	gint64 ask_millicores;
+	gint64 usual_millicores;
 };
 
 /**
@@ -402,6 +424,30 @@
 				    const char *body, gint64 now_us);
 void shard_reset_state(struct lug_shard *shard);
 
+gint64 shard_expected_ms(const struct lug_shard *shard, const struct shard_job *job,
+			 const struct lug_step *step);
+gint64 shard_promised_ms(const struct lug_shard *shard, const struct shard_job *job,
+			 const struct lug_step *step);
+void shard_learn_run_time(struct lug_shard *shard, const struct shard_job *job,
+			  const struct shard_task *task, const struct lug_run_id *id,
+			  gint64 now_us);
+GArray *shard_reserves_new(void);
+void shard_reserve_reset(struct lug_shard *shard);
+void shard_reserve_check(struct lug_shard *shard, gint64 now_us);
+void shard_reserve_fill_request(const struct lug_shard *shard, const struct shard_job *job,
+				guint32 occurrence, struct lug_placement_request *request,
+				gint64 now_us);
+void shard_reserve_blocked(struct lug_shard *shard, struct shard_job *job,
+			   struct shard_occurrence *occ, guint32 first,
+			   const struct lug_placement_request *request, gint64 now_us);
+void shard_reserve_claimed(struct lug_shard *shard, const struct shard_task *task,
+			   struct lug_fleet_worker *worker,
+			   const struct lug_placement_request *request, gint64 now_us);
+void shard_reserve_on_beat(struct lug_shard *shard, const struct lug_fleet_worker *worker,
+			   gint64 now_us);
+void shard_reserve_refused(struct lug_shard *shard, const struct shard_job *job,
+			   const struct lug_run_id *id, struct lug_fleet_worker *worker,
+			   gint64 now_us);
 void shard_relocate_if_slow(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
 			    const struct lug_run_id *id, guint32 share_percent, gint64 now_us);
 void shard_update_sort_keys(struct lug_shard *shard, struct shard_job *job, gint64 now_us);
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -27,9 +27,10 @@
         # Daemon N is in zone N of these, in turn.
         self.zones = zones
         self.directory, self.build, self.net = str(directory), build, net
+        # Further lines of the agents' settings.
+        self.agent_settings = list(agent_settings)
         self.processes = {}
         self.shards = shards
-        self.agent_settings = list(agent_settings)
         os.makedirs(self.directory, exist_ok=True)
         self.store = Store(self.address(250, 8169))
         self.version = 0
