--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -111,8 +111,6 @@
 	start.fills = step->best_effort;
 	start.has_target_ms = 1;
 	start.target_ms = (guint32)step->target_ms;
-	start.has_expected_ms = 1;
-	start.expected_ms = shard_expected_ms(shard, job, step);
 	start.has_size_only = 1;
 	start.size_only = 1;
 	shard_fill_times(shard, job, id, &start, now_us);
--- a/liblug/workflow/shard_due.c
+++ b/liblug/workflow/shard_due.c
@@ -37,16 +37,20 @@
 }
 
 /**
- * shard_fill_times - set the times of a start by which its agent computes the task's urgency
+ * shard_fill_times - set the expected run time of a start, and the times by which its agent
+ * computes the task's urgency
  * @shard: shard
  * @job: job
  * @id: run
- * @start: message; the times are left out without an objective, and while schedule.yield is off
+ * @start: message; the times to the objective are left out without one, and while schedule.yield
+ *         is off
  * @now_us: time at which it is sent
  */
 void shard_fill_times(struct lug_shard *shard, struct shard_job *job, const struct lug_run_id *id,
 		      Lug__RunStart *start, gint64 now_us)
 {
+	start->has_expected_ms = 1;
+	start->expected_ms = shard_expected_ms(shard, job, &job->workflow->steps[id->step]);
 	if (!shard->shared.ctx->settings->schedule_yield ||
 	    !has_objective(shard, job, id->occurrence, id->step))
 		return;
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -75,8 +75,6 @@
 	start.priority = job->priority;
 	start.has_isolate = lug_crash_is_suspect(&task->crash);
 	start.isolate = start.has_isolate;
-	start.has_expected_ms = 1;
-	start.expected_ms = shard_expected_ms(shard, job, step);
 	shard_fill_times(shard, job, id, &start, now_us);
 	lug_count(shard->shared.ctx, TASKS_STARTED, 1);
 	lug_link_send(shard->shared.link, &worker->route, &env);
