--- a/liblug/schedule/order.c
+++ b/liblug/schedule/order.c
@@ -31,6 +31,9 @@
  * could make the next job miss one. A late job without a start for longer than its objective is
  * placed by its age before all others of its priority, so that no job waits without bound. A job
  * that returns after a refusal keeps its place: its age counts from its first submission.
+ *
+ * A late long-running job stays behind: its tasks would keep each gap that opens from the jobs that
+ * can still be in time, and look-ahead placement bounds its wait.
  */
 void lug_order_make_key(const struct lug_order_job *job, gint64 now_us, struct lug_order_key *out)
 {
@@ -44,7 +47,7 @@
 	out->due_us = job->deadline_us - returned_us;
 	if (job->remaining_us < 0 || end_us <= job->deadline_us)
 		return;
-	if (now_us >= wait_limit_us(job)) {
+	if (!job->long_running && now_us >= wait_limit_us(job)) {
 		out->due_us = job->accepted_us - returned_us;
 		return;
 	}
--- a/liblug/schedule/order.h
+++ b/liblug/schedule/order.h
@@ -27,6 +27,7 @@
  * @remaining_us: least time that the rest of its critical path takes; negative when the job can't
  * be late
  * @last_start_us: when one of its tasks was last started, 0 for never
+ * @long_running: its tasks run until it is cancelled
  */
 struct lug_order_job {
 	guint32 priority;
@@ -35,6 +36,7 @@
 	gint64 deadline_us;
 	gint64 remaining_us;
 	gint64 last_start_us;
+	gboolean long_running;
 };
 
 /**
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -179,6 +179,14 @@
 	return longest;
 }
 
+static gboolean is_long_running(const struct lug_workflow *workflow)
+{
+	for (guint32 s = 0; s < workflow->n_steps; s++)
+		if (workflow->steps[s].long_running)
+			return TRUE;
+	return FALSE;
+}
+
 /*
  * Sets a job's place: lowest priority number first, then feasible jobs, then by deadline; with
  * schedule.overload as in schedule/order.h. @remaining_us is negative when the job can't be late.
@@ -191,7 +199,8 @@
 				      .first_us = job->first_us,
 				      .deadline_us = job->deadline_us,
 				      .remaining_us = remaining_us,
-				      .last_start_us = job->last_start_us};
+				      .last_start_us = job->last_start_us,
+				      .long_running = is_long_running(job->workflow)};
 
 	if (shard->shared.ctx->settings->schedule_overload) {
 		lug_order_make_key(&order, now_us, &job->order);
--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -123,8 +123,9 @@
 
 	void update_key(Job &job)
 	{
-		struct lug_order_job in = {job.priority,      job.accepted_us,	job.first_us,
-					   job.deadline_us(), job.task_ms * MS, job.last_start_us};
+		struct lug_order_job in = {
+			job.priority,	  job.accepted_us,   job.first_us, job.deadline_us(),
+			job.task_ms * MS, job.last_start_us, FALSE};
 
 		lug_order_make_key(&in, now_us, &job.order);
 	}
@@ -331,12 +332,12 @@
 	gint64 base = 100 * G_USEC_PER_SEC;
 	/* At 10 s: in time, late, worthless, waiting for too long, and of a lower priority. */
 	std::vector<struct lug_order_job> jobs = {
-		{0, base + 9000 * MS, 0, base + 12000 * MS, 1000 * MS, 0},
-		{0, base + 6000 * MS, 0, base + 10000 * MS, 1000 * MS, 0},
-		{0, base, 0, base + 3000 * MS, 1000 * MS, base + 9000 * MS},
-		{0, base + 1000 * MS, 0, base + 4000 * MS, 1000 * MS, 0},
-		{1, base + 1000 * MS, 0, base + 4000 * MS, 1000 * MS, 0},
-		{1, base, 0, base + 2000 * MS, -1, 0},
+		{0, base + 9000 * MS, 0, base + 12000 * MS, 1000 * MS, 0, FALSE},
+		{0, base + 6000 * MS, 0, base + 10000 * MS, 1000 * MS, 0, FALSE},
+		{0, base, 0, base + 3000 * MS, 1000 * MS, base + 9000 * MS, FALSE},
+		{0, base + 1000 * MS, 0, base + 4000 * MS, 1000 * MS, 0, FALSE},
+		{1, base + 1000 * MS, 0, base + 4000 * MS, 1000 * MS, 0, FALSE},
+		{1, base, 0, base + 2000 * MS, -1, 0, FALSE},
 	};
 	std::vector<size_t> order = {3, 0, 1, 2, 4, 5};
 	std::vector<struct lug_order_key> keys(jobs.size());
@@ -348,6 +349,20 @@
 	EXPECT_EQ(keys[5].group, LUG_ORDER_IN_TIME) << "a job that can't be late";
 }
 
+/* Guards against long-running jobs that take each gap from short jobs which can be in time. */
+TEST_F(Overload, ALateLongRunningJobStaysBehindThoseInTime)
+{
+	gint64 base = 100 * G_USEC_PER_SEC;
+	struct lug_order_job waiting = {0, base, 0, base + 3000 * MS, 1000 * MS, 0, FALSE};
+	struct lug_order_key key;
+
+	lug_order_make_key(&waiting, base + 20000 * MS, &key);
+	EXPECT_EQ(key.group, LUG_ORDER_IN_TIME);
+	waiting.long_running = TRUE;
+	lug_order_make_key(&waiting, base + 20000 * MS, &key);
+	EXPECT_EQ(key.group, LUG_ORDER_WORTHLESS);
+}
+
 /* Guards against starving, and refusing, a high priority because of the backlog of a low one. */
 TEST_F(Overload, PrioritiesComeFirst)
 {
