--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -314,6 +314,7 @@
  *                   searches, in thousandths of a core
  * @ask_millicores: the same for the time before, 0 for none; smaller tasks don't ask now
  * @usual_millicores: moving average of the sizes of placed tasks of limited run time
+ * @finite_blocked_us: when a task of limited run time last found no room, 0 for never
  */
 struct lug_shard {
 	struct lug_shard_env shared;
@@ -354,6 +355,7 @@
 	gint64 largest_blocked;
 	gint64 ask_millicores;
 	gint64 usual_millicores;
+	gint64 finite_blocked_us;
 };
 
 /**
--- a/liblug/workflow/shard_reserve.c
+++ b/liblug/workflow/shard_reserve.c
@@ -274,7 +274,9 @@
 	struct lug_fleet_worker *worker;
 
 	if (now_us - task->blocked_since_us < LUG_RESERVATION_WAIT_US ||
-	    now_us < task->next_ask_us || has_reserve(shard, task))
+	    now_us < task->next_ask_us ||
+	    lug_reservation_yields(request->step->long_running, shard->finite_blocked_us, now_us) ||
+	    has_reserve(shard, task))
 		return;
 	/* The largest tasks ask first, as the small ones fit into the next gap. */
 	shard->largest_blocked = MAX(shard->largest_blocked, request->size.millicores);
@@ -332,6 +334,8 @@
 			continue;
 		if (!task->blocked_since_us)
 			task->blocked_since_us = now_us;
+		if (!request->step->long_running)
+			shard->finite_blocked_us = now_us;
 		if (worthwhile)
 			ask_for_room(shard, task, request, now_us);
 	}
--- a/tests/unit/lookahead_test.cc
+++ b/tests/unit/lookahead_test.cc
@@ -349,6 +349,10 @@
 	EXPECT_TRUE(lug_reservation_is_worthwhile(4000, 2000, FALSE));
 	EXPECT_FALSE(lug_reservation_is_worthwhile(3000, 2000, FALSE));
 	EXPECT_FALSE(lug_reservation_is_worthwhile(3000, 0, FALSE)) << "nothing is known yet";
+	EXPECT_TRUE(lug_reservation_yields(TRUE, 1, LUG_RESERVATION_YIELD_US));
+	EXPECT_FALSE(lug_reservation_yields(TRUE, 1, LUG_RESERVATION_YIELD_US + 1));
+	EXPECT_FALSE(lug_reservation_yields(TRUE, 0, 1)) << "none has waited";
+	EXPECT_FALSE(lug_reservation_yields(FALSE, 1, 1));
 	EXPECT_EQ(lug_reservation_limit(0), 1u);
 	EXPECT_EQ(lug_reservation_limit(68), 4u);
 }
