--- a/liblug/schedule/reservation.c
+++ b/liblug/schedule/reservation.c
@@ -29,15 +29,18 @@
 /**
  * lug_reservation_yields - whether a task leaves the room to tasks of limited run time
  * @long_running: its run time is not limited
+ * @waited_us: time for which it has waited for room
  * @blocked_us: when a task of limited run time last found no room, 0 for never
  * @now_us: current time
  *
  * A long-running task keeps its room for good. While short tasks wait as well, each reservation for
- * one makes them later, and there is no gap that only a large task could use.
+ * one makes them later. The bound on @waited_us keeps it from being passed over without end.
  */
-gboolean lug_reservation_yields(gboolean long_running, gint64 blocked_us, gint64 now_us)
+gboolean lug_reservation_yields(gboolean long_running, gint64 waited_us, gint64 blocked_us,
+				gint64 now_us)
 {
-	return long_running && blocked_us && now_us - blocked_us < LUG_RESERVATION_YIELD_US;
+	return long_running && waited_us < LUG_RESERVATION_YIELD_MAX_US && blocked_us &&
+	       now_us - blocked_us < LUG_RESERVATION_YIELD_US;
 }
 
 /**
--- a/liblug/schedule/reservation.h
+++ b/liblug/schedule/reservation.h
@@ -6,11 +6,15 @@
 /* A task asks for a reservation once it has waited for this long. */
 #define LUG_RESERVATION_WAIT_US (200 * 1000)
 /* Workers for each reservation that an owner may hold; it may always hold one. */
-#define LUG_RESERVATION_WORKERS_EACH 16
+#define LUG_RESERVATION_WORKERS_EACH 34
 /* A task of limited run time asks only if it needs this many times the cores of the usual one. */
 #define LUG_RESERVATION_SIZE_FACTOR 2
-/* A long-running task does not ask for this long after a task of limited run time had no room. */
+/*
+ * A long-running task does not ask for this long after a task of limited run time had no room, and
+ * asks in any case once it has waited for LUG_RESERVATION_YIELD_MAX_US.
+ */
 #define LUG_RESERVATION_YIELD_US (1 * G_USEC_PER_SEC)
+#define LUG_RESERVATION_YIELD_MAX_US (4 * G_USEC_PER_SEC)
 /* A reservation ends at this age, so that a wrong forecast blocks a worker for a bounded time. */
 #define LUG_RESERVATION_AGE_MAX_US (5 * G_USEC_PER_SEC)
 /* It lapses when its owner has not asked for this long: three heartbeats. */
@@ -126,7 +130,8 @@
 };
 
 guint lug_reservation_limit(guint n_workers);
-gboolean lug_reservation_yields(gboolean long_running, gint64 blocked_us, gint64 now_us);
+gboolean lug_reservation_yields(gboolean long_running, gint64 waited_us, gint64 blocked_us,
+				gint64 now_us);
 gboolean lug_reservation_is_worthwhile(gint64 millicores, gint64 usual_millicores,
 				       gboolean long_running);
 guint64 lug_reservation_holder(const char *job, guint32 occurrence, guint32 step);
--- a/liblug/workflow/shard_reserve.c
+++ b/liblug/workflow/shard_reserve.c
@@ -275,7 +275,8 @@
 
 	if (now_us - task->blocked_since_us < LUG_RESERVATION_WAIT_US ||
 	    now_us < task->next_ask_us ||
-	    lug_reservation_yields(request->step->long_running, shard->finite_blocked_us, now_us) ||
+	    lug_reservation_yields(request->step->long_running, now_us - task->blocked_since_us,
+				   shard->finite_blocked_us, now_us) ||
 	    has_reserve(shard, task))
 		return;
 	/* The largest tasks ask first, as the small ones fit into the next gap. */
