--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -127,7 +127,10 @@
 		config->changed(config->data);
 }
 
-/* The key says it all: a row whose value can't be read is an evacuation too. */
+/*
+ * The key says it all: a row whose value can't be read is an evacuation too. A deletion is read
+ * again, as a watch also reports rows of other parts of the table that have the same key.
+ */
 static void apply_zone(struct lug_config *config, const struct lug_row *row)
 {
 	const char *prefix = config->source.evacuations;
@@ -135,7 +138,7 @@
 	if (!prefix || !g_str_has_prefix(row->key, prefix))
 		return;
 	if (row->deleted)
-		lug_evacuation_remove(config->evacuation, row->key + strlen(prefix));
+		config->rows_read = FALSE;
 	else
 		lug_evacuation_add(config->evacuation, row->key + strlen(prefix));
 }
--- a/liblug/workflow/executor_reserve.c
+++ b/liblug/workflow/executor_reserve.c
@@ -209,13 +209,16 @@
 		cancel_reservation(exec, &id, "cancelled by its owner", now_us);
 		return;
 	}
-	if (horizon_us(exec) <= 0 || !exec_is_accepting(exec, now_us)) {
+	if (horizon_us(exec) <= 0 || !exec_is_accepting(exec, now_us) ||
+	    exec_check_zone(exec, now_us) != LUG_EVACUATION_OPEN) {
 		cancel_reservation(exec, &id, "the worker takes no starts", now_us);
 		send_answer(exec, message->shard, &id, LUG_OVER_LIMIT, 0);
 		return;
 	}
 	request.holder = holder_of(&id);
 	lug_resources_from_wire(message->size, &request.size);
+	if (request.size.millicores < 0 || request.size.memory_bytes < 0)
+		return;
 	request.waited_us = (gint64)message->waited_ms * 1000;
 	apply_request(exec, message->shard, &id, &request, now_us);
 }
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -10,6 +10,8 @@
  */
 #define MAX_START_ATTEMPTS 7
 #define STOP_RETRY_US (500 * 1000)
+/* Bounds a time in a message, so that sums with it can't overflow: about 30 years. */
+#define EXPECTED_MAX_MS G_GINT64_CONSTANT(1000000000000)
 
 /*
  * Context of a start or a stop, sent to one incarnation of the worker under a fencing token. The
@@ -190,7 +192,7 @@
 	run->best_effort_millicores = start->fill_millicores;
 	run->image = g_intern_string(start->image ? start->image : "");
 	run->target_ms = start->target_ms;
-	run->expected_ms = start->expected_ms;
+	run->expected_ms = CLAMP(start->expected_ms, 0, EXPECTED_MAX_MS);
 }
 
 static void apply_attributes(struct lug_executor *exec, const struct lug_run_id *id,
@@ -291,7 +293,7 @@
 	 * A start for an earlier lease may have been executed by the process that held it. It is
 	 * neither started nor refused here; owners learn from heartbeats whether it runs.
 	 */
-	if (start->lease_epoch != exec->confirmed_epoch)
+	if (!start->lease_epoch || start->lease_epoch != exec->confirmed_epoch)
 		return;
 	if (refuses_zone(exec, &id, now_us) || !exec_is_accepting(exec, now_us)) {
 		exec_answer_start(exec, start->shard, &id, LUG_NOT_RUN);
--- a/liblug/workflow/placement.c
+++ b/liblug/workflow/placement.c
@@ -300,12 +300,21 @@
 	return score;
 }
 
-/* Whether a worker is preferred: a warm one to a cold one, otherwise by score. */
-static gboolean is_better(const struct lug_fleet_worker *worker, double score,
+/*
+ * Whether a worker is preferred: a warm one to a cold one, otherwise by score. A worker that may
+ * crash in a moment is the last choice, cold or not, except for a task that is isolated itself.
+ */
+static gboolean is_better(const struct lug_placement_request *request,
+			  const struct lug_fleet_worker *worker, double score,
 			  const struct lug_fleet_worker *best, double best_score, gint64 now_us)
 {
+	gboolean is_isolated = now_us < worker->isolated_until_us;
 	gboolean is_cold = now_us < worker->cold_until_us;
 
+	if (request->isolate)
+		return score > best_score;
+	if (is_isolated != (now_us < best->isolated_until_us))
+		return !is_isolated;
 	if (is_cold != (now_us < best->cold_until_us))
 		return !is_cold;
 	return score > best_score;
@@ -337,7 +346,8 @@
 		    (request->excluded_worker && !strcmp(request->excluded_worker, worker->name)))
 			continue;
 		score = worker_score(request, image, worker, rng, now_us);
-		if (score < 0 || (best && !is_better(worker, score, best, best_score, now_us)))
+		if (score < 0 ||
+		    (best && !is_better(request, worker, score, best, best_score, now_us)))
 			continue;
 		best = worker;
 		best_score = score;
--- a/liblug/workflow/run.c
+++ b/liblug/workflow/run.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Bounds a size in a message, so that sums of sizes can't overflow. */
+#define WIRE_SIZE_MAX (G_GINT64_CONSTANT(1) << 53)
+
 /**
  * lug_run_outcome_name - name of an outcome in logs and in workers' answers
  * @outcome: outcome
@@ -133,8 +136,8 @@
 	memset(out, 0, sizeof(*out));
 	if (!wire)
 		return;
-	out->millicores = wire->millicores;
-	out->memory_bytes = wire->memory;
+	out->millicores = CLAMP(wire->millicores, -WIRE_SIZE_MAX, WIRE_SIZE_MAX);
+	out->memory_bytes = CLAMP(wire->memory, -WIRE_SIZE_MAX, WIRE_SIZE_MAX);
 	out->accelerators = wire->accelerators;
 }
 
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -357,10 +357,10 @@
 		lug_count(shard->shared.ctx, TASKS_REFUSED, 1);
 		shard_release_claim(shard, job, task, &job->workflow->steps[id.step]);
 		/* A lack of room or an evacuation is no failure of the worker. */
-		if (fleet_worker && answer->status != LUG_OVER_LIMIT &&
-		    !lug_fleet_is_evacuated(fleet_worker, shard_evacuation(shard)))
-			lug_fleet_record_failure(fleet_worker, now_us);
-		else if (fleet_worker && lug_crash_is_suspect(&task->crash))
+		if (fleet_worker && answer->status != LUG_OVER_LIMIT) {
+			if (!lug_fleet_is_evacuated(fleet_worker, shard_evacuation(shard)))
+				lug_fleet_record_failure(fleet_worker, now_us);
+		} else if (fleet_worker && lug_crash_is_suspect(&task->crash))
 			lug_fleet_isolate(fleet_worker, "", now_us);
 		else if (fleet_worker && lug_yield_is_yielding(shard_task_urgency(
 						 shard, job, id.occurrence, id.step, 0, now_us)))
--- a/liblug/workflow/shard_reserve.c
+++ b/liblug/workflow/shard_reserve.c
@@ -147,9 +147,11 @@
 	return task;
 }
 
-static gboolean takes_starts(const struct lug_fleet_worker *worker, gint64 now_us)
+static gboolean takes_starts(const struct lug_fleet_worker *worker,
+			     const struct lug_evacuation *evacuation, gint64 now_us)
 {
-	return worker && worker->ready && !worker->draining && lug_fleet_is_live(worker, now_us);
+	return worker && worker->ready && !worker->draining && lug_fleet_is_live(worker, now_us) &&
+	       !lug_fleet_is_evacuated(worker, evacuation);
 }
 
 /* Drops a reservation that can't be used any more; returns whether it was. */
@@ -162,7 +164,8 @@
 		cancel_reserve(shard, i, "its task does not wait any more", 0, now_us);
 		return TRUE;
 	}
-	if (!takes_starts(lug_fleet_find(shard->shared.fleet, reserve->worker), now_us))
+	if (!takes_starts(lug_fleet_find(shard->shared.fleet, reserve->worker),
+			  shard_evacuation(shard), now_us))
 		reason = "the worker takes no starts";
 	else if (!reserve->granted_us && now_us - reserve->asked_us >= ANSWER_TIMEOUT_US)
 		reason = "the agent does not answer";
@@ -213,6 +216,17 @@
 			lug_fleet_sum_pool(shard->shared.fleet, request->service, now_us)->scarce;
 }
 
+/* Whether a worker is preferred: a warm one to a cold one, otherwise that with room first. */
+static gboolean is_earlier(const struct lug_fleet_worker *worker, gint64 at_us,
+			   const struct lug_fleet_worker *best, gint64 best_us, gint64 now_us)
+{
+	gboolean is_cold = now_us < worker->cold_until_us;
+
+	if (is_cold != (now_us < best->cold_until_us))
+		return !is_cold;
+	return at_us < best_us;
+}
+
 /* The worker on which the task fits first; it must not be reserved or asked lately. */
 static struct lug_fleet_worker *find_worker(const struct lug_shard *shard,
 					    const struct lug_placement_request *request,
@@ -220,7 +234,7 @@
 {
 	GPtrArray *workers = lug_fleet_workers(shard->shared.fleet);
 	struct lug_fleet_worker *best = NULL;
-	gint64 best_us = now_us + lookahead_us(shard) + 1;
+	gint64 best_us = 0;
 
 	for (guint i = 0; i < workers->len; i++) {
 		struct lug_fleet_worker *worker = g_ptr_array_index(workers, i);
@@ -234,7 +248,8 @@
 		lug_resources_sub(&unconfirmed, &worker->confirmed);
 		at_us = lug_forecast_points_fit(worker->forecast, worker->n_forecast, &unconfirmed,
 						&request->size);
-		if (at_us >= best_us)
+		if (at_us > now_us + lookahead_us(shard) ||
+		    (best && !is_earlier(worker, at_us, best, best_us, now_us)))
 			continue;
 		best = worker;
 		best_us = at_us;
@@ -456,6 +471,28 @@
 				now_us - reserve->granted_us < LUG_RESERVATION_BACKFILL_US;
 }
 
+/*
+ * Whether a task of the step is claimed for a worker whose agent has not confirmed it: the start is
+ * on its way and takes the place of the reservation.
+ */
+static gboolean is_start_due(const struct lug_shard *shard, const char *worker,
+			     const struct lug_run_id *id)
+{
+	const struct shard_claims *claims = shard_find_claims(shard, worker);
+
+	if (!claims)
+		return FALSE;
+	LUG_LIST_FOREACH_SAFE (&claims->tasks, pos, tmp) {
+		const struct shard_task *task =
+			LUG_CONTAINER_OF(pos, struct shard_task, claim_node);
+
+		if (!task->confirmed && task->step == id->step &&
+		    task->occurrence == id->occurrence && !strcmp(task->job->workflow->id, id->job))
+			return TRUE;
+	}
+	return FALSE;
+}
+
 /**
  * lug_shard_on_reserve_answer - apply an agent's answer to a request for a reservation
  * @shard: shard
@@ -488,7 +525,7 @@
 		apply_grant(shard, reserve_at(shard, i), worker, answer, now_us);
 	else if (i < shard->reserves->len)
 		refuse_reserve(shard, i, now_us);
-	else if (answer->status == LUG_OK)
+	else if (answer->status == LUG_OK && !is_start_due(shard, unknown.worker, &unknown.id))
 		/* An answer to a request that was dropped since. */
 		send_request(shard, &unknown, TRUE, now_us);
 }
--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -324,6 +324,19 @@
 	EXPECT_EQ(choose(), cold) << "warm now, and emptier";
 }
 
+/* Guards against a crash that takes tasks along which a cold worker had room for. */
+TEST_F(PlacementTest, AWorkerThatMayCrashIsTheLastChoiceBesideColdOnes)
+{
+	struct lug_fleet_worker *cold = add("a", 16000);
+	struct lug_fleet_worker *isolated = add("b", 16000);
+
+	cold->cold_until_us = 1000001;
+	isolated->isolated_until_us = 1000001;
+	EXPECT_EQ(choose(), cold);
+	cold->claimed.millicores = 16000;
+	EXPECT_EQ(choose(), isolated);
+}
+
 TEST_F(PlacementTest, WorkersOfEvacuatedZonesAreExcluded)
 {
 	struct lug_evacuation *zones = lug_evacuation_new("z", nullptr, nullptr);
