--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -172,13 +172,14 @@
 static void on_store_failed(struct lug_shard *shard, struct shard_job *job, enum lug_status status)
 {
 	char *id = g_strdup(job->workflow->id);
+	gint64 first_us = job->first_us;
 
 	if (status != LUG_CONFLICT)
 		shard_admit_all(shard, lug_now_us());
 	shard_notify_waiters(job->store_waiters, status == LUG_CONFLICT ? LUG_OK : status);
 	drop_job(shard, job);
 	if (status == LUG_CONFLICT)
-		shard_read_job_row(shard, id, FALSE);
+		shard_read_job_row(shard, id, FALSE, first_us);
 	else
 		lug_warn(shard->shared.ctx, "job_not_stored", "job", id, "status",
 			 lug_status_name(status));
--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -78,23 +78,26 @@
 }
 
 /* Adds a job whose row was read because this owner did not have it. */
-static void add_read_job(struct lug_shard *shard, const struct lug_row *row, gboolean cancel)
+static void add_read_job(struct lug_shard *shard, const struct lug_row *row,
+			 const struct shard_ref *ref)
 {
 	struct shard_job *job;
 
 	lug_info(shard->shared.ctx, "job_found", "job", row->key, "shard", shard->name, "source",
-		 cancel ? "inbox, with its cancellation" : "inbox");
+		 ref->cancel ? "inbox, with its cancellation" : "inbox");
 	shard_load_job_row(shard, row, lug_now_us());
 	job = g_hash_table_lookup(shard->jobs, row->key);
 	/* Its row can't be decoded, which reading it again would not change. */
 	if (!job) {
 		remove_inbox_row(shard, row->key);
-		if (cancel)
+		if (ref->cancel)
 			remove_cancel(shard, row->key);
 		return;
 	}
+	if (ref->first_us)
+		job->first_us = ref->first_us;
 	shard_check_found_job(shard, job, lug_now_us());
-	if (cancel)
+	if (ref->cancel)
 		cancel_live_job(shard, job);
 	else
 		shard_begin_due_occurrences(shard, lug_now_us());
@@ -167,7 +170,7 @@
 	(void)more;
 	if (shard_ref_is_valid(ref) && status == LUG_OK) {
 		if (found) {
-			add_read_job(shard, &rows[0], ref->cancel);
+			add_read_job(shard, &rows[0], ref);
 		} else {
 			/* There is no such live job: its inbox rows are obsolete. */
 			remove_inbox_row(shard, ref->job_id);
@@ -184,12 +187,14 @@
  * @shard: shard
  * @id: job
  * @cancel: cancel the job before any of its tasks starts
+ * @first_us: when it was first submitted, if that submission was refused; 0 otherwise
  */
-void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel)
+void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel, gint64 first_us)
 {
 	struct shard_ref *ref = shard_ref_new(shard, id);
 
 	ref->cancel = cancel;
+	ref->first_us = first_us;
 	lug_store_scan(shard->store, SHARD_LIVE_TABLE, id, NULL, 1, on_job_row, ref);
 }
 
@@ -231,7 +236,7 @@
 	else if (g_hash_table_contains(shard->ended_jobs, id))
 		remove_inbox_row(shard, key);
 	else
-		shard_read_job_row(shard, id, TRUE);
+		shard_read_job_row(shard, id, TRUE, 0);
 	g_free(id);
 }
 
@@ -284,7 +289,7 @@
 			op = add_removal(shard, op, key);
 		/* With a cancellation in the inbox, handle_inbox_cancel() reads the job. */
 		else if (!job && !has_cancel(rows, n_rows, key))
-			shard_read_job_row(shard, key, FALSE);
+			shard_read_job_row(shard, key, FALSE, 0);
 	}
 	if (op)
 		lug_writer_append(shard->writer, op);
--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -21,7 +21,8 @@
 	if (job || g_hash_table_contains(shard->ended_jobs, id))
 		return;
 	if (!*body || version <= 0) {
-		shard_read_job_row(shard, id, FALSE);
+		/* The entry has accepted it: it is not to be withheld, whatever was refused. */
+		shard_read_job_row(shard, id, FALSE, lug_admission_admit(shard->admission, id));
 		return;
 	}
 	workflow = lug_workflow_decode_text(id, body);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -364,12 +364,14 @@
  * @generation: generation of the shard at the call
  * @job_id: job, "" for none; looked up again because it may be removed during the call
  * @cancel: cancel the job once its row is read
+ * @first_us: as in struct shard_job, set once its row is read
  */
 struct shard_ref {
 	struct lug_shard *shard;
 	guint generation;
 	char job_id[LUG_WORKFLOW_ID_MAX + 1];
 	gboolean cancel;
+	gint64 first_us;
 };
 
 static inline const struct lug_evacuation *shard_evacuation(const struct lug_shard *shard)
@@ -385,7 +387,7 @@
 void shard_notify_waiters(GArray *waiters, enum lug_status status);
 char *shard_cancel_key(const char *id);
 void shard_check_not_stored(struct lug_txn *txn, const char *id);
-void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel);
+void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel, gint64 first_us);
 void shard_release_job_claims(struct lug_shard *shard, struct shard_job *job);
 void shard_occurrence_identify(struct shard_job *job, struct shard_occurrence *occ);
 struct shard_occurrence *shard_occurrence_begin(struct shard_job *job, guint32 number);
--- a/tests/unit/shard_admit_test.cc
+++ b/tests/unit/shard_admit_test.cc
@@ -56,6 +56,11 @@
 		run_rounds();
 	}
 
+	struct shard_job *find_job(const char *job) const
+	{
+		return (struct shard_job *)g_hash_table_lookup(shard->jobs, job);
+	}
+
 	guint64 refusals() const
 	{
 		return ctx->metrics->counters[LUG_C_JOBS_REFUSED_BACKLOG];
@@ -158,6 +163,25 @@
 	EXPECT_FALSE(((struct shard_job *)g_hash_table_lookup(shard->jobs, "b"))->withheld_us);
 }
 
+/*
+ * Guards against the loss of an accepted job: its entry finds the row of an earlier submission,
+ * which the owner has not read when it is notified.
+ */
+TEST_F(ShardAdmitTest, RefusedJobThatAnEntryFindsStoredIsNotWithheld)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	ASSERT_EQ(statuses, std::vector<enum lug_status>{LUG_OVER_LIMIT});
+	store.put("0|live/a", body(4000));
+	store.put("0|inbox/a", "{}");
+	lug_shard_add_stored_job(shard, "a", "", 0, lug_now_us());
+	run_rounds();
+	ASSERT_NE(find_job("a"), nullptr);
+	EXPECT_FALSE(find_job("a")->withheld_us);
+	EXPECT_TRUE(find_job("a")->first_us) << "it keeps its place";
+}
+
 /* A call of an entry arrives after a later submission was refused. */
 TEST_F(ShardAdmitTest, EarlierSubmissionOfARefusedJobIsRefusedToo)
 {
