--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -54,6 +54,8 @@
 	/* It may have been added while the tables were read. */
 	if (ended || job) {
 		lug_workflow_free(workflow);
+		if (!ended && job->withheld_us)
+			shard_release_job(shard, job);
 		if (ended || !job->unstored_body)
 			waiter->fn(waiter->data, LUG_OK);
 		else
--- a/tests/unit/shard_admit_test.cc
+++ b/tests/unit/shard_admit_test.cc
@@ -182,6 +182,28 @@
 	EXPECT_TRUE(find_job("a")->first_us) << "it keeps its place";
 }
 
+/* Guards against the loss of a job that returns while the row of an earlier submission is found. */
+TEST_F(ShardAdmitTest, JobFoundWhileItsReturnIsJudgedIsNotWithheld)
+{
+	struct lug_row row = {};
+
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	submit("a", 7000);
+	store.put("0|live/a", body(4000));
+	row.key = const_cast<char *>("a");
+	row.version = store.version("0|live/a");
+	row.data = lug_json_parse(body(4000).c_str(), -1, nullptr);
+	shard_load_job_row(shard, &row, lug_now_us());
+	json_object_unref(row.data);
+	shard_check_found_job(shard, find_job("a"), lug_now_us());
+	ASSERT_TRUE(find_job("a")->withheld_us);
+	run_rounds();
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>{LUG_OVER_LIMIT, LUG_OK}));
+	EXPECT_FALSE(find_job("a")->withheld_us);
+}
+
 /* A call of an entry arrives after a later submission was refused. */
 TEST_F(ShardAdmitTest, EarlierSubmissionOfARefusedJobIsRefusedToo)
 {
