--- a/liblug/workflow/shard_admit.c
+++ b/liblug/workflow/shard_admit.c
@@ -277,6 +277,10 @@
 		free_pending(pending);
 		return FALSE;
 	}
+	/* A later submission may have been refused while the tables were read. */
+	if (lug_admission_is_superseded(shard->admission, pending->workflow->id,
+					pending->request.accepted_ms, now_us))
+		pending->decision.superseded = TRUE;
 	/* A superseded submission is not stored in any case; a row of it would be withheld. */
 	if (!pending->decision.superseded &&
 	    (may_be_stored(pending, status, rows, n_rows) ||
--- a/tests/unit/shard_admit_test.cc
+++ b/tests/unit/shard_admit_test.cc
@@ -204,6 +204,24 @@
 	EXPECT_FALSE(find_job("a")->withheld_us);
 }
 
+/* Guards against storing a submission whose tables are read until after a later one is refused. */
+TEST_F(ShardAdmitTest, SubmissionIsRefusedIfALaterOneWasRefusedMeanwhile)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	auto slow = store.calls;
+
+	store.calls.clear();
+	submit("a", 7000);
+	run_rounds();
+	ASSERT_EQ(statuses, std::vector<enum lug_status>{LUG_OVER_LIMIT});
+	store.calls.insert(store.calls.end(), slow.begin(), slow.end());
+	g_usleep(250 * 1000);
+	run_rounds();
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>(2, LUG_OVER_LIMIT)));
+	EXPECT_FALSE(has_row("live/a"));
+}
+
 /* A call of an entry arrives after a later submission was refused. */
 TEST_F(ShardAdmitTest, EarlierSubmissionOfARefusedJobIsRefusedToo)
 {
