--- a/liblug/workflow/gateway_owner.c
+++ b/liblug/workflow/gateway_owner.c
@@ -132,6 +132,9 @@
 	case LUG_JOB_NEW:
 		lug_shard_add_stored_job(shard, call->job, call->body ? call->body : "",
 					 call->version, now_us);
+		/* The entry repeats the notification. */
+		if (!lug_shard_is_release_stored(shard, call->job))
+			reply.status = LUG_UNAVAILABLE;
 		break;
 	case LUG_JOB_STATE:
 		reply.has_state = 1;
--- a/liblug/workflow/gateway_submit.c
+++ b/liblug/workflow/gateway_submit.c
@@ -11,6 +11,11 @@
  */
 #define NOTIFY_TIMEOUT_US (2 * G_USEC_PER_SEC)
 #define NOTIFY_RETRY_US (300 * 1000)
+/*
+ * The same for a job that was known already: its row may be withheld (shard_admit.c), for 60 s from
+ * a change of the owner, and it starts only after this notification.
+ */
+#define NOTIFY_KNOWN_TIMEOUT_US (60 * G_USEC_PER_SEC)
 /* Time for an owner to answer a request to store a job, with an error if it can't commit. */
 #define RELAY_TIMEOUT_US (400 * 1000)
 /*
@@ -33,13 +38,13 @@
 	lug_info(call->gateway->ctx, event, "job", call->job, "shard", shard, "reason", reason);
 }
 
-static void accept_job(struct gateway_call *call, const char *how)
+static void accept_job(struct gateway_call *call, const char *how, gint64 notify_us)
 {
 	gint64 now_us = lug_now_us();
 
 	log_submit(call, "job_accepted", how);
 	call->stored = TRUE;
-	call->notify_until_us = now_us + NOTIFY_TIMEOUT_US;
+	call->notify_until_us = now_us + notify_us;
 	call->retry_us = now_us + NOTIFY_RETRY_US;
 	gateway_send_call(call, call->shard);
 	call->submit_fn(call->data, LUG_OK, 0);
@@ -74,12 +79,14 @@
 	call->txn_in_flight = FALSE;
 	if (result->status == LUG_OK) {
 		call->version = result->version;
-		accept_job(call, "stored");
+		accept_job(call, "stored", NOTIFY_TIMEOUT_US);
 		return;
 	}
 	if (result->status == LUG_CONFLICT) {
 		/* The job was stored before, by this call or an earlier submission. */
-		accept_job(call, "known already");
+		accept_job(call, "known already",
+			   call->gateway->ctx->settings->schedule_overload ? NOTIFY_KNOWN_TIMEOUT_US
+									   : NOTIFY_TIMEOUT_US);
 		return;
 	}
 	if (result->status == LUG_BAD_INPUT && !call->outcome_unknown) {
--- a/liblug/workflow/shard.h
+++ b/liblug/workflow/shard.h
@@ -90,6 +90,7 @@
 			      gint64 version, gint64 now_us);
 void lug_shard_store_job(struct lug_shard *shard, const char *id, const char *body,
 			 lug_shard_done_fn fn, void *data, gint64 now_us);
+gboolean lug_shard_is_release_stored(const struct lug_shard *shard, const char *id);
 gint64 lug_shard_retry_after_ms(const struct lug_shard *shard, const char *id);
 enum lug_workflow_state lug_shard_job_state(const struct lug_shard *shard, const char *id);
 gboolean lug_shard_cancel_job(struct lug_shard *shard, const char *id, lug_shard_done_fn fn,
--- a/liblug/workflow/shard_admit.c
+++ b/liblug/workflow/shard_admit.c
@@ -371,9 +371,12 @@
 
 	if (first_us)
 		job->first_us = first_us;
-	if (job->withheld_us)
-		lug_shard_wake(shard);
+	if (!job->withheld_us)
+		return;
 	job->withheld_us = 0;
+	shard_job_mark_changed(shard, job);
+	job->release_revision = job->revision;
+	lug_shard_wake(shard);
 }
 
 /**
@@ -392,8 +395,10 @@
 		return;
 	shard_admit_all(shard, now_us);
 	if (lug_admission_is_superseded(shard->admission, workflow->id, workflow->accepted_ms,
-					now_us))
+					now_us)) {
 		job->withheld_us = now_us;
+		shard_job_mark_changed(shard, job);
+	}
 	if (job->withheld_us)
 		lug_info(shard->shared.ctx, "job_withheld", "job", workflow->id, "shard",
 			 shard->name, "reason", "a later submission of it was refused");
@@ -425,6 +430,16 @@
 	return TRUE;
 }
 
+/**
+ * lug_shard_is_release_stored - FALSE while the next owner would still find the job withheld
+ */
+gboolean lug_shard_is_release_stored(const struct lug_shard *shard, const char *id)
+{
+	const struct shard_job *job = g_hash_table_lookup(shard->jobs, id);
+
+	return !job || job->committed_revision >= job->release_revision;
+}
+
 /**
  * lug_shard_retry_after_ms - time after which a job refused with LUG_OVER_LIMIT may be submitted
  * again
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -251,6 +251,9 @@
 	else
 		job->in_inbox = FALSE;
 	job->committed_revision = job->sent_revision;
+	/* Submissions of a withheld job wait until its release is stored. */
+	if (job->committed_revision >= job->release_revision)
+		shard_notify_waiters(job->store_waiters, LUG_OK);
 	send_acks(shard, job, job->committed_revision);
 	/* LUG_WORKFLOW_UNKNOWN: not ended. */
 	if (job->end_state != LUG_WORKFLOW_UNKNOWN && job->committed_revision == job->revision) {
--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -37,6 +37,19 @@
 	lug_shard_wake(shard);
 }
 
+/*
+ * Answers a submission of a job that was submitted before: at once if the job is stored, and if it
+ * was withheld, its release too; otherwise after the commit. @job is NULL when it has ended.
+ */
+static void answer_known(const struct lug_shard *shard, struct shard_job *job,
+			 const struct shard_waiter *waiter)
+{
+	if (!job || (!job->unstored_body && lug_shard_is_release_stored(shard, job->workflow->id)))
+		waiter->fn(waiter->data, LUG_OK);
+	else
+		g_array_append_val(job->store_waiters, *waiter);
+}
+
 /**
  * shard_store_admitted - add a job that is to be stored
  * @shard: shard
@@ -56,10 +69,7 @@
 		lug_workflow_free(workflow);
 		if (!ended && job->withheld_us)
 			shard_release_job(shard, job);
-		if (ended || !job->unstored_body)
-			waiter->fn(waiter->data, LUG_OK);
-		else
-			g_array_append_val(job->store_waiters, *waiter);
+		answer_known(shard, ended ? NULL : job, waiter);
 		return;
 	}
 	job = shard_job_new(shard, workflow, 0, now_us);
@@ -92,12 +102,8 @@
 		fn(data, LUG_UNKNOWN);
 		return;
 	}
-	if (g_hash_table_contains(shard->ended_jobs, id) || (job && !job->unstored_body)) {
-		fn(data, LUG_OK);
-		return;
-	}
-	if (job) {
-		g_array_append_val(job->store_waiters, waiter);
+	if (g_hash_table_contains(shard->ended_jobs, id) || job) {
+		answer_known(shard, job, &waiter);
 		return;
 	}
 	if (lug_shard_is_stalled(shard, now_us)) {
--- a/liblug/workflow/shard_load.c
+++ b/liblug/workflow/shard_load.c
@@ -57,6 +57,9 @@
 	if (!shard_row_decode(job, row->data))
 		lug_warn(shard->shared.ctx, "row_damaged", "table", SHARD_STATE_TABLE, "key",
 			 row->key, "reason", "not a valid state of this job");
+	/* Nothing is withheld without the setting, and nothing would release the job. */
+	if (!shard->shared.ctx->settings->schedule_overload)
+		job->withheld_us = 0;
 	shard_row_measure(job);
 	reserve_loaded_claims(shard, job, now_us);
 }
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -197,6 +197,7 @@
  * @last_start_us: when a worker last confirmed the start of a task, 0 for never under this owner
  * @withheld_us: when it was withheld: no task starts before its client submits it again, see
  *               shard_check_found_job(); 0 for not
+ * @release_revision: revision in which it was released after it was withheld, 0 for none
  * @was_claimed: a task has been claimed
  * @was_confirmed: a worker has confirmed a start, without which no task has begun
  * @end_state: final state once decided, LUG_WORKFLOW_UNKNOWN before
@@ -231,6 +232,7 @@
 	gint64 first_us;
 	gint64 last_start_us;
 	gint64 withheld_us;
+	guint64 release_revision;
 	gboolean was_claimed;
 	gboolean was_confirmed;
 	enum lug_workflow_state end_state;
--- a/liblug/workflow/shard_row.c
+++ b/liblug/workflow/shard_row.c
@@ -9,6 +9,7 @@
  *   next          first occurrence that has not begun
  *   started       1 when a task has been claimed
  *   begun         1 when a worker has confirmed a start
+ *   withheld      1 when the job is withheld, see shard_check_found_job(); absent otherwise
  *   workers       list of names of workers
  *   occurrences   list of the active occurrences, each an object:
  *     k           number of the occurrence
@@ -246,6 +247,8 @@
 	json_object_set_int_member(row, "next", job->next_occurrence);
 	json_object_set_int_member(row, "started", job->was_claimed);
 	json_object_set_int_member(row, "begun", job->was_confirmed);
+	if (job->withheld_us)
+		json_object_set_int_member(row, "withheld", 1);
 	json_object_set_array_member(row, "workers", names);
 	json_object_set_array_member(row, "occurrences", occurrences);
 	text = lug_json_text(row);
@@ -374,6 +377,7 @@
 		(guint32)CLAMP(lug_json_int(row, "next", 0), 0, job->workflow->occurrences);
 	job->was_claimed = lug_json_int(row, "started", 0) != 0;
 	job->was_confirmed = lug_json_int(row, "begun", 0) != 0;
+	job->withheld_us = lug_json_int(row, "withheld", 0) ? lug_now_us() : 0;
 	if (n > 1 && n > ACTIVE_TASKS_MAX / job->first_task[job->workflow->n_steps])
 		return FALSE;
 	for (guint i = 0; i < n; i++) {
--- a/tests/unit/shard_admit_test.cc
+++ b/tests/unit/shard_admit_test.cc
@@ -61,6 +61,16 @@
 		return (struct shard_job *)g_hash_table_lookup(shard->jobs, job);
 	}
 
+	/* The shard gets a new owner, which has no memory of refusals. */
+	void restart()
+	{
+		lug_shard_free(shard);
+		lug_fleet_free(fleet);
+		create_shard();
+		take_shard_with_worker();
+		run_rounds();
+	}
+
 	guint64 refusals() const
 	{
 		return ctx->metrics->counters[LUG_C_JOBS_REFUSED_BACKLOG];
@@ -139,8 +149,9 @@
 	submit("a", 4000);
 	EXPECT_EQ(statuses.back(), LUG_UNKNOWN) << "an earlier submission than the refused one";
 	submit("a", 7000);
-	EXPECT_EQ(statuses.back(), LUG_OK);
+	EXPECT_EQ(statuses.size(), 2u) << "answered before its release is stored";
 	run_rounds();
+	EXPECT_EQ(statuses.back(), LUG_OK);
 	send_beat({}, 0, 1, "w3");
 	EXPECT_FALSE(((struct shard_job *)g_hash_table_lookup(shard->jobs, "a"))->withheld_us);
 }
@@ -237,6 +248,55 @@
 	EXPECT_EQ(statuses.back(), LUG_OK);
 }
 
+/* Guards against the start of a refused job by the next owner, and after the setting is off. */
+TEST_F(ShardAdmitTest, WithheldJobIsWithheldByTheNextOwner)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	find_in_inbox("a", 4000);
+	restart();
+	ASSERT_NE(find_job("a"), nullptr);
+	EXPECT_TRUE(find_job("a")->withheld_us);
+	submit("a", 7000);
+	run_rounds();
+	EXPECT_EQ(statuses.back(), LUG_OK);
+	restart();
+	EXPECT_FALSE(find_job("a")->withheld_us);
+}
+
+TEST_F(ShardAdmitTest, NothingIsWithheldByAnOwnerWithTheSettingOff)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	find_in_inbox("a", 4000);
+	ctx->settings->schedule_overload = FALSE;
+	restart();
+	ASSERT_NE(find_job("a"), nullptr);
+	EXPECT_FALSE(find_job("a")->withheld_us);
+}
+
+/* Guards against an accepted job that the next owner withholds, because this one dies too early. */
+TEST_F(ShardAdmitTest, ReturnOfAWithheldJobIsAnsweredOnceItsReleaseIsStored)
+{
+	take_shard_with_backlog();
+	submit("a", 5000);
+	run_rounds();
+	find_in_inbox("a", 4000);
+	store.is_silent = true;
+	submit("a", 7000);
+	submit("a", 7000);
+	run_rounds();
+	EXPECT_EQ(statuses.size(), 1u);
+	EXPECT_FALSE(lug_shard_is_release_stored(shard, "a"));
+	store.is_silent = false;
+	run_rounds();
+	EXPECT_EQ(statuses, (std::vector<enum lug_status>{LUG_OVER_LIMIT, LUG_OK, LUG_OK}));
+	EXPECT_TRUE(lug_shard_is_release_stored(shard, "a"));
+	EXPECT_EQ(state_row("a").find("withheld"), std::string::npos);
+}
+
 /* Guards against a withheld job that stays for ever. */
 TEST_F(ShardAdmitTest, WithheldJobEndsWhenItsClientDoesNotReturn)
 {
