--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -124,8 +124,14 @@
 	wire.shard = shard;
 	wire.job = call->job;
 	wire.queue = call->queue;
-	/* Without a version and a body the owner reads the row itself. */
-	wire.body = call->version || call->relay_in_flight ? call->body : NULL;
+	/*
+	 * Without a version the owner reads the row itself. With schedule.overload it may have
+	 * removed the row since the entry found it, and stores the body then.
+	 */
+	wire.body = call->version || call->relay_in_flight ||
+				    call->gateway->ctx->settings->schedule_overload
+			    ? call->body
+			    : NULL;
 	wire.has_version = 1;
 	wire.version = call->version;
 	lug_dial_route(peer->dial, &route);
--- a/liblug/workflow/shard_admit.c
+++ b/liblug/workflow/shard_admit.c
@@ -108,13 +108,19 @@
 		}
 }
 
-/* A withheld job ends when its client has not returned for WITHHELD_MAX_US. */
-static void end_withheld_jobs(struct lug_shard *shard, gint64 now_us)
+/*
+ * A withheld job is removed when its client has not returned for WITHHELD_MAX_US. It leaves no
+ * ended row: a client that returns later would be told that the job is accepted.
+ */
+static void expire_withheld_jobs(struct lug_shard *shard, gint64 now_us)
 {
 	SHARD_FOREACH_JOB(shard, job)
 	{
-		if (job->withheld_us && now_us - job->withheld_us > WITHHELD_MAX_US)
-			shard_set_end_state(shard, job, LUG_WORKFLOW_CANCELLED);
+		if (!job->withheld_us || job->end_state != LUG_WORKFLOW_UNKNOWN ||
+		    now_us - job->withheld_us <= WITHHELD_MAX_US)
+			continue;
+		job->expired = TRUE;
+		shard_set_end_state(shard, job, LUG_WORKFLOW_CANCELLED);
 	}
 }
 
@@ -132,7 +138,7 @@
 	lug_admission_sample(shard->admission, (const struct lug_admission_job *)jobs->data,
 			     jobs->len, now_us);
 	g_array_unref(jobs);
-	end_withheld_jobs(shard, now_us);
+	expire_withheld_jobs(shard, now_us);
 }
 
 /**
@@ -431,13 +437,14 @@
 }
 
 /**
- * lug_shard_is_release_stored - FALSE while the next owner would still find the job withheld
+ * lug_shard_is_release_stored - FALSE while the next owner would still find the job withheld, or
+ * its rows are being removed
  */
 gboolean lug_shard_is_release_stored(const struct lug_shard *shard, const char *id)
 {
 	const struct shard_job *job = g_hash_table_lookup(shard->jobs, id);
 
-	return !job || job->committed_revision >= job->release_revision;
+	return !job || (!job->expired && job->committed_revision >= job->release_revision);
 }
 
 /**
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -137,9 +137,13 @@
 
 	ended->state = job->end_state;
 	ended->ended_us = now_us;
-	g_hash_table_insert(shard->ended_jobs, g_strdup(job->workflow->id), ended);
-	lug_info(shard->shared.ctx, "job_ended", "job", job->workflow->id, "queue",
-		 job->workflow->queue, "state", lug_workflow_state_name(job->end_state));
+	if (job->expired)
+		g_free(ended);
+	else
+		g_hash_table_insert(shard->ended_jobs, g_strdup(job->workflow->id), ended);
+	lug_info(shard->shared.ctx, job->expired ? "withheld_job_removed" : "job_ended", "job",
+		 job->workflow->id, "queue", job->workflow->queue, "state",
+		 lug_workflow_state_name(job->end_state));
 	stop_job_runs(shard, job);
 	/* shard_job_free() would notify the waiters with LUG_UNKNOWN. */
 	job->cancel_waiters = g_array_new(FALSE, FALSE, sizeof(struct shard_waiter));
@@ -265,6 +269,23 @@
 		send_starts(shard, job, job->committed_revision, now_us);
 }
 
+static void delete_live_rows(struct lug_writer_op *op, const struct shard_job *job)
+{
+	lug_txn_delete(&op->txn, SHARD_LIVE_TABLE, job->workflow->id);
+	lug_txn_delete(&op->txn, SHARD_STATE_TABLE, job->workflow->id);
+}
+
+/*
+ * Removes a withheld job. After a removal of unknown outcome the client may have returned and its
+ * entry may have stored the job anew, so the row has to be the one that was read.
+ */
+static void delete_expired_rows(struct lug_writer_op *op, const struct shard_job *job)
+{
+	if (job->committed_revision)
+		lug_txn_check(&op->txn, SHARD_LIVE_TABLE, job->workflow->id, job->row_version);
+	delete_live_rows(op, job);
+}
+
 static void put_ended_rows(struct lug_writer_op *op, const struct shard_job *job)
 {
 	JsonObject *row = json_object_new();
@@ -273,8 +294,7 @@
 	json_object_set_string_member(row, "state", lug_workflow_state_name(job->end_state));
 	json_object_set_string_member(row, "queue", job->workflow->queue);
 	lug_txn_put(&op->txn, SHARD_ENDED_TABLE, job->workflow->id, row);
-	lug_txn_delete(&op->txn, SHARD_LIVE_TABLE, job->workflow->id);
-	lug_txn_delete(&op->txn, SHARD_STATE_TABLE, job->workflow->id);
+	delete_live_rows(op, job);
 	if (job->cancel_in_inbox) {
 		cancel_key = shard_cancel_key(job->workflow->id);
 		lug_txn_delete(&op->txn, SHARD_INBOX_TABLE, cancel_key);
@@ -304,7 +324,9 @@
 	char *text;
 
 	/* LUG_WORKFLOW_UNKNOWN: not ended. */
-	if (job->end_state != LUG_WORKFLOW_UNKNOWN) {
+	if (job->expired) {
+		delete_expired_rows(op, job);
+	} else if (job->end_state != LUG_WORKFLOW_UNKNOWN) {
 		put_ended_rows(op, job);
 	} else {
 		text = encode_state(shard, job);
--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -7,7 +7,7 @@
 #define INBOX_PAGE_ROWS 200
 #define REMOVALS_PER_OP 32
 
-static void ignore_cancel(void *data, enum lug_status status)
+static void ignore_status(void *data, enum lug_status status)
 {
 	(void)data;
 	(void)status;
@@ -73,7 +73,7 @@
 	if (job->cancel_in_inbox)
 		return;
 	job->cancel_in_inbox = TRUE;
-	lug_shard_cancel_job(shard, id, ignore_cancel, NULL, lug_now_us());
+	lug_shard_cancel_job(shard, id, ignore_status, NULL, lug_now_us());
 	lug_info(shard->shared.ctx, "job_cancelled", "job", id, "source", "inbox");
 }
 
@@ -159,6 +159,21 @@
 	g_free(ref);
 }
 
+/* Stores a job whose row an entry has found, and which was removed since, as it had expired. */
+static void store_missing_job(const struct shard_ref *ref)
+{
+	struct shard_waiter waiter = {ignore_status, NULL};
+	struct lug_workflow *workflow = lug_workflow_decode_text(ref->job_id, ref->body);
+	struct shard_job *job;
+
+	if (!workflow)
+		return;
+	shard_store_admitted(ref->shard, workflow, ref->body, &waiter, lug_now_us());
+	job = g_hash_table_lookup(ref->shard->jobs, ref->job_id);
+	if (job && ref->first_us)
+		job->first_us = ref->first_us;
+}
+
 static void on_job_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		       gboolean more)
 {
@@ -171,6 +186,8 @@
 	if (shard_ref_is_valid(ref) && status == LUG_OK) {
 		if (found) {
 			add_read_job(shard, &rows[0], ref);
+		} else if (ref->body) {
+			store_missing_job(ref);
 		} else {
 			/* There is no such live job: its inbox rows are obsolete. */
 			remove_inbox_row(shard, ref->job_id);
@@ -179,6 +196,7 @@
 					       1, on_ended_row, shard_ref_new(shard, ref->job_id));
 		}
 	}
+	g_free(ref->body);
 	g_free(ref);
 }
 
@@ -198,6 +216,25 @@
 	lug_store_scan(shard->store, SHARD_LIVE_TABLE, id, NULL, 1, on_job_row, ref);
 }
 
+/**
+ * shard_read_accepted_job - read the row of a job that an entry has accepted, and add the job
+ * @shard: shard
+ * @id: job, which this owner does not have
+ * @body: text of the row to store if there is none, "" for none
+ *
+ * It is not withheld, whatever was refused. Its row may have been removed after the entry had found
+ * it, if the job was withheld and expired.
+ */
+void shard_read_accepted_job(struct lug_shard *shard, const char *id, const char *body)
+{
+	struct shard_ref *ref = shard_ref_new(shard, id);
+
+	ref->first_us = lug_admission_admit(shard->admission, id);
+	if (*body && shard->shared.ctx->settings->schedule_overload)
+		ref->body = g_strdup(body);
+	lug_store_scan(shard->store, SHARD_LIVE_TABLE, id, NULL, 1, on_job_row, ref);
+}
+
 static char *job_of_cancel_key(const char *key)
 {
 	return g_strndup(key, strlen(key) - strlen(SHARD_CANCEL_SUFFIX));
--- a/liblug/workflow/shard_job.c
+++ b/liblug/workflow/shard_job.c
@@ -6,8 +6,8 @@
  * lug_shard_add_stored_job - add a job whose row an entry has stored
  * @shard: shard
  * @id: job
- * @body: text of the job's row; "" when the row existed before and has to be read
- * @version: version of the row
+ * @body: text of the job's row
+ * @version: version of the row, 0 when it existed before and has to be read
  * @now_us: current time
  */
 void lug_shard_add_stored_job(struct lug_shard *shard, const char *id, const char *body,
@@ -16,13 +16,12 @@
 	struct shard_job *job = g_hash_table_lookup(shard->jobs, id);
 	struct lug_workflow *workflow;
 
-	if (job)
+	if (job && !job->expired)
 		shard_release_job(shard, job);
 	if (job || g_hash_table_contains(shard->ended_jobs, id))
 		return;
 	if (!*body || version <= 0) {
-		/* The entry has accepted it: it is not to be withheld, whatever was refused. */
-		shard_read_job_row(shard, id, FALSE, lug_admission_admit(shard->admission, id));
+		shard_read_accepted_job(shard, id, body);
 		return;
 	}
 	workflow = lug_workflow_decode_text(id, body);
@@ -39,12 +38,16 @@
 
 /*
  * Answers a submission of a job that was submitted before: at once if the job is stored, and if it
- * was withheld, its release too; otherwise after the commit. @job is NULL when it has ended.
+ * was withheld, its release too; otherwise after the commit. @job is NULL when it has ended. An
+ * expired job is about to be removed, so that it can't be accepted.
  */
 static void answer_known(const struct lug_shard *shard, struct shard_job *job,
 			 const struct shard_waiter *waiter)
 {
-	if (!job || (!job->unstored_body && lug_shard_is_release_stored(shard, job->workflow->id)))
+	if (job && job->expired)
+		waiter->fn(waiter->data, LUG_UNAVAILABLE);
+	else if (!job ||
+		 (!job->unstored_body && lug_shard_is_release_stored(shard, job->workflow->id)))
 		waiter->fn(waiter->data, LUG_OK);
 	else
 		g_array_append_val(job->store_waiters, *waiter);
@@ -67,7 +70,7 @@
 	/* It may have been added while the tables were read. */
 	if (ended || job) {
 		lug_workflow_free(workflow);
-		if (!ended && job->withheld_us)
+		if (!ended && job->withheld_us && !job->expired)
 			shard_release_job(shard, job);
 		answer_known(shard, ended ? NULL : job, waiter);
 		return;
@@ -98,7 +101,8 @@
 	struct shard_waiter waiter = {fn, data};
 	struct lug_workflow *workflow;
 
-	if (job && job->withheld_us && !shard_release_withheld_job(shard, job, body, now_us)) {
+	if (job && job->withheld_us && !job->expired &&
+	    !shard_release_withheld_job(shard, job, body, now_us)) {
 		fn(data, LUG_UNKNOWN);
 		return;
 	}
@@ -161,6 +165,10 @@
 	if (!job)
 		return FALSE;
 	g_array_append_val(job->cancel_waiters, waiter);
+	/* A cancelled job leaves an ended row. */
+	if (job->expired)
+		shard_job_mark_changed(shard, job);
+	job->expired = FALSE;
 	if (job->end_state == LUG_WORKFLOW_UNKNOWN)
 		shard_set_end_state(shard, job, LUG_WORKFLOW_CANCELLED);
 	lug_shard_wake(shard);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -197,6 +197,7 @@
  * @last_start_us: when a worker last confirmed the start of a task, 0 for never under this owner
  * @withheld_us: when it was withheld: no task starts before its client submits it again, see
  *               shard_check_found_job(); 0 for not
+ * @expired: its client did not return while it was withheld: its rows are to be removed
  * @release_revision: revision in which it was released after it was withheld, 0 for none
  * @was_claimed: a task has been claimed
  * @was_confirmed: a worker has confirmed a start, without which no task has begun
@@ -232,6 +233,7 @@
 	gint64 first_us;
 	gint64 last_start_us;
 	gint64 withheld_us;
+	gboolean expired;
 	guint64 release_revision;
 	gboolean was_claimed;
 	gboolean was_confirmed;
@@ -367,6 +369,7 @@
  * @job_id: job, "" for none; looked up again because it may be removed during the call
  * @cancel: cancel the job once its row is read
  * @first_us: as in struct shard_job, set once its row is read
+ * @body: text of the row of a job to store if it has none, NULL for none
  */
 struct shard_ref {
 	struct lug_shard *shard;
@@ -374,6 +377,7 @@
 	char job_id[LUG_WORKFLOW_ID_MAX + 1];
 	gboolean cancel;
 	gint64 first_us;
+	char *body;
 };
 
 static inline const struct lug_evacuation *shard_evacuation(const struct lug_shard *shard)
@@ -390,6 +394,7 @@
 char *shard_cancel_key(const char *id);
 void shard_check_not_stored(struct lug_txn *txn, const char *id);
 void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel, gint64 first_us);
+void shard_read_accepted_job(struct lug_shard *shard, const char *id, const char *body);
 void shard_release_job_claims(struct lug_shard *shard, struct shard_job *job);
 void shard_occurrence_identify(struct shard_job *job, struct shard_occurrence *occ);
 struct shard_occurrence *shard_occurrence_begin(struct shard_job *job, guint32 number);
