--- a/liblug/schedule/order.h
+++ b/liblug/schedule/order.h
@@ -27,7 +27,7 @@
  * @remaining_us: least time that the rest of its critical path takes; negative when the job can't
  * be late
  * @last_start_us: when one of its tasks was last started, 0 for never
- * @long_running: its tasks run until it is cancelled
+ * @long_running: all its tasks run until it is cancelled, and look-ahead placement is on
  */
 struct lug_order_job {
 	guint32 priority;
--- a/liblug/workflow/shard_place.c
+++ b/liblug/workflow/shard_place.c
@@ -179,12 +179,13 @@
 	return longest;
 }
 
+/* The short steps of a job that has others too must not wait without bound. */
 static gboolean is_long_running(const struct lug_workflow *workflow)
 {
 	for (guint32 s = 0; s < workflow->n_steps; s++)
-		if (workflow->steps[s].long_running)
-			return TRUE;
-	return FALSE;
+		if (!workflow->steps[s].long_running)
+			return FALSE;
+	return TRUE;
 }
 
 /*
@@ -194,13 +195,15 @@
 static void set_order_key(const struct lug_shard *shard, struct shard_job *job, gint64 remaining_us,
 			  gint64 now_us)
 {
-	struct lug_order_job order = {.priority = job->priority,
-				      .accepted_us = job->accepted_us,
-				      .first_us = job->first_us,
-				      .deadline_us = job->deadline_us,
-				      .remaining_us = remaining_us,
-				      .last_start_us = job->last_start_us,
-				      .long_running = is_long_running(job->workflow)};
+	struct lug_order_job order = {
+		.priority = job->priority,
+		.accepted_us = job->accepted_us,
+		.first_us = job->first_us,
+		.deadline_us = job->deadline_us,
+		.remaining_us = remaining_us,
+		.last_start_us = job->last_start_us,
+		.long_running = shard->shared.ctx->settings->schedule_lookahead_ms > 0 &&
+				is_long_running(job->workflow)};
 
 	if (shard->shared.ctx->settings->schedule_overload) {
 		lug_order_make_key(&order, now_us, &job->order);
--- a/tests/unit/shard_admit_test.cc
+++ b/tests/unit/shard_admit_test.cc
@@ -373,4 +373,48 @@
 	EXPECT_TRUE(has_row("ended/a"));
 }
 
+/* Late jobs with long-running steps, and the groups in which they are placed. */
+struct ShardOrderTest : public ShardAdmitTest {
+	enum lug_order_group place(gint64 lookahead_ms, const std::string &other_steps)
+	{
+		const struct lug_queue_def *def = lug_queues_find(lug_config_queues(config), "q");
+		gint64 accepted_ms = g_get_real_time() / 1000 - 60000;
+		std::string text = "{\"queue\":\"q\",\"spec\":\"s\",\"occurrences\":1,"
+				   "\"accepted_ms\":" +
+				   std::to_string(accepted_ms) +
+				   ",\"steps\":[{\"count\":1,\"millicores\":1000,\"memory\":1,"
+				   "\"estimate_ms\":1000,\"lasting\":1}" +
+				   other_steps + "]}";
+
+		ctx->settings->schedule_overload = TRUE;
+		ctx->settings->schedule_lookahead_ms = lookahead_ms;
+		const_cast<struct lug_queue_def *>(def)->slo_factor = 2;
+		take_shard();
+		run_rounds();
+		add_stored_job("a", text.c_str());
+		run_rounds();
+		shard_update_sort_keys(shard, find_job("a"), lug_now_us());
+		return find_job("a")->order.group;
+	}
+};
+
+TEST_F(ShardOrderTest, LateLongRunningJobStaysBehindWithLookAheadPlacement)
+{
+	EXPECT_EQ(place(2000, ""), LUG_ORDER_WORTHLESS);
+}
+
+/* Guards against an unbounded wait: without look-ahead placement only the order bounds it. */
+TEST_F(ShardOrderTest, LateLongRunningJobIsPlacedByAgeWithoutLookAheadPlacement)
+{
+	EXPECT_EQ(place(0, ""), LUG_ORDER_IN_TIME);
+}
+
+/* Guards against an unbounded wait of the short steps of a job with a long-running one. */
+TEST_F(ShardOrderTest, LateJobWithShortStepsTooIsPlacedByAge)
+{
+	EXPECT_EQ(place(2000, ",{\"count\":1,\"millicores\":1000,\"memory\":1,"
+			      "\"estimate_ms\":1000}"),
+		  LUG_ORDER_IN_TIME);
+}
+
 } // namespace
