--- a/tests/unit/workflow_test.cc
+++ b/tests/unit/workflow_test.cc
@@ -1,5 +1,7 @@
 #include "lug.h"
 
+#include <cmath>
+
 extern "C" {
 #include "workflow/interference.h"
 #include "workflow/workflow.h"
@@ -489,4 +491,45 @@
 	step.image = (char *)"heavy";
 	EXPECT_EQ(choose(), open);
 }
+
+struct lug_queue_def decode_objective(const std::string &members)
+{
+	std::string text =
+		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"prefix\":\"/q/\"," + members + "}]}";
+	JsonObject *row = lug_json_parse(text.c_str(), -1, nullptr);
+	struct lug_error err = {};
+	struct lug_queues *queues = platform_queues_decode(row, &err);
+	struct lug_queue_def def = *lug_queues_find(queues, "q");
+
+	lug_queues_free(queues);
+	json_object_unref(row);
+	return def;
+}
+
+/* Guards against deadlines that overflow because of a mistake in the operators' configuration. */
+TEST(PlatformConfig, ObjectivesAreBounded)
+{
+	EXPECT_EQ(decode_objective("\"slo_factor\":1.5,\"slo_ms\":300").slo_factor, 1.5);
+	EXPECT_EQ(decode_objective("\"slo_factor\":1.5,\"slo_ms\":300").slo_ms, 300);
+	EXPECT_EQ(decode_objective("\"slo_factor\":1e300").slo_factor, 1e4);
+	EXPECT_EQ(decode_objective("\"slo_factor\":-1").slo_factor, 0);
+	EXPECT_EQ(decode_objective("\"slo_ms\":9000000000000000000").slo_ms, 30LL * 86400 * 1000);
+	EXPECT_EQ(decode_objective("\"slo_ms\":-5").slo_ms, 0);
+}
+
+/* JSON has no literal for it; a row that was not read from text may hold one. */
+TEST(PlatformConfig, ObjectiveThatIsNoNumberIsNone)
+{
+	JsonObject *row = lug_json_parse(
+		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"prefix\":\"/q/\"}]}", -1, nullptr);
+	struct lug_error err = {};
+	struct lug_queues *queues;
+
+	json_object_set_double_member(lug_json_item_obj(lug_json_arr(row, "routes"), 0),
+				      "slo_factor", NAN);
+	queues = platform_queues_decode(row, &err);
+	EXPECT_EQ(lug_queues_find(queues, "q")->slo_factor, 0);
+	lug_queues_free(queues);
+	json_object_unref(row);
+}
 } // namespace
