--- a/liblug/workflow/shard_admit.c
+++ b/liblug/workflow/shard_admit.c
@@ -108,13 +108,19 @@
 		}
 }
 
-/* A withheld job ends when its client has not returned for WITHHELD_MAX_US. */
-static void end_withheld_jobs(struct lug_shard *shard, gint64 now_us)
+/*
+ * A withheld job is removed when its client has not returned for WITHHELD_MAX_US. It leaves no
+ * ended row: a client that returns later would be told that the job is accepted.
+ */
+static void expire_withheld_jobs(struct lug_shard *shard, gint64 now_us)
 {
 	SHARD_FOREACH_JOB(shard, job)
 	{
-		if (job->withheld_us && now_us - job->withheld_us > WITHHELD_MAX_US)
-			shard_set_end_state(shard, job, LUG_WORKFLOW_CANCELLED);
+		if (!job->withheld_us || job->end_state != LUG_WORKFLOW_UNKNOWN ||
+		    now_us - job->withheld_us <= WITHHELD_MAX_US)
+			continue;
+		job->expired = TRUE;
+		shard_set_end_state(shard, job, LUG_WORKFLOW_CANCELLED);
 	}
 }
 
@@ -132,7 +138,7 @@
 	lug_admission_sample(shard->admission, (const struct lug_admission_job *)jobs->data,
 			     jobs->len, now_us);
 	g_array_unref(jobs);
-	end_withheld_jobs(shard, now_us);
+	expire_withheld_jobs(shard, now_us);
 }
 
 /**
@@ -277,6 +283,10 @@
 		free_pending(pending);
 		return FALSE;
 	}
+	/* A later submission may have been refused while the tables were read. */
+	if (lug_admission_is_superseded(shard->admission, pending->workflow->id,
+					pending->request.accepted_ms, now_us))
+		pending->decision.superseded = TRUE;
 	/* A superseded submission is not stored in any case; a row of it would be withheld. */
 	if (!pending->decision.superseded &&
 	    (may_be_stored(pending, status, rows, n_rows) ||
@@ -367,9 +377,12 @@
 
 	if (first_us)
 		job->first_us = first_us;
-	if (job->withheld_us)
-		lug_shard_wake(shard);
+	if (!job->withheld_us)
+		return;
 	job->withheld_us = 0;
+	shard_job_mark_changed(shard, job);
+	job->release_revision = job->revision;
+	lug_shard_wake(shard);
 }
 
 /**
@@ -388,8 +401,10 @@
 		return;
 	shard_admit_all(shard, now_us);
 	if (lug_admission_is_superseded(shard->admission, workflow->id, workflow->accepted_ms,
-					now_us))
+					now_us)) {
 		job->withheld_us = now_us;
+		shard_job_mark_changed(shard, job);
+	}
 	if (job->withheld_us)
 		lug_info(shard->shared.ctx, "job_withheld", "job", workflow->id, "shard",
 			 shard->name, "reason", "a later submission of it was refused");
@@ -421,6 +436,17 @@
 	return TRUE;
 }
 
+/**
+ * lug_shard_is_release_stored - FALSE while the next owner would still find the job withheld, or
+ * its rows are being removed
+ */
+gboolean lug_shard_is_release_stored(const struct lug_shard *shard, const char *id)
+{
+	const struct shard_job *job = g_hash_table_lookup(shard->jobs, id);
+
+	return !job || (!job->expired && job->committed_revision >= job->release_revision);
+}
+
 /**
  * lug_shard_retry_after_ms - time after which a job refused with LUG_OVER_LIMIT may be submitted
  * again
--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -7,7 +7,7 @@
 #define INBOX_PAGE_ROWS 200
 #define REMOVALS_PER_OP 32
 
-static void ignore_cancel(void *data, enum lug_status status)
+static void ignore_status(void *data, enum lug_status status)
 {
 	(void)data;
 	(void)status;
@@ -73,28 +73,31 @@
 	if (job->cancel_in_inbox)
 		return;
 	job->cancel_in_inbox = TRUE;
-	lug_shard_cancel_job(shard, id, ignore_cancel, NULL, lug_now_us());
+	lug_shard_cancel_job(shard, id, ignore_status, NULL, lug_now_us());
 	lug_info(shard->shared.ctx, "job_cancelled", "job", id, "source", "inbox");
 }
 
 /* Adds a job whose row was read because this owner did not have it. */
-static void add_read_job(struct lug_shard *shard, const struct lug_row *row, gboolean cancel)
+static void add_read_job(struct lug_shard *shard, const struct lug_row *row,
+			 const struct shard_ref *ref)
 {
 	struct shard_job *job;
 
 	lug_info(shard->shared.ctx, "job_found", "job", row->key, "shard", shard->name, "source",
-		 cancel ? "inbox, with its cancellation" : "inbox");
+		 ref->cancel ? "inbox, with its cancellation" : "inbox");
 	shard_load_job_row(shard, row, lug_now_us());
 	job = g_hash_table_lookup(shard->jobs, row->key);
 	/* Its row can't be decoded, which reading it again would not change. */
 	if (!job) {
 		remove_inbox_row(shard, row->key);
-		if (cancel)
+		if (ref->cancel)
 			remove_cancel(shard, row->key);
 		return;
 	}
+	if (ref->first_us)
+		job->first_us = ref->first_us;
 	shard_check_found_job(shard, job, lug_now_us());
-	if (cancel)
+	if (ref->cancel)
 		cancel_live_job(shard, job);
 	else
 		shard_begin_due_occurrences(shard, lug_now_us());
@@ -156,6 +159,21 @@
 	g_free(ref);
 }
 
+/* Stores a job whose row an entry has found, and which was removed since, as it had expired. */
+static void store_missing_job(const struct shard_ref *ref)
+{
+	struct shard_waiter waiter = {ignore_status, NULL};
+	struct lug_workflow *workflow = lug_workflow_decode_text(ref->job_id, ref->body);
+	struct shard_job *job;
+
+	if (!workflow)
+		return;
+	shard_store_admitted(ref->shard, workflow, ref->body, &waiter, lug_now_us());
+	job = g_hash_table_lookup(ref->shard->jobs, ref->job_id);
+	if (job && ref->first_us)
+		job->first_us = ref->first_us;
+}
+
 static void on_job_row(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		       gboolean more)
 {
@@ -167,7 +185,9 @@
 	(void)more;
 	if (shard_ref_is_valid(ref) && status == LUG_OK) {
 		if (found) {
-			add_read_job(shard, &rows[0], ref->cancel);
+			add_read_job(shard, &rows[0], ref);
+		} else if (ref->body) {
+			store_missing_job(ref);
 		} else {
 			/* There is no such live job: its inbox rows are obsolete. */
 			remove_inbox_row(shard, ref->job_id);
@@ -176,6 +196,7 @@
 					       1, on_ended_row, shard_ref_new(shard, ref->job_id));
 		}
 	}
+	g_free(ref->body);
 	g_free(ref);
 }
 
@@ -184,12 +205,33 @@
  * @shard: shard
  * @id: job
  * @cancel: cancel the job before any of its tasks starts
+ * @first_us: when it was first submitted, if that submission was refused; 0 otherwise
  */
-void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel)
+void shard_read_job_row(struct lug_shard *shard, const char *id, gboolean cancel, gint64 first_us)
 {
 	struct shard_ref *ref = shard_ref_new(shard, id);
 
 	ref->cancel = cancel;
+	ref->first_us = first_us;
+	lug_store_scan(shard->store, SHARD_LIVE_TABLE, id, NULL, 1, on_job_row, ref);
+}
+
+/**
+ * shard_read_accepted_job - read the row of a job that an entry has accepted, and add the job
+ * @shard: shard
+ * @id: job, which this owner does not have
+ * @body: text of the row to store if there is none, "" for none
+ *
+ * It is not withheld, whatever was refused. Its row may have been removed after the entry had found
+ * it, if the job was withheld and expired.
+ */
+void shard_read_accepted_job(struct lug_shard *shard, const char *id, const char *body)
+{
+	struct shard_ref *ref = shard_ref_new(shard, id);
+
+	ref->first_us = lug_admission_admit(shard->admission, id);
+	if (*body && shard->shared.ctx->settings->schedule_overload)
+		ref->body = g_strdup(body);
 	lug_store_scan(shard->store, SHARD_LIVE_TABLE, id, NULL, 1, on_job_row, ref);
 }
 
@@ -231,7 +273,7 @@
 	else if (g_hash_table_contains(shard->ended_jobs, id))
 		remove_inbox_row(shard, key);
 	else
-		shard_read_job_row(shard, id, TRUE);
+		shard_read_job_row(shard, id, TRUE, 0);
 	g_free(id);
 }
 
@@ -284,7 +326,7 @@
 			op = add_removal(shard, op, key);
 		/* With a cancellation in the inbox, handle_inbox_cancel() reads the job. */
 		else if (!job && !has_cancel(rows, n_rows, key))
-			shard_read_job_row(shard, key, FALSE);
+			shard_read_job_row(shard, key, FALSE, 0);
 	}
 	if (op)
 		lug_writer_append(shard->writer, op);
