--- a/liblug/workflow/shard_inbox.c
+++ b/liblug/workflow/shard_inbox.c
@@ -94,6 +94,9 @@
 			remove_cancel(shard, row->key);
 		return;
 	}
+	/* Another submission may have been refused since the entry's notification. */
+	if (ref->accepted)
+		shard_release_job(shard, job);
 	if (ref->first_us)
 		job->first_us = ref->first_us;
 	shard_check_found_job(shard, job, lug_now_us());
@@ -229,6 +232,7 @@
 {
 	struct shard_ref *ref = shard_ref_new(shard, id);
 
+	ref->accepted = TRUE;
 	ref->first_us = lug_admission_admit(shard->admission, id);
 	if (*body && shard->shared.ctx->settings->schedule_overload)
 		ref->body = g_strdup(body);
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -369,6 +369,7 @@
  * @job_id: job, "" for none; looked up again because it may be removed during the call
  * @cancel: cancel the job once its row is read
  * @first_us: as in struct shard_job, set once its row is read
+ * @accepted: an entry has accepted the job, which is not to be withheld
  * @body: text of the row of a job to store if it has none, NULL for none
  */
 struct shard_ref {
@@ -377,6 +378,7 @@
 	char job_id[LUG_WORKFLOW_ID_MAX + 1];
 	gboolean cancel;
 	gint64 first_us;
+	gboolean accepted;
 	char *body;
 };
 
--- a/tests/unit/shard_admit_test.cc
+++ b/tests/unit/shard_admit_test.cc
@@ -205,6 +205,25 @@
 	EXPECT_TRUE(find_job("a")->first_us) << "it keeps its place";
 }
 
+/* Guards against the loss of an accepted job: another submission is refused while its row is read.
+ */
+TEST_F(ShardAdmitTest, AcceptedJobIsNotWithheldForALaterRefusal)
+{
+	struct lug_admission_request request = {};
+	struct lug_admission_decision decision = {};
+
+	take_shard_with_backlog();
+	store.put("0|live/a", body(4000));
+	store.put("0|inbox/a", "{}");
+	lug_shard_add_stored_job(shard, "a", "", 0, lug_now_us());
+	request.id = "a";
+	request.accepted_ms = 8000;
+	lug_admission_refuse(shard->admission, &request, &decision, lug_now_us());
+	run_rounds();
+	ASSERT_NE(find_job("a"), nullptr);
+	EXPECT_FALSE(find_job("a")->withheld_us);
+}
+
 /* Guards against the loss of a job that returns while the row of an earlier submission is found. */
 TEST_F(ShardAdmitTest, JobFoundWhileItsReturnIsJudgedIsNotWithheld)
 {
