--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -15,57 +15,59 @@
  * denied: calls answered 401, without a valid token
  * strangers: internal connections refused because their key is unknown
  */
-#define LUG_COUNTERS(X)                                                                   \
-	X(REQUESTS, "requests", "Requests received from callers or entries")              \
-	X(REQUESTS_OK, "requests_ok", "Requests answered whole")                          \
-	X(REQUESTS_NOT_RUN, "requests_not_run", "Requests answered as not run")           \
-	X(REQUESTS_UNKNOWN, "requests_unknown", "Requests whose outcome is unknown")      \
-	X(REQUESTS_REFUSED, "requests_shed", "Requests refused by admission")             \
-	X(REQUESTS_ABORTED, "requests_cut", "Requests cut by a stop of this process")     \
-	X(RETRIES, "retries", "Attempts after the first")                                 \
-	X(RETRIES_DENIED, "retries_denied", "Retries refused by the retry budget")        \
-	X(LATE_REPLIES, "late_replies", "Replies dropped because nobody waits")           \
-	X(CONTROL_TX, "control_tx_bytes", "Control bytes sent, without headers")          \
-	X(CONTROL_RX, "control_rx_bytes", "Control bytes received, without headers")      \
-	X(CONTROL_TX_MSGS, "control_tx_messages", "Control messages sent")                \
-	X(CONTROL_RX_MSGS, "control_rx_messages", "Control messages received")            \
-	X(REQUEST_TX, "carried_tx_bytes", "Request and reply bytes sent")                 \
-	X(REQUEST_RX, "carried_rx_bytes", "Request and reply bytes received")             \
-	X(MALFORMED, "malformed_messages", "Inner messages dropped as malformed")         \
-	X(CONNECTIONS_REOPENED, "redials", "Silent connections replaced")                 \
-	X(STORE_READS, "store_reads", "Reads sent to the table service")                  \
-	X(STORE_WRITES, "store_writes", "Transactions sent to the table service")         \
-	X(STORE_ERRORS, "store_errors", "Table service calls without an answer")          \
-	X(STORE_CONFLICTS, "store_conflicts", "Transactions refused by a check")          \
-	X(STORE_READBACKS, "store_readbacks", "Unknown outcomes settled by reading back") \
-	X(STORE_BYTES, "store_bytes", "Body bytes to and from the table service")         \
-	X(TASKS_STARTED, "tasks_started", "Batch task attempts started")                  \
-	X(TASKS_FINISHED, "tasks_finished", "Batch task attempts finished")               \
-	X(TASKS_FAILED, "tasks_failed", "Batch task attempts that failed")                \
-	X(TASKS_EVICTED, "tasks_evicted", "Batch task attempts evicted")                  \
-	X(TASKS_LOST, "tasks_lost", "Batch task attempts lost with their worker")         \
-	X(ENDS_ACKNOWLEDGED, "ends_acknowledged", "Acknowledged ends of runs")            \
-	X(TASKS_GIVEN_UP, "tasks_given_up", "Tasks given up because they crash workers")  \
-	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                          \
-	X(JOBS_REFUSED_BACKLOG, "jobs_refused_backlog", "Jobs refused by the backlog")    \
-	X(JOBS_REFUSED_SUPERSEDED, "jobs_refused_superseded", "Outdated submissions")     \
-	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")   \
-	X(RESERVATIONS_GRANTED, "reservations_granted", "Reservations of room granted")   \
-	X(RESERVATIONS_USED, "reservations_used", "Reservations used by their task")      \
-	X(RESERVATIONS_EXPIRED, "reservations_expired", "Reservations ended unused")      \
-	X(TASKS_BACKFILLED, "tasks_backfilled", "Starts in room reserved for later")      \
-	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")     \
-	X(HALTS_NORMAL, "halts_normal", "Halts of best-effort tasks of urgency NORMAL")   \
-	X(HALTS_SLACK, "halts_slack", "Halts of best-effort tasks of urgency SLACK")      \
-	X(HALTS_LATE, "halts_late", "Halts of best-effort tasks of urgency LATE")         \
-	X(OVER_TARGET_OWN_MS, "over_target_own_ms",                                       \
-	  "Milliseconds of serving tasks over target by their own load")                  \
-	X(OVER_TARGET_SHARED_MS, "over_target_best_effort_ms",                            \
-	  "Milliseconds of serving tasks over target by best-effort tasks")               \
-	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                   \
-	X(LEASES_LOST, "leases_lost", "Leases found held by another")                     \
-	X(TABLE_UPDATES, "table_updates", "Newer versions of the weights and limits")     \
-	X(CALLERS_UNAUTHENTICATED, "denied", "Callers refused for want of a valid token") \
+#define LUG_COUNTERS(X)                                                                       \
+	X(REQUESTS, "requests", "Requests received from callers or entries")                  \
+	X(REQUESTS_OK, "requests_ok", "Requests answered whole")                              \
+	X(REQUESTS_NOT_RUN, "requests_not_run", "Requests answered as not run")               \
+	X(REQUESTS_UNKNOWN, "requests_unknown", "Requests whose outcome is unknown")          \
+	X(REQUESTS_REFUSED, "requests_shed", "Requests refused by admission")                 \
+	X(REQUESTS_ABORTED, "requests_cut", "Requests cut by a stop of this process")         \
+	X(RETRIES, "retries", "Attempts after the first")                                     \
+	X(RETRIES_DENIED, "retries_denied", "Retries refused by the retry budget")            \
+	X(LATE_REPLIES, "late_replies", "Replies dropped because nobody waits")               \
+	X(CONTROL_TX, "control_tx_bytes", "Control bytes sent, without headers")              \
+	X(CONTROL_RX, "control_rx_bytes", "Control bytes received, without headers")          \
+	X(CONTROL_TX_MSGS, "control_tx_messages", "Control messages sent")                    \
+	X(CONTROL_RX_MSGS, "control_rx_messages", "Control messages received")                \
+	X(REQUEST_TX, "carried_tx_bytes", "Request and reply bytes sent")                     \
+	X(REQUEST_RX, "carried_rx_bytes", "Request and reply bytes received")                 \
+	X(MALFORMED, "malformed_messages", "Inner messages dropped as malformed")             \
+	X(CONNECTIONS_REOPENED, "redials", "Silent connections replaced")                     \
+	X(STORE_READS, "store_reads", "Reads sent to the table service")                      \
+	X(STORE_WRITES, "store_writes", "Transactions sent to the table service")             \
+	X(STORE_ERRORS, "store_errors", "Table service calls without an answer")              \
+	X(STORE_UNSENT, "store_unsent", "Table service calls given up before they were sent") \
+	X(STORE_CONFLICTS, "store_conflicts", "Transactions refused by a check")              \
+	X(STORE_READBACKS, "store_readbacks", "Unknown outcomes settled by reading back")     \
+	X(STORE_BYTES, "store_bytes", "Body bytes to and from the table service")             \
+	X(TASKS_STARTED, "tasks_started", "Batch task attempts started")                      \
+	X(TASKS_FINISHED, "tasks_finished", "Batch task attempts finished")                   \
+	X(TASKS_FAILED, "tasks_failed", "Batch task attempts that failed")                    \
+	X(TASKS_EVICTED, "tasks_evicted", "Batch task attempts evicted")                      \
+	X(TASKS_LOST, "tasks_lost", "Batch task attempts lost with their worker")             \
+	X(ENDS_ACKNOWLEDGED, "ends_acknowledged", "Acknowledged ends of runs")                \
+	X(TASKS_GIVEN_UP, "tasks_given_up", "Tasks given up because they crash workers")      \
+	X(TASKS_REFUSED, "tasks_refused", "Task starts refused")                              \
+	X(JOBS_REFUSED_BACKLOG, "jobs_refused_backlog", "Jobs refused by the backlog")        \
+	X(JOBS_REFUSED_SUPERSEDED, "jobs_refused_superseded", "Outdated submissions")         \
+	X(WORKER_RESTARTS, "worker_restarts", "New incarnations of the agent's worker")       \
+	X(RESERVATIONS_GRANTED, "reservations_granted", "Reservations of room granted")       \
+	X(RESERVATIONS_USED, "reservations_used", "Reservations used by their task")          \
+	X(RESERVATIONS_EXPIRED, "reservations_expired", "Reservations ended unused")          \
+	X(TASKS_BACKFILLED, "tasks_backfilled", "Starts in room reserved for later")          \
+	X(THROTTLE_CHANGES, "tasks_throttled", "Throttle changes sent to the worker")         \
+	X(HALTS_NORMAL, "halts_normal", "Halts of best-effort tasks of urgency NORMAL")       \
+	X(HALTS_SLACK, "halts_slack", "Halts of best-effort tasks of urgency SLACK")          \
+	X(HALTS_LATE, "halts_late", "Halts of best-effort tasks of urgency LATE")             \
+	X(OVER_TARGET_OWN_MS, "over_target_own_ms",                                           \
+	  "Milliseconds of serving tasks over target by their own load")                      \
+	X(OVER_TARGET_SHARED_MS, "over_target_best_effort_ms",                                \
+	  "Milliseconds of serving tasks over target by best-effort tasks")                   \
+	X(LEASES_TAKEN, "leases_taken", "Leases taken")                                       \
+	X(LEASES_LOST, "leases_lost", "Leases found held by another")                         \
+	X(QUEUES_UNKNOWN, "queues_unknown", "Requests to queues that are not configured")     \
+	X(TABLE_UPDATES, "table_updates", "Newer versions of the weights and limits")         \
+	X(CALLERS_UNAUTHENTICATED, "denied", "Callers refused for want of a valid token")     \
 	X(HANDSHAKES_REFUSED, "strangers", "Inner connections refused for want of a known key")
 
 /*
--- a/liblug/daemon/queue_entry.c
+++ b/liblug/daemon/queue_entry.c
@@ -107,7 +107,8 @@
 	entry->shard_map =
 		lug_shard_map_new(ctx, entry->store, (guint32)ctx->settings->shards, NULL, NULL);
 	entry->config = lug_config_new(ctx, entry->store, &entry->adapter->config, NULL, NULL);
-	entry->gateway = lug_gateway_new(ctx, entry->store, entry->link, entry->shard_map);
+	entry->gateway =
+		lug_gateway_new(ctx, entry->store, entry->link, entry->shard_map, entry->config);
 	entry->submitters_env.ctx = ctx;
 	entry->submitters_env.gateway = entry->gateway;
 	entry->submitters_env.config = entry->config;
--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -125,11 +125,13 @@
  *           a watch can continue; 0 if the table service has no such version
  * @skipped: number of rows that the answer to the scan or watch whose callback is running has
  *           without a key or a version, and that are therefore left out
+ * @unsent: the call whose callback is running has failed before it was sent
  */
 struct lug_store {
 	const struct lug_store_ops *ops;
 	gint64 version;
 	guint skipped;
+	gboolean unsent;
 };
 
 static inline void lug_store_txn(struct lug_store *store, const struct lug_txn *txn, lug_txn_fn fn,
--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -32,8 +32,10 @@
  * @rows_read: the rows have been read, so changes are watched
  * @call_in_flight: a read or a watch is in flight
  * @call_sent_us: time at which it was sent
+ * @call_name: what it does, for the log
+ * @failed_calls: consecutive calls that failed
  * @next_us: earliest time of the next call
- * @last_answer_us: time of the latest answer
+ * @last_answer_us: time of the latest answer, 0 before the first one
  */
 struct lug_config {
 	struct lug_ctx *ctx;
@@ -51,6 +53,8 @@
 	gboolean rows_read;
 	gboolean call_in_flight;
 	gint64 call_sent_us;
+	const char *call_name;
+	guint failed_calls;
 	gint64 next_us;
 	gint64 last_answer_us;
 };
@@ -101,11 +105,59 @@
 	g_free(config);
 }
 
+static char *format_ms(char *text, gsize size, gint64 us)
+{
+	g_snprintf(text, size, "%" G_GINT64_FORMAT, us / 1000);
+	return text;
+}
+
+/* Only the first failure of a series is logged, the end of the series by on_answer(). */
+static void on_failure(struct lug_config *config)
+{
+	gint64 now_us = lug_now_us();
+	char call_ms[24];
+	char age_ms[24];
+
+	if (config->failed_calls++)
+		return;
+	lug_warn(config->ctx, "config_call_failed", "call", config->call_name, "sent",
+		 config->store->unsent ? "no" : "yes", "call_ms",
+		 format_ms(call_ms, sizeof(call_ms), now_us - config->call_sent_us),
+		 "unconfirmed_ms",
+		 format_ms(age_ms, sizeof(age_ms), lug_config_age_us(config, now_us)));
+}
+
+static void on_answer(struct lug_config *config)
+{
+	gint64 now_us = lug_now_us();
+	char failures[12];
+	char age_ms[24];
+
+	if (config->failed_calls) {
+		g_snprintf(failures, sizeof(failures), "%u", config->failed_calls);
+		lug_info(config->ctx, "config_call_answered", "call", config->call_name, "failures",
+			 failures, "unconfirmed_ms",
+			 format_ms(age_ms, sizeof(age_ms), lug_config_age_us(config, now_us)));
+	}
+	config->failed_calls = 0;
+	config->last_answer_us = now_us;
+}
+
+static void log_applied(struct lug_config *config)
+{
+	gint64 now_us = lug_now_us();
+	char version[24];
+	char call_ms[24];
+
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT, config->queues->version);
+	lug_info(config->ctx, "config_applied", "version", version, "call", config->call_name,
+		 "call_ms", format_ms(call_ms, sizeof(call_ms), now_us - config->call_sent_us));
+}
+
 static void apply_row(struct lug_config *config, const struct lug_row *row)
 {
 	struct lug_error err = {0};
 	struct lug_queues *queues;
-	char version[24];
 
 	if (!row->data || strcmp(row->key, config->source.key))
 		return;
@@ -120,8 +172,7 @@
 	}
 	lug_queues_free(config->queues);
 	config->queues = queues;
-	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT, queues->version);
-	lug_info(config->ctx, "config_applied", "version", version);
+	log_applied(config);
 	lug_gauge(config->ctx, TABLE_VERSION, queues->version);
 	if (config->changed)
 		config->changed(config->data);
@@ -158,11 +209,12 @@
 
 	(void)more;
 	if (status != LUG_OK) {
+		on_failure(config);
 		read_again(config);
 		return;
 	}
 	config->call_in_flight = FALSE;
-	config->last_answer_us = lug_now_us();
+	on_answer(config);
 	for (guint i = 0; i < n_rows; i++) {
 		apply_row(config, &rows[i]);
 		config->rows_read = TRUE;
@@ -177,6 +229,7 @@
 
 static void read_config(struct lug_config *config)
 {
+	config->call_name = "read";
 	lug_store_scan(config->store, config->source.table, config->source.key, NULL, 1, on_config,
 		       config);
 }
@@ -207,10 +260,11 @@
 	struct lug_config *config = data;
 
 	if (status != LUG_OK) {
+		on_failure(config);
 		read_again(config);
 		return;
 	}
-	config->last_answer_us = lug_now_us();
+	on_answer(config);
 	if (config->is_first_page)
 		config->watch_after = config->store->version;
 	config->is_first_page = FALSE;
@@ -236,6 +290,7 @@
 		read_config(config);
 		return;
 	}
+	config->call_name = "read_zones";
 	config->is_first_page = TRUE;
 	config->has_skipped = FALSE;
 	config->read_sent_us = now_us;
@@ -254,11 +309,12 @@
 	struct lug_config *config = data;
 
 	if (result->status != LUG_OK) {
+		on_failure(config);
 		read_again(config);
 		return;
 	}
 	config->call_in_flight = FALSE;
-	config->last_answer_us = lug_now_us();
+	on_answer(config);
 	for (guint i = 0; i < result->n_rows; i++) {
 		apply_row(config, &result->rows[i]);
 		apply_zone(config, &result->rows[i]);
@@ -282,11 +338,13 @@
 		return;
 	config->call_in_flight = TRUE;
 	config->call_sent_us = now_us;
-	if (config->rows_read)
-		lug_store_watch(config->store, config->source.table, config->watch_after,
-				WATCH_WAIT_MS, on_watch, config);
-	else
+	if (!config->rows_read) {
 		read_rows(config, now_us);
+		return;
+	}
+	config->call_name = "watch";
+	lug_store_watch(config->store, config->source.table, config->watch_after, WATCH_WAIT_MS,
+			on_watch, config);
 }
 
 /**
@@ -299,6 +357,29 @@
 	return now_us - config->last_answer_us < FRESH_TIMEOUT_US;
 }
 
+/**
+ * lug_config_age_us - time since the table service has last answered
+ * @config: configuration
+ * @now_us: current time
+ *
+ * Return: microseconds, -1 before the first answer.
+ */
+gint64 lug_config_age_us(const struct lug_config *config, gint64 now_us)
+{
+	return config->last_answer_us ? now_us - config->last_answer_us : -1;
+}
+
+/**
+ * lug_config_version - version of the configuration in force in this process
+ * @config: configuration
+ *
+ * Return: 0 before the first one.
+ */
+gint64 lug_config_version(const struct lug_config *config)
+{
+	return config->queues ? config->queues->version : 0;
+}
+
 /**
  * lug_config_queues - queue definitions of the current version
  * @config: configuration
--- a/liblug/workflow/config.h
+++ b/liblug/workflow/config.h
@@ -38,6 +38,8 @@
 void lug_config_free(struct lug_config *config);
 void lug_config_tick(struct lug_config *config, gint64 now_us);
 gboolean lug_config_is_fresh(const struct lug_config *config, gint64 now_us);
+gint64 lug_config_age_us(const struct lug_config *config, gint64 now_us);
+gint64 lug_config_version(const struct lug_config *config);
 const struct lug_queues *lug_config_queues(const struct lug_config *config);
 const struct lug_evacuation *lug_config_evacuation(const struct lug_config *config);
 
--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -32,9 +32,11 @@
  * @store: table service client; must be freed before the gateway
  * @link: inner connections
  * @shard_map: owners of all shards
+ * @config: operators' configuration, whose version and age are logged with each submission
  */
 struct lug_gateway *lug_gateway_new(struct lug_ctx *ctx, struct lug_store *store,
-				    struct lug_link *link, struct lug_shard_map *shard_map)
+				    struct lug_link *link, struct lug_shard_map *shard_map,
+				    const struct lug_config *config)
 {
 	struct lug_gateway *gateway = g_new0(struct lug_gateway, 1);
 	char name[16];
@@ -42,6 +44,7 @@
 	gateway->ctx = ctx;
 	gateway->link = link;
 	gateway->shard_map = shard_map;
+	gateway->config = config;
 	gateway->peers = lug_peers_new(ctx, link, send_heartbeat_to_owner, gateway);
 	gateway->n_shards = lug_shard_map_count(shard_map);
 	gateway->shard_stores = g_new0(struct lug_store *, gateway->n_shards);
--- a/liblug/workflow/gateway.h
+++ b/liblug/workflow/gateway.h
@@ -49,7 +49,8 @@
 typedef void (*lug_gateway_pending_fn)(void *data, enum lug_status status, guint32 pending);
 
 struct lug_gateway *lug_gateway_new(struct lug_ctx *ctx, struct lug_store *store,
-				    struct lug_link *link, struct lug_shard_map *shard_map);
+				    struct lug_link *link, struct lug_shard_map *shard_map,
+				    const struct lug_config *config);
 void lug_gateway_free(struct lug_gateway *gateway);
 void lug_gateway_submit(struct lug_gateway *gateway, struct lug_workflow *workflow,
 			gint64 deadline_us, lug_gateway_submit_fn fn, void *data);
--- a/liblug/workflow/gateway_priv.h
+++ b/liblug/workflow/gateway_priv.h
@@ -15,6 +15,7 @@
  * @ctx: context
  * @link: inner connections
  * @shard_map: owners of all shards
+ * @config: operators' configuration, for the log
  * @peers: connections to owners
  * @shard_stores: by shard, client of the table service
  * @n_shards: number of shards
@@ -27,6 +28,7 @@
 	struct lug_ctx *ctx;
 	struct lug_link *link;
 	struct lug_shard_map *shard_map;
+	const struct lug_config *config;
 	struct lug_peers *peers;
 	struct lug_store **shard_stores;
 	guint32 n_shards;
@@ -48,6 +50,8 @@
  * @body: text of the job's row (submission only)
  * @version: version of the row that this call wrote, else 0
  * @workflow: job (submission only)
+ * @config_version: version of the configuration by which the call was taken (submission only)
+ * @config_age_us: time since that version was last confirmed, then
  * @submit_fn: receives the outcome of a submission
  * @fn: receives the outcome of a cancellation
  * @state_fn: receives the state of a job
@@ -79,6 +83,8 @@
 	char *body;
 	gint64 version;
 	struct lug_workflow *workflow;
+	gint64 config_version;
+	gint64 config_age_us;
 	lug_gateway_submit_fn submit_fn;
 	lug_gateway_fn fn;
 	lug_gateway_state_fn state_fn;
--- a/liblug/workflow/gateway_submit.c
+++ b/liblug/workflow/gateway_submit.c
@@ -33,9 +33,14 @@
 static void log_submit(struct gateway_call *call, const char *event, const char *reason)
 {
 	char shard[16];
+	char version[24];
+	char age_ms[24];
 
 	g_snprintf(shard, sizeof(shard), "%u", call->shard);
-	lug_info(call->gateway->ctx, event, "job", call->job, "shard", shard, "reason", reason);
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT, call->config_version);
+	g_snprintf(age_ms, sizeof(age_ms), "%" G_GINT64_FORMAT, call->config_age_us / 1000);
+	lug_info(call->gateway->ctx, event, "job", call->job, "shard", shard, "reason", reason,
+		 "config", version, "unconfirmed_ms", age_ms);
 }
 
 static void accept_job(struct gateway_call *call, const char *how, gint64 notify_us)
@@ -216,6 +221,8 @@
 	struct gateway_call *call = gateway_call_new(gateway, LUG_JOB_NEW, workflow->id);
 
 	call->workflow = workflow;
+	call->config_version = lug_config_version(gateway->config);
+	call->config_age_us = lug_config_age_us(gateway->config, lug_now_us());
 	call->body = lug_workflow_encode(workflow);
 	call->deadline_us = deadline_us;
 	call->submit_fn = fn;
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -49,6 +49,7 @@
 		base.ops = &ops;
 		base.version = 0;
 		base.skipped = 0;
+		base.unsent = FALSE;
 	}
 
 	/* A client of one partition. Its rows have the keys PART|TABLE/KEY in FakeStore::rows. */
@@ -72,8 +73,8 @@
 	{
 		static const struct lug_store_ops ops = {partition_txn, partition_scan,
 							 free_partition, nullptr, nullptr};
-		Partition *partition =
-			new Partition{{&ops, 0, 0}, reinterpret_cast<FakeStore *>(store), name};
+		Partition *partition = new Partition{
+			{&ops, 0, 0, FALSE}, reinterpret_cast<FakeStore *>(store), name};
 
 		return &partition->base;
 	}
