--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -117,8 +117,11 @@
         # "busy": refuses all calls; "silent": leaves them unanswered for longer than the timeout
         # of the daemons.
         self.mode = ""
-        # IP addresses of callers whose calls are refused.
+        # IP addresses of callers whose calls are refused, and of those whose calls have no answer.
         self.refused_callers = set()
+        self.silent_callers = set()
+        # Called with the path, the query and the caller: seconds for which the call waits.
+        self.choose_delay_s = lambda path, query, caller: 0
         self.lost_answer_share = 0.0
         self.delay_s = 0.004
         self.commits = 0
@@ -180,12 +183,12 @@
         mode = self.mode
         if mode == "busy" or caller in self.refused_callers:
             return 503, {}
-        if mode == "silent":
+        if mode == "silent" or caller in self.silent_callers:
             time.sleep(1.5)
             return None
-        time.sleep(self.delay_s)
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        time.sleep(self.delay_s + self.choose_delay_s(url.path, query, caller))
         if url.path == "/rows-tx":
             body = json.loads(raw)
             if self.is_late(body, caller):
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -183,4 +183,34 @@
 	EXPECT_FALSE(is_evacuated("a"));
 }
 
+/* Incident configuration-late-at-an-entry: the configuration waited for all evacuated zones. */
+TEST_F(ConfigTest, AConfigurationIsReadThoughTheReadOfZonesFails)
+{
+	store.put("op/config", "{\"version\":1}");
+	store.is_silent = true;
+	tick();
+	while (!store.calls.empty()) {
+		FakeStore::Call call = store.take();
+		bool is_zones = call.prefix == "op/evacuate/";
+
+		store.answer_scan(call, is_zones ? LUG_UNAVAILABLE : LUG_OK);
+	}
+	EXPECT_NE(lug_config_queues(config), nullptr);
+	EXPECT_FALSE(is_read());
+}
+
+/* The same: a watch without an answer was waited for until its time-out. */
+TEST_F(ConfigTest, AChangeIsReadWhileAWatchHasNoAnswer)
+{
+	store.put("op/config", "{\"version\":1}");
+	tick();
+	tick();
+	ASSERT_EQ(store.watches.size(), 1u);
+	store.put("op/config", "{\"version\":2}");
+	tick();
+	tick();
+	EXPECT_EQ(lug_config_version(config), 2);
+	EXPECT_EQ(store.watches.size(), 1u);
+}
+
 } // namespace
