--- a/tests/integration/test_config.py
+++ b/tests/integration/test_config.py
@@ -54,12 +54,13 @@
     assert deployment.request("GET", "/added/")[0] in (404, 503)
 
 
-def test_change_reaches_an_entry_whose_connections_are_taken(start_deployment):
+@pytest.mark.parametrize("timeout,delay_s", [("700ms", 0.65), ("6s", 5)])
+def test_change_reaches_an_entry_whose_connections_are_taken(start_deployment, timeout, delay_s):
     """Reads for callers are slow, take all connections, and more of them wait."""
-    deployment = start_deployment(workers=2)
+    deployment = start_deployment(workers=2, platform_timeout=timeout)
     caller = entry_ip(deployment)
     deployment.store.choose_delay_s = lambda path, query, sender: \
-        0.65 if sender == caller and query.get("table") not in ("op", "owner") else 0
+        delay_s if sender == caller and query.get("table") not in ("op", "owner") else 0
     # Without an owner, the entry reads the tables for each state.
     for name in ("agent-1", "agent-2"):
         deployment.signal_process(name, signal.SIGSTOP)
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -23,10 +23,12 @@
     """Stand-in table service and workers, with agents and entries as real processes on loopback."""
 
     def __init__(self, directory, build, net, workers=2, entries=1, shards=2, cpu=4000,
-                 zones=("z",), agent_settings=()):
+                 zones=("z",), agent_settings=(), platform_timeout="700ms"):
         # Daemon N is in zone N of these, in turn.
         self.zones = zones
         self.directory, self.build, self.net = str(directory), build, net
+        # Time-out of the daemons' calls to the table service.
+        self.platform_timeout = platform_timeout
         # Further lines of the agents' settings.
         self.agent_settings = list(agent_settings)
         self.processes = {}
@@ -73,7 +75,8 @@
                  f"zone: {self.zone(number)}",
                  f"source: {self.address(host, 0)[:-2]}",
                  f"inner: {self.address(host, 7720)}", f"http: {self.address(host, 7735)}",
-                 f"platform: {{url: 'http://{self.address(250, 8169)}', timeout: 700ms}}",
+                 f"platform: {{url: 'http://{self.address(250, 8169)}', "
+                 f"timeout: {self.platform_timeout}}}",
                  "beat: 300ms", f"shards: {self.shards}", "drain: 3s", "timeline: {events: 64}"]
         if role == "agent":
             lines += [f"control: {self.address(host, 8166)}",
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -126,4 +126,96 @@
 
 INSTANTIATE_TEST_SUITE_P(Http, HttpPostTest, testing::Values(false, true),
 			 [](const auto &variant) { return variant.param ? "Reset" : "Closed"; });
+/* Server that answers no request. */
+struct SilentServer {
+	GSocketService *service = g_threaded_socket_service_new(8);
+	std::string url;
+
+	static gboolean serve(GThreadedSocketService *, GSocketConnection *connection, GObject *,
+			      gpointer)
+	{
+		GInputStream *input = g_io_stream_get_input_stream(G_IO_STREAM(connection));
+		char buffer[4096];
+
+		while (g_input_stream_read(input, buffer, sizeof(buffer), nullptr, nullptr) > 0)
+			;
+		return TRUE;
+	}
+
+	SilentServer()
+	{
+		guint16 port = g_socket_listener_add_any_inet_port(G_SOCKET_LISTENER(service),
+								   nullptr, nullptr);
+
+		url = "http://127.0.0.1:" + std::to_string(port);
+		g_signal_connect(service, "run", G_CALLBACK(serve), nullptr);
+		g_socket_service_start(service);
+	}
+
+	~SilentServer()
+	{
+		g_socket_service_stop(service);
+		g_object_unref(service);
+	}
+};
+
+/* Outcome of a call to a SilentServer. */
+struct TimedCall {
+	gint64 sent_us = g_get_monotonic_time();
+	gint64 ended_us = 0;
+	bool maybe_received = false;
+
+	void send(struct lug_http *http, gint64 timeout_ms)
+	{
+		struct lug_http_request request = {};
+
+		request.method = "GET";
+		request.path = "/";
+		request.timeout_ms = timeout_ms;
+		request.idempotent = TRUE;
+		lug_http_send(
+			http, &request,
+			[](void *data, const struct lug_http_answer *answer) {
+				auto *call = static_cast<TimedCall *>(data);
+
+				EXPECT_EQ(answer->http_status, 0u);
+				call->ended_us = g_get_monotonic_time();
+				call->maybe_received = answer->maybe_received;
+			},
+			this);
+	}
+
+	gint64 ms() const
+	{
+		return (ended_us - sent_us) / 1000;
+	}
+};
+
+/* Incident configuration-late-at-an-entry: it ended with the calls that held the connections. */
+TEST(HttpTest, ACallThatWaitsForAConnectionEndsAtItsTimeout)
+{
+	SilentServer server;
+	struct lug_http *http = lug_http_new(server.url.c_str(), nullptr, nullptr);
+	TimedCall holding[2];
+	TimedCall waiting[2];
+
+	lug_http_set_connections(http, 2);
+	for (TimedCall &call : holding)
+		call.send(http, 1500);
+	for (TimedCall &call : waiting)
+		call.send(http, 200);
+	while (!holding[0].ended_us || !holding[1].ended_us || !waiting[0].ended_us ||
+	       !waiting[1].ended_us)
+		g_main_context_iteration(nullptr, TRUE);
+	for (const TimedCall &call : waiting) {
+		EXPECT_LT(call.ms(), 700);
+		EXPECT_FALSE(call.maybe_received);
+	}
+	for (const TimedCall &call : holding) {
+		EXPECT_GE(call.ms(), 1400);
+		EXPECT_TRUE(call.maybe_received);
+	}
+	lug_http_free(http);
+}
+
 } // namespace
