The configuration is read for itself, and without waiting for a watch that is not answered

Seen by callers: an entry denies queues that were added. Cause: since one call at a time carries everything: all pages of the zones, then the configuration, then the watch. Change: reads of the configuration, of the zones and the watch are calls of their own. The watch continues from the earlier of the two reads. The configuration is also read when the last answer about it is 1.2 s old. TheSetStaysInForceDuringAnOutageAndIsReadAfterIt answers all reads of a tick as unavailable, where there was one before; it checks the same.

--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -7,6 +7,8 @@
  * even when the connection of one watch hangs until its time-out.
  */
 #define WATCH_WAIT_MS 900
+/* The configuration is read without waiting for its watch if that is answered this late. */
+#define READ_AFTER_US ((WATCH_WAIT_MS + 300) * 1000)
 /* The configuration is fresh for this long after an answer: two and a half times the watch wait. */
 #define FRESH_TIMEOUT_US (2300 * 1000)
 #define CALL_RETRY_US (200 * 1000)
@@ -15,6 +17,22 @@
 /* Reads after which rows without a key or a version are taken to be there for good. */
 #define SKIPPED_READS_MAX 3
 
+/**
+ * struct config_call - a kind of call to the table service, of which one at a time is in flight
+ * @name: name in the log
+ * @in_flight: a call is in flight
+ * @sent_us: time at which it was sent
+ * @next_us: earliest time of the next call
+ * @failures: consecutive calls that failed
+ */
+struct config_call {
+	const char *name;
+	gboolean in_flight;
+	gint64 sent_us;
+	gint64 next_us;
+	guint failures;
+};
+
 /**
  * struct lug_config - the newest version of the configuration seen
  * @ctx: context
@@ -24,18 +42,17 @@
  * @data: passed to @changed
  * @queues: current version, NULL before the first one
  * @evacuation: evacuated zones, NULL if the source has none
+ * @read: read of the configuration
+ * @read_needed: changes of the configuration may have been missed since its last read
+ * @zones: read of the evacuated zones, page by page
+ * @zones_needed: changes of the evacuated zones may have been missed since their last read
  * @is_first_page: the read of the evacuated zones has not been answered yet
  * @has_skipped: this read has returned rows without a key or a version
  * @skipped_reads: consecutive reads that have
- * @read_sent_us: time at which this read began
- * @watch_after: version of the table after which the next watch reports changes
- * @rows_read: the rows have been read, so changes are watched
- * @call_in_flight: a read or a watch is in flight
- * @call_sent_us: time at which it was sent
- * @call_name: what it does, for the log
- * @failed_calls: consecutive calls that failed
- * @next_us: earliest time of the next call
- * @last_answer_us: time of the latest answer, 0 before the first one
+ * @watch: watch of both, while neither has to be read
+ * @watch_after: version of the table after which the next watch reports changes; while a read is
+ *               needed, that of the earliest read which has been answered
+ * @last_answer_us: time of the latest answer that the current version is the newest, 0 for none
  */
 struct lug_config {
 	struct lug_ctx *ctx;
@@ -45,17 +62,15 @@
 	void *data;
 	struct lug_queues *queues;
 	struct lug_evacuation *evacuation;
+	struct config_call read;
+	gboolean read_needed;
+	struct config_call zones;
+	gboolean zones_needed;
 	gboolean is_first_page;
 	gboolean has_skipped;
 	guint skipped_reads;
-	gint64 read_sent_us;
+	struct config_call watch;
 	gint64 watch_after;
-	gboolean rows_read;
-	gboolean call_in_flight;
-	gint64 call_sent_us;
-	const char *call_name;
-	guint failed_calls;
-	gint64 next_us;
 	gint64 last_answer_us;
 };
 
@@ -67,6 +82,16 @@
 	lug_gauge(config->ctx, ZONES_EVACUATED, lug_evacuation_count(config->evacuation));
 }
 
+/* All rows are to be read, from a time on, as changes may have been missed. */
+static void require_reads(struct lug_config *config, gint64 from_us)
+{
+	config->read_needed = TRUE;
+	config->zones_needed = config->source.evacuations != NULL;
+	config->read.next_us = from_us;
+	config->zones.next_us = from_us;
+	config->watch_after = G_MAXINT64;
+}
+
 /**
  * lug_config_new - create an empty configuration
  * @ctx: context
@@ -86,6 +111,10 @@
 	config->source = *source;
 	config->changed = changed;
 	config->data = data;
+	config->read.name = "read";
+	config->zones.name = "read_zones";
+	config->watch.name = "watch";
+	require_reads(config, 0);
 	if (source->evacuations)
 		config->evacuation =
 			lug_evacuation_new(ctx->settings->zone, on_zone_changed, config);
@@ -111,50 +140,56 @@
 	return text;
 }
 
-/* Only the first failure of a series is logged, the end of the series by on_answer(). */
-static void on_failure(struct lug_config *config)
+static void begin_call(struct config_call *call, gint64 now_us)
+{
+	call->in_flight = TRUE;
+	call->sent_us = now_us;
+}
+
+/* Only the first failure of a series is logged, the end of the series by end_call(). */
+static void fail_call(struct lug_config *config, struct config_call *call)
 {
 	gint64 now_us = lug_now_us();
 	char call_ms[24];
 	char age_ms[24];
 
-	if (config->failed_calls++)
+	call->in_flight = FALSE;
+	call->next_us = now_us + CALL_RETRY_US;
+	if (call->failures++)
 		return;
-	lug_warn(config->ctx, "config_call_failed", "call", config->call_name, "sent",
+	lug_warn(config->ctx, "config_call_failed", "call", call->name, "sent",
 		 config->store->unsent ? "no" : "yes", "call_ms",
-		 format_ms(call_ms, sizeof(call_ms), now_us - config->call_sent_us),
-		 "unconfirmed_ms",
+		 format_ms(call_ms, sizeof(call_ms), now_us - call->sent_us), "unconfirmed_ms",
 		 format_ms(age_ms, sizeof(age_ms), lug_config_age_us(config, now_us)));
 }
 
-static void on_answer(struct lug_config *config)
+static void end_call(struct lug_config *config, struct config_call *call)
 {
-	gint64 now_us = lug_now_us();
 	char failures[12];
 	char age_ms[24];
 
-	if (config->failed_calls) {
-		g_snprintf(failures, sizeof(failures), "%u", config->failed_calls);
-		lug_info(config->ctx, "config_call_answered", "call", config->call_name, "failures",
-			 failures, "unconfirmed_ms",
-			 format_ms(age_ms, sizeof(age_ms), lug_config_age_us(config, now_us)));
-	}
-	config->failed_calls = 0;
-	config->last_answer_us = now_us;
+	call->in_flight = FALSE;
+	if (!call->failures)
+		return;
+	g_snprintf(failures, sizeof(failures), "%u", call->failures);
+	lug_info(config->ctx, "config_call_answered", "call", call->name, "failures", failures,
+		 "unconfirmed_ms",
+		 format_ms(age_ms, sizeof(age_ms), lug_config_age_us(config, lug_now_us())));
+	call->failures = 0;
 }
 
-static void log_applied(struct lug_config *config)
+static void log_applied(struct lug_config *config, const struct config_call *call)
 {
-	gint64 now_us = lug_now_us();
 	char version[24];
 	char call_ms[24];
 
 	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT, config->queues->version);
-	lug_info(config->ctx, "config_applied", "version", version, "call", config->call_name,
-		 "call_ms", format_ms(call_ms, sizeof(call_ms), now_us - config->call_sent_us));
+	lug_info(config->ctx, "config_applied", "version", version, "call", call->name, "call_ms",
+		 format_ms(call_ms, sizeof(call_ms), lug_now_us() - call->sent_us));
 }
 
-static void apply_row(struct lug_config *config, const struct lug_row *row)
+static void apply_row(struct lug_config *config, const struct lug_row *row,
+		      const struct config_call *call)
 {
 	struct lug_error err = {0};
 	struct lug_queues *queues;
@@ -172,7 +207,7 @@
 	}
 	lug_queues_free(config->queues);
 	config->queues = queues;
-	log_applied(config);
+	log_applied(config, call);
 	lug_gauge(config->ctx, TABLE_VERSION, queues->version);
 	if (config->changed)
 		config->changed(config->data);
@@ -189,19 +224,11 @@
 	if (!prefix || !g_str_has_prefix(row->key, prefix))
 		return;
 	if (row->deleted)
-		config->rows_read = FALSE;
+		config->zones_needed = TRUE;
 	else
 		lug_evacuation_add(config->evacuation, row->key + strlen(prefix));
 }
 
-/* Reads all rows again after a moment, as changes since the latest answer may be missed. */
-static void read_again(struct lug_config *config)
-{
-	config->call_in_flight = FALSE;
-	config->rows_read = FALSE;
-	config->next_us = lug_now_us() + CALL_RETRY_US;
-}
-
 static void on_config(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		      gboolean more)
 {
@@ -209,34 +236,33 @@
 
 	(void)more;
 	if (status != LUG_OK) {
-		on_failure(config);
-		read_again(config);
+		fail_call(config, &config->read);
 		return;
 	}
-	config->call_in_flight = FALSE;
-	on_answer(config);
-	for (guint i = 0; i < n_rows; i++) {
-		apply_row(config, &rows[i]);
-		config->rows_read = TRUE;
+	end_call(config, &config->read);
+	config->last_answer_us = MAX(config->last_answer_us, config->read.sent_us);
+	for (guint i = 0; i < n_rows; i++)
+		apply_row(config, &rows[i], &config->read);
+	/* Without rows, the configuration does not exist yet, and nothing is watched. */
+	if (!n_rows) {
+		require_reads(config, lug_now_us() + CALL_RETRY_US);
+		return;
 	}
-	/* Changes since the first read are seen by a watch from its version on. */
-	if (!config->evacuation)
-		config->watch_after = config->store->version;
-	/* Without rows, the configuration does not exist yet: read again later. */
-	if (!n_rows)
-		config->next_us = lug_now_us() + CALL_RETRY_US;
+	if (config->read_needed)
+		config->watch_after = MIN(config->watch_after, config->store->version);
+	config->read_needed = FALSE;
 }
 
-static void read_config(struct lug_config *config)
+static void read_config(struct lug_config *config, gint64 now_us)
 {
-	config->call_name = "read";
+	begin_call(&config->read, now_us);
 	lug_store_scan(config->store, config->source.table, config->source.key, NULL, 1, on_config,
 		       config);
 }
 
 static void end_zones(struct lug_config *config)
 {
-	lug_evacuation_end_read(config->evacuation, config->read_sent_us);
+	lug_evacuation_end_read(config->evacuation, config->zones.sent_us);
 	if (!lug_evacuation_is_complete(config->evacuation))
 		lug_warn(config->ctx, "evacuations_left_out", "reason",
 			 "too many rows, or too long a zone", "remedy",
@@ -260,13 +286,11 @@
 	struct lug_config *config = data;
 
 	if (status != LUG_OK) {
-		on_failure(config);
-		read_again(config);
+		fail_call(config, &config->zones);
 		return;
 	}
-	on_answer(config);
 	if (config->is_first_page)
-		config->watch_after = config->store->version;
+		config->watch_after = MIN(config->watch_after, config->store->version);
 	config->is_first_page = FALSE;
 	config->has_skipped = config->has_skipped || config->store->skipped;
 	for (guint i = 0; i < n_rows; i++)
@@ -276,24 +300,20 @@
 			       rows[n_rows - 1].key, ZONES_PER_READ, on_zones, config);
 		return;
 	}
+	end_call(config, &config->zones);
 	if (more || may_lack_zone(config)) {
-		read_again(config);
+		config->zones.next_us = lug_now_us() + CALL_RETRY_US;
 		return;
 	}
+	config->zones_needed = FALSE;
 	end_zones(config);
-	read_config(config);
 }
 
-static void read_rows(struct lug_config *config, gint64 now_us)
+static void read_zones(struct lug_config *config, gint64 now_us)
 {
-	if (!config->evacuation) {
-		read_config(config);
-		return;
-	}
-	config->call_name = "read_zones";
+	begin_call(&config->zones, now_us);
 	config->is_first_page = TRUE;
 	config->has_skipped = FALSE;
-	config->read_sent_us = now_us;
 	lug_evacuation_begin_read(config->evacuation);
 	lug_store_scan(config->store, config->source.table, config->source.evacuations, NULL,
 		       ZONES_PER_READ, on_zones, config);
@@ -309,42 +329,51 @@
 	struct lug_config *config = data;
 
 	if (result->status != LUG_OK) {
-		on_failure(config);
-		read_again(config);
+		fail_call(config, &config->watch);
+		require_reads(config, config->watch.next_us);
 		return;
 	}
-	config->call_in_flight = FALSE;
-	on_answer(config);
+	end_call(config, &config->watch);
+	config->last_answer_us = lug_now_us();
 	for (guint i = 0; i < result->n_rows; i++) {
-		apply_row(config, &result->rows[i]);
+		apply_row(config, &result->rows[i], &config->watch);
 		apply_zone(config, &result->rows[i]);
 	}
 	config->watch_after = MAX(config->watch_after, result->version);
 	/* A change that can't be read may be an evacuation. */
 	if (config->store->skipped)
-		read_again(config);
+		require_reads(config, lug_now_us() + CALL_RETRY_US);
 	else if (config->evacuation)
-		lug_evacuation_confirm(config->evacuation, config->call_sent_us);
+		lug_evacuation_confirm(config->evacuation, config->watch.sent_us);
+}
+
+static void start_watch(struct lug_config *config, gint64 now_us)
+{
+	begin_call(&config->watch, now_us);
+	lug_store_watch(config->store, config->source.table, config->watch_after, WATCH_WAIT_MS,
+			on_watch, config);
+}
+
+static gboolean can_call(const struct config_call *call, gint64 now_us)
+{
+	return !call->in_flight && now_us >= call->next_us;
 }
 
 /**
- * lug_config_tick - start a read or a watch unless one is in flight
+ * lug_config_tick - start the reads that are needed, or a watch, unless one is in flight
  * @config: configuration
  * @now_us: current time
  */
 void lug_config_tick(struct lug_config *config, gint64 now_us)
 {
-	if (config->call_in_flight || now_us < config->next_us)
-		return;
-	config->call_in_flight = TRUE;
-	config->call_sent_us = now_us;
-	if (!config->rows_read) {
-		read_rows(config, now_us);
-		return;
-	}
-	config->call_name = "watch";
-	lug_store_watch(config->store, config->source.table, config->watch_after, WATCH_WAIT_MS,
-			on_watch, config);
+	gboolean is_late = lug_config_age_us(config, now_us) > READ_AFTER_US;
+
+	if (config->zones_needed && can_call(&config->zones, now_us))
+		read_zones(config, now_us);
+	if ((config->read_needed || is_late) && can_call(&config->read, now_us))
+		read_config(config, now_us);
+	if (!config->zones_needed && !config->read_needed && can_call(&config->watch, now_us))
+		start_watch(config, now_us);
 }
 
 /**
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -139,8 +139,10 @@
 	store.is_silent = true;
 	for (int i = 0; i < 3; i++) {
 		tick();
-		store.answer_scan(store.take(), LUG_UNAVAILABLE);
-		EXPECT_TRUE(store.calls.empty() && is_evacuated("a"));
+		EXPECT_FALSE(store.calls.empty());
+		while (!store.calls.empty())
+			store.answer_scan(store.take(), LUG_UNAVAILABLE);
+		EXPECT_TRUE(is_evacuated("a"));
 	}
 	/* The deletion and the evacuation during the outage are reported by no watch. */
 	store.rows.erase("op/evacuate/a");
