A call that waits for a connection ends at its time-out

Cause: the HTTP library ends a cancelled call that waits for a connection only when a connection of its session becomes free. Our client replaces its session at each time-out, so that such calls stay behind in a session that sends nothing else. Change: calls wait in our own queue. One that times out there ends at once, as not sent; the others go to the session that replaces one. Evidence: ACallThatWaitsForAConnectionEndsAtItsTimeout fails on (1,502 ms) and passes (200 ms).

--- a/liblug/http/http.c
+++ b/liblug/http/http.c
@@ -6,22 +6,30 @@
 
 #define DEFAULT_CONNECTIONS 8
 
+/*
+ * The library ends a call that waits for a connection only when one becomes free, whatever its
+ * time-out, so that calls wait here instead.
+ */
 struct lug_http {
 	SoupSession *session;
-	char *source; /* local IP of outgoing connections, may be NULL */
+	guint session_number; /* from 1 */
+	guint sent;	      /* calls in flight by the present session */
+	char *source;	      /* local IP of outgoing connections, may be NULL */
 	guint connections;
 	char *base_url;
 	void (*free_data)(void *data);
-	struct lug_list calls;
+	struct lug_list calls;	 /* in flight */
+	struct lug_list waiting; /* for a connection, first come, first served */
 };
 
-/* A request in flight. */
+/* A request in flight, or waiting for a connection. */
 struct http_call {
 	struct lug_list node;
 	struct lug_http *http;
 	SoupMessage *msg;
 	GCancellable *cancel;
 	guint timer;
+	guint session_number;	  /* session that sends it, 0 while it waits */
 	gboolean headers_written; /* the server may have received the request */
 	lug_http_fn fn;
 	void *data;
@@ -60,6 +68,8 @@
 {
 	g_object_unref(http->session);
 	http->session = session_new(http->source, http->connections);
+	http->session_number++;
+	http->sent = 0;
 }
 
 /**
@@ -78,9 +88,11 @@
 	http->source = g_strdup(source);
 	http->connections = DEFAULT_CONNECTIONS;
 	http->session = session_new(source, DEFAULT_CONNECTIONS);
+	http->session_number = 1;
 	http->base_url = g_strdup(base_url);
 	http->free_data = free_data;
 	lug_list_init(&http->calls);
+	lug_list_init(&http->waiting);
 	return http;
 }
 
@@ -103,6 +115,13 @@
 {
 	if (!http)
 		return;
+	LUG_LIST_FOREACH_SAFE (&http->waiting, pos, tmp) {
+		struct http_call *call = LUG_CONTAINER_OF(pos, struct http_call, node);
+
+		if (http->free_data)
+			http->free_data(call->data);
+		call_free(call);
+	}
 	LUG_LIST_FOREACH_SAFE (&http->calls, pos, tmp) {
 		struct http_call *call = LUG_CONTAINER_OF(pos, struct http_call, node);
 
@@ -123,18 +142,6 @@
 	g_free(http);
 }
 
-static gboolean on_timeout(gpointer data)
-{
-	struct http_call *call = data;
-
-	call->timer = 0;
-	/* The fault that stalled this connection may affect the idle ones too. */
-	if (call->http)
-		replace_session(call->http);
-	g_cancellable_cancel(call->cancel);
-	return G_SOURCE_REMOVE;
-}
-
 static void on_wrote_headers(SoupMessage *msg, gpointer data)
 {
 	(void)msg;
@@ -150,14 +157,19 @@
 	return soup_message_headers_get_content_length(headers) == (goffset)len;
 }
 
+static void send_waiting(struct lug_http *http);
+
 static void on_done(GObject *session, GAsyncResult *result, gpointer data)
 {
 	struct http_call *call = data;
 	struct lug_http_answer answer = {
 		.maybe_received = call->headers_written, .body = "", .content_type = ""};
 	GBytes *bytes = soup_session_send_and_read_finish(SOUP_SESSION(session), result, NULL);
+	struct lug_http *http = call->http;
 	const char *type;
 
+	if (http && call->session_number == http->session_number)
+		http->sent--;
 	if (bytes && is_body_complete(call->msg, g_bytes_get_size(bytes))) {
 		answer.http_status = soup_message_get_status(call->msg);
 		answer.body = g_bytes_get_data(bytes, &answer.len);
@@ -169,9 +181,64 @@
 		call->fn(call->data, &answer);
 	if (bytes)
 		g_bytes_unref(bytes);
+	/* The callback may have freed the client. */
+	http = call->http;
+	call_free(call);
+	if (http)
+		send_waiting(http);
+}
+
+static void send_call(struct http_call *call)
+{
+	struct lug_http *http = call->http;
+
+	call->session_number = http->session_number;
+	http->sent++;
+	lug_list_append(&http->calls, &call->node);
+	soup_session_send_and_read_async(http->session, call->msg, G_PRIORITY_DEFAULT, call->cancel,
+					 on_done, call);
+}
+
+static void send_waiting(struct lug_http *http)
+{
+	while (!lug_list_empty(&http->waiting) && http->sent < http->connections) {
+		struct http_call *call =
+			LUG_CONTAINER_OF(http->waiting.next, struct http_call, node);
+
+		lug_list_remove(&call->node);
+		send_call(call);
+	}
+}
+
+/* Ends a call that was not sent. */
+static void fail_unsent(struct http_call *call)
+{
+	struct lug_http_answer answer = {.body = "", .content_type = ""};
+
+	lug_list_remove(&call->node);
+	call->fn(call->data, &answer);
 	call_free(call);
 }
 
+static gboolean on_timeout(gpointer data)
+{
+	struct http_call *call = data;
+	struct lug_http *http = call->http;
+
+	call->timer = 0;
+	if (!call->session_number) {
+		fail_unsent(call);
+		return G_SOURCE_REMOVE;
+	}
+	/* The fault that stalled this connection may affect the idle ones too. */
+	if (http) {
+		replace_session(http);
+		send_waiting(http);
+	}
+	g_cancellable_cancel(call->cancel);
+	return G_SOURCE_REMOVE;
+}
+
 static void set_headers_and_body(SoupMessage *msg, const struct lug_http_request *request)
 {
 	SoupMessageHeaders *headers = soup_message_get_request_headers(msg);
@@ -205,7 +272,7 @@
 	call->cancel = g_cancellable_new();
 	call->msg = soup_message_new(request->method, url);
 	g_free(url);
-	lug_list_append(&http->calls, &call->node);
+	lug_list_init(&call->node);
 	/* The URL is invalid. call_free() needs a message. */
 	if (!call->msg) {
 		struct lug_http_answer no_answer = {.body = "", .content_type = ""};
@@ -224,6 +291,6 @@
 	set_headers_and_body(call->msg, request);
 	g_signal_connect(call->msg, "wrote-headers", G_CALLBACK(on_wrote_headers), call);
 	call->timer = g_timeout_add((guint)MAX(request->timeout_ms, 1), on_timeout, call);
-	soup_session_send_and_read_async(http->session, call->msg, G_PRIORITY_DEFAULT, call->cancel,
-					 on_done, call);
+	lug_list_append(&http->waiting, &call->node);
+	send_waiting(http);
 }
