The configuration has connections of its own to the table service

Cause: reads and watches of the configuration wait, first come, first served, for one of 12 connections beside all calls that callers' requests need: config_call_failed call=watch sent=no call_ms=2795.

--- a/liblug/core/metrics.h
+++ b/liblug/core/metrics.h
@@ -85,6 +85,8 @@
 	X(TASKS_PENDING, "tasks_pending", "Batch tasks waiting in owned queues")        \
 	X(QUEUES_OWNED, "queues_owned", "Queues owned by this process")                 \
 	X(STORE_UP, "store_up", "1 while the table service answers")                    \
+	X(CONFIG_STORE_UP, "config_store_up",                                           \
+	  "1 while the table service answers calls for the configuration")              \
 	X(ZONES_EVACUATED, "zones_evacuated", "Zones known to be evacuated")            \
 	X(DRAINING, "draining", "1 while leaving")                                      \
 	X(WORKER_SPEED, "worker_speed_permille",                                        \
--- a/liblug/daemon/adapter.h
+++ b/liblug/daemon/adapter.h
@@ -28,7 +28,8 @@
 
 /**
  * struct lug_adapter - functions that connect a queue daemon to the deployment's platform
- * @new_store: create a client of the table service; the caller frees it
+ * @new_store: create a client of the table service with connections of its own; the caller
+ *             frees it
  * @new_worker: create a client of the worker beside an agent; the executor that it is
  *              passed to frees it
  * @config: source of the queues that operators configure
@@ -38,7 +39,7 @@
  * @stop_worker: close the server that @serve_worker returned
  */
 struct lug_adapter {
-	struct lug_store *(*new_store)(struct lug_ctx *ctx);
+	struct lug_store *(*new_store)(struct lug_ctx *ctx, enum lug_store_use use);
 	struct lug_worker *(*new_worker)(struct lug_ctx *ctx);
 	struct lug_config_source config;
 	void *(*serve_submitters)(struct lug_submitters_env *env, struct lug_error *err);
--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -21,6 +21,7 @@
 	struct lug_loop_hooks hooks;
 	const struct lug_adapter *adapter;
 	struct lug_store *store;
+	struct lug_store *config_store;
 	struct lug_link *link;
 	struct lug_shard_map *shard_map;
 	struct lug_config *config;
@@ -403,9 +404,11 @@
 	agent->link = lug_link_new(ctx, on_envelope, agent, err);
 	if (!agent->link)
 		return FALSE;
-	agent->store = agent->adapter->new_store(ctx);
+	agent->store = agent->adapter->new_store(ctx, LUG_STORE_JOBS);
+	agent->config_store = agent->adapter->new_store(ctx, LUG_STORE_CONFIG);
 	agent->shard_map = lug_shard_map_new(ctx, agent->store, shards, on_owner_changed, agent);
-	agent->config = lug_config_new(ctx, agent->store, &agent->adapter->config, NULL, NULL);
+	agent->config =
+		lug_config_new(ctx, agent->config_store, &agent->adapter->config, NULL, NULL);
 	agent->peers = lug_peers_new(ctx, agent->link, send_beat, agent);
 	agent->executor = lug_executor_new(ctx, agent->store, agent->adapter->new_worker(ctx),
 					   shards, send_to_owner, agent);
@@ -430,6 +433,7 @@
 		agent->adapter->stop_worker(agent->worker_server);
 	lug_daemon_http_server_free(agent->http_server);
 	lug_store_free(agent->store);
+	lug_store_free(agent->config_store);
 	lug_shards_free(agent->shards);
 	lug_fleet_free(agent->fleet);
 	lug_executor_free(agent->executor);
--- a/liblug/daemon/queue_entry.c
+++ b/liblug/daemon/queue_entry.c
@@ -22,6 +22,7 @@
 	struct lug_loop_hooks hooks;
 	const struct lug_adapter *adapter;
 	struct lug_store *store;
+	struct lug_store *config_store;
 	struct lug_link *link;
 	struct lug_shard_map *shard_map;
 	struct lug_config *config;
@@ -103,10 +104,12 @@
 	entry->link = lug_link_new(ctx, on_envelope, entry, err);
 	if (!entry->link)
 		return FALSE;
-	entry->store = entry->adapter->new_store(ctx);
+	entry->store = entry->adapter->new_store(ctx, LUG_STORE_JOBS);
+	entry->config_store = entry->adapter->new_store(ctx, LUG_STORE_CONFIG);
 	entry->shard_map =
 		lug_shard_map_new(ctx, entry->store, (guint32)ctx->settings->shards, NULL, NULL);
-	entry->config = lug_config_new(ctx, entry->store, &entry->adapter->config, NULL, NULL);
+	entry->config =
+		lug_config_new(ctx, entry->config_store, &entry->adapter->config, NULL, NULL);
 	entry->gateway =
 		lug_gateway_new(ctx, entry->store, entry->link, entry->shard_map, entry->config);
 	entry->submitters_env.ctx = ctx;
@@ -129,6 +132,7 @@
 		entry->adapter->stop_submitters(entry->submitter_server);
 	lug_daemon_http_server_free(entry->http_server);
 	lug_store_free(entry->store);
+	lug_store_free(entry->config_store);
 	lug_gateway_free(entry->gateway);
 	lug_config_free(entry->config);
 	lug_shard_map_free(entry->shard_map);
--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -72,6 +72,16 @@
 	guint n_failed;
 };
 
+/**
+ * enum lug_store_use - what a client of the table service is for
+ * @LUG_STORE_JOBS: all but the configuration
+ * @LUG_STORE_CONFIG: the operators' configuration
+ */
+enum lug_store_use {
+	LUG_STORE_JOBS,
+	LUG_STORE_CONFIG,
+};
+
 struct lug_store;
 
 typedef void (*lug_txn_fn)(void *data, const struct lug_txn_result *result);
