Processes pass the configuration on to each other

Cause: the table service is the only way by which a change arrives. Change: envelopes carry the version of the configuration, as they carry that of the weights and limits. Who is behind a peer for 300 ms fetches it from there; it is decoded and applied like one that was read, if it is newer. The mechanism of team/sync.c becomes wire/exchange.c, used by both. lug_config_new() takes the connections in place of a callback that nobody passed.

--- a/liblug/daemon/agent.c
+++ b/liblug/daemon/agent.c
@@ -101,7 +101,7 @@
 	if (agent->freeing)
 		return;
 	lug_peers_on_message(agent->peers, route, now_us);
-	if (lug_sync_handle_envelope(agent->sync, route, env))
+	if (lug_sync_handle_envelope(agent->sync, route, env, now_us))
 		return;
 	switch (env->body_case) {
 	case LUG__ENVELOPE__BODY_REQUEST:
--- a/liblug/daemon/entry.c
+++ b/liblug/daemon/entry.c
@@ -125,7 +125,7 @@
 	struct lug_entry *entry = data;
 	gint64 now_us = lug_now_us();
 
-	if (entry->freeing || lug_sync_handle_envelope(entry->sync, route, env))
+	if (entry->freeing || lug_sync_handle_envelope(entry->sync, route, env, now_us))
 		return;
 	switch (env->body_case) {
 	case LUG__ENVELOPE__BODY_BEAT:
--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -245,7 +245,8 @@
 	gint64 now_us = lug_now_us();
 	struct lug_shard *shard;
 
-	if (!agent->shards || agent->freeing)
+	if (!agent->shards || agent->freeing ||
+	    lug_config_handle_envelope(agent->config, route, env, now_us))
 		return;
 	switch (env->body_case) {
 	case LUG__ENVELOPE__BODY_WORKER_BEAT:
@@ -408,7 +409,7 @@
 	agent->config_store = agent->adapter->new_store(ctx, LUG_STORE_CONFIG);
 	agent->shard_map = lug_shard_map_new(ctx, agent->store, shards, on_owner_changed, agent);
 	agent->config =
-		lug_config_new(ctx, agent->config_store, &agent->adapter->config, NULL, NULL);
+		lug_config_new(ctx, agent->config_store, agent->link, &agent->adapter->config);
 	agent->peers = lug_peers_new(ctx, agent->link, send_beat, agent);
 	agent->executor = lug_executor_new(ctx, agent->store, agent->adapter->new_worker(ctx),
 					   shards, send_to_owner, agent);
--- a/liblug/daemon/queue_entry.c
+++ b/liblug/daemon/queue_entry.c
@@ -52,9 +52,13 @@
 static void on_envelope(void *data, const struct lug_route *route, const Lug__Envelope *env)
 {
 	struct queue_entry *entry = data;
+	gint64 now_us = lug_now_us();
 
-	if (env->body_case == LUG__ENVELOPE__BODY_JOB_REPLY && entry->gateway && !entry->freeing)
-		lug_gateway_on_reply(entry->gateway, route, env->job_reply, lug_now_us());
+	if (entry->freeing || !entry->gateway ||
+	    lug_config_handle_envelope(entry->config, route, env, now_us))
+		return;
+	if (env->body_case == LUG__ENVELOPE__BODY_JOB_REPLY)
+		lug_gateway_on_reply(entry->gateway, route, env->job_reply, now_us);
 }
 
 static void advance_shutdown(struct queue_entry *entry, gint64 now_us)
@@ -109,7 +113,7 @@
 	entry->shard_map =
 		lug_shard_map_new(ctx, entry->store, (guint32)ctx->settings->shards, NULL, NULL);
 	entry->config =
-		lug_config_new(ctx, entry->config_store, &entry->adapter->config, NULL, NULL);
+		lug_config_new(ctx, entry->config_store, entry->link, &entry->adapter->config);
 	entry->gateway =
 		lug_gateway_new(ctx, entry->store, entry->link, entry->shard_map, entry->config);
 	entry->submitters_env.ctx = ctx;
--- a/liblug/team/sync.c
+++ b/liblug/team/sync.c
@@ -8,7 +8,7 @@
  * struct lug_sync - distributes versions of the table of weights and limits
  * @ctx: context
  * @store: table service client, not owned
- * @link: internal connections, not owned
+ * @exchange: passes the table on between processes
  * @limits: table in force, NULL before the first one was received
  * @store_version: version of the stored table's row, see lug_sync_store_version()
  * @next_poll_us: time of the next poll of the table service
@@ -19,7 +19,7 @@
 struct lug_sync {
 	struct lug_ctx *ctx;
 	struct lug_store *store;
-	struct lug_link *link;
+	struct lug_exchange *exchange;
 	struct lug_limits *limits;
 	gint64 store_version;
 	gint64 next_poll_us;
@@ -28,6 +28,32 @@
 	void *data;
 };
 
+static void apply_version(void *data, gint64 version, const char *text)
+{
+	struct lug_sync *sync = data;
+	struct lug_limits *next;
+	struct lug_error err;
+	char version_text[24];
+
+	if (sync->limits && version <= sync->limits->version)
+		return;
+	next = lug_limits_parse(text, version, &err);
+	if (!next) {
+		lug_err(sync->ctx, "table_refused", "why", err.msg);
+		return;
+	}
+	lug_limits_free(sync->limits);
+	sync->limits = next;
+	lug_exchange_set(sync->exchange, version, text);
+	lug_gauge(sync->ctx, TABLE_VERSION, version);
+	lug_count(sync->ctx, TABLE_UPDATES, 1);
+	g_snprintf(version_text, sizeof(version_text), "%" G_GINT64_FORMAT, version);
+	lug_timeline_add(sync->ctx->timeline, LUG_EV_TABLE_IN_FORCE, "weights and limits",
+			 "version %s", version_text);
+	lug_info(sync->ctx, "version_in_force", "version", version_text);
+	sync->changed(sync->data);
+}
+
 /**
  * lug_sync_new - create an object that has no table
  * @ctx: context
@@ -45,7 +71,7 @@
 
 	sync->ctx = ctx;
 	sync->store = store;
-	sync->link = link;
+	sync->exchange = lug_exchange_new(link, 0, apply_version, sync);
 	sync->changed = changed;
 	sync->data = data;
 	return sync;
@@ -60,6 +86,7 @@
 	if (!sync)
 		return;
 	lug_limits_free(sync->limits);
+	lug_exchange_free(sync->exchange);
 	g_free(sync);
 }
 
@@ -86,31 +113,6 @@
 	return sync->store_version;
 }
 
-static void apply_version(struct lug_sync *sync, gint64 version, const char *text)
-{
-	struct lug_limits *next;
-	struct lug_error err;
-	char version_text[24];
-
-	if (sync->limits && version <= sync->limits->version)
-		return;
-	next = lug_limits_parse(text, version, &err);
-	if (!next) {
-		lug_err(sync->ctx, "table_refused", "why", err.msg);
-		return;
-	}
-	lug_limits_free(sync->limits);
-	sync->limits = next;
-	lug_link_set_limits_version(sync->link, (guint64)version);
-	lug_gauge(sync->ctx, TABLE_VERSION, version);
-	lug_count(sync->ctx, TABLE_UPDATES, 1);
-	g_snprintf(version_text, sizeof(version_text), "%" G_GINT64_FORMAT, version);
-	lug_timeline_add(sync->ctx->timeline, LUG_EV_TABLE_IN_FORCE, "weights and limits",
-			 "version %s", version_text);
-	lug_info(sync->ctx, "version_in_force", "version", version_text);
-	sync->changed(sync->data);
-}
-
 static void on_rows(void *data, enum lug_status status, const struct lug_row *rows, guint n_rows,
 		    gboolean more)
 {
@@ -151,50 +153,17 @@
 	lug_sync_read_now(sync);
 }
 
-static void send_table(struct lug_sync *sync, const struct lug_route *route)
-{
-	Lug__TableBody body = LUG__TABLE_BODY__INIT;
-	LUG_ENVELOPE(env, TABLE_BODY, table_body, &body);
-
-	if (!sync->limits)
-		return;
-	body.has_version = 1;
-	body.version = (guint64)sync->limits->version;
-	body.text = sync->limits->text;
-	lug_link_send(sync->link, route, &env);
-}
-
-static void fetch_if_newer(struct lug_sync *sync, const struct lug_route *route, guint64 version)
-{
-	Lug__TableFetch fetch = LUG__TABLE_FETCH__INIT;
-	LUG_ENVELOPE(env, TABLE_FETCH, table_fetch, &fetch);
-
-	if (version <= (sync->limits ? (guint64)sync->limits->version : 0))
-		return;
-	lug_link_send(sync->link, route, &env);
-}
-
 /**
  * lug_sync_handle_envelope - handle table messages, and fetch the table if a peer has a newer one
  * @sync: sync
  * @route: route to the sender
  * @env: envelope
+ * @now_us: current time
  *
  * Return: TRUE when the envelope was a table message and needs no other handler.
  */
 gboolean lug_sync_handle_envelope(struct lug_sync *sync, const struct lug_route *route,
-				  const Lug__Envelope *env)
+				  const Lug__Envelope *env, gint64 now_us)
 {
-	if (env->body_case == LUG__ENVELOPE__BODY_TABLE_FETCH) {
-		send_table(sync, route);
-		return TRUE;
-	}
-	if (env->body_case == LUG__ENVELOPE__BODY_TABLE_BODY) {
-		if (env->table_body->text)
-			apply_version(sync, (gint64)env->table_body->version,
-				      env->table_body->text);
-		return TRUE;
-	}
-	fetch_if_newer(sync, route, env->table_version);
-	return FALSE;
+	return lug_exchange_handle(sync->exchange, route, env, now_us);
 }
--- a/liblug/team/sync.h
+++ b/liblug/team/sync.h
@@ -3,7 +3,7 @@
 
 #include "store/store.h"
 #include "team/limits.h"
-#include "wire/link.h"
+#include "wire/exchange.h"
 
 /**
  * struct lug_sync - distributes versions of the table of weights and limits
@@ -21,6 +21,6 @@
 void lug_sync_tick(struct lug_sync *sync, gint64 now_us);
 void lug_sync_read_now(struct lug_sync *sync);
 gboolean lug_sync_handle_envelope(struct lug_sync *sync, const struct lug_route *route,
-				  const Lug__Envelope *env);
+				  const Lug__Envelope *env, gint64 now_us);
 
 #endif
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -676,7 +676,8 @@
 
 
 /*
- * Requests the table of weights and limits from a peer with a newer version.
+ * Requests the table of weights and limits, or the configuration of queues, from a peer with a
+ * newer version.
  */
 struct  Lug__TableFetch
 {
@@ -688,7 +689,7 @@
 
 
 /*
- * Table of weights and limits; answers TableFetch.
+ * Table of weights and limits, or configuration of queues; answers TableFetch.
  */
 struct  Lug__TableBody
 {
@@ -1526,7 +1527,8 @@
   protobuf_c_boolean has_hlc;
   uint64_t hlc;
   /*
-   * Version of the weights and limits in force at the sender.
+   * Version of the weights and limits, or of the configuration of queues, in force at the
+   * sender.
    */
   protobuf_c_boolean has_table_version;
   uint64_t table_version;
--- a/liblug/wire/link.c
+++ b/liblug/wire/link.c
@@ -24,7 +24,7 @@
  * @server_source: event source of @server_socket
  * @fn: receives each valid envelope
  * @data: passed to @fn
- * @limits_version: version of the weights and limits, sent in each envelope
+ * @table_version: version set by lug_link_set_table_version(), sent in each envelope
  * @dials: outgoing connections by number
  * @last_dial_number: number of the latest outgoing connection
  */
@@ -36,7 +36,7 @@
 	GSource *server_source;
 	lug_link_fn fn;
 	void *data;
-	guint64 limits_version;
+	guint64 table_version;
 	GHashTable *dials;
 	guint64 last_dial_number;
 };
@@ -244,13 +244,14 @@
 }
 
 /**
- * lug_link_set_limits_version - set the version of the weights and limits, sent in each envelope
+ * lug_link_set_table_version - set the version of the operators' table, sent in each envelope
  * @link: link
- * @version: version in force in this process
+ * @version: version of the weights and limits, or of the configuration of queues, in force in this
+ *           process
  */
-void lug_link_set_limits_version(struct lug_link *link, guint64 version)
+void lug_link_set_table_version(struct lug_link *link, guint64 version)
 {
-	link->limits_version = version;
+	link->table_version = version;
 }
 
 static void stamp_envelope(struct lug_link *link, Lug__Envelope *env)
@@ -263,7 +264,7 @@
 	env->has_hlc = 1;
 	env->hlc = lug_hlc_now(&link->ctx->hlc, g_get_real_time());
 	env->has_table_version = 1;
-	env->table_version = link->limits_version;
+	env->table_version = link->table_version;
 }
 
 /**
--- a/liblug/wire/link.h
+++ b/liblug/wire/link.h
@@ -38,7 +38,7 @@
 struct lug_link *lug_link_new(struct lug_ctx *ctx, lug_link_fn fn, void *data,
 			      struct lug_error *err);
 void lug_link_free(struct lug_link *link);
-void lug_link_set_limits_version(struct lug_link *link, guint64 version);
+void lug_link_set_table_version(struct lug_link *link, guint64 version);
 gboolean lug_link_send(struct lug_link *link, const struct lug_route *route, Lug__Envelope *env);
 
 struct lug_dial *lug_link_find_dial(const struct lug_link *link, const struct lug_route *route);
--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -14,6 +14,11 @@
 #define CALL_RETRY_US (200 * 1000)
 /* Rows of evacuated zones that one read returns at most. */
 #define ZONES_PER_READ 100
+/*
+ * Time for which the table service may still bring a version that a peer has, before it is fetched
+ * from the peer.
+ */
+#define FETCH_DELAY_US (300 * 1000)
 /* Reads after which rows without a key or a version are taken to be there for good. */
 #define SKIPPED_READS_MAX 3
 
@@ -37,9 +42,8 @@
  * struct lug_config - the newest version of the configuration seen
  * @ctx: context
  * @store: client of the table service
+ * @exchange: passes the configuration on between processes, NULL without connections to any
  * @source: location of the configuration
- * @changed: called after each change to a newer version, may be NULL
- * @data: passed to @changed
  * @queues: current version, NULL before the first one
  * @evacuation: evacuated zones, NULL if the source has none
  * @read: read of the configuration
@@ -57,9 +61,8 @@
 struct lug_config {
 	struct lug_ctx *ctx;
 	struct lug_store *store;
+	struct lug_exchange *exchange;
 	struct lug_config_source source;
-	void (*changed)(void *data);
-	void *data;
 	struct lug_queues *queues;
 	struct lug_evacuation *evacuation;
 	struct config_call read;
@@ -92,29 +95,30 @@
 	config->watch_after = G_MAXINT64;
 }
 
+static void on_peer_text(void *data, gint64 version, const char *text);
+
 /**
  * lug_config_new - create an empty configuration
  * @ctx: context
  * @store: table service client; must be freed before the configuration
+ * @link: internal connections over which processes pass the configuration on, must outlive it; NULL
+ *        for none
  * @source: location of the configuration, copied
- * @changed: called after each change to a newer version, may be NULL
- * @data: passed to @changed
  */
 struct lug_config *lug_config_new(struct lug_ctx *ctx, struct lug_store *store,
-				  const struct lug_config_source *source,
-				  void (*changed)(void *data), void *data)
+				  struct lug_link *link, const struct lug_config_source *source)
 {
 	struct lug_config *config = g_new0(struct lug_config, 1);
 
 	config->ctx = ctx;
 	config->store = store;
 	config->source = *source;
-	config->changed = changed;
-	config->data = data;
 	config->read.name = "read";
 	config->zones.name = "read_zones";
 	config->watch.name = "watch";
 	require_reads(config, 0);
+	if (link)
+		config->exchange = lug_exchange_new(link, FETCH_DELAY_US, on_peer_text, config);
 	if (source->evacuations)
 		config->evacuation =
 			lug_evacuation_new(ctx->settings->zone, on_zone_changed, config);
@@ -131,6 +135,7 @@
 		return;
 	lug_queues_free(config->queues);
 	lug_evacuation_free(config->evacuation);
+	lug_exchange_free(config->exchange);
 	g_free(config);
 }
 
@@ -181,22 +186,22 @@
 static void log_applied(struct lug_config *config, const struct config_call *call)
 {
 	char version[24];
-	char call_ms[24];
+	char call_ms[24] = "0";
 
+	if (call)
+		format_ms(call_ms, sizeof(call_ms), lug_now_us() - call->sent_us);
 	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT, config->queues->version);
-	lug_info(config->ctx, "config_applied", "version", version, "call", call->name, "call_ms",
-		 format_ms(call_ms, sizeof(call_ms), lug_now_us() - call->sent_us));
+	lug_info(config->ctx, "config_applied", "version", version, "call",
+		 call ? call->name : "peer", "call_ms", call_ms);
 }
 
-static void apply_row(struct lug_config *config, const struct lug_row *row,
-		      const struct config_call *call)
+/* Applies a configuration if it is newer. @call is NULL for one that a peer has sent. */
+static void apply_data(struct lug_config *config, JsonObject *data, const struct config_call *call)
 {
 	struct lug_error err = {0};
-	struct lug_queues *queues;
+	struct lug_queues *queues = config->source.decode(data, &err);
+	char *text;
 
-	if (!row->data || strcmp(row->key, config->source.key))
-		return;
-	queues = config->source.decode(row->data, &err);
 	if (!queues) {
 		lug_warn(config->ctx, "config_refused", "problem", err.msg, "remedy", err.remedy);
 		return;
@@ -209,8 +214,33 @@
 	config->queues = queues;
 	log_applied(config, call);
 	lug_gauge(config->ctx, TABLE_VERSION, queues->version);
-	if (config->changed)
-		config->changed(config->data);
+	if (config->exchange) {
+		text = lug_json_text(data);
+		lug_exchange_set(config->exchange, queues->version, text);
+		g_free(text);
+	}
+}
+
+static void apply_row(struct lug_config *config, const struct lug_row *row,
+		      const struct config_call *call)
+{
+	if (row->data && !strcmp(row->key, config->source.key))
+		apply_data(config, row->data, call);
+}
+
+static void on_peer_text(void *data, gint64 version, const char *text)
+{
+	struct lug_config *config = data;
+	struct lug_error err = {0};
+	JsonObject *object = lug_json_parse(text, -1, &err);
+
+	(void)version;
+	if (!object) {
+		lug_warn(config->ctx, "config_refused", "problem", err.msg, "remedy", err.remedy);
+		return;
+	}
+	apply_data(config, object, NULL);
+	json_object_unref(object);
 }
 
 /*
@@ -376,6 +406,22 @@
 		start_watch(config, now_us);
 }
 
+/**
+ * lug_config_handle_envelope - handle messages about the configuration, and fetch it if a peer has
+ * a newer version
+ * @config: configuration, created with connections to other processes
+ * @route: route to the sender
+ * @env: envelope
+ * @now_us: current time
+ *
+ * Return: TRUE when the envelope needs no other handler.
+ */
+gboolean lug_config_handle_envelope(struct lug_config *config, const struct lug_route *route,
+				    const Lug__Envelope *env, gint64 now_us)
+{
+	return lug_exchange_handle(config->exchange, route, env, now_us);
+}
+
 /**
  * lug_config_is_fresh - check whether the table service has answered recently
  * @config: configuration
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -13,7 +13,7 @@
 	{
 		struct lug_config_source source = {"op", "config", "evacuate/", make_queues};
 
-		config = lug_config_new(ctx, &store.base, &source, nullptr, nullptr);
+		config = lug_config_new(ctx, &store.base, nullptr, &source);
 	}
 
 	void TearDown() override
@@ -215,4 +215,68 @@
 	EXPECT_EQ(store.watches.size(), 1u);
 }
 
+/* A configuration that peers pass on, and the table service's. */
+struct ConfigOfPeersTest : public ConfigTest {
+	struct lug_link *link = nullptr;
+
+	static void ignore_message(void *data, const struct lug_route *route,
+				   const Lug__Envelope *env)
+	{
+		(void)data;
+		(void)route;
+		(void)env;
+	}
+
+	void SetUp() override
+	{
+		struct lug_config_source source = {"op", "config", "evacuate/", make_queues};
+
+		lug_ctx_free(ctx);
+		ctx = test_context_with_address("w1");
+		link = lug_link_new(ctx, ignore_message, nullptr, nullptr);
+		ASSERT_NE(link, nullptr);
+		config = lug_config_new(ctx, &store.base, link, &source);
+	}
+
+	void TearDown() override
+	{
+		lug_config_free(config);
+		lug_link_free(link);
+		lug_ctx_free(ctx);
+	}
+
+	void receive(guint64 version, const char *text)
+	{
+		struct lug_route route = {};
+		Lug__TableBody body = LUG__TABLE_BODY__INIT;
+		Lug__Envelope env = LUG__ENVELOPE__INIT;
+		std::string copy = text;
+
+		env.body_case = LUG__ENVELOPE__BODY_TABLE_BODY;
+		env.table_body = &body;
+		body.version = version;
+		body.text = copy.data();
+		EXPECT_TRUE(lug_config_handle_envelope(config, &route, &env, now_us));
+	}
+};
+
+/* Versions only rise, whichever way they come. */
+TEST_F(ConfigOfPeersTest, AnOlderVersionIsIgnoredFromPeersAndFromTheTableService)
+{
+	receive(3, "{\"version\":3}");
+	EXPECT_EQ(lug_config_version(config), 3);
+	receive(2, "{\"version\":2}");
+	receive(9, "{\"version\":1}");
+	receive(9, "[");
+	receive(G_MAXUINT64, "{\"version\":4}");
+	EXPECT_EQ(lug_config_version(config), 3);
+	store.put("op/config", "{\"version\":2}");
+	tick();
+	EXPECT_EQ(lug_config_version(config), 3);
+	store.put("op/config", "{\"version\":5}");
+	now_us += 2 * S;
+	tick();
+	EXPECT_EQ(lug_config_version(config), 5);
+}
+
 } // namespace
--- a/tests/unit/shard_evacuation_test.cc
+++ b/tests/unit/shard_evacuation_test.cc
@@ -157,7 +157,7 @@
 TEST_F(ShardEvacuationTest, ANewOwnerPlacesNothingBeforeItHasReadTheZones)
 {
 	struct lug_config_source source = {"op", "config", "evacuate/", make_queues};
-	struct lug_config *unread = lug_config_new(ctx, &store.base, &source, nullptr, nullptr);
+	struct lug_config *unread = lug_config_new(ctx, &store.base, nullptr, &source);
 
 	shard->shared.config = unread;
 	take_shard();
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -72,7 +72,7 @@
 		store.put("op/config", "{\"version\":1}");
 		link = lug_link_new(ctx, ignore_message, nullptr, nullptr);
 		ASSERT_NE(link, nullptr);
-		config = lug_config_new(ctx, &store.base, &source, nullptr, nullptr);
+		config = lug_config_new(ctx, &store.base, nullptr, &source);
 		lug_config_tick(config, lug_now_us());
 		store.settle();
 		create_shard();
