--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -11,6 +11,11 @@
 #define READ_AFTER_US ((WATCH_WAIT_MS + 300) * 1000)
 /* The configuration is fresh for this long after an answer: two and a half times the watch wait. */
 #define FRESH_TIMEOUT_US (2300 * 1000)
+/*
+ * A configuration with an answer this recent is the newest one for callers: longer than a watch and
+ * the read that follows one without an answer, shorter than the time in which changes apply.
+ */
+#define CONFIRMED_TIMEOUT_US (1500 * 1000)
 #define CALL_RETRY_US (200 * 1000)
 /* Rows of evacuated zones that one read returns at most. */
 #define ZONES_PER_READ 100
@@ -432,6 +437,16 @@
 	return now_us - config->last_answer_us < FRESH_TIMEOUT_US;
 }
 
+/**
+ * lug_config_is_confirmed - check whether the configuration can be taken for the newest one
+ * @config: configuration
+ * @now_us: current time
+ */
+gboolean lug_config_is_confirmed(const struct lug_config *config, gint64 now_us)
+{
+	return config->last_answer_us && now_us - config->last_answer_us < CONFIRMED_TIMEOUT_US;
+}
+
 /**
  * lug_config_age_us - time since the table service has last answered
  * @config: configuration
--- a/liblug/workflow/config.h
+++ b/liblug/workflow/config.h
@@ -41,6 +41,7 @@
 				    const Lug__Envelope *env, gint64 now_us);
 void lug_config_tick(struct lug_config *config, gint64 now_us);
 gboolean lug_config_is_fresh(const struct lug_config *config, gint64 now_us);
+gboolean lug_config_is_confirmed(const struct lug_config *config, gint64 now_us);
 gint64 lug_config_age_us(const struct lug_config *config, gint64 now_us);
 gint64 lug_config_version(const struct lug_config *config);
 const struct lug_queues *lug_config_queues(const struct lug_config *config);
