An agent that is stopped while it takes a shard releases it

Callers' jobs of the shard wait until other agents find its owner silent. Cause: a stopping agent releases the shards that it owns. One that it is taking counts as not owned, neither for the release nor for the wait before the exit. Change: the release is requested of all shards, and the exit waits for the outcome of a take, up to the bound that it has.

--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -102,6 +102,7 @@
 void lug_writer_flush(struct lug_writer *writer, gint64 now_us);
 void lug_writer_tick(struct lug_writer *writer, gint64 now_us);
 gboolean lug_writer_is_held(const struct lug_writer *writer);
+gboolean lug_writer_is_taking(const struct lug_writer *writer);
 gboolean lug_writer_is_valid(const struct lug_writer *writer, gint64 now_us);
 gint64 lug_writer_renewed_us(const struct lug_writer *writer);
 gint64 lug_writer_valid_until_us(const struct lug_writer *writer);
--- a/liblug/store/writer_lease.c
+++ b/liblug/store/writer_lease.c
@@ -17,6 +17,15 @@
 	return writer->phase == PHASE_HELD;
 }
 
+/**
+ * lug_writer_is_taking - whether an attempt to take the lease has no outcome yet
+ * @writer: writer
+ */
+gboolean lug_writer_is_taking(const struct lug_writer *writer)
+{
+	return writer->phase == PHASE_ACQUIRING;
+}
+
 /**
  * lug_writer_renewed_us - time at which the last committed transaction was first sent
  * @writer: writer
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -451,6 +451,14 @@
 	return shard->owned;
 }
 
+/**
+ * lug_shard_is_taking - whether an attempt to take the shard has no outcome yet
+ */
+gboolean lug_shard_is_taking(const struct lug_shard *shard)
+{
+	return lug_writer_is_taking(shard->writer);
+}
+
 /**
  * lug_shard_is_loaded - whether all rows of the owned shard are read
  */
--- a/liblug/workflow/shard.h
+++ b/liblug/workflow/shard.h
@@ -80,6 +80,7 @@
 void lug_shard_release(struct lug_shard *shard, gint64 now_us);
 gboolean lug_shard_is_active(const struct lug_shard *shard);
 gboolean lug_shard_is_owned(const struct lug_shard *shard);
+gboolean lug_shard_is_taking(const struct lug_shard *shard);
 gboolean lug_shard_is_loaded(const struct lug_shard *shard);
 gboolean lug_shard_is_stalled(const struct lug_shard *shard, gint64 now_us);
 guint64 lug_shard_epoch(const struct lug_shard *shard);
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -328,14 +328,13 @@
 }
 
 /**
- * lug_shards_release_all - release all shards and take no more
+ * lug_shards_release_all - release all shards, also those that are being taken, and take no more
  */
 void lug_shards_release_all(struct lug_shards *shards, gint64 now_us)
 {
 	shards->leaving = TRUE;
 	for (guint32 i = 0; i < shards->n_shards; i++)
-		if (lug_shard_is_active(shards->watches[i].shard))
-			lug_shard_release(shards->watches[i].shard, now_us);
+		lug_shard_release(shards->watches[i].shard, now_us);
 }
 
 /**
@@ -351,12 +350,13 @@
 }
 
 /**
- * lug_shards_all_released - whether this process owns no shard any more
+ * lug_shards_all_released - whether this process owns no shard any more, and takes none
  */
 gboolean lug_shards_all_released(const struct lug_shards *shards)
 {
 	for (guint32 i = 0; i < shards->n_shards; i++)
-		if (lug_shard_is_owned(shards->watches[i].shard))
+		if (lug_shard_is_owned(shards->watches[i].shard) ||
+		    lug_shard_is_taking(shards->watches[i].shard))
 			return FALSE;
 	return TRUE;
 }
--- a/tests/integration/test_hub.py
+++ b/tests/integration/test_hub.py
@@ -195,6 +195,28 @@
     assert time.monotonic() - began < 1.5
 
 
+def test_owner_that_is_stopped_while_it_takes_a_shard_releases_it(start_deployment):
+    """The shard waited for the expiry of a lease that a stopped process held."""
+    deployment = start_deployment(workers=3, shards=1)
+    first = deployment.owner_name("0")
+
+    def answer_late(path, code, body):
+        if path == "/rows-tx":
+            time.sleep(0.4)
+        return body
+
+    deployment.store.alter_answer = answer_late
+    assert deployment.signal_process(first, signal.SIGTERM) == 0
+    assert deployment.wait_until(lambda: deployment.owner_name("0") not in (first, None), 3)
+    second = deployment.owner_name("0")
+    # Its take has been committed, but not answered yet.
+    assert deployment.signal_process(second, signal.SIGTERM) == 0
+    deployment.store.alter_answer = None
+    assert "event=shard_released" in deployment.log(second)
+    assert deployment.wait_until(
+        lambda: deployment.owner_name("0") not in (first, second, None), 1.5)
+
+
 def test_tasks_restart_on_new_incarnation_of_worker(start_deployment):
     """Tasks that a worker lost in a crash run a second time on its new incarnation."""
     deployment = start_deployment(workers=1, shards=1)
