The soak changes the configuration and checks what entries know of it

Cause: the soak put one configuration in force at its start, and test_hub.py adds one queue with a sound table service: no test asked within which time a change is in force while reads fail, hang or are rejected. Change: a queue is added every 0.3 to 2 s, and dropped 10 s later. Each entry is asked about all of them: a queue must not be denied 3 s after it was added, nor served 3 s after it was removed, by an entry that was calm for 4 s, nor denied by a process that has known it.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
+from config_check import ConfigCheck
 from hub import QueueDeployment
 import soak as rig
 from soak import Soak
@@ -97,3 +98,18 @@
     assert len(soak.find_runs_of_ended_jobs()) == stays
     if stays:
         assert time.monotonic() - now > 3.5
+
+
+@pytest.mark.parametrize("code, age_s, gone_s, calm_s, known, found", [
+    (404, 2, None, 9, 0, 0), (404, 4, None, 9, 0, 1), (404, 4, None, 1, 0, 0),
+    (503, 4, None, 9, 0, 0), (404, 2, None, 1, 1, 1), (404, 12, None, 9, 1, 0),
+    (410, 20, 2, 9, 1, 0), (410, 20, 4, 9, 1, 1), (200, 20, 4, 1, 1, 0)])
+def test_the_soak_finds_late_and_reverted_configurations(code, age_s, gone_s, calm_s, known,
+                                                         found):
+    check = ConfigCheck(SimpleNamespace(), 1, 1)
+    now = time.monotonic()
+    check.added = {"q1": now - age_s}
+    check.removed = {} if gone_s is None else {"q1": now - gone_s}
+    check.disturbed = {1: now - calm_s}
+    check._check(1, "q1", code, now, known)
+    assert len(check.violations) == found
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -20,6 +20,7 @@
 import time
 
 import standins
+from config_check import ConfigCheck
 from hub import QueueDeployment
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -240,6 +241,7 @@
         self.tally = {}
         # (time, job) of the long jobs to cancel.
         self.cancellations = []
+        self.config_check = ConfigCheck(self.deployment, ENTRIES, seed)
 
     def _submit(self, rng):
         job = next(self.job_ids)
@@ -311,6 +313,7 @@
 
     def _inject_faults(self):
         faults = Faults(self.deployment, self.rng)
+        self.config_check.reserved = faults.reserved
         until_s = time.monotonic() + self.seconds
         active_faults = []
         while time.monotonic() < until_s:
@@ -464,11 +467,13 @@
             threads.append(threading.Thread(target=self._cancel_due_jobs, daemon=True))
             for thread in threads:
                 thread.start()
+            self.config_check.start()
             self._inject_faults()
             self.load_ended.set()
             for thread in threads:
                 thread.join(20)
             violations = self.find_violations() if ready else ["the daemons were not ready in time"]
+            violations += self.config_check.finish(self.calm_since)
         finally:
             self._write_worker_log()
             violations += [f"{name} exited with code {code}"
@@ -494,7 +499,8 @@
         violations = soak.run()
         failed_seeds += bool(violations)
         print(f"seed {seed}: {len(soak.accepted)} jobs accepted, {len(soak.refused)} refused, "
-              f"{sum(soak.tally.values())} faults, {len(violations)} violations", flush=True)
+              f"{sum(soak.tally.values())} faults, {soak.config_check.looks} looks at queues, "
+              f"{len(violations)} violations", flush=True)
         for violation in sorted(set(violations))[:10]:
             print(f"  {violation}")
         # Violations of tasks and jobs start with their name.
