The watch continues from the earlier of the reads, also where no configuration was found

Found by reading, not seen by callers: a read that finds no configuration, between two pages of a read of the evacuated zones, forgot the version of the first page. Zones evacuated since then would not have been reported until the next read. Change: the versions of both reads are kept, and the watch begins at the earlier one.

--- a/liblug/workflow/config.c
+++ b/liblug/workflow/config.c
@@ -59,8 +59,10 @@
  * @has_skipped: this read has returned rows without a key or a version
  * @skipped_reads: consecutive reads that have
  * @watch: watch of both, while neither has to be read
- * @watch_after: version of the table after which the next watch reports changes; while a read is
- *               needed, that of the earliest read which has been answered
+ * @read_version: version of the table as of the latest read of the configuration
+ * @zones_version: that of the first page of the latest read of the evacuated zones
+ * @watch_after: version of the table after which the next watch reports changes, 0 for the earlier
+ *               of the two reads
  * @last_answer_us: time of the latest answer that the current version is the newest, 0 for none
  */
 struct lug_config {
@@ -78,6 +80,8 @@
 	gboolean has_skipped;
 	guint skipped_reads;
 	struct config_call watch;
+	gint64 read_version;
+	gint64 zones_version;
 	gint64 watch_after;
 	gint64 last_answer_us;
 };
@@ -97,7 +101,7 @@
 	config->zones_needed = config->source.evacuations != NULL;
 	config->read.next_us = from_us;
 	config->zones.next_us = from_us;
-	config->watch_after = G_MAXINT64;
+	config->watch_after = 0;
 }
 
 static void on_peer_text(void *data, gint64 version, const char *text);
@@ -283,8 +287,7 @@
 		require_reads(config, lug_now_us() + CALL_RETRY_US);
 		return;
 	}
-	if (config->read_needed)
-		config->watch_after = MIN(config->watch_after, config->store->version);
+	config->read_version = config->store->version;
 	config->read_needed = FALSE;
 }
 
@@ -325,7 +328,7 @@
 		return;
 	}
 	if (config->is_first_page)
-		config->watch_after = MIN(config->watch_after, config->store->version);
+		config->zones_version = config->store->version;
 	config->is_first_page = FALSE;
 	config->has_skipped = config->has_skipped || config->store->skipped;
 	for (guint i = 0; i < n_rows; i++)
@@ -384,6 +387,10 @@
 
 static void start_watch(struct lug_config *config, gint64 now_us)
 {
+	if (!config->watch_after)
+		config->watch_after = config->evacuation
+					      ? MIN(config->read_version, config->zones_version)
+					      : config->read_version;
 	begin_call(&config->watch, now_us);
 	lug_store_watch(config->store, config->source.table, config->watch_after, WATCH_WAIT_MS,
 			on_watch, config);
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -215,6 +215,32 @@
 	EXPECT_EQ(store.watches.size(), 1u);
 }
 
+/* Pages of one read of the zones are answered before and after a read that finds no configuration.
+ */
+TEST_F(ConfigTest, ChangesDuringAReadOfZonesAreWatchedThoughNoConfigurationIsFound)
+{
+	gint64 version;
+
+	for (int i = 0; i < 230; i++)
+		store.put("op/evacuate/z" + std::to_string(i), "{}");
+	version = store.revision;
+	store.is_silent = true;
+	tick();
+	ASSERT_EQ(store.calls.size(), 2u);
+	/* First page, no configuration, second page. */
+	store.answer_next();
+	store.answer_next();
+	store.put("op/evacuate/a", "{}");
+	store.put("op/config", "{\"version\":1}");
+	store.is_silent = false;
+	store.settle();
+	EXPECT_TRUE(is_read());
+	tick();
+	tick();
+	ASSERT_EQ(store.watches.size(), 1u);
+	EXPECT_TRUE(store.watches.front().after <= version || is_evacuated("a"));
+}
+
 /* A configuration that peers pass on, and the table service's. */
 struct ConfigOfPeersTest : public ConfigTest {
 	struct lug_link *link = nullptr;
