Log what was known when a job's runs were stopped, a lease was released and a task restarted

From the logs of the record one can't tell whether a cancellation was acknowledged with its stops confirmed, sent or not sent, what an agent knew as it released its worker's lease, and by which evidence, of what age, an owner started a task again.

stops_sent lists the runs of a job that has ended with the age of their agents' latest heartbeats; worker_lease_release and runs_left give an agent's runs, ends, calls in flight and the rest of the lease as it stops; run_lost and worker_fenced give the age of their evidence. No decision changes.

--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -344,6 +344,7 @@
 
 	if (!finished && now_us < agent->stop_deadline_us)
 		return;
+	lug_executor_log_exit(agent->executor, now_us);
 	g_main_loop_quit(agent->ctx->loop);
 }
 
--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -371,6 +371,14 @@
 	return exec->runs->len > 0 || !exec->lease_held;
 }
 
+/**
+ * lug_executor_log_exit - log what the agent's process leaves on the worker as it exits
+ */
+void lug_executor_log_exit(const struct lug_executor *exec, gint64 now_us)
+{
+	exec_log_leave(exec, "runs_left", now_us);
+}
+
 /**
  * lug_executor_tick - acquire or renew the lease, poll the worker, drop expired runs
  */
--- a/liblug/workflow/executor.h
+++ b/liblug/workflow/executor.h
@@ -63,5 +63,6 @@
 void lug_executor_tick(struct lug_executor *executor, gint64 now_us);
 void lug_executor_shut_down(struct lug_executor *executor);
 gboolean lug_executor_can_exit(const struct lug_executor *executor);
+void lug_executor_log_exit(const struct lug_executor *executor, gint64 now_us);
 
 #endif
--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -144,8 +144,12 @@
 	 * Entries of exec->ends are removed only by polls, which need the lease. It is kept until
 	 * none is left, or until the worker exits, after which no poll is sent.
 	 */
-	if (exec->shutting_down && !exec->runs->len && (exec->worker_exited || !exec->ends->len))
-		lug_writer_release(exec->writer, now_us);
+	if (!exec->shutting_down || exec->runs->len || (!exec->worker_exited && exec->ends->len))
+		return;
+	if (!exec->releasing)
+		exec_log_leave(exec, "worker_lease_release", now_us);
+	exec->releasing = TRUE;
+	lug_writer_release(exec->writer, now_us);
 }
 
 /*
--- a/liblug/workflow/executor_log.c
+++ b/liblug/workflow/executor_log.c
@@ -117,3 +117,29 @@
 		 "runs", runs->str);
 	g_string_free(runs, TRUE);
 }
+
+/**
+ * exec_log_leave - log what an agent that stops knows of its worker: its runs, the ends that no
+ * owner has stored, the calls without an answer so far, and the rest of the worker's lease
+ */
+void exec_log_leave(const struct lug_executor *exec, const char *event, gint64 now_us)
+{
+	GString *runs = g_string_new(NULL);
+	guint calls_in_flight = exec->poll_in_flight;
+	char numbers[4][NUMBER_SIZE];
+
+	for (guint i = 0; i < exec->runs->len; i++) {
+		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
+
+		exec_list_run(runs, run, now_us);
+		calls_in_flight += run->call_in_flight;
+	}
+	lug_info(exec->ctx, event, "worker", exec->ctx->settings->name, "exited",
+		 exec->worker_exited ? "yes" : "no", "ends",
+		 format_number(numbers[0], exec->ends->len), "calls_in_flight",
+		 format_number(numbers[1], calls_in_flight), "silent_ms",
+		 format_number(numbers[2], (now_us - exec->last_answer_us) / 1000), "left_ms",
+		 format_number(numbers[3], MAX(exec->granted_until_us - now_us, 0) / 1000), "runs",
+		 runs->str);
+	g_string_free(runs, TRUE);
+}
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -246,6 +246,7 @@
  * @worker_exited: and has accepted no connections since
  * @exit_announced_us: time of that announcement
  * @shutting_down: the agent is shutting down
+ * @releasing: it has asked for the release of the worker's lease
  * @capacity: total resources for tasks, as of the latest heartbeat
  * @capacity_at_us: time at which that heartbeat was received
  * @capacity_clock_ms: the worker's clock when it was sent, 0 for not known
@@ -346,6 +347,7 @@
 	gboolean worker_exited;
 	gint64 exit_announced_us;
 	gboolean shutting_down;
+	gboolean releasing;
 	struct lug_resources capacity;
 	gint64 capacity_at_us;
 	gint64 capacity_clock_ms;
@@ -466,6 +468,7 @@
 void exec_log_runs(const struct lug_executor *exec, const char *event, const GString *list,
 		   const char *reason);
 void exec_log_restart(const struct lug_executor *exec, guint64 incarnation, gint64 now_us);
+void exec_log_leave(const struct lug_executor *exec, const char *event, gint64 now_us);
 void exec_retry_stops(struct lug_executor *exec, gint64 now_us);
 void exec_reserved(const struct lug_executor *exec, struct lug_resources *out);
 gint64 exec_spare_millicores(const struct lug_executor *exec);
--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -49,13 +49,19 @@
 }
 
 static void report_lease_ended(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
-			       guint64 epoch, const char *reason)
+			       guint64 epoch, const char *reason, gint64 now_us)
 {
+	gint64 unchanged_us = worker->lease_row_version ? now_us - worker->lease_row_since_us : 0;
 	char text[24];
+	char unchanged_ms[24];
+	char heard_ms[24];
 
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, epoch);
+	g_snprintf(unchanged_ms, sizeof(unchanged_ms), "%" G_GINT64_FORMAT, unchanged_us / 1000);
+	g_snprintf(heard_ms, sizeof(heard_ms), "%" G_GINT64_FORMAT,
+		   (now_us - worker->last_beat_us) / 1000);
 	lug_warn(fleet->ctx, "worker_fenced", "worker", worker->name, "lease_epoch", text, "how",
-		 reason);
+		 reason, "unchanged_ms", unchanged_ms, "heard_ms", heard_ms);
 	worker->inherited_version = 0;
 	fleet->hooks.lease_ended(fleet->hooks.data, worker->name, epoch);
 }
@@ -69,7 +75,8 @@
 		worker->lease_call_in_flight = FALSE;
 		/* Otherwise the next read shows whether the row has changed, or is fenced. */
 		if (result->status == LUG_OK)
-			report_lease_ended(call->fleet, worker, call->epoch, "lease not renewed");
+			report_lease_ended(call->fleet, worker, call->epoch, "lease not renewed",
+					   lug_now_us());
 	}
 	g_free(call);
 }
@@ -104,12 +111,12 @@
  * epoch, also when no heartbeat of the worker has been heard.
  */
 static void check_missing_row(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
-			      gint64 missing_us)
+			      gint64 missing_us, gint64 now_us)
 {
 	gint64 ttl_us = fleet->ctx->settings->worker_lease_ms * 1000;
 
 	if (missing_us > ttl_us + ttl_us / CLOCK_DRIFT_DIVISOR)
-		report_lease_ended(fleet, worker, G_MAXUINT64, "no lease");
+		report_lease_ended(fleet, worker, G_MAXUINT64, "no lease", now_us);
 }
 
 static void check_lease_row(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
@@ -120,7 +127,7 @@
 
 	if (row->data && !*lug_json_str(row->data, "owner", "")) {
 		report_lease_ended(fleet, worker, lug_writer_row_epoch(row),
-				   "lease fenced or released");
+				   "lease fenced or released", now_us);
 		return;
 	}
 	/* The row was renewed, or is read for the first time. */
@@ -135,7 +142,7 @@
 	}
 	unchanged_us = now_us - worker->lease_row_since_us - FENCE_MARGIN_US;
 	if (!row->version)
-		check_missing_row(fleet, worker, unchanged_us);
+		check_missing_row(fleet, worker, unchanged_us, now_us);
 	else if (lug_writer_row_is_free(row, unchanged_us, fleet->ctx->settings->worker_lease_ms))
 		fence_lease(fleet, worker, row);
 }
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -11,9 +11,19 @@
 
 static void return_lost_task(struct lug_shard *shard, struct shard_job *job,
 			     struct shard_task *task, const struct lug_run_id *id,
-			     const char *reason)
+			     const char *reason, gint64 now_us)
 {
-	shard_log_run(shard, "run_lost", id, task->worker, "reason", reason);
+	const struct lug_fleet_worker *worker = lug_fleet_find(shard->shared.fleet, task->worker);
+	char name[LUG_RUN_NAME_SIZE];
+	char heard_ms[24];
+	char lease_epoch[24];
+
+	lug_run_name(id, name, sizeof(name));
+	g_snprintf(heard_ms, sizeof(heard_ms), "%" G_GINT64_FORMAT,
+		   worker ? (now_us - worker->last_beat_us) / 1000 : -1);
+	g_snprintf(lease_epoch, sizeof(lease_epoch), "%" G_GUINT64_FORMAT, task->lease_epoch);
+	lug_info(shard->shared.ctx, "run_lost", "job", id->job, "run", name, "worker", task->worker,
+		 "reason", reason, "heard_ms", heard_ms, "lease_epoch", lease_epoch);
 	lug_count(shard->shared.ctx, TASKS_LOST, 1);
 	shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
 	shard_job_mark_changed(shard, job);
@@ -182,7 +192,7 @@
 			lug_crash_record(&task->crash, 0, task->begun);
 			shard_check_crash_history(shard, job, task, id, check->now_us);
 		}
-		return_lost_task(shard, job, task, id, reason);
+		return_lost_task(shard, job, task, id, reason, check->now_us);
 		return;
 	}
 	if (may_resend_start(shard, task, check->now_us))
@@ -256,7 +266,7 @@
 		lug_crash_record_loss(&task->crash);
 		shard_check_crash_history(shard, job, task, id, end->now_us);
 	}
-	return_lost_task(shard, job, task, id, "lease of its worker fenced");
+	return_lost_task(shard, job, task, id, "lease of its worker fenced", end->now_us);
 }
 
 /**
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -108,8 +108,18 @@
 	g_string_free(runs, TRUE);
 }
 
-static void stop_job_runs(struct lug_shard *shard, struct shard_job *job)
+/* Notes a stop that is sent, with the age of the latest heartbeat of the run's agent. */
+static void note_stop(GString *stops, const struct lug_run_id *id, const char *name,
+		      const struct lug_fleet_worker *worker, gint64 now_us)
 {
+	shard_note_run(stops, id, name, worker ? "heard" : "unknown",
+		       worker ? now_us - worker->last_beat_us : 0);
+}
+
+static void stop_job_runs(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
+{
+	GString *stops = g_string_new(NULL);
+
 	for (guint k = 0; k < job->occurrences->len; k++) {
 		struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
 
@@ -123,11 +133,14 @@
 					continue;
 				worker = lug_fleet_find(shard->shared.fleet, task->worker);
 				shard_task_run_id(job, occ, s, i - job->first_task[s], &id);
+				note_stop(stops, &id, task->worker, worker, now_us);
 				if (worker)
 					shard_send_stop(shard, worker, &id);
 				shard_release_claim(shard, job, task, &job->workflow->steps[s]);
 			}
 	}
+	log_run_list(shard, job, "stops_sent", stops);
+	g_string_free(stops, TRUE);
 }
 
 static void close_job(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
@@ -144,7 +157,7 @@
 	lug_info(shard->shared.ctx, job->expired ? "withheld_job_removed" : "job_ended", "job",
 		 job->workflow->id, "queue", job->workflow->queue, "state",
 		 lug_workflow_state_name(job->end_state));
-	stop_job_runs(shard, job);
+	stop_job_runs(shard, job, now_us);
 	/* shard_job_free() would notify the waiters with LUG_UNKNOWN. */
 	job->cancel_waiters = g_array_new(FALSE, FALSE, sizeof(struct shard_waiter));
 	shard_job_remove(shard, job);
