A job's cancellation is answered once its runs are stopped, or surely will be in time

What callers saw: a cancellation was acknowledged after 0.01 to 0.14 s, and a run of the job whose agent had been removed went on for up to 5.8 s after it (bound 3.4 s).

Cause: the owner stored the final state, sent each stop once, forgot the claims, and answered; an entry without an owner answered as soon as the cancellation was in the inbox. Both answers promise what nobody knew. With the agent gone, the lease of 6 s alone ended the run.

Change: the final state of a job is stored once none of its tasks is claimed. Until then its owner repeats the stops; an agent answers one when the worker has confirmed it, or when it knows that there is no such run. Ends, lists and ended leases release claims as before. If an answer is overdue, the owner reads the row of the worker's lease at once, and releases the claim when a lease that is not renewed ends within cancel.within and cancel.stop (from bounds.cancel_ms and bounds.stop_grace_ms of the platform). Nothing else of the job is stored meanwhile, so that a failure is still stored together with what it leads to.

Why it works: the answer follows from what the worker has confirmed or from a lease that nobody can renew. Final states of all kinds wait, as a job that has failed can be cancelled, too.

Weighed and left out: shorter leases for workers, which end the runs of an agent that is frozen or restarted within 4 s; an immediate fence of the lease, which ends the runs of all other jobs there.

Unit tests that expected a final state before the stops were answered now answer them.

--- a/liblug/core/settings.h
+++ b/liblug/core/settings.h
@@ -65,6 +65,9 @@
  * @clients: IP:PORT that serves submitters of workflows
  * @ready: IP:PORT that answers readiness checks
  * @control: IP:PORT that receives the worker's heartbeats
+ * @cancel_within_ms: time after the acknowledgement of a job's cancellation within which its runs
+ *                    are stopped
+ * @cancel_stop_ms: longest time that a worker takes to stop a run
  * @schedule_lookahead_ms: how far ahead placement looks for room, 0 for not at all
  * @schedule_yield: best-effort tasks yield to serving tasks by the slack of their jobs
  * @schedule_overload: late jobs are ordered, and hopeless ones refused
@@ -96,6 +99,8 @@
 	gint64 worker_lease_ms;
 	gint64 worker_lease_max_ms;
 	gint64 queue_lease_ms;
+	gint64 cancel_within_ms;
+	gint64 cancel_stop_ms;
 	gint64 drain_ms;
 	gint64 body_bytes;
 	gint64 request_timeout_ms;
--- a/liblug/daemon/queue_agent.c
+++ b/liblug/daemon/queue_agent.c
@@ -279,6 +279,11 @@
 		lug_shard_on_reserve_answer(shard, env->from, env->run_reserve_answer, now_us);
 		lug_shard_wake(shard);
 		return;
+	case LUG__ENVELOPE__BODY_RUN_STOP_ANSWER:
+		shard = lug_shards_find_active(agent->shards, env->run_stop_answer->shard);
+		if (shard)
+			lug_shard_on_stop_answer(shard, env->from, env->run_stop_answer);
+		return;
 	case LUG__ENVELOPE__BODY_RUN_END:
 		shard = lug_shards_find_active(agent->shards, env->run_end->shard);
 		if (shard)
@@ -313,6 +318,28 @@
 	return longest_us;
 }
 
+static gint64 worker_unstopped_us(void *data, const char *worker, gint64 now_us)
+{
+	struct queue_agent *agent = data;
+	gint64 longest_us = -1;
+
+	for (guint32 i = 0; i < lug_shard_map_count(agent->shard_map); i++) {
+		const struct lug_shard *shard = lug_shards_find_active(agent->shards, i);
+
+		if (shard)
+			longest_us = MAX(longest_us, lug_shard_unstopped_us(shard, worker, now_us));
+	}
+	return longest_us;
+}
+
+static void on_lease_left(void *data, const char *worker, guint64 lease_epoch, gint64 left_us,
+			  gint64 now_us)
+{
+	struct queue_agent *agent = data;
+
+	lug_shards_lease_left(agent->shards, worker, lease_epoch, left_us, now_us);
+}
+
 /*
  * A shard's new owner needs the list of the worker's tasks before the next regular heartbeat: an
  * interval start of 0 makes the next heartbeat due at the next tick.
@@ -386,8 +413,11 @@
 
 static void create_owner_components(struct queue_agent *agent)
 {
-	struct lug_fleet_hooks hooks = {
-		.lease_ended = on_worker_lost, .unlisted_us = worker_unlisted_us, .data = agent};
+	struct lug_fleet_hooks hooks = {.lease_ended = on_worker_lost,
+					.unlisted_us = worker_unlisted_us,
+					.unstopped_us = worker_unstopped_us,
+					.lease_left = on_lease_left,
+					.data = agent};
 	struct lug_shard_env env = {.ctx = agent->ctx,
 				    .store = agent->store,
 				    .link = agent->link,
--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -1807,6 +1807,51 @@
   assert(message->base.descriptor == &lug__run_stop__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lug__run_stop_answer__init
+                     (Lug__RunStopAnswer         *message)
+{
+  static const Lug__RunStopAnswer init_value = LUG__RUN_STOP_ANSWER__INIT;
+  *message = init_value;
+}
+size_t lug__run_stop_answer__get_packed_size
+                     (const Lug__RunStopAnswer *message)
+{
+  assert(message->base.descriptor == &lug__run_stop_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lug__run_stop_answer__pack
+                     (const Lug__RunStopAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lug__run_stop_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lug__run_stop_answer__pack_to_buffer
+                     (const Lug__RunStopAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lug__run_stop_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lug__RunStopAnswer *
+       lug__run_stop_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lug__RunStopAnswer *)
+     protobuf_c_message_unpack (&lug__run_stop_answer__descriptor,
+                                allocator, len, data);
+}
+void   lug__run_stop_answer__free_unpacked
+                     (Lug__RunStopAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lug__run_stop_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lug__run_end__init
                      (Lug__RunEnd         *message)
 {
@@ -6185,6 +6230,57 @@
   (ProtobufCMessageInit) lug__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lug__run_stop_answer__field_descriptors[2] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lug__RunStopAnswer, has_shard),
+    offsetof(Lug__RunStopAnswer, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lug__RunStopAnswer, id),
+    &lug__run_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lug__run_stop_answer__field_indices_by_name[] = {
+  1,   /* field[1] = id */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange lug__run_stop_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lug__run_stop_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lug.RunStopAnswer",
+  "RunStopAnswer",
+  "Lug__RunStopAnswer",
+  "lug",
+  sizeof(Lug__RunStopAnswer),
+  2,
+  lug__run_stop_answer__field_descriptors,
+  lug__run_stop_answer__field_indices_by_name,
+  1,  lug__run_stop_answer__number_ranges,
+  (ProtobufCMessageInit) lug__run_stop_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lug__run_end__field_descriptors[8] =
 {
   {
@@ -6597,7 +6693,7 @@
   (ProtobufCMessageInit) lug__job_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__envelope__field_descriptors[36] =
+static const ProtobufCFieldDescriptor lug__envelope__field_descriptors[37] =
 {
   {
     "proto",
@@ -7031,6 +7127,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_stop_answer",
+    41,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lug__Envelope, body_case),
+    offsetof(Lug__Envelope, run_stop_answer),
+    &lug__run_stop_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__envelope__field_indices_by_name[] = {
   5,   /* field[5] = beat */
@@ -7060,6 +7168,7 @@
   35,   /* field[35] = run_reserve_answer */
   27,   /* field[27] = run_start */
   29,   /* field[29] = run_stop */
+  36,   /* field[36] = run_stop_answer */
   12,   /* field[12] = start */
   14,   /* field[14] = start_reply */
   15,   /* field[15] = stop */
@@ -7074,7 +7183,7 @@
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 36 }
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor lug__envelope__descriptor =
 {
@@ -7084,7 +7193,7 @@
   "Lug__Envelope",
   "lug",
   sizeof(Lug__Envelope),
-  36,
+  37,
   lug__envelope__field_descriptors,
   lug__envelope__field_indices_by_name,
   2,  lug__envelope__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -55,6 +55,7 @@
 typedef struct Lug__RunReserveAnswer Lug__RunReserveAnswer;
 typedef struct Lug__RunAnswer Lug__RunAnswer;
 typedef struct Lug__RunStop Lug__RunStop;
+typedef struct Lug__RunStopAnswer Lug__RunStopAnswer;
 typedef struct Lug__RunEnd Lug__RunEnd;
 typedef struct Lug__RunEndAck Lug__RunEndAck;
 typedef struct Lug__JobCall Lug__JobCall;
@@ -1335,6 +1336,21 @@
     , 0, 0, 0, 0, NULL }
 
 
+/*
+ * Tells the shard's owner that a stop is in effect: the worker has confirmed it, or has no such run.
+ */
+struct  Lug__RunStopAnswer
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean has_shard;
+  uint32_t shard;
+  Lug__RunId *id;
+};
+#define LUG__RUN_STOP_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lug__run_stop_answer__descriptor) \
+    , 0, 0, NULL }
+
+
 /*
  * End of a run, from its agent to the owner; resent until acknowledged.
  */
@@ -1497,7 +1513,8 @@
   LUG__ENVELOPE__BODY_JOB_CALL = 37,
   LUG__ENVELOPE__BODY_JOB_REPLY = 38,
   LUG__ENVELOPE__BODY_RUN_RESERVE = 39,
-  LUG__ENVELOPE__BODY_RUN_RESERVE_ANSWER = 40
+  LUG__ENVELOPE__BODY_RUN_RESERVE_ANSWER = 40,
+  LUG__ENVELOPE__BODY_RUN_STOP_ANSWER = 41
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LUG__ENVELOPE__BODY__CASE)
 } Lug__Envelope__BodyCase;
 
@@ -1565,6 +1582,7 @@
     Lug__JobReply *job_reply;
     Lug__RunReserve *run_reserve;
     Lug__RunReserveAnswer *run_reserve_answer;
+    Lug__RunStopAnswer *run_stop_answer;
   };
 };
 #define LUG__ENVELOPE__INIT \
@@ -2332,6 +2350,25 @@
 void   lug__run_stop__free_unpacked
                      (Lug__RunStop *message,
                       ProtobufCAllocator *allocator);
+/* Lug__RunStopAnswer methods */
+void   lug__run_stop_answer__init
+                     (Lug__RunStopAnswer         *message);
+size_t lug__run_stop_answer__get_packed_size
+                     (const Lug__RunStopAnswer   *message);
+size_t lug__run_stop_answer__pack
+                     (const Lug__RunStopAnswer   *message,
+                      uint8_t             *out);
+size_t lug__run_stop_answer__pack_to_buffer
+                     (const Lug__RunStopAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Lug__RunStopAnswer *
+       lug__run_stop_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lug__run_stop_answer__free_unpacked
+                     (Lug__RunStopAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Lug__RunEnd methods */
 void   lug__run_end__init
                      (Lug__RunEnd         *message);
@@ -2549,6 +2586,9 @@
 typedef void (*Lug__RunStop_Closure)
                  (const Lug__RunStop *message,
                   void *closure_data);
+typedef void (*Lug__RunStopAnswer_Closure)
+                 (const Lug__RunStopAnswer *message,
+                  void *closure_data);
 typedef void (*Lug__RunEnd_Closure)
                  (const Lug__RunEnd *message,
                   void *closure_data);
@@ -2610,6 +2650,7 @@
 extern const ProtobufCMessageDescriptor lug__run_reserve_answer__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_answer__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_stop__descriptor;
+extern const ProtobufCMessageDescriptor lug__run_stop_answer__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_end__descriptor;
 extern const ProtobufCMessageDescriptor lug__run_end_ack__descriptor;
 extern const ProtobufCMessageDescriptor lug__job_call__descriptor;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -492,6 +492,7 @@
 void exec_replan_shares(struct lug_executor *exec, struct exec_run *run);
 void exec_throttle(struct lug_executor *exec, gint64 now_us);
 void exec_measure_speed(struct lug_executor *exec, gint64 now_us);
+void exec_answer_stop(struct lug_executor *exec, guint32 shard, const struct lug_run_id *id);
 void exec_report_end(struct lug_executor *exec, struct exec_end *end, gint64 now_us);
 struct exec_reserve *exec_reserve_new(void);
 void exec_reserve_free(struct exec_reserve *reserve);
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -35,6 +35,22 @@
 	exec->send(exec->data, shard, &env);
 }
 
+/**
+ * exec_answer_stop - tell the shard's owner that the stop of a run is in effect
+ */
+void exec_answer_stop(struct lug_executor *exec, guint32 shard, const struct lug_run_id *id)
+{
+	Lug__RunStopAnswer answer = LUG__RUN_STOP_ANSWER__INIT;
+	Lug__RunId run;
+	LUG_ENVELOPE(env, RUN_STOP_ANSWER, run_stop_answer, &answer);
+
+	lug_run_to_wire(id, &run);
+	answer.has_shard = 1;
+	answer.shard = shard;
+	answer.id = &run;
+	exec->send(exec->data, shard, &env);
+}
+
 /**
  * exec_report_end - report the end of a run to the shard's owner
  */
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -67,6 +67,7 @@
 	run->confirmed_poll = exec->n_polls;
 	run->incarnation = incarnation;
 	run->state = EXEC_STOPPED;
+	exec_answer_stop(exec, run->shard, &run->id);
 }
 
 /**
@@ -328,8 +329,25 @@
 	exec_replan_shares(exec, run);
 }
 
+/* Whether a run that the agent does not hold is not on the worker either. */
+static gboolean knows_all_runs(const struct lug_executor *exec)
+{
+	return lug_writer_is_held(exec->writer) &&
+	       exec->confirmed_epoch == lug_writer_epoch(exec->writer);
+}
+
+static gboolean is_stopped(const struct lug_executor *exec, const struct exec_run *run)
+{
+	return run->state == EXEC_STOPPED && run->incarnation == exec->worker_incarnation;
+}
+
 /**
  * lug_executor_on_stop - handle an owner's request to stop a run
+ * @exec: executor
+ * @stop: request
+ * @now_us: current time
+ *
+ * It is answered once the worker has confirmed the stop, at once if there is no such run.
  */
 void lug_executor_on_stop(struct lug_executor *exec, const Lug__RunStop *stop, gint64 now_us)
 {
@@ -343,7 +361,9 @@
 	if (stop->epoch < exec->owners[stop->shard].epoch)
 		return;
 	run = exec_find_run(exec, &id);
-	if (run && !run->stopping) {
+	if (run ? is_stopped(exec, run) : knows_all_runs(exec)) {
+		exec_answer_stop(exec, stop->shard, &id);
+	} else if (run && !run->stopping) {
 		exec_log_run(exec, "run_stopped", &id, "ordered by its owner");
 		exec_stop_run(exec, run);
 	}
--- a/liblug/workflow/fleet.h
+++ b/liblug/workflow/fleet.h
@@ -172,11 +172,18 @@
  * @unlisted_us: returns for how long the worker's agent has not listed its runs to one of the
  *               owners that have claimed a task for the worker, the longest such time in
  *               microseconds, or -1 when no task is claimed for it
+ * @unstopped_us: returns for how long the stop of a run on the worker has had no answer, the
+ * longest such time of the owners in microseconds, or -1 when none is awaited
+ * @lease_left: called when such an answer is overdue: runs under this lease epoch or a lower one go
+ *              on for @left_us at most, unless the worker's agent renews the lease
  * @data: passed to the callbacks
  */
 struct lug_fleet_hooks {
 	void (*lease_ended)(void *data, const char *worker, guint64 lease_epoch);
 	gint64 (*unlisted_us)(void *data, const char *worker, gint64 now_us);
+	gint64 (*unstopped_us)(void *data, const char *worker, gint64 now_us);
+	void (*lease_left)(void *data, const char *worker, guint64 lease_epoch, gint64 left_us,
+			   gint64 now_us);
 	void *data;
 };
 
@@ -185,7 +192,8 @@
  *
  * When tasks are claimed for a worker and its agent is silent or does not list its runs, the fleet
  * reads the row of the worker's lease. Once the row has not changed for the lease time, the fleet
- * fences the lease and reports its end. Heartbeats alone say nothing about the lease.
+ * fences the lease and reports its end. Heartbeats alone say nothing about the lease. The row is
+ * also read when the stop of a run has no answer, to know how long the run can go on.
  */
 struct lug_fleet;
 
@@ -223,6 +231,7 @@
 void lug_fleet_set_used(struct lug_fleet_worker *worker, const struct lug_resources *used);
 void lug_fleet_add_watched_leases(const struct lug_fleet *fleet, JsonObject *row, gint64 now_us);
 void lug_fleet_inherit_leases(struct lug_fleet *fleet, JsonObject *row, gint64 now_us);
+void lug_fleet_await_stop(struct lug_fleet_worker *worker, gint64 now_us);
 void lug_fleet_tick(struct lug_fleet *fleet, gint64 now_us);
 
 #endif
--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -14,6 +14,8 @@
 #define WATCHED_MAX_MS (60 * 1000)
 /* Leases that the row of a shard names at most. */
 #define WATCHED_LEASES_MAX 64
+/* An agent in touch answers a stop within this time: two network hops and a call to its worker. */
+#define STOP_ANSWER_US (200 * 1000)
 /* Stands for the version of a row that does not exist; 0 is that of a row not yet read. */
 #define LEASE_ROW_ABSENT (-1)
 
@@ -172,43 +174,98 @@
 	       MAX(since_us, now_us - worker->last_beat_us) >= FLEET_SILENT_US;
 }
 
+/**
+ * lug_fleet_await_stop - read the row of a worker's lease soon, unless a stop sent now is answered
+ */
+void lug_fleet_await_stop(struct lug_fleet_worker *worker, gint64 now_us)
+{
+	worker->next_lease_check_us = MIN(worker->next_lease_check_us, now_us + STOP_ANSWER_US);
+}
+
+static gboolean is_stop_overdue(const struct lug_fleet *fleet,
+				const struct lug_fleet_worker *worker, gint64 now_us)
+{
+	return fleet->hooks.unstopped_us(fleet->hooks.data, worker->name, now_us) >= STOP_ANSWER_US;
+}
+
+/*
+ * Longest time for which the worker may hold the lease of a row that is not renewed. The row states
+ * less than its whole duration once the agent grants no lease, as the worker does not answer.
+ */
+static gint64 lease_left_us(const struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
+			    const struct lug_row *row, gint64 now_us)
+{
+	gint64 ttl_ms = MAX(lug_writer_row_ttl_ms(row), fleet->ctx->settings->worker_lease_ms);
+	gint64 granted_ms = lug_json_int(row->data, "lease_left_ms", -1);
+
+	if (granted_ms >= 0)
+		ttl_ms = MIN(ttl_ms, granted_ms);
+	ttl_ms += ttl_ms / CLOCK_DRIFT_DIVISOR;
+	return MAX(ttl_ms * 1000 - (now_us - worker->lease_row_since_us), 0);
+}
+
+static void report_lease_left(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
+			      const struct lug_row *row, gint64 now_us)
+{
+	const struct lug_settings *settings = fleet->ctx->settings;
+	gint64 bound_us = (settings->cancel_within_ms + settings->cancel_stop_ms) * 1000;
+	gint64 left_us = lease_left_us(fleet, worker, row, now_us);
+
+	/* The row shows that the bound is met only when it is read after that. */
+	if (left_us > bound_us)
+		worker->next_lease_check_us =
+			MIN(worker->next_lease_check_us, now_us + left_us - bound_us);
+	fleet->hooks.lease_left(fleet->hooks.data, worker->name,
+				row->version ? lug_writer_row_epoch(row) : G_MAXUINT64, left_us,
+				now_us);
+}
+
 static void on_lease_row(void *data, enum lug_status status, const struct lug_row *rows,
 			 guint n_rows, gboolean more)
 {
 	struct lease_call *call = data;
 	struct lug_fleet_worker *worker = lug_fleet_find(call->fleet, call->name);
 	static const struct lug_row none;
+	const struct lug_row *row = n_rows && !strcmp(rows[0].key, call->name) ? &rows[0] : &none;
 	gint64 now_us = lug_now_us();
+	gboolean stop_overdue;
 
 	(void)more;
 	if (worker) {
 		worker->lease_call_in_flight = FALSE;
+		stop_overdue = is_stop_overdue(call->fleet, worker, now_us);
 		/* The lease may have been taken anew after the row was read. */
 		if (worker->lease_epoch != call->epoch)
 			worker->lease_row_version = 0;
-		else if (status == LUG_OK && is_list_awaited(call->fleet, worker, now_us))
-			check_lease_row(call->fleet, worker,
-					n_rows && !strcmp(rows[0].key, worker->name) ? &rows[0]
-										     : &none,
-					now_us);
+		else if (status == LUG_OK &&
+			 (stop_overdue || is_list_awaited(call->fleet, worker, now_us))) {
+			check_lease_row(call->fleet, worker, row, now_us);
+			if (stop_overdue && worker->lease_row_version)
+				report_lease_left(call->fleet, worker, row, now_us);
+		}
 	}
 	g_free(call);
 }
 
 /**
- * fleet_check_lease - read the row of a worker's lease if a list of its runs is awaited
+ * fleet_check_lease - read the row of a worker's lease if a list of its runs or the answer to a
+ * stop is awaited
  */
 void fleet_check_lease(struct lug_fleet *fleet, struct lug_fleet_worker *worker, gint64 now_us)
 {
 	gint64 silent_at_us = worker->last_beat_us + FLEET_SILENT_US;
+	gint64 unstopped_us;
 
 	if (worker->lease_call_in_flight || now_us < worker->next_lease_check_us)
 		return;
+	unstopped_us = fleet->hooks.unstopped_us(fleet->hooks.data, worker->name, now_us);
 	worker->next_lease_check_us = now_us + LEASE_CHECK_INTERVAL_US;
-	if (!is_list_awaited(fleet, worker, now_us)) {
+	if (unstopped_us < STOP_ANSWER_US && !is_list_awaited(fleet, worker, now_us)) {
 		worker->lease_row_version = 0;
 		/* Silence, and claims for a silent worker, are noticed at once. */
 		worker->next_lease_check_us = MIN(worker->next_lease_check_us, silent_at_us);
+		if (unstopped_us >= 0)
+			lug_fleet_await_stop(worker, now_us - unstopped_us);
 		return;
 	}
 	worker->lease_call_in_flight = TRUE;
--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -7,6 +7,8 @@
  * tables are read instead.
  */
 #define OWNER_TIMEOUT_US (250 * 1000)
+/* Interval at which a cancellation that is in the inbox is asked for again. */
+#define CANCEL_RETRY_US (300 * 1000)
 /* An owner counts as unreachable after three heartbeat intervals without a message from it. */
 #define OWNER_SILENT_US (1500 * 1000)
 /* Time for all owners to answer a count of pending jobs. */
@@ -173,19 +175,35 @@
  * lug_gateway_cancel - cancel a job
  * @gateway: gateway
  * @job: id
- * @fn: LUG_OK once the cancellation is stored or when the job has already ended, LUG_NOT_FOUND when
- * there is no such job, LUG_UNAVAILABLE when the tables can't be read or written
+ * @deadline_us: time at which @fn is called at the latest, but for the time of a call to the tables
+ * @fn: LUG_OK once the job has ended, and its runs are stopped or will be within
+ *      cancel.within + cancel.stop; LUG_UNKNOWN when that has not come about by @deadline_us,
+ *      LUG_NOT_FOUND when there is no such job, LUG_UNAVAILABLE when the tables can't be read or
+ *      written
  * @data: passed to @fn
  */
-void lug_gateway_cancel(struct lug_gateway *gateway, const char *job, lug_gateway_fn fn, void *data)
+void lug_gateway_cancel(struct lug_gateway *gateway, const char *job, gint64 deadline_us,
+			lug_gateway_fn fn, void *data)
 {
 	struct gateway_call *call = gateway_call_new(gateway, LUG_JOB_CANCEL, job);
 
 	call->fn = fn;
 	call->data = data;
+	call->deadline_us = deadline_us;
 	ask_owner(call);
 }
 
+/**
+ * gateway_await_cancel - wait for the owner to carry out a cancellation that is in the inbox
+ *
+ * The owner that has been asked answers then. Another one is asked in turn.
+ */
+void gateway_await_cancel(struct gateway_call *call)
+{
+	call->reading_tables = FALSE;
+	call->answer_due_us = lug_now_us() + CANCEL_RETRY_US;
+}
+
 /**
  * lug_gateway_pending - count a queue's stored jobs without a task that a worker has started
  * @gateway: gateway
@@ -284,7 +302,7 @@
 		return;
 	}
 	if (call->kind == LUG_JOB_CANCEL) {
-		gateway_finish_cancel(call, LUG_OK, "stored by the owner");
+		gateway_finish_cancel(call, LUG_OK, "carried out by the owner");
 		return;
 	}
 	if (call->kind == LUG_JOB_STATE)
@@ -319,12 +337,22 @@
 		gateway_submit_tick(call, now_us);
 		return;
 	}
-	if (!call->answer_due_us || now_us < call->answer_due_us || call->reading_tables)
+	if (call->reading_tables)
+		return;
+	if (call->kind == LUG_JOB_CANCEL && now_us >= call->deadline_us) {
+		gateway_finish_cancel(call, LUG_UNKNOWN, "not known to be carried out in time");
+		return;
+	}
+	if (!call->answer_due_us || now_us < call->answer_due_us)
 		return;
 	if (call->kind == LUG_JOB_PENDING)
 		finish_pending(call);
-	else
+	else if (!call->cancel_stored)
 		gateway_read_tables(call);
+	else {
+		gateway_await_cancel(call);
+		gateway_send_call(call, call->shard);
+	}
 }
 
 /**
--- a/liblug/workflow/gateway.h
+++ b/liblug/workflow/gateway.h
@@ -56,8 +56,8 @@
 			gint64 deadline_us, lug_gateway_submit_fn fn, void *data);
 void lug_gateway_state(struct lug_gateway *gateway, const char *job, lug_gateway_state_fn fn,
 		       void *data);
-void lug_gateway_cancel(struct lug_gateway *gateway, const char *job, lug_gateway_fn fn,
-			void *data);
+void lug_gateway_cancel(struct lug_gateway *gateway, const char *job, gint64 deadline_us,
+			lug_gateway_fn fn, void *data);
 void lug_gateway_pending(struct lug_gateway *gateway, const char *queue, lug_gateway_pending_fn fn,
 			 void *data);
 void lug_gateway_on_reply(struct lug_gateway *gateway, const struct lug_route *route,
--- a/liblug/workflow/gateway_priv.h
+++ b/liblug/workflow/gateway_priv.h
@@ -58,10 +58,11 @@
  * @pending_fn: receives the number of pending jobs
  * @data: passed to the callback
  * @answer_due_us: time at which the call stops waiting for owners
- * @deadline_us: time after which a submission is abandoned
+ * @deadline_us: time after which a submission or a cancellation is abandoned
  * @reading_tables: the call is being answered from the tables
  * @reread: the tables are being read a second time
  * @not_found: the tables have no such job
+ * @cancel_stored: the cancellation is in the inbox, from which the job's owner takes it
  * @txn_in_flight: a transaction is in flight
  * @relay_in_flight: waiting for the owner to store the job
  * @relay_attempted: the owner has been asked to store the job
@@ -95,6 +96,7 @@
 	gboolean reading_tables;
 	gboolean reread;
 	gboolean not_found;
+	gboolean cancel_stored;
 	gboolean txn_in_flight;
 	gboolean relay_in_flight;
 	gboolean relay_attempted;
@@ -111,6 +113,7 @@
 void gateway_call_free(struct gateway_call *call);
 gboolean gateway_send_call(struct gateway_call *call, guint32 shard);
 void gateway_read_tables(struct gateway_call *call);
+void gateway_await_cancel(struct gateway_call *call);
 void gateway_finish_cancel(struct gateway_call *call, enum lug_status status, const char *basis);
 void gateway_finish_relay(struct gateway_call *call, enum lug_status status, gint64 retry_after_ms);
 void gateway_submit_tick(struct gateway_call *call, gint64 now_us);
--- a/liblug/workflow/gateway_table.c
+++ b/liblug/workflow/gateway_table.c
@@ -18,11 +18,15 @@
 static void on_cancel_stored(void *data, const struct lug_txn_result *result)
 {
 	struct gateway_call *call = data;
-	enum lug_status status = call->not_found ? LUG_NOT_FOUND : LUG_OK;
 
-	gateway_finish_cancel(call, result->status == LUG_OK ? status : LUG_UNAVAILABLE,
-			      call->not_found ? "stored in the inbox, no such job yet"
-					      : "stored in the inbox");
+	if (result->status != LUG_OK) {
+		gateway_finish_cancel(call, LUG_UNAVAILABLE, "not stored in the inbox");
+	} else if (call->not_found) {
+		gateway_finish_cancel(call, LUG_NOT_FOUND, "stored in the inbox, no such job yet");
+	} else {
+		call->cancel_stored = TRUE;
+		gateway_await_cancel(call);
+	}
 }
 
 static void store_cancel(struct gateway_call *call)
@@ -69,6 +73,8 @@
 	else if (call->kind == LUG_JOB_STATE)
 		/* The row of a live job does not show whether it runs. */
 		finish_call(call, LUG_OK, LUG_WORKFLOW_QUEUED);
+	else if (call->cancel_stored)
+		gateway_await_cancel(call);
 	else
 		store_cancel(call);
 }
@@ -108,7 +114,8 @@
  * gateway_read_tables - answer a query from the tables, or store a cancellation there
  *
  * The ended jobs are read first, then the live ones. A job that ends in between is found in
- * neither, so both are read once more before a job counts as not found.
+ * neither, so both are read once more before a job counts as not found. The inbox holds a
+ * cancellation for the next owner; it says nothing about the runs of the job.
  */
 void gateway_read_tables(struct gateway_call *call)
 {
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -491,6 +491,7 @@
 	shard->wake_source = 0;
 	if (!lug_shard_is_active(shard) || shard->load_phase != SHARD_LOAD_DONE)
 		return G_SOURCE_REMOVE;
+	shard_stop_ended_jobs(shard, now_us);
 	shard_place_tasks(shard, now_us);
 	shard_commit_changes(shard, now_us);
 	return G_SOURCE_REMOVE;
@@ -565,6 +566,7 @@
 	shard_inbox_tick(shard, now_us);
 	sweep_ended_jobs(shard, now_us);
 	shard_begin_due_occurrences(shard, now_us);
+	shard_stop_ended_jobs(shard, now_us);
 	shard_place_tasks(shard, now_us);
 	shard_commit_changes(shard, now_us);
 	shard_report_delays(shard, now_us);
--- a/liblug/workflow/shard.h
+++ b/liblug/workflow/shard.h
@@ -109,5 +109,10 @@
 void lug_shard_worker_lost(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
 			   gint64 now_us);
 gint64 lug_shard_unlisted_us(const struct lug_shard *shard, const char *worker, gint64 now_us);
+void lug_shard_on_stop_answer(struct lug_shard *shard, const char *worker,
+			      const Lug__RunStopAnswer *answer);
+void lug_shard_lease_left(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
+			  gint64 left_us, gint64 now_us);
+gint64 lug_shard_unstopped_us(const struct lug_shard *shard, const char *worker, gint64 now_us);
 
 #endif
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -53,8 +53,11 @@
 		g_string_append(runs, ",...");
 }
 
-static void log_run_list(const struct lug_shard *shard, const struct shard_job *job,
-			 const char *event, GString *runs)
+/**
+ * shard_log_run_list - log the runs of a list, if there are any, and empty it
+ */
+void shard_log_run_list(const struct lug_shard *shard, const struct shard_job *job,
+			const char *event, GString *runs)
 {
 	if (runs->len)
 		lug_info(shard->shared.ctx, event, "job", job->workflow->id, "shard", shard->name,
@@ -104,45 +107,10 @@
 				shard_note_run(runs, &id, task->worker, NULL, 0);
 			}
 	}
-	log_run_list(shard, job, "runs_started", runs);
+	shard_log_run_list(shard, job, "runs_started", runs);
 	g_string_free(runs, TRUE);
 }
 
-/* Notes a stop that is sent, with the age of the latest heartbeat of the run's agent. */
-static void note_stop(GString *stops, const struct lug_run_id *id, const char *name,
-		      const struct lug_fleet_worker *worker, gint64 now_us)
-{
-	shard_note_run(stops, id, name, worker ? "heard" : "unknown",
-		       worker ? now_us - worker->last_beat_us : 0);
-}
-
-static void stop_job_runs(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
-{
-	GString *stops = g_string_new(NULL);
-
-	for (guint k = 0; k < job->occurrences->len; k++) {
-		struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
-
-		for (guint32 s = 0; s < job->workflow->n_steps; s++)
-			for (guint32 i = job->first_task[s]; i < job->first_task[s + 1]; i++) {
-				struct shard_task *task = &occ->tasks[i];
-				struct lug_fleet_worker *worker;
-				struct lug_run_id id;
-
-				if (task->state != SHARD_TASK_CLAIMED)
-					continue;
-				worker = lug_fleet_find(shard->shared.fleet, task->worker);
-				shard_task_run_id(job, occ, s, i - job->first_task[s], &id);
-				note_stop(stops, &id, task->worker, worker, now_us);
-				if (worker)
-					shard_send_stop(shard, worker, &id);
-				shard_release_claim(shard, job, task, &job->workflow->steps[s]);
-			}
-	}
-	log_run_list(shard, job, "stops_sent", stops);
-	g_string_free(stops, TRUE);
-}
-
 static void close_job(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
 {
 	struct shard_ended *ended = g_new0(struct shard_ended, 1);
@@ -157,7 +125,6 @@
 	lug_info(shard->shared.ctx, job->expired ? "withheld_job_removed" : "job_ended", "job",
 		 job->workflow->id, "queue", job->workflow->queue, "state",
 		 lug_workflow_state_name(job->end_state));
-	stop_job_runs(shard, job, now_us);
 	/* shard_job_free() would notify the waiters with LUG_UNKNOWN. */
 	job->cancel_waiters = g_array_new(FALSE, FALSE, sizeof(struct shard_waiter));
 	shard_job_remove(shard, job);
@@ -170,8 +137,8 @@
  */
 void shard_log_runs(const struct lug_shard *shard, struct shard_job *job)
 {
-	log_run_list(shard, job, "runs_refused", job->refused_runs);
-	log_run_list(shard, job, "runs_ended", job->ended_runs);
+	shard_log_run_list(shard, job, "runs_refused", job->refused_runs);
+	shard_log_run_list(shard, job, "runs_ended", job->ended_runs);
 	job->has_incomplete_run = FALSE;
 }
 
@@ -381,7 +348,8 @@
  * @shard: shard
  * @now_us: current time
  *
- * Does nothing while a transaction is in flight. All changed jobs are submitted together.
+ * Does nothing while a transaction is in flight. All changed jobs are submitted together, but for
+ * those that wait for the stops of their runs: what has ended them is stored with their end.
  */
 void shard_commit_changes(struct lug_shard *shard, gint64 now_us)
 {
@@ -389,7 +357,8 @@
 		return;
 	SHARD_FOREACH_JOB(shard, job)
 	{
-		if (job->revision != job->committed_revision && !job->commit_in_flight)
+		if (job->revision != job->committed_revision && !job->commit_in_flight &&
+		    !shard_awaits_stops(job))
 			append_job_commit(shard, job, now_us);
 	}
 	lug_writer_flush(shard->writer, now_us);
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -67,6 +67,7 @@
 		if (!task->confirmed)
 			lug_fleet_remove_unconfirmed(worker, step);
 	}
+	shard_end_stop(shard, task);
 	lug_list_remove(&task->claim_node);
 	task->state = SHARD_TASK_WAITING;
 	task->worker = NULL;
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -16,8 +16,8 @@
  * (placement and starts), shard_estimate.c (expected run times), shard_reserve.c (reservations for
  * waiting tasks), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison of
  * claims with heartbeats, lost runs), shard_due.c (urgency of tasks), shard_ack.c (acknowledgements
- * of ends), shard_report.c (log of what is overdue), shard_admit.c (refusal of new jobs) and
- * shard_commit.c (transactions).
+ * of ends), shard_stop.c (stops of the runs of ended jobs), shard_report.c (log of what is
+ * overdue), shard_admit.c (refusal of new jobs) and shard_commit.c (transactions).
  */
 
 /*
@@ -65,6 +65,8 @@
  * @start_seq: sequence number of the start message in this shard epoch, 0 when not sent
  * @claim_revision: job revision that contains the claim; the start is sent once it is committed
  * @start_sent_us: when the start was last sent
+ * @stop_since_us: time since which the stop of its run is awaited, as its job has ended; 0 for not
+ * @stop_sent_us: when that stop was last sent, 0 for never
  * @timed_since_us: the same; 0 when the run time says nothing about other runs: it resumes from a
  *                  checkpoint, was throttled or was started by an earlier owner
  * @confirmed: the worker's agent reserves resources for the run
@@ -99,6 +101,8 @@
 	guint64 start_seq;
 	guint64 claim_revision;
 	gint64 start_sent_us;
+	gint64 stop_since_us;
+	gint64 stop_sent_us;
 	gint64 timed_since_us;
 	gboolean confirmed;
 	gboolean begun;
@@ -121,11 +125,15 @@
  * @tasks: list of struct shard_task
  * @listed_us: when the worker's agent last listed its runs of the shard, or the claims were loaded
  * @overdue: it was logged that the list is overdue
+ * @n_stops: tasks whose runs are being stopped, as their jobs have ended
+ * @stop_since_us: since when there have been such tasks, 0 while there is none
  */
 struct shard_claims {
 	struct lug_list tasks;
 	gint64 listed_us;
 	gboolean overdue;
+	guint n_stops;
+	gint64 stop_since_us;
 };
 
 /**
@@ -500,6 +508,11 @@
 void shard_note_run(GString *runs, const struct lug_run_id *id, const char *worker,
 		    const char *outcome, gint64 after_us);
 void shard_log_runs(const struct lug_shard *shard, struct shard_job *job);
+void shard_log_run_list(const struct lug_shard *shard, const struct shard_job *job,
+			const char *event, GString *runs);
+gboolean shard_awaits_stops(const struct shard_job *job);
+void shard_end_stop(struct lug_shard *shard, struct shard_task *task);
+void shard_stop_ended_jobs(struct lug_shard *shard, gint64 now_us);
 void shard_commit_changes(struct lug_shard *shard, gint64 now_us);
 void shard_set_end_state(struct lug_shard *shard, struct shard_job *job,
 			 enum lug_workflow_state state);
--- a/liblug/workflow/shards.c
+++ b/liblug/workflow/shards.c
@@ -327,6 +327,17 @@
 		lug_shard_worker_lost(shards->watches[i].shard, worker, lease_epoch, now_us);
 }
 
+/**
+ * lug_shards_lease_left - apply what is left of a worker's lease, see lug_shard_lease_left()
+ */
+void lug_shards_lease_left(struct lug_shards *shards, const char *worker, guint64 lease_epoch,
+			   gint64 left_us, gint64 now_us)
+{
+	for (guint32 i = 0; i < shards->n_shards; i++)
+		lug_shard_lease_left(shards->watches[i].shard, worker, lease_epoch, left_us,
+				     now_us);
+}
+
 /**
  * lug_shards_release_all - release all shards, also those that are being taken, and take no more
  */
--- a/liblug/workflow/shards.h
+++ b/liblug/workflow/shards.h
@@ -24,6 +24,8 @@
 void lug_shards_wake(struct lug_shards *shards);
 void lug_shards_worker_lost(struct lug_shards *shards, const char *worker, guint64 lease_epoch,
 			    gint64 now_us);
+void lug_shards_lease_left(struct lug_shards *shards, const char *worker, guint64 lease_epoch,
+			   gint64 left_us, gint64 now_us);
 void lug_shards_release_all(struct lug_shards *shards, gint64 now_us);
 gboolean lug_shards_all_released(const struct lug_shards *shards);
 gboolean lug_shards_is_stalled(const struct lug_shards *shards, gint64 now_us);
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -86,6 +86,8 @@
 	struct lug_executor *exec = nullptr;
 	std::vector<std::pair<std::string, enum lug_status>> answers;
 	std::vector<std::string> ends;
+	/* Runs whose stops were answered. */
+	std::vector<std::string> stop_answers;
 	/* Answers to requests for reservations: run, status and time until the room is free. */
 	std::vector<std::tuple<std::string, enum lug_status, guint32>> reserve_answers;
 	/* Number of suspected jobs by run, of the runs reported as crashed. */
@@ -126,6 +128,8 @@
 				text(env->run_reserve_answer->id),
 				(enum lug_status)env->run_reserve_answer->status,
 				env->run_reserve_answer->ready_in_ms);
+		if (env->body_case == LUG__ENVELOPE__BODY_RUN_STOP_ANSWER)
+			test->stop_answers.push_back(text(env->run_stop_answer->id));
 		if (env->body_case == LUG__ENVELOPE__BODY_RUN_END)
 			test->ends.push_back(text(env->run_end->id));
 		if (env->body_case == LUG__ENVELOPE__BODY_RUN_END &&
--- a/tests/unit/shard_fixture.h
+++ b/tests/unit/shard_fixture.h
@@ -57,6 +57,21 @@
 		return test->shard ? lug_shard_unlisted_us(test->shard, worker, now_us) : -1;
 	}
 
+	static gint64 unstopped_us(void *data, const char *worker, gint64 now_us)
+	{
+		auto *test = static_cast<ShardFixture *>(data);
+
+		return test->shard ? lug_shard_unstopped_us(test->shard, worker, now_us) : -1;
+	}
+
+	static void on_lease_left(void *data, const char *worker, guint64 lease_epoch,
+				  gint64 left_us, gint64 now_us)
+	{
+		auto *test = static_cast<ShardFixture *>(data);
+
+		lug_shard_lease_left(test->shard, worker, lease_epoch, left_us, now_us);
+	}
+
 	static void ignore_message(void *data, const struct lug_route *route,
 				   const Lug__Envelope *env)
 	{
@@ -81,7 +96,8 @@
 	/* Creates the shard, and the workers known to its process. */
 	void create_shard()
 	{
-		struct lug_fleet_hooks hooks = {on_worker_lost, unlisted_us, this};
+		struct lug_fleet_hooks hooks = {on_worker_lost, unlisted_us, unstopped_us,
+						on_lease_left, this};
 		struct lug_shard_env shared = {};
 
 		fleet = lug_fleet_new(ctx, &store.base, &hooks);
@@ -301,6 +317,30 @@
 		lug_shard_on_start_answer(shard, "w1", &message, lug_now_us());
 	}
 
+	/* The agent of a worker answers that the stop of a run of the first step is in effect. */
+	void answer_stop(const char *job, guint32 index, guint32 run_number,
+			 const char *worker_name = "w1")
+	{
+		Lug__RunStopAnswer message = LUG__RUN_STOP_ANSWER__INIT;
+		struct lug_run_id id = {};
+		Lug__RunId wire;
+
+		g_strlcpy(id.job, job, sizeof(id.job));
+		id.index = index;
+		id.run = run_number;
+		lug_run_to_wire(&id, &wire);
+		message.id = &wire;
+		lug_shard_on_stop_answer(shard, worker_name, &message);
+	}
+
+	/* The same for both tasks of the first step of job_body, in their first runs. */
+	void answer_stops(const char *job)
+	{
+		answer_stop(job, 0, 1);
+		answer_stop(job, 1, 1);
+		run_rounds();
+	}
+
 	std::string state_row(const char *job)
 	{
 		return store.rows[std::string("0|runs/") + job].data;
--- a/tests/unit/shard_inbox_test.cc
+++ b/tests/unit/shard_inbox_test.cc
@@ -23,6 +23,12 @@
 		while (g_main_context_iteration(nullptr, FALSE))
 			;
 		lug_shard_tick(shard, lug_now_us());
+		/* The stops are sent once the cancellation is read. */
+		if (i == 20) {
+			EXPECT_TRUE(has_row("inbox/a.cancel"));
+			answer_stop("a", 0, 1);
+			answer_stop("a", 1, 1);
+		}
 		if (store.calls.empty())
 			continue;
 		store.answer_next();
@@ -118,6 +124,7 @@
 	store.put("0|inbox/y.cancel", "{}");
 	wait_for_inbox();
 	run_rounds();
+	answer_stops("y");
 	EXPECT_EQ(lug_shard_job_state(shard, "z"), LUG_WORKFLOW_RUNNING);
 	EXPECT_EQ(lug_shard_job_state(shard, "y"), LUG_WORKFLOW_CANCELLED);
 	EXPECT_EQ(lug_shard_job_state(shard, "a7"), LUG_WORKFLOW_QUEUED);
--- a/tests/unit/shard_test.cc
+++ b/tests/unit/shard_test.cc
@@ -128,6 +128,8 @@
 	EXPECT_NE(state_row("a").find("r2.1."), std::string::npos) << state_row("a");
 	end_run("a", 0, 0, 2, LUG_RUN_FAILED);
 	run_rounds();
+	answer_stop("a", 1, 1);
+	run_rounds();
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
 }
 
@@ -233,7 +235,11 @@
 	add_stored_job("a");
 	run_rounds();
 	cancel_job("a", &statuses);
+	run_rounds();
+	store.is_silent = true;
+	answer_stops("a");
 	EXPECT_TRUE(statuses.empty());
+	store.is_silent = false;
 	run_rounds();
 	EXPECT_EQ(statuses, std::vector<enum lug_status>{LUG_OK});
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_CANCELLED);
@@ -274,6 +280,7 @@
 	g_usleep(750 * 1000);
 	send_beat({}, 0);
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_STARTED], 2u);
+	answer_stops("a");
 	EXPECT_TRUE(statuses.empty());
 	store.is_silent = false;
 	run_rounds();
@@ -386,6 +393,8 @@
 	EXPECT_NE(state_row("a").find("r2.0."), std::string::npos) << state_row("a");
 	end_run("a", 0, 0, 2, LUG_RUN_WORKER_CRASHED, 1);
 	run_rounds();
+	answer_stop("a", 1, 1);
+	run_rounds();
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
 	EXPECT_EQ(ctx->metrics->counters[LUG_C_TASKS_GIVEN_UP], 1u);
 }
@@ -419,6 +428,8 @@
 	run_rounds();
 	end_run("a", 0, 0, 2, LUG_RUN_WORKER_CRASHED, 1);
 	run_rounds();
+	answer_stop("a", 1, 2);
+	run_rounds();
 	EXPECT_EQ(lug_shard_job_state(shard, "a"), LUG_WORKFLOW_FAILED);
 }
 
