The row of a lease states its end on the clock of the table service

An owner that reads the row of a silent agent's lease for the first time had to count the whole lease from then on: an owner that had just taken the shard of a killed one answered a cancellation 4.8 s after the first call, though the lease had 1.2 s left; ack_timeout_ms of the platform is 4 s.

The writer of a leased row adds when the lease ends on the steady clock of the table service: the clock in its latest answer, the time since that call was sent, 2 % for the drift, and the duration. The answer that brings the row to a reader brings the clock, too. Only the wait for stops uses it so far; fences go by the unchanged row as before. Without a clock, or with an odd value, nothing changes.

--- a/liblug/store/store.h
+++ b/liblug/store/store.h
@@ -136,12 +136,17 @@
  * @skipped: number of rows that the answer to the scan or watch whose callback is running has
  *           without a key or a version, and that are therefore left out
  * @unsent: the call whose callback is running has failed before it was sent
+ * @clock_ms: steady clock of the table service in the latest answer to a transaction or a scan of
+ *            this client, 0 if it had none
+ * @clock_asked_us: when the call with that answer was sent
  */
 struct lug_store {
 	const struct lug_store_ops *ops;
 	gint64 version;
 	guint skipped;
 	gboolean unsent;
+	gint64 clock_ms;
+	gint64 clock_asked_us;
 };
 
 static inline void lug_store_txn(struct lug_store *store, const struct lug_txn *txn, lug_txn_fn fn,
@@ -173,6 +178,7 @@
 	store->ops->watch(store, table, after, wait_ms, fn, data);
 }
 
+gint64 lug_store_clock_bound_ms(const struct lug_store *store, gint64 now_us);
 void lug_store_scan_all(struct lug_store *store, const char *table, const char *prefix,
 			lug_scan_fn fn, void *data);
 struct lug_store *lug_store_http_new(struct lug_ctx *ctx);
--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -64,6 +64,15 @@
 	return total;
 }
 
+/* States the end of the lease on the table service's clock, so that readers know what is left. */
+static void add_end(const struct lug_writer *writer, JsonObject *row)
+{
+	gint64 clock_ms = lug_store_clock_bound_ms(writer->store, writer->first_sent_us);
+
+	if (clock_ms)
+		json_object_set_int_member(row, "ends_ms", clock_ms + writer->row_ttl_ms);
+}
+
 static void put_leased_row(struct lug_writer *writer, gboolean releasing)
 {
 	const struct lug_ctx *ctx = writer->ctx;
@@ -78,6 +87,7 @@
 	json_object_set_string_member(row, "txn", writer->txn_id);
 	json_object_set_string_member(row, "prev_txn", writer->prev_txn_id);
 	json_object_set_int_member(row, "total", next_total(writer));
+	add_end(writer, row);
 	if (writer->config.fill_row)
 		writer->config.fill_row(writer->config.data, row);
 	lug_txn_put(&writer->txn, writer->table, writer->key, row);
--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -113,6 +113,7 @@
 gint64 lug_writer_total(const struct lug_writer *writer);
 guint64 lug_writer_row_epoch(const struct lug_row *row);
 gint64 lug_writer_row_ttl_ms(const struct lug_row *row);
+gint64 lug_writer_row_left_ms(const struct lug_row *row, gint64 clock_ms);
 gboolean lug_writer_row_is_free(const struct lug_row *row, gint64 unchanged_us,
 				gint64 unreadable_ttl_ms);
 
--- a/liblug/store/writer_lease.c
+++ b/liblug/store/writer_lease.c
@@ -129,6 +129,24 @@
 	return CLAMP(lug_json_int(row->data, "ttl_ms", 0), 0, TTL_MAX_MS);
 }
 
+/**
+ * lug_writer_row_left_ms - time until the lease of a row that was just read ends
+ * @row: row as read
+ * @clock_ms: steady clock of the table service in the same answer, 0 if it had none
+ *
+ * Return: milliseconds, with a margin for clock drift, unless the row is written again before that;
+ * 0 if the lease has ended, -1 if that is not known.
+ */
+gint64 lug_writer_row_left_ms(const struct lug_row *row, gint64 clock_ms)
+{
+	gint64 ends_ms = lug_json_int(row->data, "ends_ms", 0);
+	gint64 left_ms = CLAMP(ends_ms - clock_ms, 0, TTL_MAX_MS);
+
+	if (!clock_ms || ends_ms <= 0 || ends_ms > clock_ms + 2 * TTL_MAX_MS)
+		return -1;
+	return left_ms + left_ms / DRIFT_DIVISOR;
+}
+
 /**
  * lug_writer_row_is_free - whether the lease of a row can be taken: the row is absent, or the
  * lease was released or has expired
--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -189,19 +189,23 @@
 }
 
 /*
- * Longest time for which the worker may hold the lease of a row that is not renewed. The row states
+ * Longest time for which the worker may hold the lease of a row that is not renewed: by when the
+ * row was first seen, and if it was just read, by the clock of the table service. The row states
  * less than its whole duration once the agent grants no lease, as the worker does not answer.
  */
-static gint64 lease_left_us(const struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
+static gint64 lease_left_us(struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
 			    const struct lug_row *row, gint64 now_us)
 {
 	gint64 ttl_ms = MAX(lug_writer_row_ttl_ms(row), fleet->ctx->settings->worker_lease_ms);
 	gint64 granted_ms = lug_json_int(row->data, "lease_left_ms", -1);
+	gint64 left_ms = lug_writer_row_left_ms(row, get_partition(fleet, worker->name)->clock_ms);
+	gint64 left_us;
 
 	if (granted_ms >= 0)
 		ttl_ms = MIN(ttl_ms, granted_ms);
 	ttl_ms += ttl_ms / CLOCK_DRIFT_DIVISOR;
-	return MAX(ttl_ms * 1000 - (now_us - worker->lease_row_since_us), 0);
+	left_us = MAX(ttl_ms * 1000 - (now_us - worker->lease_row_since_us), 0);
+	return left_ms >= 0 ? MIN(left_us, left_ms * 1000) : left_us;
 }
 
 static void report_lease_left(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -101,6 +101,11 @@
 TXN_MAX_BYTES = 1000 * 1000
 
 
+def clock_ms():
+    """Steady clock of the table service."""
+    return int(time.monotonic() * 1000)
+
+
 class Store:
     """Table service: rows by table, part and key, conditional transactions and change feeds.
 
@@ -223,7 +228,7 @@
                 if (row[1] if row else 0) != item["ver"]:
                     current_rows = [self._encode_row(row_id(i), *self.rows[row_id(i)])
                                     for i in body["expected_rev"] if row_id(i) in self.rows]
-                    return 412, {"rows": current_rows, "ver": self.ver, "now_ms": 0}
+                    return 412, {"rows": current_rows, "ver": self.ver, "now_ms": clock_ms()}
             changes = {row_id(i): json.loads(base64.b64decode(i["value"]))
                        for i in body["set_keys"]}
             changes.update({row_id(i): None for i in body["remove"]})
@@ -233,7 +238,7 @@
             # Multiples of the golden ratio spread the lost answers evenly.
             answer_lost = self.lost_answer_share and \
                 (self.commits * 0.618) % 1 < self.lost_answer_share
-        return None if answer_lost else (200, {"ver": ver, "now_ms": 0})
+        return None if answer_lost else (200, {"ver": ver, "now_ms": clock_ms()})
 
     def _read_rows(self, query):
         start, end = query.get("range_start", ""), query.get("to", "")
@@ -244,7 +249,7 @@
                              and row_id[2] >= start and (not end or row_id[2] < end))
             rows = [self._encode_row(row_id, *self.rows[row_id]) for row_id in row_ids[:limit]]
             return 200, {"rows": rows, "has_more": len(row_ids) > limit, "ver": self.ver,
-                         "now_ms": 0}
+                         "now_ms": clock_ms()}
 
     def _read_feed(self, query):
         after = int(query["after"])
@@ -260,7 +265,7 @@
                         if ver > after and row_id[0] == query["table"]]
                 remaining_s = until_s - time.monotonic()
                 if rows or remaining_s <= 0:
-                    return 200, {"rows": rows, "ver": self.ver, "now_ms": 0}
+                    return 200, {"rows": rows, "ver": self.ver, "now_ms": clock_ms()}
                 self.lock.wait(min(remaining_s, 0.2))
 
     def close(self):
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -30,6 +30,7 @@
 		lug_txn_fn txn_fn;
 		lug_scan_fn scan_fn;
 		void *data;
+		struct lug_store *caller;
 	};
 	std::map<std::string, Row> rows;
 	std::deque<Call> calls;
@@ -40,6 +41,8 @@
 	int refused_for_size = 0;
 	/* settle() leaves all calls open. */
 	bool is_silent = false;
+	/* Steady clock in the answers, 0 for none. */
+	gint64 clock_ms = 0;
 
 	FakeStore()
 	{
@@ -50,6 +53,8 @@
 		base.version = 0;
 		base.skipped = 0;
 		base.unsent = FALSE;
+		base.clock_ms = 0;
+		base.clock_asked_us = 0;
 	}
 
 	/* A client of one partition. Its rows have the keys PART|TABLE/KEY in FakeStore::rows. */
@@ -74,7 +79,7 @@
 		static const struct lug_store_ops ops = {partition_txn, partition_scan,
 							 free_partition, nullptr, nullptr};
 		Partition *partition = new Partition{
-			{&ops, 0, 0, FALSE}, reinterpret_cast<FakeStore *>(store), name};
+			{&ops, 0, 0, FALSE, 0, 0}, reinterpret_cast<FakeStore *>(store), name};
 
 		return &partition->base;
 	}
@@ -86,6 +91,7 @@
 
 		partition->root->current_partition = partition->name;
 		FakeStore::txn(&partition->root->base, txn, fn, data);
+		partition->root->calls.back().caller = store;
 		partition->root->current_partition.clear();
 	}
 
@@ -96,6 +102,7 @@
 
 		partition->root->current_partition = partition->name;
 		scan(&partition->root->base, table, prefix, after, limit, fn, data);
+		partition->root->calls.back().caller = store;
 		partition->root->current_partition.clear();
 	}
 
@@ -220,8 +227,18 @@
 		return false;
 	}
 
+	/* Gives the clock to the client of a call whose answer comes now. */
+	void tell_clock(const Call &call) const
+	{
+		if (!call.caller)
+			return;
+		call.caller->clock_ms = clock_ms;
+		call.caller->clock_asked_us = lug_now_us();
+	}
+
 	void answer_txn(const Call &call)
 	{
+		tell_clock(call);
 		if (is_too_large(call)) {
 			struct lug_txn_result refusal = {LUG_BAD_INPUT, 0, nullptr, 0};
 
@@ -252,6 +269,7 @@
 		size_t key_offset = call.prefix.find('/') + 1;
 
 		base.version = revision;
+		tell_clock(call);
 
 		for (auto it = rows.lower_bound(call.prefix);
 		     it != rows.end() && it->first.compare(0, call.prefix.size(), call.prefix) == 0;
--- a/tests/unit/shard_stop_test.cc
+++ b/tests/unit/shard_stop_test.cc
@@ -148,6 +148,33 @@
 	EXPECT_TRUE(is_acknowledged());
 }
 
+/* An owner that has just taken the shard reads the row for the first time. */
+TEST_F(ShardStopTest, EndOfTheLeaseOnTheClockOfTheTableServiceCounts)
+{
+	store.clock_ms = 100000;
+	cancel();
+	g_usleep(ANSWER_OVERDUE_US);
+	put_lease("w1", 1, ",\"ends_ms\":103400");
+	check_lease();
+	EXPECT_TRUE(statuses.empty()) << "with the drift of the clocks it is above the bound";
+	put_lease("w1", 1, ",\"ends_ms\":103300");
+	check_lease();
+	EXPECT_TRUE(is_acknowledged());
+}
+
+TEST_F(ShardStopTest, EndOfTheLeaseWithoutAClockOrFarAwayDoesNotCount)
+{
+	cancel();
+	g_usleep(ANSWER_OVERDUE_US);
+	put_lease("w1", 1, ",\"ends_ms\":1");
+	check_lease();
+	EXPECT_TRUE(statuses.empty());
+	store.clock_ms = 1;
+	put_lease("w1", 1, ",\"ends_ms\":-5");
+	check_lease();
+	EXPECT_TRUE(statuses.empty());
+}
+
 TEST_F(ShardStopTest, ReleasedLeaseTakesThePlaceOfAnAnswer)
 {
 	cancel();
--- a/tests/unit/writer_test.cc
+++ b/tests/unit/writer_test.cc
@@ -441,3 +441,21 @@
 	EXPECT_EQ(events.back(), LUG_WRITER_RELEASED);
 	json_object_unref(row.data);
 }
+
+/* The clock was asked for 0.1 s before, and may run 2 % faster since; the lease takes 3 s. */
+TEST_F(WriterTest, RowStatesTheEndOfItsLeaseOnTheClockOfTheTableService)
+{
+	struct lug_row row = {};
+
+	store.base.clock_ms = 50000;
+	store.base.clock_asked_us = 900 * ms;
+	held_writer();
+	row.version = 1;
+	row.data = lug_json_parse(store.rows["queue/t"].data.c_str(), -1, nullptr);
+	EXPECT_EQ(lug_json_int(row.data, "ends_ms", 0), 50000 + 102 + 1 + 3000);
+	EXPECT_EQ(lug_writer_row_left_ms(&row, 50103), 3000 + 60);
+	EXPECT_EQ(lug_writer_row_left_ms(&row, 53103), 0);
+	EXPECT_EQ(lug_writer_row_left_ms(&row, 60000), 0);
+	EXPECT_EQ(lug_writer_row_left_ms(&row, 0), -1);
+	json_object_unref(row.data);
+}
