What is left of a lease is judged by when its row was read, not by when the answer came

Found by review, shown by a unit test that failed before (LateAnswerDoesNotMakeARowOlder): the answer to the read of a lease's row may be almost a second late, and the row renewed meanwhile. The age of the row now ends when its read was sent, as that of a fence ends with the version that its transaction checks.

--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -20,13 +20,14 @@
 #define LEASE_ROW_ABSENT (-1)
 
 /*
- * Read of a worker's lease row after a heartbeat with lease epoch @epoch, or a write that fences
- * that epoch.
+ * Read of a worker's lease row, sent at @sent_us after a heartbeat with lease epoch @epoch, or a
+ * write that fences that epoch.
  */
 struct lease_call {
 	struct lug_fleet *fleet;
 	char name[LUG_NAME_MAX + 1];
 	guint64 epoch;
+	gint64 sent_us;
 };
 
 static struct lug_store *get_partition(struct lug_fleet *fleet, const char *name)
@@ -47,6 +48,7 @@
 	call->fleet = fleet;
 	g_strlcpy(call->name, name, sizeof(call->name));
 	call->epoch = epoch;
+	call->sent_us = lug_now_us();
 	return call;
 }
 
@@ -194,7 +196,7 @@
  * less than its whole duration once the agent grants no lease, as the worker does not answer.
  */
 static gint64 lease_left_us(struct lug_fleet *fleet, const struct lug_fleet_worker *worker,
-			    const struct lug_row *row, gint64 now_us)
+			    const struct lug_row *row, gint64 read_us)
 {
 	gint64 ttl_ms = MAX(lug_writer_row_ttl_ms(row), fleet->ctx->settings->worker_lease_ms);
 	gint64 granted_ms = lug_json_int(row->data, "lease_left_ms", -1);
@@ -204,16 +206,17 @@
 	if (granted_ms >= 0)
 		ttl_ms = MIN(ttl_ms, granted_ms);
 	ttl_ms += ttl_ms / CLOCK_DRIFT_DIVISOR;
-	left_us = MAX(ttl_ms * 1000 - (now_us - worker->lease_row_since_us), 0);
+	left_us = MAX(ttl_ms * 1000 - MAX(read_us - worker->lease_row_since_us, 0), 0);
 	return left_ms >= 0 ? MIN(left_us, left_ms * 1000) : left_us;
 }
 
+/* The row may have been renewed since it was read: what counts is how long it had not been then. */
 static void report_lease_left(struct lug_fleet *fleet, struct lug_fleet_worker *worker,
-			      const struct lug_row *row, gint64 now_us)
+			      const struct lug_row *row, gint64 read_us, gint64 now_us)
 {
 	const struct lug_settings *settings = fleet->ctx->settings;
 	gint64 bound_us = (settings->cancel_within_ms + settings->cancel_stop_ms) * 1000;
-	gint64 left_us = lease_left_us(fleet, worker, row, now_us);
+	gint64 left_us = lease_left_us(fleet, worker, row, read_us);
 
 	/* The row shows that the bound is met only when it is read after that. */
 	if (left_us > bound_us)
@@ -245,7 +248,7 @@
 			 (stop_overdue || is_list_awaited(call->fleet, worker, now_us))) {
 			check_lease_row(call->fleet, worker, row, now_us);
 			if (stop_overdue && worker->lease_row_version)
-				report_lease_left(call->fleet, worker, row, now_us);
+				report_lease_left(call->fleet, worker, row, call->sent_us, now_us);
 		}
 	}
 	g_free(call);
--- a/liblug/workflow/shard_stop.c
+++ b/liblug/workflow/shard_stop.c
@@ -11,8 +11,8 @@
  *
  * - its agent answers that the worker has confirmed the stop, reports its end or lists it no more;
  * - the lease of its worker has ended; or
- * - that lease, which the agent can't renew, ends within the time in which the runs of a cancelled
- *   job have to be gone.
+ * - that lease has not been renewed for long, and ends within the time in which the runs of a
+ *   cancelled job have to be gone.
  */
 
 /* Longest time for which a run may go on after its job's cancellation is acknowledged. */
--- a/tests/unit/shard_stop_test.cc
+++ b/tests/unit/shard_stop_test.cc
@@ -135,6 +135,26 @@
 	EXPECT_TRUE(statuses.empty());
 }
 
+/* The row was renewed after it had been read. */
+TEST_F(ShardStopTest, LateAnswerDoesNotMakeARowOlder)
+{
+	FakeStore::Call read;
+
+	cancel();
+	g_usleep(ANSWER_OVERDUE_US);
+	check_lease();
+	w1()->lease_row_since_us =
+		lug_now_us() - (LEASE_MS * 1020 - BOUND_US) + ANSWER_OVERDUE_US / 2;
+	w1()->next_lease_check_us = 0;
+	lug_fleet_tick(fleet, lug_now_us());
+	ASSERT_EQ(store.calls.size(), 1u);
+	read = store.take();
+	g_usleep(ANSWER_OVERDUE_US);
+	store.answer_scan(read);
+	run_rounds();
+	EXPECT_TRUE(statuses.empty());
+}
+
 /* The agent is in touch and its worker is not: the row is renewed, and states what is left. */
 TEST_F(ShardStopTest, RestOfAPausedLeaseCounts)
 {
