A misdirected call ends with its first answer, 421

What agents saw: a worker that has another id than a call names answers 421, and the agent got 400 for it, or no answer. Cause: libsoup sends a misdirected request again on a new connection, and a POST without its body. The call now ends with the headers of the first answer. The unit test failed before (0 for 421).

--- a/liblug/http/http.c
+++ b/liblug/http/http.c
@@ -31,6 +31,7 @@
 	guint timer;
 	guint session_number;	  /* session that sends it, 0 while it waits */
 	gboolean headers_written; /* the server may have received the request */
+	gboolean misdirected;	  /* the server has answered 421 */
 	lug_http_fn fn;
 	void *data;
 };
@@ -148,6 +149,20 @@
 	((struct http_call *)data)->headers_written = TRUE;
 }
 
+/*
+ * libsoup sends a request again that was misdirected, and a POST without its body. Such a call ends
+ * with the headers of its first answer.
+ */
+static void on_got_headers(SoupMessage *msg, gpointer data)
+{
+	struct http_call *call = data;
+
+	if (soup_message_get_status(msg) != SOUP_STATUS_MISDIRECTED_REQUEST)
+		return;
+	call->misdirected = TRUE;
+	g_cancellable_cancel(call->cancel);
+}
+
 static gboolean is_body_complete(SoupMessage *msg, gsize len)
 {
 	SoupMessageHeaders *headers = soup_message_get_response_headers(msg);
@@ -170,7 +185,9 @@
 
 	if (http && call->session_number == http->session_number)
 		http->sent--;
-	if (bytes && is_body_complete(call->msg, g_bytes_get_size(bytes))) {
+	if (call->misdirected) {
+		answer.http_status = SOUP_STATUS_MISDIRECTED_REQUEST;
+	} else if (bytes && is_body_complete(call->msg, g_bytes_get_size(bytes))) {
 		answer.http_status = soup_message_get_status(call->msg);
 		answer.body = g_bytes_get_data(bytes, &answer.len);
 		type = soup_message_headers_get_one(soup_message_get_response_headers(call->msg),
@@ -290,6 +307,7 @@
 		soup_message_add_flags(call->msg, SOUP_MESSAGE_IDEMPOTENT);
 	set_headers_and_body(call->msg, request);
 	g_signal_connect(call->msg, "wrote-headers", G_CALLBACK(on_wrote_headers), call);
+	g_signal_connect(call->msg, "got-headers", G_CALLBACK(on_got_headers), call);
 	call->timer = g_timeout_add((guint)MAX(request->timeout_ms, 1), on_timeout, call);
 	lug_list_append(&http->waiting, &call->node);
 	send_waiting(http);
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -15,6 +15,7 @@
 struct ClosingServer {
 	GSocketService *service = g_threaded_socket_service_new(8);
 	bool resets;
+	std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 	std::atomic<int> requests{0};
 	std::atomic<int> connections{0};
 	std::string url;
@@ -40,7 +41,6 @@
 	static gboolean serve(GThreadedSocketService *, GSocketConnection *connection, GObject *,
 			      gpointer data)
 	{
-		static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 		auto *server = static_cast<ClosingServer *>(data);
 		GIOStream *stream = G_IO_STREAM(connection);
 
@@ -49,7 +49,8 @@
 			server->requests++;
 			if (i == 0)
 				g_output_stream_write_all(g_io_stream_get_output_stream(stream),
-							  answer, strlen(answer), nullptr, nullptr,
+							  server->answer.c_str(),
+							  server->answer.size(), nullptr, nullptr,
 							  nullptr);
 		}
 		if (server->resets)
@@ -126,6 +127,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Http, HttpPostTest, testing::Values(false, true),
 			 [](const auto &variant) { return variant.param ? "Reset" : "Closed"; });
+/* The library sends a misdirected request again, a POST without its body. */
+TEST(HttpTest, AMisdirectedPostEndsWithItsFirstAnswer)
+{
+	ClosingServer server(false);
+	struct lug_http *http = lug_http_new(server.url.c_str(), nullptr, nullptr);
+
+	server.answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n\r\n{}";
+	EXPECT_EQ(post(http), 421u);
+	EXPECT_EQ(server.connections, 1);
+	EXPECT_EQ(post(http), 421u) << "the client takes further calls";
+	lug_http_free(http);
+}
+
 /* Server that answers no request. */
 struct SilentServer {
 	GSocketService *service = g_threaded_socket_service_new(8);
