A heartbeat of another writer does not separate an agent from its worker

Cause: an agent took whatever a readable heartbeat stated for its worker. One that names another id replaced the worker's: all calls then named a worker that is not there and were refused, so that nothing was polled, renewed or stopped. Its high number, or later incarnation, shut out the worker's own heartbeats for good. Runs that were being started were dropped or reported as crashed at once, as starts at a former id can't take effect, and their tasks started elsewhere beside them.

Change: a worker keeps its id for a whole incarnation, so a heartbeat with another one is ignored once a poll that names the id was answered. Starts at a former id are dropped once the worker has confirmed the new one, and each run remembers the id that its start named.

Why it works: who a worker is follows from its answers; a heartbeat alone proposes it.

The check of UnansweredStartsEndWithTheWorkerThatTheyName that a run ends with a change of the id now comes after the poll that confirms it, and is preceded by one that it does not end before.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -19,6 +19,7 @@
 	struct exec_run *run = data;
 
 	g_free(run->spec);
+	g_free(run->started_at);
 	g_free(run->checkpoint);
 	g_free(run);
 }
@@ -59,6 +60,8 @@
 	exec->worker = worker;
 	exec->worker_id = g_strdup("");
 	exec->settled_id = g_strdup("");
+	exec->confirmed_id = g_strdup("");
+	exec->poll_target = g_strdup("");
 	exec->zone = g_strdup("");
 	exec->n_shards = n_shards;
 	exec->interference = lug_interference_new();
@@ -100,6 +103,8 @@
 	g_strfreev(exec->labels);
 	g_free(exec->worker_id);
 	g_free(exec->settled_id);
+	g_free(exec->confirmed_id);
+	g_free(exec->poll_target);
 	g_free(exec->zone);
 	lug_interference_free(exec->interference);
 	exec_reserve_free(exec->reserve);
@@ -273,12 +278,17 @@
 	    (heartbeat->incarnation == exec->heartbeat_incarnation &&
 	     heartbeat->seq < exec->worker_heartbeat_seq))
 		return;
+	if (exec_is_foreign(exec, heartbeat->id, heartbeat->incarnation)) {
+		lug_warn(exec->ctx, "heartbeat_ignored", "worker", heartbeat->id, "reason",
+			 "this incarnation of the worker has another id");
+		return;
+	}
 	/* First, as it depends on what the former incarnation has announced. */
 	exec_update_incarnation(exec, heartbeat->incarnation, now_us);
 	/* After its exit a worker can return only as a new incarnation: this one has not exited. */
 	if (exec->worker_exiting && !heartbeat->draining)
 		cancel_exit(exec, heartbeat->id);
-	exec_update_worker_id(exec, heartbeat->id, now_us);
+	exec_update_worker_id(exec, heartbeat->id);
 	exec->heartbeat_incarnation = heartbeat->incarnation;
 	exec->worker_heartbeat_seq = heartbeat->seq;
 	if (exec->fenced_incarnation == exec->worker_incarnation)
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -140,6 +140,8 @@
 	gboolean complete;
 
 	exec_update_incarnation(exec, reply->incarnation, now_us);
+	if (exec_is_id_known(exec) && !strcmp(exec->poll_target, exec->worker_id))
+		exec_confirm_worker_id(exec, now_us);
 	/* Otherwise a late call to a former incarnation may still start a run. */
 	fenced = exec->poll_token == exec_token(exec);
 	/* Until all ends are listed, a run of an earlier lease may be in neither list. */
@@ -233,6 +235,10 @@
 			exec_pause_grants(exec, now_us);
 		exec->failed_poll_sent_us = exec->poll_sent_us;
 		exec->fallback_poll_us = now_us + POLL_RETRY_US;
+		if (reply->result == LUG_ORDER_MISDIRECTED && *exec->poll_target) {
+			exec_forget_worker_id(exec);
+			exec_schedule_poll(exec, 0, now_us);
+		}
 		return;
 	}
 	if (is_reply_of_former(exec, reply)) {
@@ -384,5 +390,7 @@
 	exec->poll_expires_ms = poll.expires_ms;
 	exec->poll_acked = poll.acked_end_number;
 	exec->poll_incarnation = exec->worker_incarnation;
+	g_free(exec->poll_target);
+	exec->poll_target = g_strdup(poll.worker);
 	exec->worker->ops->poll(exec->worker, &poll, on_poll_reply, exec);
 }
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -58,6 +58,7 @@
  *               has confirmed does not hold for another one that lists the run
  * @stopping: a stop was requested
  * @start_sent_us: when the start was first sent, or when a poll first listed the run
+ * @started_at: id of the worker that the start was last sent to, NULL for none
  * @call_in_flight: a start or a stop is in flight
  * @unanswered_starts: starts without an answer
  * @late_start_until_us: time until which one of them may be carried out late, 0 for none
@@ -110,6 +111,7 @@
 	guint64 incarnation;
 	gboolean stopping;
 	gint64 start_sent_us;
+	char *started_at;
 	gboolean call_in_flight;
 	guint unanswered_starts;
 	gint64 late_start_until_us;
@@ -232,7 +234,9 @@
  *              while the release is being committed
  * @next_acquire_us: earliest time of the next attempt to acquire the lease
  * @worker_id: id in the worker's latest heartbeat, "" before the first
- * @id_incarnation: incarnation that has that id
+ * @id_incarnation: incarnation that has that id, as far as heartbeats tell
+ * @id_confirmed: a worker of that id and incarnation has answered a poll that named it
+ * @confirmed_id: id that was confirmed last, "" for none
  * @heartbeat_incarnation: incarnation in the worker's latest heartbeat
  * @worker_heartbeat_seq: number of the worker's latest heartbeat to the agent
  * @worker_incarnation: current incarnation of the worker, 0 for not known
@@ -262,6 +266,7 @@
  * @poll_expires_ms: end of the lease that the latest poll has sent, 0 for none
  * @poll_until_us: when that lease ends on the agent's clock
  * @poll_acked: @acked_end_number that the latest poll has sent, 0 for none
+ * @poll_target: id that the latest poll has named, "" for none
  * @poll_incarnation: @worker_incarnation when the latest poll was sent
  * @token_raises: lower part of the fencing token, see exec_raise_token()
  * @confirmed_epoch: lease epoch under which the runs on the worker are known: it has answered a
@@ -334,6 +339,8 @@
 	gint64 next_acquire_us;
 	char *worker_id;
 	guint64 id_incarnation;
+	gboolean id_confirmed;
+	char *confirmed_id;
 	guint64 heartbeat_incarnation;
 	gint64 worker_heartbeat_seq;
 	guint64 worker_incarnation;
@@ -362,6 +369,7 @@
 	gint64 poll_expires_ms;
 	gint64 poll_until_us;
 	guint64 poll_acked;
+	char *poll_target;
 	guint64 poll_incarnation;
 	guint token_raises;
 	guint64 confirmed_epoch;
@@ -435,7 +443,10 @@
 gboolean exec_has_unacked_ends(const struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_runs(struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
-void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us);
+gboolean exec_is_foreign(const struct lug_executor *exec, const char *id, guint64 incarnation);
+void exec_update_worker_id(struct lug_executor *exec, const char *id);
+void exec_confirm_worker_id(struct lug_executor *exec, gint64 now_us);
+void exec_forget_worker_id(struct lug_executor *exec);
 void exec_update_incarnation(struct lug_executor *exec, guint64 incarnation, gint64 now_us);
 void exec_stop_outlasting_runs(struct lug_executor *exec, gint64 now_us);
 void exec_drop_expired(struct lug_executor *exec, gint64 now_us);
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -72,22 +72,37 @@
 }
 
 /**
- * exec_update_worker_id - record the worker's id; starts sent under another one can't take effect
- * any more, as they name the worker that they are meant for
+ * exec_is_foreign - whether a heartbeat comes from another writer than the worker, which keeps its
+ * id for the whole of an incarnation
  */
-void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us)
+gboolean exec_is_foreign(const struct lug_executor *exec, const char *id, guint64 incarnation)
 {
-	gboolean is_first = !*exec->worker_id;
+	return exec->id_confirmed && incarnation == exec->worker_incarnation &&
+	       strcmp(id, exec->worker_id) != 0;
+}
 
+/**
+ * exec_update_worker_id - record the id that a heartbeat states for the present incarnation
+ */
+void exec_update_worker_id(struct lug_executor *exec, const char *id)
+{
 	exec->id_incarnation = exec->worker_incarnation;
 	if (!strcmp(id, exec->worker_id))
 		return;
 	g_free(exec->worker_id);
 	exec->worker_id = g_strdup(id);
-	exec->late_start_until_us = 0;
-	for (guint i = exec->runs->len; !is_first && i-- > 0;) {
+	exec->id_confirmed = FALSE;
+}
+
+/* Starts sent under another id can't take effect any more: they name the worker they are meant for.
+ */
+static void drop_starts_at_former_id(struct lug_executor *exec, gint64 now_us)
+{
+	for (guint i = exec->runs->len; i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
+		if (!run->started_at || !strcmp(run->started_at, exec->worker_id))
+			continue;
 		run->late_start_until_us = 0;
 		if (run->state != EXEC_STARTING && run->state != EXEC_UNKNOWN)
 			continue;
@@ -98,6 +113,45 @@
 	}
 }
 
+/**
+ * exec_confirm_worker_id - note that the present incarnation has answered a poll that names its id
+ *
+ * A heartbeat alone does not show that the worker has another id than before: another writer may
+ * have sent it.
+ */
+void exec_confirm_worker_id(struct lug_executor *exec, gint64 now_us)
+{
+	exec->id_confirmed = TRUE;
+	if (!strcmp(exec->confirmed_id, exec->worker_id))
+		return;
+	if (*exec->confirmed_id)
+		exec->late_start_until_us = 0;
+	g_free(exec->confirmed_id);
+	exec->confirmed_id = g_strdup(exec->worker_id);
+	drop_starts_at_former_id(exec, now_us);
+}
+
+/**
+ * exec_forget_worker_id - the worker has refused the latest poll, as it has another id
+ *
+ * Polls name no worker until a heartbeat tells the id again, whatever its number: the former one
+ * may have come from another writer.
+ */
+void exec_forget_worker_id(struct lug_executor *exec)
+{
+	if (exec->settled_incarnation == exec->worker_incarnation &&
+	    !strcmp(exec->poll_target, exec->settled_id))
+		exec->settled_incarnation = 0;
+	if (strcmp(exec->poll_target, exec->worker_id) != 0)
+		return;
+	lug_warn(exec->ctx, "worker_id_refused", "worker", exec->worker_id, "reason",
+		 "the worker has another id; awaiting its heartbeat");
+	exec->id_confirmed = FALSE;
+	exec->id_incarnation = 0;
+	exec->heartbeat_incarnation = 0;
+	exec->worker_heartbeat_seq = 0;
+}
+
 /**
  * exec_update_incarnation - record the worker's incarnation
  *
@@ -121,6 +175,7 @@
 		exec->worker_exited = FALSE;
 	}
 	exec->worker_incarnation = incarnation;
+	exec->id_confirmed = FALSE;
 	/* Its heartbeats are numbered anew, also when a poll shows it first. */
 	exec->worker_heartbeat_seq = 0;
 	exec->acked_end_number = 0;
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -169,6 +169,8 @@
 	order.expires_ms = exec_lease_expires_ms(exec);
 	call->expires_ms = order.expires_ms;
 	exec_note_grant(exec, order.expires_ms);
+	g_free(run->started_at);
+	run->started_at = g_strdup(order.worker);
 	order.spec = run->spec;
 	order.checkpoint = run->checkpoint;
 	exec->granted_until_us =
--- a/liblug/workflow/worker.h
+++ b/liblug/workflow/worker.h
@@ -30,6 +30,7 @@
  * @LUG_ORDER_OK: carried out, by this call or an earlier one
  * @LUG_ORDER_FENCED: the worker has seen a higher token
  * @LUG_ORDER_REFUSED: not carried out and never will be
+ * @LUG_ORDER_MISDIRECTED: not carried out: the worker has another id than the call names
  * @LUG_ORDER_NO_ROOM: refused because the worker lacks free resources
  * @LUG_ORDER_BUSY: not carried out; the worker is temporarily unable to serve calls
  * @LUG_ORDER_UNKNOWN: no answer; the order may have taken effect or may still do so
@@ -38,6 +39,7 @@
 	LUG_ORDER_OK,
 	LUG_ORDER_FENCED,
 	LUG_ORDER_REFUSED,
+	LUG_ORDER_MISDIRECTED,
 	LUG_ORDER_NO_ROOM,
 	LUG_ORDER_BUSY,
 	LUG_ORDER_UNKNOWN,
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -155,10 +155,11 @@
 	incarnation = 200;
 	worker_id = "i-next";
 	send_heartbeat();
-	EXPECT_EQ(crashed.count("a#1"), 1u);
+	EXPECT_EQ(crashed.count("a#1"), 0u) << "the worker has not confirmed its id";
 	answer_poll();
 	if (!worker.polls.empty())
 		answer_poll();
+	EXPECT_EQ(crashed.count("a#1"), 1u);
 	start("b", 3000);
 	EXPECT_EQ(worker.orders.back().id.job, std::string("b"));
 	EXPECT_EQ(worker.orders.back().worker, "i-next");
