The release of a lease is withdrawn when a run appears before it begins

A poll then lists a run, and the renewal's answer begins the release all the same. Owners take a released row for the end of all runs: they acknowledge a cancellation and start the task elsewhere while the run goes on for up to 6 s. As long as the table service is slow, so is the renewal.

A run or an end that is added withdraws the request; the tick asks again once nothing is left. The unit test failed before: the row was released with one run in the agent's list.

--- a/liblug/store/writer.c
+++ b/liblug/store/writer.c
@@ -349,6 +349,14 @@
 	release_if_idle(writer, now_us);
 }
 
+/**
+ * lug_writer_keep - withdraw a release that has been requested and has not begun
+ */
+void lug_writer_keep(struct lug_writer *writer)
+{
+	writer->release_requested = FALSE;
+}
+
 /**
  * lug_writer_append - queue an operation, to be sent by lug_writer_flush() or the next tick
  * @writer: writer
--- a/liblug/store/writer.h
+++ b/liblug/store/writer.h
@@ -94,6 +94,7 @@
 				  const struct lug_writer_config *config);
 void lug_writer_free(struct lug_writer *writer);
 void lug_writer_take(struct lug_writer *writer, const struct lug_row *seen, gint64 now_us);
+void lug_writer_keep(struct lug_writer *writer);
 void lug_writer_release(struct lug_writer *writer, gint64 now_us);
 struct lug_writer_op *
 lug_writer_op_new(void (*fn)(void *data, enum lug_status status, gint64 version), void *data);
--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -166,11 +166,20 @@
 	return NULL;
 }
 
+/* Owners take a released lease for the end of all runs. */
+static void keep_lease(struct lug_executor *exec)
+{
+	if (exec->releasing)
+		lug_writer_keep(exec->writer);
+	exec->releasing = FALSE;
+}
+
 struct exec_run *exec_add_run(struct lug_executor *exec, const struct lug_run_id *id,
 			      enum exec_state state)
 {
 	struct exec_run *run = g_new0(struct exec_run, 1);
 
+	keep_lease(exec);
 	run->id = *id;
 	run->state = state;
 	run->shard = lug_workflow_shard(id->job, exec->n_shards);
@@ -192,6 +201,7 @@
 {
 	struct exec_end *end = g_new0(struct exec_end, 1);
 
+	keep_lease(exec);
 	end->incarnation = exec->worker_incarnation;
 	end->id = *id;
 	end->shard = lug_workflow_shard(id->job, exec->n_shards);
--- a/tests/unit/executor_stop_test.cc
+++ b/tests/unit/executor_stop_test.cc
@@ -50,6 +50,25 @@
 	EXPECT_EQ(stop_answers, std::vector<std::string>{"a#1"});
 }
 
+/* A renewal is in flight as the agent stops, and a run appears before the release can begin. */
+TEST_F(ExecutorStopTest, ReleaseOfTheLeaseIsWithdrawnWhenARunAppears)
+{
+	/* Longer than LEASE_RENEW_MS. */
+	g_usleep(1050 * 1000);
+	lug_executor_tick(exec, lug_now_us());
+	ASSERT_FALSE(store.calls.empty());
+	lug_executor_shut_down(exec);
+	lug_executor_tick(exec, lug_now_us());
+	/* Started late, or by a former process. */
+	running.push_back({id("late"), 0});
+	answer_poll();
+	tick();
+	tick();
+	EXPECT_EQ(exec->runs->len, 1u);
+	EXPECT_NE(store.rows["w1|worker/w1"].data.find("\"owner\":\"w1\""), std::string::npos)
+		<< store.rows["w1|worker/w1"].data;
+}
+
 TEST_F(ExecutorStopTest, StopOfAnUnknownRunIsAnsweredOnceAllRunsAreKnown)
 {
 	stop("a");
