A cancellation reaches the inbox whatever the client's time

Found by review, by reading: a client that gives less than 0.28 s got 504 before the entry had asked the table service, so that a cancellation of a job without an owner was lost if the client did not come back; before, it was stored after 0.25 s. At the end of the client's time it is stored first. And a failed look at the tables after that no longer answers that the cancellation can't be stored.

--- a/liblug/workflow/gateway.c
+++ b/liblug/workflow/gateway.c
@@ -340,7 +340,12 @@
 	if (call->reading_tables)
 		return;
 	if (call->kind == LUG_JOB_CANCEL && now_us >= call->deadline_us) {
-		gateway_finish_cancel(call, LUG_UNKNOWN, "not known to be carried out in time");
+		/* It is carried out also if the client does not return. */
+		if (call->cancel_stored)
+			gateway_finish_cancel(call, LUG_UNKNOWN,
+					      "not known to be carried out in time");
+		else
+			gateway_read_tables(call);
 		return;
 	}
 	if (!call->answer_due_us || now_us < call->answer_due_us)
--- a/liblug/workflow/gateway_table.c
+++ b/liblug/workflow/gateway_table.c
@@ -7,6 +7,11 @@
 static void finish_call(struct gateway_call *call, enum lug_status status,
 			enum lug_workflow_state state)
 {
+	/* The cancellation itself is stored. */
+	if (call->cancel_stored && status == LUG_UNAVAILABLE) {
+		gateway_await_cancel(call);
+		return;
+	}
 	if (call->kind == LUG_JOB_CANCEL) {
 		gateway_finish_cancel(call, status, "the tables of jobs");
 		return;
