Test of look-ahead: no gap is wide enough for the large task by chance

Cause: the test, not the product. From the logs of that run (the order by order.c): one owner was given the room of both workers, and placed the first four tasks of one job on agent-1. They take 200 ms each, started together and ended together; the large task, submitted before these ends, is the most urgent of its owner's, and started in the four free cores after 23 ms. No reservation was needed, and none was asked for: that is sooner than the test demands. The test assumed that the ends on a worker differ, but a step of five equal tasks gives a worker four equal ones.

Change: a task of 6 s on each worker keeps the large task out until the owner has asked for a reservation, so its start needs one. Two of them do not fit into a worker's memory. Both assertions, on the wait and on the used reservation, and the bound of 8 s are as before. The stand-in of a worker reported half of the work done for all runs; a run of 4.5 s was thus foreseen to last 4.5 s more, beyond the look-ahead. The progress is now an attribute of the task, by default as before.

--- a/tests/integration/test_lookahead.py
+++ b/tests/integration/test_lookahead.py
@@ -5,6 +5,25 @@
 
 JOB_IDS = (f"{number:016x}" for number in itertools.count(1))
 
+# Once a long-running task has waited for 4 s its owner asks for a reservation, on a worker whose
+# room is expected to be free within the look-ahead of 2 s. The occupying tasks end 1.3 s later.
+OCCUPIED_MS = 6000
+
+
+def occupy_workers(deployment):
+    """Starts a task on each worker, which leaves no room for the large one until it ends.
+
+    Two of them do not fit into the memory of a worker. They report no progress, so that their ends
+    are foreseen by the expected run time.
+    """
+    job = next(JOB_IDS)
+    steps = [{"count": len(deployment.workers), "cpu": 1000, "mem_mb": 3000, "image": "occupying",
+              "est_runtime_ms": OCCUPIED_MS}]
+    assert deployment.submit(job, {"ms": OCCUPIED_MS, "progress": 0}, steps) == 200
+    assert deployment.wait_until(lambda: all(
+        [task.startswith(job) for task in worker.running] == [True]
+        for worker in deployment.workers.values()))
+
 
 def submit_small_jobs(deployment, n_jobs=75):
     """Submits tasks of one core for about 20 s on two workers of four cores; their ends differ."""
@@ -28,6 +47,7 @@
 def test_large_task_starts_beside_small_ones(start_queue_deployment):
     """Without the messages between owners and agents the task waits until the small ones end."""
     deployment = start_queue_deployment(agent_settings=["schedule: {lookahead: 2s}"])
+    occupy_workers(deployment)
     submit_small_jobs(deployment)
     assert deployment.wait_until(lambda: all(len(worker.running) == 4
                                              for worker in deployment.workers.values()))
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -507,7 +507,8 @@
         self.running[task] = (run, {"until": now + spec.get("ms", 100) / 1000,
                                     "how": "failed" if fails else "done", "stop_at": 0,
                                     "crash_at": now + crash_ms / 1000 if crashes else 0,
-                                    "cpu": spec.get("cpu", 0)})
+                                    "cpu": spec.get("cpu", 0),
+                                    "progress": spec.get("progress", 50)})
         self._check_room(task, now)
         self.history.append(("start", time.monotonic(), task, run, ""))
         if crashes and not crash_ms:
@@ -560,7 +561,8 @@
                 and not self.down_until:
             self.lock.wait(0.05)
         # task, run, checkpoint, percentage of progress, metric
-        running = [[task, run, "", 50, 0] for task, (run, _) in self.running.items()]
+        running = [[task, run, "", state["progress"], 0]
+                   for task, (run, state) in self.running.items()]
         return 200, {"server_time_ms": self.clock_ms(), "born": self.incarnation,
                      "running": running, "finished": self.finished[:500]}
 
