A cancellation waits for runs without a claim, too

Found by review: an owner sent the stop of a run without a claim once, or at each list that named it, and did not count it among the runs that the end of a job waits for. That is a run whose claim was withdrawn as an earlier run of its task is done, or one that counted as lost and is listed again.

Owners keep such runs by worker until a list, an end, the answer to a stop or the lease settles them. The end of a cancelled or failed job waits for them; a completed job has no run that counts. A next owner knows only those that agents list to it.

--- a/liblug/workflow/fleet.c
+++ b/liblug/workflow/fleet.c
@@ -462,7 +462,8 @@
 		struct lug_fleet_worker *worker = g_ptr_array_index(fleet->list, i);
 
 		if (now_us - worker->last_beat_us > FORGET_US && !worker->lease_call_in_flight &&
-		    fleet_unlisted_us(fleet, worker, now_us) < 0) {
+		    fleet_unlisted_us(fleet, worker, now_us) < 0 &&
+		    fleet->hooks.unstopped_us(fleet->hooks.data, worker->name, now_us) < 0) {
 			g_hash_table_remove(fleet->by_name, worker->name);
 			g_ptr_array_remove_index_fast(fleet->list, i);
 			continue;
--- a/liblug/workflow/shard.c
+++ b/liblug/workflow/shard.c
@@ -317,7 +317,7 @@
 	shard->event_fn = fn;
 	shard->event_data = data;
 	shard->jobs = g_hash_table_new(g_str_hash, g_str_equal);
-	shard->claims = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	shard->claims = g_hash_table_new_full(NULL, NULL, NULL, shard_claims_free);
 	shard->placement_order = g_ptr_array_new();
 	shard->admission = lug_admission_new();
 	shard->obsolete_ends = g_array_new(FALSE, FALSE, sizeof(struct shard_obsolete_end));
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -209,6 +209,21 @@
 	       !strcmp(task->worker, worker);
 }
 
+static gboolean is_unlisted(const struct lug_run_id *id, void *data)
+{
+	const struct beat_check *check = data;
+
+	return !g_hash_table_contains(check->runs, id) && covers_run(check->held, id);
+}
+
+/* The worker's agent lists a run without a claim. */
+static void stop_stray(struct lug_shard *shard, const struct lug_fleet_worker *worker,
+		       const struct lug_run_id *id)
+{
+	shard_add_stray(shard, id, worker->name, worker->lease_epoch);
+	shard_send_stop(shard, worker, id);
+}
+
 /**
  * lug_shard_on_beat - reconcile the runs that an agent holds with the claims for its worker
  * @shard: shard
@@ -233,13 +248,14 @@
 	shard_reserve_on_beat(shard, worker, now_us);
 	check.runs = index_held(held);
 	for_each_claim(shard, worker->name, check_claim, &check);
+	shard_settle_unlisted_strays(shard, worker->name, is_unlisted, &check);
 	g_hash_table_unref(check.runs);
 	for (gsize i = 0; i < held->n_held; i++) {
 		struct lug_run_id id;
 
 		if (lug_run_from_wire(held->held[i]->id, &id) &&
 		    !is_run_claimed(shard, &id, worker->name))
-			shard_send_stop(shard, worker, &id);
+			stop_stray(shard, worker, &id);
 	}
 }
 
@@ -286,8 +302,10 @@
 		.now_us = now_us,
 	};
 
-	if (shard->load_phase == SHARD_LOAD_DONE)
-		for_each_claim(shard, worker, return_task_if_fenced, &end);
+	if (shard->load_phase != SHARD_LOAD_DONE)
+		return;
+	for_each_claim(shard, worker, return_task_if_fenced, &end);
+	shard_settle_strays_of_lease(shard, worker, lease_epoch, FALSE);
 }
 
 /**
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -30,18 +30,37 @@
 	return g_hash_table_lookup(shard->claims, g_intern_string(worker));
 }
 
+/**
+ * shard_get_claims - claims for a worker, which are added if there are none
+ */
+struct shard_claims *shard_get_claims(struct lug_shard *shard, const char *worker)
+{
+	struct shard_claims *claims = shard_find_claims(shard, worker);
+
+	if (claims)
+		return claims;
+	claims = g_new0(struct shard_claims, 1);
+	lug_list_init(&claims->tasks);
+	claims->strays = g_array_new(FALSE, FALSE, sizeof(struct shard_stray));
+	g_hash_table_insert(shard->claims, (gpointer)g_intern_string(worker), claims);
+	return claims;
+}
+
+void shard_claims_free(gpointer data)
+{
+	struct shard_claims *claims = data;
+
+	g_array_unref(claims->strays);
+	g_free(claims);
+}
+
 /**
  * shard_index_claim - add a claimed task to the claims for its worker
  */
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us)
 {
-	struct shard_claims *claims = shard_find_claims(shard, task->worker);
+	struct shard_claims *claims = shard_get_claims(shard, task->worker);
 
-	if (!claims) {
-		claims = g_new0(struct shard_claims, 1);
-		lug_list_init(&claims->tasks);
-		g_hash_table_insert(shard->claims, (gpointer)task->worker, claims);
-	}
 	/* While nothing is claimed, lists are not awaited. */
 	if (lug_list_empty(&claims->tasks)) {
 		claims->listed_us = now_us;
@@ -263,6 +282,8 @@
 	shard_log_run(shard, "claim_withdrawn", &later, task->worker, "done_on", worker);
 	if (claimed_for)
 		shard_send_stop(shard, claimed_for, &later);
+	if (task->start_seq || task->shard_epoch != lug_shard_epoch(shard))
+		shard_add_stray(shard, &later, task->worker, task->lease_epoch);
 	shard_release_claim(shard, job, task, &job->workflow->steps[done->step]);
 }
 
@@ -287,6 +308,7 @@
 
 	if (shard->load_phase != SHARD_LOAD_DONE || !lug_run_from_wire(end->id, &ack.id))
 		return;
+	shard_settle_stray(shard, &ack.id, worker);
 	job = g_hash_table_lookup(shard->jobs, ack.id.job);
 	task = job ? shard_find_task(job, &ack.id) : NULL;
 	if (task && is_end_applicable(task, &ack.id, worker, end) &&
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -16,8 +16,9 @@
  * (placement and starts), shard_estimate.c (expected run times), shard_reserve.c (reservations for
  * waiting tasks), shard_outcome.c (ended runs and refused starts), shard_beat.c (comparison of
  * claims with heartbeats, lost runs), shard_due.c (urgency of tasks), shard_ack.c (acknowledgements
- * of ends), shard_stop.c (stops of the runs of ended jobs), shard_report.c (log of what is
- * overdue), shard_admit.c (refusal of new jobs) and shard_commit.c (transactions).
+ * of ends), shard_stop.c (stops of the runs of ended jobs), shard_stray.c (runs
+ * without a claim), shard_report.c (log of what is overdue), shard_admit.c (refusal of new jobs)
+ * and shard_commit.c (transactions).
  */
 
 /*
@@ -120,18 +121,34 @@
 	struct lug_speed_move move;
 };
 
+/**
+ * struct shard_stray - run that a worker's agent may hold without a claim, see shard_stray.c
+ * @id: run
+ * @lease_epoch: epoch of the worker's lease, under which it may go on
+ * @stop_since_us: time since which its stop is awaited, as its job has ended; 0 for not
+ * @stop_sent_us: when that stop was last sent, 0 for never
+ */
+struct shard_stray {
+	struct lug_run_id id;
+	guint64 lease_epoch;
+	gint64 stop_since_us;
+	gint64 stop_sent_us;
+};
+
 /**
  * struct shard_claims - the tasks claimed for one worker
  * @tasks: list of struct shard_task
  * @listed_us: when the worker's agent last listed its runs of the shard, or the claims were loaded
  * @overdue: it was logged that the list is overdue
- * @n_stops: tasks whose runs are being stopped, as their jobs have ended
- * @stop_since_us: since when there have been such tasks, 0 while there is none
+ * @strays: runs without a claim that may be on the worker, array of struct shard_stray
+ * @n_stops: runs that are being stopped, as their jobs have ended
+ * @stop_since_us: since when there have been such runs, 0 while there is none
  */
 struct shard_claims {
 	struct lug_list tasks;
 	gint64 listed_us;
 	gboolean overdue;
+	GArray *strays;
 	guint n_stops;
 	gint64 stop_since_us;
 };
@@ -193,6 +210,7 @@
  * @store_waiters: callers that wait until it is stored, array of struct shard_waiter
  * @in_inbox: the job's inbox row may still exist
  * @cancel_in_inbox: an inbox row requests its cancellation
+ * @n_strays: runs of the job without a claim that may go on
  * @first_task: index of each step's first task; the last element is the number of tasks
  * @occurrences: active occurrences, array of struct shard_occurrence *
  * @next_occurrence: first occurrence that has not begun
@@ -230,6 +248,7 @@
 	GArray *store_waiters;
 	gboolean in_inbox;
 	gboolean cancel_in_inbox;
+	guint n_strays;
 	guint32 *first_task;
 	GPtrArray *occurrences;
 	guint32 next_occurrence;
@@ -492,6 +511,8 @@
 void shard_ack_obsolete_ends(struct lug_shard *shard);
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us);
 struct shard_claims *shard_find_claims(const struct lug_shard *shard, const char *worker);
+struct shard_claims *shard_get_claims(struct lug_shard *shard, const char *worker);
+void shard_claims_free(gpointer data);
 void shard_mark_begun(struct shard_job *job, struct shard_task *task);
 void shard_confirm_reservation(struct lug_shard *shard, struct shard_task *task,
 			       const struct lug_step *step);
@@ -512,6 +533,20 @@
 			const char *event, GString *runs);
 gboolean shard_awaits_stops(const struct shard_job *job);
 void shard_end_stop(struct lug_shard *shard, struct shard_task *task);
+void shard_claims_begin_stop(struct shard_claims *claims, struct lug_fleet_worker *worker,
+			     gint64 now_us);
+void shard_claims_end_stop(struct shard_claims *claims);
+void shard_repeat_stop(struct lug_shard *shard, const struct lug_fleet_worker *worker,
+		       const struct lug_run_id *id, gint64 *sent_us, gint64 now_us);
+void shard_add_stray(struct lug_shard *shard, const struct lug_run_id *id, const char *worker,
+		     guint64 lease_epoch);
+void shard_settle_stray(struct lug_shard *shard, const struct lug_run_id *id, const char *worker);
+void shard_settle_unlisted_strays(struct lug_shard *shard, const char *worker,
+				  gboolean (*is_gone)(const struct lug_run_id *id, void *data),
+				  void *data);
+void shard_settle_strays_of_lease(struct lug_shard *shard, const char *worker, guint64 lease_epoch,
+				  gboolean awaited_only);
+void shard_stop_strays(struct lug_shard *shard, const struct shard_job *job, gint64 now_us);
 void shard_stop_ended_jobs(struct lug_shard *shard, gint64 now_us);
 void shard_commit_changes(struct lug_shard *shard, gint64 now_us);
 void shard_set_end_state(struct lug_shard *shard, struct shard_job *job,
--- a/liblug/workflow/shard_stop.c
+++ b/liblug/workflow/shard_stop.c
@@ -32,6 +32,9 @@
 
 	if (job->end_state == LUG_WORKFLOW_UNKNOWN)
 		return FALSE;
+	/* A completed job has no run that counts. */
+	if (job->n_strays && job->end_state != LUG_WORKFLOW_COMPLETED)
+		return TRUE;
 	for (guint k = 0; k < job->occurrences->len; k++) {
 		const struct shard_occurrence *occ = g_ptr_array_index(job->occurrences, k);
 
@@ -42,31 +45,65 @@
 	return FALSE;
 }
 
-static void begin_stop(struct lug_shard *shard, struct shard_task *task,
-		       struct lug_fleet_worker *worker, gint64 now_us)
+/**
+ * shard_claims_begin_stop - note that the stop of a run on a worker is awaited
+ * @claims: claims for the worker
+ * @worker: worker, may be NULL
+ * @now_us: current time
+ */
+void shard_claims_begin_stop(struct shard_claims *claims, struct lug_fleet_worker *worker,
+			     gint64 now_us)
 {
-	struct shard_claims *claims = shard_find_claims(shard, task->worker);
-
-	task->stop_since_us = now_us;
 	if (!claims->n_stops++)
 		claims->stop_since_us = now_us;
 	if (worker)
 		lug_fleet_await_stop(worker, now_us);
 }
 
+/**
+ * shard_claims_end_stop - note that the stop of a run is awaited no more
+ */
+void shard_claims_end_stop(struct shard_claims *claims)
+{
+	if (!--claims->n_stops)
+		claims->stop_since_us = 0;
+}
+
+/**
+ * shard_repeat_stop - send the stop of a run, unless it was sent just before
+ * @shard: shard
+ * @worker: worker, may be NULL
+ * @id: run
+ * @sent_us: when it was last sent, 0 for never; updated
+ * @now_us: current time
+ */
+void shard_repeat_stop(struct lug_shard *shard, const struct lug_fleet_worker *worker,
+		       const struct lug_run_id *id, gint64 *sent_us, gint64 now_us)
+{
+	/* Without a heartbeat there is no connection to the agent. */
+	if (!worker || !worker->incarnation || (*sent_us && now_us - *sent_us < STOP_RESEND_US))
+		return;
+	*sent_us = now_us;
+	shard_send_stop(shard, worker, id);
+}
+
+static void begin_stop(struct lug_shard *shard, struct shard_task *task,
+		       struct lug_fleet_worker *worker, gint64 now_us)
+{
+	task->stop_since_us = now_us;
+	shard_claims_begin_stop(shard_find_claims(shard, task->worker), worker, now_us);
+}
+
 /**
  * shard_end_stop - note that the stop of a task's run is awaited no more
  */
 void shard_end_stop(struct lug_shard *shard, struct shard_task *task)
 {
-	struct shard_claims *claims = shard_find_claims(shard, task->worker);
-
 	if (!task->stop_since_us)
 		return;
 	task->stop_since_us = 0;
 	task->stop_sent_us = 0;
-	if (!--claims->n_stops)
-		claims->stop_since_us = 0;
+	shard_claims_end_stop(shard_find_claims(shard, task->worker));
 }
 
 static void stop_task(struct lug_shard *shard, struct shard_job *job, struct shard_task *task,
@@ -85,10 +122,7 @@
 		shard_note_run(stops, id, task->worker, is_reachable ? "heard" : "unheard",
 			       is_reachable ? now_us - worker->last_beat_us : 0);
 	}
-	if (!is_reachable || (task->stop_sent_us && now_us - task->stop_sent_us < STOP_RESEND_US))
-		return;
-	task->stop_sent_us = now_us;
-	shard_send_stop(shard, worker, id);
+	shard_repeat_stop(shard, worker, id, &task->stop_sent_us, now_us);
 }
 
 static void stop_job(struct lug_shard *shard, struct shard_job *job, gint64 now_us)
@@ -108,6 +142,7 @@
 				stop_task(shard, job, &occ->tasks[i], &id, stops, now_us);
 			}
 	}
+	shard_stop_strays(shard, job, now_us);
 	shard_log_run_list(shard, job, "stops_sent", stops);
 	g_string_free(stops, TRUE);
 }
@@ -156,6 +191,7 @@
 
 	if (shard->load_phase != SHARD_LOAD_DONE || !lug_run_from_wire(answer->id, &id))
 		return;
+	shard_settle_stray(shard, &id, worker);
 	job = g_hash_table_lookup(shard->jobs, id.job);
 	task = job ? shard_find_task(job, &id) : NULL;
 	/* The stop of a task that is moved to another worker is followed by its end. */
@@ -208,6 +244,7 @@
 		log_lapse(shard, task, left_us, now_us);
 		settle_stop(shard, task);
 	}
+	shard_settle_strays_of_lease(shard, worker, lease_epoch, TRUE);
 }
 
 /**
