An agent that stops acknowledges no end that a late start may follow

Symptom, of rule TWICE: the first attempt of a start has no answer, the second one has, the run ends as done and its agent gets SIGTERM. The worker restarts under its id, carries out the first attempt, and a task starts again whose end was acknowledged. One log line before: the agent's worker_lease_release with ends=0, 0.1 s after `stopping`.

Cause: exec_may_acknowledge() waits for up to 3 s while a start may be carried out late, but not in an agent that shuts down. So a stop took away what had brought, and nobody was left to stop the run.

Change: it waits like any other agent. If the time for the shutdown (1.5 s) ends before, the agent keeps the lease and leaves the end to its next process. Its owner has stored the end before that, and no owner waits for a lease without a claim. The price: where a start had no answer in the last 12 s, the stop takes up to 1.5 s, and ends stay unacknowledged if no process follows.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -149,16 +149,15 @@
  *
  * An acknowledged end is final: its run must not start again. Acknowledgements therefore wait while
  * the next incarnation may carry out a start without an answer. They wait for any such start, as
- * one that is carried out late may reach the end of another run there. An agent that shuts down
- * does not wait.
+ * one that is carried out late may reach the end of another run there. So does an agent that shuts
+ * down: it leaves an end that would have to wait longer to its next process.
  */
 gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
 			      gint64 now_us)
 {
 	if (!end->is_stored)
 		return FALSE;
-	return exec->shutting_down || now_us - end->listed_us >= ACK_DELAY_MAX_US ||
-	       !may_start_late(exec, now_us);
+	return now_us - end->listed_us >= ACK_DELAY_MAX_US || !may_start_late(exec, now_us);
 }
 
 static gboolean is_restart_under_same_id(const struct lug_executor *exec)
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -334,6 +334,23 @@
 	expect_next_poll_to_acknowledge(1);
 }
 
+TEST_F(ExecutorOutstandingTest, AnAgentThatShutsDownDoesNotAcknowledgeSuchAnEndSooner)
+{
+	start("a");
+	worker.answer(LUG_ORDER_UNKNOWN);
+	worker.answer(LUG_ORDER_OK);
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	lug_executor_shut_down(exec);
+	tick_later();
+	expect_next_poll_to_acknowledge(0);
+	answer_poll();
+	tick_later();
+	EXPECT_NE(row().find("\"owner\":\"w1\""), std::string::npos) << "its next process has the end";
+	EXPECT_FALSE(lug_executor_can_exit(exec)) << "before the time for its shutdown is over";
+}
+
 /* The end of a run that the next incarnation starts late has the same number. */
 TEST_F(ExecutorOutstandingTest, AnEndIsNotAcknowledgedWhileTheStartOfAnotherRunIsSlow)
 {
