Soak: agents are removed for good, and runs of cancelled jobs are checked at any moment

What was missing: no fault removed an agent for good, and runs of cancelled jobs were counted only after the faults. A cancellation was sent once.

Now up to two of four agents get SIGKILL or SIGTERM and stay away, with a long job beside that is cancelled about then, and one that is not. One thread sends cancellations again until 200 or 410 within 20 s, also those that the load's threads sent. A run breaks the rule if it goes on after the acknowledgement for longer than 3.0 s, the time its worker takes to stop a run (0.4 s at least) and 0.1 s, in a stretch that is calm from 3 s before it. Faults of one worker excuse the runs on that worker alone.

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -3,8 +3,10 @@
 Meanwhile clients submit and cancel jobs. They submit some jobs twice, also through different
 entries. Faults affect daemons (kill, stop, freeze), the table service (busy, silent, slow, refusing
 callers, losing answers, dropping the history of its change feed) and workers (crash, ignored calls,
-lost answers, calls carried out seconds late, cuts after a restart). Then all faults are undone, and
-each accepted job must reach the expected state. The runs of cancelled and ended jobs must end.
+lost answers, calls carried out seconds late, cuts after a restart). Agents are removed for good;
+their workers stay. Then all other faults are undone, and each accepted job must reach the expected
+state. The runs of cancelled and ended jobs must end; those of cancelled jobs in time at any moment
+of the run, when nothing but removals, planned stops and cancellations disturbed them.
 
 Each seed leaves the events of its workers in run/soak-SEED/workers.log, beside the daemons' logs.
 """
@@ -20,13 +22,17 @@
 import time
 
 import standins
+from cancel_check import CancelCheck, Canceller
 from config_check import ConfigCheck
 from hub import QueueDeployment
+from removals import Removals
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
 ENTRIES, WORKERS = 2, 4
 READY_TIMEOUT_S, RECOVERY_TIMEOUT_S = 10, 40
+# Name of the fault that removes an agent for good, which has times of its own.
+REMOVE = "remove"
 FAULT_GAP_S = (0.2, 1.2)
 FAULT_HOLD_S = (0.3, 4.0)
 SUBMIT_GAP_S = 0.15
@@ -51,6 +57,12 @@
     def __init__(self, deployment, rng):
         self.deployment, self.rng = deployment, rng
         self.reserved = set()
+        # Held while a daemon is chosen and reserved.
+        self.lock = threading.Lock()
+        # (time, agent, signal) of the agents that are removed for good, which stay reserved.
+        self.removed = []
+        # Workers some of whose calls are late.
+        self.late_workers = set()
         # Threads that cut workers off or restart them, and what ends them early.
         self.threads = []
         self.ended = threading.Event()
@@ -59,12 +71,29 @@
 
     def _reserve_daemon(self):
         """Chooses and reserves a daemon; None if two or fewer are free, so that two stay up."""
-        free = [name for name in self.deployment.processes if name not in self.reserved]
-        name = self.rng.choice(free) if len(free) > 2 else None
-        if name:
-            self.reserved.add(name)
+        with self.lock:
+            free = [name for name in self.deployment.processes if name not in self.reserved]
+            name = self.rng.choice(free) if len(free) > 2 else None
+            if name:
+                self.reserved.add(name)
         return name
 
+    def remove_agent(self, rng, how, preferred):
+        """Removes an agent by a signal, without waiting for its end; False if too few are free.
+
+        It is one of preferred if any of these is free.
+        """
+        with self.lock:
+            free = [name for name in self.deployment.processes if name not in self.reserved]
+            agents = [name for name in free if name in self.deployment.workers]
+            if len(free) <= 2 or not agents:
+                return False
+            name = rng.choice([name for name in agents if name in preferred] or agents)
+            self.reserved.add(name)
+            self.removed.append((time.monotonic(), name, how))
+        self.deployment.processes[name].send_signal(how)
+        return True
+
     def _random_worker(self):
         return self.rng.choice(list(self.deployment.workers.values()))
 
@@ -163,12 +192,14 @@
         share = rng.uniform(*LATE_SHARES)
         worker.is_late = lambda path, body: rng.random() < share
         worker.note(f"{share:.2f} of the calls are late")
+        self.late_workers.add(worker)
         if rng.random() < 0.5:
             self._start_thread(self._restart_later, worker, rng.uniform(*RESTART_DELAY_S),
                                rng.uniform(*DOWN_S))
 
         def undo():
             worker.is_late = lambda path, body: False
+            self.late_workers.discard(worker)
         return undo
 
     def fault_worker_restart_and_cut(self):
@@ -222,25 +253,29 @@
 class Soak:
     """One run with a seed."""
 
-    def __init__(self, seed, seconds, net, often=(), long_share=LONG_SHARE):
+    def __init__(self, seed, seconds, net, often=(), long_share=LONG_SHARE, only=()):
         self.rng = random.Random(seed)
         # Faults that are five times as likely as others.
-        self.often = sorted(often) * 4
-        self.seconds, self.long_share = seconds, long_share
+        self.often = sorted(set(often) - {REMOVE}) * 4
+        # Faults to which the run is limited, all if empty.
+        self.only = only
+        self.seed, self.seconds, self.long_share = seed, seconds, long_share
+        self.removals_likely = REMOVE in (*often, *only)
         directory = os.path.join(ROOT, "run", f"soak-{seed}")
         shutil.rmtree(directory, ignore_errors=True)
         self.deployment = QueueDeployment(directory, BUILD, net, workers=WORKERS, entries=ENTRIES)
         for worker in self.deployment.workers.values():
             worker.stop_delay_s = self.rng.choice(STOP_DELAYS_S)
+        self.canceller = Canceller(self.deployment, ENTRIES)
+        self.cancel_check = CancelCheck(self.deployment, self.canceller)
         # Times at which the cancelling of a job was acknowledged, and at which the faults ended.
-        self.cancel_acks, self.calm_since = {}, 0.0
+        self.cancel_acks, self.calm_since = self.canceller.acks, 0.0
         self.accepted, self.cancelled, self.failing, self.refused = {}, set(), set(), set()
         self.crashing = set()
         self.job_ids = (f"{seed & 0xffffffff:08x}{n:08x}" for n in itertools.count(1))
         self.load_ended = threading.Event()
         self.tally = {}
-        # (time, job) of the long jobs to cancel.
-        self.cancellations = []
+        self.removed = []
         self.config_check = ConfigCheck(self.deployment, ENTRIES, seed)
 
     def _submit(self, rng):
@@ -264,24 +299,22 @@
         elif all(code in (429, 503) for code in codes):
             self.refused.add(job)
         if 200 in codes and rng.random() < CANCELLED_SHARE:
-            self._cancel(job, rng.randint(1, ENTRIES))
+            self.cancel(job, rng.randint(1, ENTRIES))
         elif 200 in codes and cancel_delay_s:
-            self.cancellations.append((time.monotonic() + cancel_delay_s, job))
+            self.cancel(job, int(job, 16) % ENTRIES + 1, cancel_delay_s)
 
-    def _cancel(self, job, entry):
+    def cancel(self, job, entry, delay_s=0.0):
+        """Lets a job be cancelled after a delay, or at the end of the load if that comes first."""
         self.cancelled.add(job)
-        code, _ = self.deployment.request("DELETE", f"/jobs/{job}", entry=entry)
-        if code in (200, 410):
-            self.cancel_acks[job] = time.monotonic()
-
-    def _cancel_due_jobs(self):
-        """Cancels the long jobs whose time has come, and those that are left after the load."""
-        while not self.load_ended.wait(0.05) or self.cancellations:
-            due = [item for item in self.cancellations
-                   if item[0] <= time.monotonic() or self.load_ended.is_set()]
-            for item in due:
-                self.cancellations.remove(item)
-                self._cancel(item[1], int(item[1], 16) % ENTRIES + 1)
+        self.canceller.cancel(job, entry, delay_s)
+
+    def submit_job(self, job, run_ms, tasks, rng):
+        """Submits a job of one step beside the load; returns whether it was accepted."""
+        steps = [{"count": tasks, "cpu": 250}]
+        if self.deployment.submit(job, {"ms": run_ms}, steps, rng.randint(1, ENTRIES)) != 200:
+            return False
+        self.accepted[job] = time.monotonic()
+        return True
 
     def _make_long(self, job, spec, steps):
         """Lets some jobs run for seconds; returns the time until such a job is cancelled, or None.
@@ -301,6 +334,8 @@
         The numbers come from the job's id, so that the other choices of a seed stay as they were.
         """
         rng = random.Random(int(job, 16))
+        if self.only and "worker_crash" not in self.only:
+            return
         if rng.random() < CRASHING_SHARE:
             spec.update(crashes=["0.0"], crash_ms=rng.choice((0, 10, 10)))
             self.crashing.add(job)
@@ -314,22 +349,47 @@
     def _inject_faults(self):
         faults = Faults(self.deployment, self.rng)
         self.config_check.reserved = faults.reserved
+        self.cancel_check.late_workers = faults.late_workers
+        removals = Removals(self, faults, self.seed, self.removals_likely)
+        if not self.only or REMOVE in self.only:
+            removals.start()
+        names = [name for name in sorted(faults.injectors) + self.often
+                 if not self.only or name in self.only]
         until_s = time.monotonic() + self.seconds
         active_faults = []
         while time.monotonic() < until_s:
-            name = self.rng.choice(sorted(faults.injectors) + self.often)
-            self.tally[name] = self.tally.get(name, 0) + 1
-            active_faults.append((time.monotonic() + self.rng.uniform(*FAULT_HOLD_S),
-                                  faults.injectors[name]()))
+            if names:
+                name = self.rng.choice(names)
+                self.tally[name] = self.tally.get(name, 0) + 1
+                active_faults.append((time.monotonic() + self.rng.uniform(*FAULT_HOLD_S),
+                                      self._inject(faults, name)))
             time.sleep(self.rng.uniform(*FAULT_GAP_S))
             for fault in [fault for fault in active_faults if fault[0] <= time.monotonic()]:
                 fault[1]()
                 active_faults.remove(fault)
         for _, undo in active_faults:
             undo()
+        removals.end()
         faults.end()
+        self.removed = faults.removed
+        self.tally[REMOVE] = len(self.removed)
         self.calm_since = time.monotonic()
 
+    def _inject(self, faults, name):
+        """Injects a fault, and notes its time unless the check of cancellations sees it itself.
+
+        Planned stops are no disturbance to that check.
+        """
+        if name == "stop" or name.startswith("worker_"):
+            return faults.injectors[name]()
+        end = self.cancel_check.disturb()
+        undo = faults.injectors[name]()
+
+        def undo_and_note():
+            undo()
+            end()
+        return undo_and_note
+
     def _is_expected_state(self, job, state):
         if job in self.cancelled:
             return state in ("cancelled", "completed", "failed")
@@ -372,6 +432,8 @@
                        if starts.count(f"{job}.0.0.0") > CRASHING_STARTS_MAX]
         violations += self.find_runs_of_ended_jobs()
         violations += self.find_late_orders()
+        self.cancel_check.finish()
+        violations += self.cancel_check.find_outlasting_runs()
         violations += [f"{name}: an end was acknowledged to another incarnation: {ack}"
                        for name, worker in self.deployment.workers.items()
                        for ack in worker.acks_of_others]
@@ -441,7 +503,9 @@
                 lines += [(at, f"{name} {text}") for at, text in worker.notes]
                 lines += [(end[1], f"{name} noted without a lapse: {end[2]} run {end[3]}")
                           for end in worker.noted_ends if end[4] == "done"]
+        lines += [(at, f"cancelling: {job}") for job, at in self.canceller.sent.items()]
         lines += [(at, f"cancelled: {job}") for job, at in self.cancel_acks.items()]
+        lines += [(at, f"{name} is removed by {how.name}") for at, name, how in self.removed]
         lines.append((self.calm_since, "faults are undone"))
         with open(os.path.join(self.deployment.directory, "workers.log"), "w",
                   encoding="utf-8") as file:
@@ -464,14 +528,15 @@
                 lambda: self.deployment.ready(1) and self.deployment.ready(2), READY_TIMEOUT_S)
             threads = [threading.Thread(target=self._load, args=(self.rng.random(),), daemon=True)
                        for _ in range(3)]
-            threads.append(threading.Thread(target=self._cancel_due_jobs, daemon=True))
             for thread in threads:
                 thread.start()
             self.config_check.start()
+            self.cancel_check.start()
             self._inject_faults()
             self.load_ended.set()
             for thread in threads:
                 thread.join(20)
+            self.canceller.finish()
             violations = self.find_violations() if ready else ["the daemons were not ready in time"]
             violations += self.config_check.finish(self.calm_since)
         finally:
@@ -489,17 +554,23 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--often", action="append", default=[], metavar="FAULT",
                         help="a fault that is five times as likely as others")
+    parser.add_argument("--only", action="append", default=[], metavar="FAULT",
+                        choices=[REMOVE, *(name[6:] for name in dir(Faults)
+                                           if name.startswith("fault_"))],
+                        help="limits the faults to this one; may be repeated")
     parser.add_argument("--long-share", type=float, default=LONG_SHARE,
                         help="share of jobs that run for seconds, half of which are cancelled")
     parser.add_argument("--net", type=int, default=220)
     args = parser.parse_args()
     failed_seeds = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        soak = Soak(seed, args.seconds, args.net, args.often, args.long_share)
+        soak = Soak(seed, args.seconds, args.net, args.often, args.long_share, args.only)
         violations = soak.run()
         failed_seeds += bool(violations)
         print(f"seed {seed}: {len(soak.accepted)} jobs accepted, {len(soak.refused)} refused, "
-              f"{sum(soak.tally.values())} faults, {soak.config_check.looks} looks at queues, "
+              f"{sum(soak.tally.values())} faults, {len(soak.removed)} agents removed, "
+              f"{soak.config_check.looks} looks at queues, {len(soak.canceller.sent)} cancelled, "
+              f"{soak.cancel_check.count_late_acks()} of these without an answer in time, "
               f"{len(violations)} violations", flush=True)
         for violation in sorted(set(violations))[:10]:
             print(f"  {violation}")
