--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -1,10 +1,12 @@
 """Short soak runs: each accepted job reaches its expected state under random faults."""
 
 import itertools
+import os
 import time
 from types import SimpleNamespace
 
 import pytest
+from cancel_check import CancelCheck
 from config_check import ConfigCheck
 from hub import QueueDeployment
 import soak as rig
@@ -12,8 +14,9 @@
 from standins import Worker, call
 
 FAULTS_DURATION_S = 6
-# Second octets of the loopback addresses of the deployments.
-FREE_NETS = itertools.count(211)
+# Second octets of the loopback addresses; TEST_NET_OFFSET separates the runs of several checkouts.
+FIRST_NET, NETS = 211 + int(os.environ.get("TEST_NET_OFFSET", "0")), 5
+FREE_NETS = itertools.cycle(range(FIRST_NET, FIRST_NET + NETS))
 
 
 # Calls that the next incarnation of a worker carries out late.
@@ -27,6 +30,14 @@
     assert soak.accepted
 
 
+def test_removed_agents_and_planned_stops():
+    """Nothing else disturbs, so that the check of cancellations applies all the time."""
+    soak = Soak(60001, FAULTS_DURATION_S, next(FREE_NETS), only=("remove", "stop"))
+    assert soak.run() == []
+    assert soak.accepted
+    assert soak.removed
+
+
 JOB = "00000000000000d0"
 TASK = f"{JOB}.0.0.0"
 
@@ -113,3 +124,40 @@
     check.disturbed = {1: now - calm_s}
     check._check(1, "q1", code, now, known)
     assert len(check.violations) == found
+
+
+# Times in seconds from the acknowledgement; a worker's stop takes 0.2 s, so that 3.5 s are allowed.
+@pytest.mark.parametrize("run, disturbed, late, code, found", [
+    ((-1, 3.4), [], False, 200, 0), ((-1, 3.6), [], False, 200, 1), ((-1, 3.6), [], False, 410, 0),
+    ((-1, 3.6), [("", -4, -3.1)], False, 200, 1), ((-1, 3.6), [("", -4, -2)], False, 200, 0),
+    ((-1, 3.6), [("", 2, 2.1)], False, 200, 0), ((-1, 3.6), [("agent-1", 2, 2.1)], False, 200, 0),
+    ((-1, 3.6), [("agent-2", 2, 2.1)], False, 200, 1), ((-1, 9.5), [("", 2, 2.1)], False, 200, 1),
+    ((3.6, 3.7), [], False, 200, 1), ((-1, 3.6), [], True, 200, 0), ((1, 8), [], True, 200, 1),
+    ((-1, None), [], False, 200, 1)])
+def test_the_soak_finds_runs_that_outlast_an_acknowledgement(worker, run, disturbed, late, code,
+                                                             found):
+    acked = time.monotonic() - 10
+    start, end = run
+    worker.history = [("start", acked + start, TASK, 1, "")]
+    worker.history += [("end", acked + end, TASK, 1, "lapsed")] if end else []
+    worker.late_starts = [(TASK, 1, worker.incarnation)] if late else []
+    canceller = SimpleNamespace(codes={JOB: code}, acks={JOB: acked}, sent={JOB: acked - 1})
+    check = CancelCheck(SimpleNamespace(workers={"agent-1": worker}), canceller)
+    check.disturbances["agent-2"] = []
+    check.began = acked - 9
+    for name, began, ended in disturbed:
+        check.disturbances[name].append([acked + began, acked + ended])
+    assert len(check.find_outlasting_runs()) == found
+
+
+@pytest.mark.parametrize("waited_s, disturbed, late", [
+    (3.9, [], 0), (4.1, [], 1), (4.1, [("", 2, 2.1)], 0), (4.1, [("agent-1", 2, 2.1)], 1),
+    (9.5, [("", 2, 2.1)], 1), (4.1, [("", -4, -2)], 0)])
+def test_the_soak_counts_late_acknowledgements(worker, waited_s, disturbed, late):
+    sent = time.monotonic() - 10
+    canceller = SimpleNamespace(codes={JOB: 200}, acks={JOB: sent + waited_s}, sent={JOB: sent})
+    check = CancelCheck(SimpleNamespace(workers={"agent-1": worker}), canceller)
+    check.began = sent - 9
+    for name, began, ended in disturbed:
+        check.disturbances[name].append([sent + began, sent + ended])
+    assert check.count_late_acks() == late
