--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -347,7 +347,8 @@
 	expect_next_poll_to_acknowledge(0);
 	answer_poll();
 	tick_later();
-	EXPECT_NE(row().find("\"owner\":\"w1\""), std::string::npos) << "its next process has the end";
+	EXPECT_NE(row().find("\"owner\":\"w1\""), std::string::npos)
+		<< "its next process has the end";
 	EXPECT_FALSE(lug_executor_can_exit(exec)) << "before the time for its shutdown is over";
 }
 
