A report under another id than that of the worker's incarnation ends no runs

The owner logs run_lost "received by its worker's agent, which does not hold it" (heard_ms=0) and starts the next run; the agent then logs runs_unexpected, since the worker lists the first run as running.

Cause: exec_update_worker_id() removes the runs whose starts are not answered, as a start sent under a former id can't take effect. It did so although the incarnation was the same.

Change: runs are removed only if the id is that of another incarnation.

Left open: a well-formed report under another id is still taken for that of the worker until its next own one, so that polls get 421 meanwhile.

--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -77,15 +77,18 @@
  */
 void exec_update_worker_id(struct lug_executor *exec, const char *id, gint64 now_us)
 {
-	gboolean is_first = !*exec->worker_id;
+	/* An incarnation keeps its id: another one is that of an odd report, which ends no runs. */
+	gboolean is_successor = *exec->worker_id && !exec_is_id_known(exec);
 
 	exec->id_incarnation = exec->worker_incarnation;
 	if (!strcmp(id, exec->worker_id))
 		return;
 	g_free(exec->worker_id);
 	exec->worker_id = g_strdup(id);
+	if (!is_successor)
+		return;
 	exec->late_start_until_us = 0;
-	for (guint i = exec->runs->len; !is_first && i-- > 0;) {
+	for (guint i = exec->runs->len; i-- > 0;) {
 		struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
 		run->late_start_until_us = 0;
--- a/tests/integration/test_odd_entries.py
+++ b/tests/integration/test_odd_entries.py
@@ -96,11 +96,44 @@
                 json.dumps(good).encode()[:-1] + b',"x":' + DEEP):
         code, answer = call("PUT", url, raw)
         assert code == 400 and answer["remedy"], raw[:60]
+    assert call("PUT", url.replace(worker.id, "%ff%fe"), good)[0] == 400
     # The heartbeats of the worker still count: a refused one would have shrunk its room.
     runs_job(deployment, "a" * 16)
     assert pids(deployment) == before
 
 
+def answer_starts_late(worker):
+    perform = worker.perform
+
+    def answer_late(path, body, headers):
+        answer = perform(path, body, headers)
+        time.sleep(0.5 if path == "/run-start" else 0)
+        return answer
+
+    worker.perform = answer_late
+
+
+@pytest.mark.parametrize("name", ["i-other", "%ff%fe"], ids=["another-id", "unreadable-id"])
+def test_reports_under_another_id_end_no_runs(start_queue_deployment, name):
+    """Such a report is like the worker's own otherwise, and comes while starts have no answer yet."""
+    deployment = start_queue_deployment(workers=3, shards=1)
+    for worker in deployment.workers.values():
+        answer_starts_late(worker)
+    for number in range(8):
+        started = len(deployment.history())
+        assert deployment.submit(f"{number:016x}", {"ms": 2500}, [{"count": 6, "cpu": 200}]) == 200
+        deployment.wait_until(lambda: len(deployment.history()) >= started + 6, 1)
+        for worker in deployment.workers.values():
+            worker.seq += 1
+            call("PUT", f"http://{worker.heartbeat_address}/instances/{name}",
+                 {"service": "pool", "born": worker.incarnation, "seq": worker.seq, "state": "ready",
+                  "address": "x", "room": {"cpu": 4000, "mem_mb": 4096, "gpu": 0}, "labels": []})
+        time.sleep(0.3)
+    for number in range(8):
+        wait_for_state(deployment, f"{number:016x}")
+    assert deployment.violations() == []
+
+
 ODD_VALUES = {
     "deep": DEEP, "deep-object": DEEP_OBJECT, "too-large": b'{"epoch":' + TOO_LARGE + b"}",
     "float": b'{"epoch":1e999}', "text": b"\xff\x00not JSON", "array": b"[1,2]", "empty": b"",
