Log which ends are acknowledged to a worker, by whose word, and what a later run replaces

- ends_acknowledged (agent): each end with its number, outcome, and the shard's epoch in the owner's acknowledgement, which now carries that epoch and whether the end has changed anything;
- end_ignored (owner): why, and which run of the task counts.
Once an end, not for each repetition;
- runs_started: a second or later run names how the one before has ended, where, and for how long the owner has known that.

--- a/liblug/wire/inner.pb-c.c
+++ b/liblug/wire/inner.pb-c.c
@@ -6410,7 +6410,7 @@
   (ProtobufCMessageInit) lug__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lug__run_end_ack__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lug__run_end_ack__field_descriptors[4] =
 {
   {
     "shard",
@@ -6436,15 +6436,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Lug__RunEndAck, has_epoch),
+    offsetof(Lug__RunEndAck, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "obsolete",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Lug__RunEndAck, has_obsolete),
+    offsetof(Lug__RunEndAck, obsolete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lug__run_end_ack__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
   1,   /* field[1] = id */
+  3,   /* field[3] = obsolete */
   0,   /* field[0] = shard */
 };
 static const ProtobufCIntRange lug__run_end_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lug__run_end_ack__descriptor =
 {
@@ -6454,7 +6480,7 @@
   "Lug__RunEndAck",
   "lug",
   sizeof(Lug__RunEndAck),
-  2,
+  4,
   lug__run_end_ack__field_descriptors,
   lug__run_end_ack__field_indices_by_name,
   1,  lug__run_end_ack__number_ranges,
--- a/liblug/wire/inner.pb-c.h
+++ b/liblug/wire/inner.pb-c.h
@@ -1401,10 +1401,20 @@
   protobuf_c_boolean has_shard;
   uint32_t shard;
   Lug__RunId *id;
+  /*
+   * Epoch of the shard under which the outcome is committed.
+   */
+  protobuf_c_boolean has_epoch;
+  uint64_t epoch;
+  /*
+   * The end changed nothing: the task or its job had ended, or another run of it counts.
+   */
+  protobuf_c_boolean has_obsolete;
+  protobuf_c_boolean obsolete;
 };
 #define LUG__RUN_END_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lug__run_end_ack__descriptor) \
-    , 0, 0, NULL }
+    , 0, 0, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/liblug/workflow/executor_log.c
+++ b/liblug/workflow/executor_log.c
@@ -82,6 +82,45 @@
 		g_string_append(list, ",...");
 }
 
+/**
+ * exec_list_end - append the end of a run to a list for a log line, as
+ * NUMBER=NAME:OUTCOME@SHARD.EPOCH with the epoch under which the owner has stored it, and "!" if it
+ * has changed nothing; "..." stands for further ends once the list is full
+ */
+void exec_list_end(GString *list, const struct exec_end *end)
+{
+	char name[LUG_RUN_NAME_SIZE];
+
+	if (list->len > RUN_LIST_MAX_BYTES)
+		return;
+	lug_run_name(&end->id, name, sizeof(name));
+	g_string_append_printf(list, "%s%" G_GUINT64_FORMAT "=%s:%s@%u.%" G_GUINT64_FORMAT "%s",
+			       list->len ? "," : "", end->number, name,
+			       lug_run_outcome_name(end->outcome), end->shard, end->stored_epoch,
+			       end->is_obsolete ? "!" : "");
+	if (list->len > RUN_LIST_MAX_BYTES)
+		g_string_append(list, ",...");
+}
+
+/**
+ * exec_log_acknowledgement - log the ends that the poll about to be sent acknowledges, unless an
+ * earlier one has, and what is left of the worker's lease
+ */
+void exec_log_acknowledgement(struct lug_executor *exec, gint64 now_us)
+{
+	char numbers[4][NUMBER_SIZE];
+
+	if (!exec->acked_ends->len)
+		return;
+	lug_info(exec->ctx, "ends_acknowledged", "worker", exec->worker_id, "incarnation",
+		 format_number(numbers[0], (gint64)exec->worker_incarnation), "up_to",
+		 format_number(numbers[1], (gint64)exec->acked_end_number), "lease_epoch",
+		 format_number(numbers[2], (gint64)lug_writer_epoch(exec->writer)), "left_ms",
+		 format_number(numbers[3], MAX(exec->granted_until_us - now_us, 0) / 1000), "ends",
+		 exec->acked_ends->str);
+	g_string_truncate(exec->acked_ends, 0);
+}
+
 /**
  * exec_log_runs - log an event of the runs of a list, if there are any
  */
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -314,8 +314,10 @@
 			i++;
 			continue;
 		}
-		if (is_current)
+		if (is_current) {
 			exec->acked_end_number = end->number;
+			exec_list_end(exec->acked_ends, end);
+		}
 		g_ptr_array_remove_index(exec->ends, i);
 	}
 	return exec->acked_end_number;
@@ -376,6 +378,8 @@
 	acked = prune_acked_ends(exec, now_us);
 	if (known_up && *poll.worker && acked > exec->acknowledged_number)
 		poll.acked_end_number = acked;
+	if (poll.acked_end_number)
+		exec_log_acknowledgement(exec, now_us);
 	exec->poll_until_us = 0;
 	if (may_renew(exec, known_up, now_us))
 		add_renewal(exec, &poll);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -184,6 +184,8 @@
  * @unconfirmed: the worker had not confirmed the start of a run that ended by its crash
  * @checkpoint: last checkpoint
  * @is_stored: the owner has acknowledged that it has stored the end
+ * @stored_epoch: epoch of the shard under which it has done so
+ * @is_obsolete: and that the end has changed nothing
  * @listed_us: when a poll first listed the end, 0 for a run whose worker crashed
  * @sent_us: last time that the end was sent to the owner
  */
@@ -197,6 +199,8 @@
 	gboolean unconfirmed;
 	char *checkpoint;
 	gboolean is_stored;
+	guint64 stored_epoch;
+	gboolean is_obsolete;
 	gint64 listed_us;
 	gint64 sent_us;
 };
@@ -298,6 +302,7 @@
  *               lug_writer_rewrite(); 0 for a former process
  * @last_answer_us: time of the latest answer to a poll
  * @acked_end_number: ends up to this number are stored by the owners of their shards
+ * @acked_ends: list of the ends that the next acknowledgement adds, for its log line
  * @acknowledged_number: ends up to this number are acknowledged to the worker
  * @last_end_number: number of the latest end received
  * @sent_heartbeat_seq: number of the agent's latest heartbeat to owners
@@ -393,6 +398,7 @@
 	guint64 settled_txn;
 	gint64 last_answer_us;
 	guint64 acked_end_number;
+	GString *acked_ends;
 	guint64 acknowledged_number;
 	guint64 last_end_number;
 	guint64 sent_heartbeat_seq;
@@ -475,6 +481,8 @@
 void exec_log_unanswered(const struct lug_executor *exec, const char *event,
 			 const struct lug_run_id *id, guint64 token, guint64 incarnation);
 void exec_log_unanswered_poll(const struct lug_executor *exec);
+void exec_list_end(GString *list, const struct exec_end *end);
+void exec_log_acknowledgement(struct lug_executor *exec, gint64 now_us);
 void exec_list_run(GString *list, const struct exec_run *run, gint64 now_us);
 void exec_log_runs(const struct lug_executor *exec, const char *event, const GString *list,
 		   const char *reason);
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -107,8 +107,11 @@
 	for (guint i = 0; i < exec->ends->len; i++) {
 		struct exec_end *end = g_ptr_array_index(exec->ends, i);
 
-		if (lug_run_equal(&end->id, &id))
-			end->is_stored = TRUE;
+		if (!lug_run_equal(&end->id, &id))
+			continue;
+		end->is_stored = TRUE;
+		end->stored_epoch = ack->epoch;
+		end->is_obsolete = ack->obsolete;
 	}
 	if (!exec->poll_in_flight && !exec_has_unacked_ends(exec, lug_now_us()))
 		exec_schedule_poll(exec, 0, lug_now_us());
--- a/liblug/workflow/executor_restart.c
+++ b/liblug/workflow/executor_restart.c
@@ -179,6 +179,7 @@
 	/* Its heartbeats are numbered anew, also when a poll shows it first. */
 	exec->worker_heartbeat_seq = 0;
 	exec->acked_end_number = 0;
+	g_string_truncate(exec->acked_ends, 0);
 	exec->acknowledged_number = 0;
 	exec->renewed_until_us = 0;
 	exec->last_end_number = 0;
--- a/liblug/workflow/shard_ack.c
+++ b/liblug/workflow/shard_ack.c
@@ -2,9 +2,13 @@
 
 /**
  * shard_send_ack - acknowledge to an agent that the end of a run is stored
+ * @shard: shard
+ * @route: destination
+ * @id: run
+ * @obsolete: the end has changed nothing
  */
 void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
-		    const struct lug_run_id *id)
+		    const struct lug_run_id *id, gboolean obsolete)
 {
 	Lug__RunEndAck ack = LUG__RUN_END_ACK__INIT;
 	Lug__RunId run;
@@ -14,6 +18,10 @@
 	ack.has_shard = 1;
 	ack.shard = shard->number;
 	ack.id = &run;
+	ack.has_epoch = 1;
+	ack.epoch = lug_shard_epoch(shard);
+	ack.has_obsolete = obsolete;
+	ack.obsolete = obsolete;
 	lug_count(shard->shared.ctx, ENDS_ACKNOWLEDGED, 1);
 	lug_link_send(shard->shared.link, route, &env);
 }
@@ -28,9 +36,11 @@
  * A former owner that has not learned of its successor does not know the successor's runs. Its
  * acknowledgement would make the agent forget an end that the successor needs, so it is sent once a
  * later commit has shown that this process still owns the shard.
+ *
+ * Return: FALSE when its acknowledgement is pending already.
  */
-void shard_add_obsolete_end(struct lug_shard *shard, const struct lug_route *route,
-			    const struct lug_run_id *id, gint64 now_us)
+gboolean shard_add_obsolete_end(struct lug_shard *shard, const struct lug_route *route,
+				const struct lug_run_id *id, gint64 now_us)
 {
 	struct shard_obsolete_end end = {*route, *id, now_us};
 
@@ -38,8 +48,9 @@
 		if (lug_run_equal(
 			    &g_array_index(shard->obsolete_ends, struct shard_obsolete_end, i).id,
 			    id))
-			return;
+			return FALSE;
 	g_array_append_val(shard->obsolete_ends, end);
+	return TRUE;
 }
 
 /**
@@ -55,7 +66,7 @@
 
 		if (end->received_us > renewed_us)
 			continue;
-		shard_send_ack(shard, &end->route, &end->id);
+		shard_send_ack(shard, &end->route, &end->id, TRUE);
 		g_array_remove_index_fast(shard->obsolete_ends, i);
 	}
 }
--- a/liblug/workflow/shard_beat.c
+++ b/liblug/workflow/shard_beat.c
@@ -25,6 +25,7 @@
 	lug_info(shard->shared.ctx, "run_lost", "job", id->job, "run", name, "worker", task->worker,
 		 "reason", reason, "heard_ms", heard_ms, "lease_epoch", lease_epoch);
 	lug_count(shard->shared.ctx, TASKS_LOST, 1);
+	shard_note_former_run(task, "lost", now_us);
 	shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
 	shard_job_mark_changed(shard, job);
 }
--- a/liblug/workflow/shard_commit.c
+++ b/liblug/workflow/shard_commit.c
@@ -24,7 +24,7 @@
 		}
 		worker = lug_fleet_find(shard->shared.fleet, ack->worker);
 		if (worker && worker->incarnation)
-			shard_send_ack(shard, &worker->route, &ack->id);
+			shard_send_ack(shard, &worker->route, &ack->id, ack->obsolete);
 		g_array_remove_index_fast(job->pending_acks, i);
 	}
 }
@@ -53,6 +53,25 @@
 		g_string_append(runs, ",...");
 }
 
+/*
+ * Appends a start. For a second or later run, <HOW@WORKER+AGE follows: how the run before has ended
+ * and for how long this owner has known that, or <stored if a former owner has stored it.
+ */
+static void note_start(GString *runs, const struct shard_task *task, const struct lug_run_id *id,
+		       gint64 now_us)
+{
+	const struct shard_former_run *former = &task->former;
+
+	shard_note_run(runs, id, task->worker, NULL, 0);
+	if (id->run == 1 || runs->len > RUN_LIST_MAX_BYTES)
+		return;
+	if (former->how)
+		g_string_append_printf(runs, "<%s@%s+%" G_GINT64_FORMAT "ms", former->how,
+				       former->worker, (now_us - former->ended_us) / 1000);
+	else
+		g_string_append(runs, "<stored");
+}
+
 /**
  * shard_log_run_list - log the runs of a list, if there are any, and empty it
  */
@@ -77,6 +96,7 @@
 	if (!worker || !lug_fleet_is_evacuated(worker, shard_evacuation(shard)))
 		return FALSE;
 	shard_log_run(shard, "claim_returned", id, task->worker, "reason", "the zone is evacuated");
+	shard_note_former_run(task, "returned", lug_now_us());
 	shard_release_claim(shard, job, task, &job->workflow->steps[id->step]);
 	shard_job_mark_changed(shard, job);
 	return TRUE;
@@ -104,7 +124,7 @@
 				if (return_evacuated_claim(shard, job, task, &id))
 					continue;
 				shard_send_start(shard, job, task, &id, now_us);
-				shard_note_run(runs, &id, task->worker, NULL, 0);
+				note_start(runs, task, &id, now_us);
 			}
 	}
 	shard_log_run_list(shard, job, "runs_started", runs);
--- a/liblug/workflow/shard_outcome.c
+++ b/liblug/workflow/shard_outcome.c
@@ -100,6 +100,15 @@
 	task->move.slow_since_us = 0;
 }
 
+/**
+ * shard_note_former_run - note how the run of a claimed task has ended, before its claim is
+ * released
+ */
+void shard_note_former_run(struct shard_task *task, const char *how, gint64 now_us)
+{
+	task->former = (struct shard_former_run){how, task->worker, now_us};
+}
+
 /**
  * shard_mark_begun - note that the worker has started a task, and so its job
  */
@@ -232,8 +241,10 @@
 	}
 	if (outcome == LUG_RUN_DONE)
 		shard_learn_run_time(shard, job, task, id, now_us);
-	if (task->state == SHARD_TASK_CLAIMED)
+	if (task->state == SHARD_TASK_CLAIMED) {
+		shard_note_former_run(task, lug_run_outcome_name(outcome), now_us);
 		shard_release_claim(shard, job, task, step);
+	}
 	if (worker && outcome == LUG_RUN_DONE)
 		worker->failures = 0;
 	if (outcome == LUG_RUN_FAILED) {
@@ -287,6 +298,44 @@
 	shard_release_claim(shard, job, task, &job->workflow->steps[done->step]);
 }
 
+/* Why the end of a run changes nothing. */
+static const char *ignored_reason(const struct lug_shard *shard, const struct shard_job *job,
+				  const struct shard_task *task, const struct lug_run_id *id)
+{
+	if (!job)
+		return g_hash_table_contains(shard->ended_jobs, id->job) ? "its job has ended"
+									 : "its job is not known";
+	if (!task || task->state == SHARD_TASK_DONE)
+		return "its task is done";
+	if (task->run < id->run)
+		return "its run is not known";
+	return task->state == SHARD_TASK_WAITING ? "its task waits for the next run"
+						 : "another run of its task is claimed";
+}
+
+static void log_ignored_end(struct lug_shard *shard, const struct shard_job *job,
+			    const struct shard_task *task, const struct lug_run_id *id,
+			    const char *worker, const Lug__RunEnd *end)
+{
+	char name[LUG_RUN_NAME_SIZE];
+	char current[16];
+
+	lug_run_name(id, name, sizeof(name));
+	g_snprintf(current, sizeof(current), "%u", task ? task->run : 0);
+	lug_info(shard->shared.ctx, "end_ignored", "job", id->job, "run", name, "worker", worker,
+		 "outcome", lug_run_outcome_name((enum lug_run_outcome)end->outcome), "current_run",
+		 current, "reason", ignored_reason(shard, job, task, id));
+}
+
+/* Whether the acknowledgement of a run's end waits for a commit; the agent has resent the end. */
+static gboolean is_ack_pending(const struct shard_job *job, const struct lug_run_id *id)
+{
+	for (guint i = 0; i < job->pending_acks->len; i++)
+		if (lug_run_equal(&g_array_index(job->pending_acks, struct shard_ack, i).id, id))
+			return TRUE;
+	return FALSE;
+}
+
 /**
  * lug_shard_on_run_end - apply the end of a run
  * @shard: shard
@@ -322,8 +371,11 @@
 		apply_run_end(shard, job, task, &ack.id, end, now_us);
 	} else if (!job || job->revision == job->committed_revision) {
 		/* The report is repeated or obsolete, and all changes of the job are stored. */
-		shard_add_obsolete_end(shard, route, &ack.id, now_us);
+		if (shard_add_obsolete_end(shard, route, &ack.id, now_us))
+			log_ignored_end(shard, job, task, &ack.id, worker, end);
 		return;
+	} else {
+		ack.obsolete = TRUE;
 	}
 	if (fleet_worker && end->used) {
 		struct lug_resources used;
@@ -331,11 +383,10 @@
 		lug_resources_from_wire(end->used, &used);
 		lug_fleet_set_used(fleet_worker, &used);
 	}
-	/* The agent has resent an end whose acknowledgement is pending. */
-	for (guint i = 0; i < job->pending_acks->len; i++)
-		if (lug_run_equal(&g_array_index(job->pending_acks, struct shard_ack, i).id,
-				  &ack.id))
-			return;
+	if (is_ack_pending(job, &ack.id))
+		return;
+	if (ack.obsolete)
+		log_ignored_end(shard, job, task, &ack.id, worker, end);
 	g_strlcpy(ack.worker, worker, sizeof(ack.worker));
 	ack.revision = job->revision;
 	g_array_append_val(job->pending_acks, ack);
@@ -378,6 +429,7 @@
 			       lug_status_name((enum lug_status)answer->status),
 			       now_us - job->accepted_us);
 		lug_count(shard->shared.ctx, TASKS_REFUSED, 1);
+		shard_note_former_run(task, "refused", now_us);
 		shard_release_claim(shard, job, task, &job->workflow->steps[id.step]);
 		/* A lack of room or an evacuation is no failure of the worker. */
 		if (fleet_worker && answer->status != LUG_OVER_LIMIT) {
--- a/liblug/workflow/shard_priv.h
+++ b/liblug/workflow/shard_priv.h
@@ -48,6 +48,19 @@
 
 struct shard_job;
 
+/**
+ * struct shard_former_run - how the latest run of a task has ended, for the log line of the next
+ * one
+ * @how: outcome, or why the run counts as lost; NULL if a former owner has stored that
+ * @worker: worker of the run, interned
+ * @ended_us: when this owner learned of it
+ */
+struct shard_former_run {
+	const char *how;
+	const char *worker;
+	gint64 ended_us;
+};
+
 /**
  * struct shard_task - one task of one occurrence
  * @claim_node: in the list of claims for @worker, see struct lug_shard; empty when not claimed
@@ -73,6 +86,7 @@
  * @confirmed: the worker's agent reserves resources for the run
  * @begun: the worker has confirmed the start
  * @failed_on: worker of the latest failed run, interned, NULL for none
+ * @former: what the owner knows of the run before the next one
  * @checkpoint: checkpoint to resume from, NULL for none
  * @not_before_us: earliest time of the next claim
  * @waiting_since_us: when a long-running task was last seen to begin waiting, 0 while it is claimed
@@ -108,6 +122,7 @@
 	gboolean confirmed;
 	gboolean begun;
 	const char *failed_on;
+	struct shard_former_run former;
 	char *checkpoint;
 	gint64 not_before_us;
 	gint64 waiting_since_us;
@@ -172,11 +187,13 @@
  * @worker: worker of the run
  * @id: run
  * @revision: revision of the job whose commit stores the end
+ * @obsolete: the end has changed nothing
  */
 struct shard_ack {
 	char worker[LUG_NAME_MAX + 1];
 	struct lug_run_id id;
 	guint64 revision;
+	gboolean obsolete;
 };
 
 /**
@@ -505,14 +522,15 @@
 void shard_send_stop(struct lug_shard *shard, const struct lug_fleet_worker *worker,
 		     const struct lug_run_id *id);
 void shard_send_ack(struct lug_shard *shard, const struct lug_route *route,
-		    const struct lug_run_id *id);
-void shard_add_obsolete_end(struct lug_shard *shard, const struct lug_route *route,
-			    const struct lug_run_id *id, gint64 now_us);
+		    const struct lug_run_id *id, gboolean obsolete);
+gboolean shard_add_obsolete_end(struct lug_shard *shard, const struct lug_route *route,
+				const struct lug_run_id *id, gint64 now_us);
 void shard_ack_obsolete_ends(struct lug_shard *shard);
 void shard_index_claim(struct lug_shard *shard, struct shard_task *task, gint64 now_us);
 struct shard_claims *shard_find_claims(const struct lug_shard *shard, const char *worker);
 struct shard_claims *shard_get_claims(struct lug_shard *shard, const char *worker);
 void shard_claims_free(gpointer data);
+void shard_note_former_run(struct shard_task *task, const char *how, gint64 now_us);
 void shard_mark_begun(struct shard_job *job, struct shard_task *task);
 void shard_confirm_reservation(struct lug_shard *shard, struct shard_task *task,
 			       const struct lug_step *step);
