--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -7,6 +7,7 @@
 import subprocess
 import time
 
+from links import Links
 from standins import Store, Worker, call
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -34,6 +35,7 @@
         self.processes = {}
         self.shards = shards
         os.makedirs(self.directory, exist_ok=True)
+        self.links = Links()
         self.store = Store(self.address(250, 8169))
         self.version = 0
         self.put_config()
@@ -43,17 +45,43 @@
             self.workers[f"agent-{number}"] = Worker(number, self.address(number, 8165),
                                                      self.address(number, 8166), cpu)
             self.workers[f"agent-{number}"].zone = self.zone(number)
-        for number in range(1, workers + 1):
-            self.start(f"agent-{number}")
-        for number in range(1, entries + 1):
-            self.start(f"entry-{number}")
+        names = [f"agent-{number}" for number in range(1, workers + 1)]
+        names += [f"entry-{number}" for number in range(1, entries + 1)]
+        for name in names:
+            self.links.add(self.advertised_address(self.host(name)),
+                           self.address(self.host(name), 7720))
+            self.start(name)
 
     # Hosts: agent and worker N at N, entry N at 100 + N, the table service at 250. Ports: 7720
     # internal connections, 7735 HTTP, 8161 submitters, 8165 worker, 8166 heartbeats of a worker,
-    # 8167 readiness, 8169 table service.
+    # 8167 readiness, 8169 table service. The proxies of internal connections have the same hosts
+    # and port in a network of their own.
     def address(self, host, port):
         return f"127.{self.net}.0.{host}:{port}"
 
+    def advertised_address(self, host):
+        return f"127.{self.net}.1.{host}:7720"
+
+    @staticmethod
+    def host(name):
+        """Host number of a daemon."""
+        role, number = name.rsplit("-", 1)
+        return int(number) + (100 if role == "entry" else 0)
+
+    def cut_off(self, name):
+        """Cuts a daemon off from all other daemons and the table service; returns an undo."""
+        own = self.host(name)
+        others = [self.host(other) for other in self.processes if other != name]
+        pairs = [pair for other in others for pair in ((own, other), (other, own))]
+        caller = self.address(own, 0)[:-2]
+        self.links.cut(pairs)
+        self.store.silent_callers = self.store.silent_callers | {caller}
+
+        def undo():
+            self.links.restore(pairs)
+            self.store.silent_callers = self.store.silent_callers - {caller}
+        return undo
+
     def zone(self, number):
         return self.zones[(int(number) - 1) % len(self.zones)]
 
@@ -70,11 +98,12 @@
         """Writes the settings of a daemon and returns the path of the file."""
         # The source is an address without port: the last two characters are ":0".
         role, number = name.rsplit("-", 1)
-        host = int(number) + (100 if role == "entry" else 0)
+        host = self.host(name)
         lines = [f"daemon: queue-{role}", f"name: {name}", "region: r",
                  f"zone: {self.zone(number)}",
                  f"source: {self.address(host, 0)[:-2]}",
-                 f"inner: {self.address(host, 7720)}", f"http: {self.address(host, 7735)}",
+                 f"inner: {self.address(host, 7720)}",
+                 f"advertise: {self.advertised_address(host)}", f"http: {self.address(host, 7735)}",
                  f"platform: {{url: 'http://{self.address(250, 8169)}', "
                  f"timeout: {self.platform_timeout}}}",
                  "beat: 300ms", f"shards: {self.shards}", "drain: 3s", "timeline: {events: 64}"]
@@ -201,6 +230,7 @@
                 bad_exits[name] = code
         for worker in self.workers.values():
             worker.close()
+        self.links.close()
         self.store.close()
         return bad_exits
 
