No end is acknowledged under a lease that counts as expired

Cause: a worker may hold its lease for longer than its agent, or the lease's row, says: after a restart under its id it carries out a call to its former incarnation, and reads the end of the lease in it on a new clock. While contact is lost, the agent reports such a run as crashed with its lease, or an owner fences the row, and the task starts elsewhere. Contact returned within the longer lease, and the agent acknowledged the end of the run, which made it final although a later run had started. An agent that came back also acknowledged ends before it knew whether its row was fenced.

The unit tests of ExecutorLapseTest that ask for the wait fail without it.

Change: what counts as lost stays lost. While the worker may hold a lease under which runs count as lost, its agent grants none, starts nothing and acknowledges nothing: from the fencing of the row, or from a list that names a run as running or done which counts as lost, until the lease must have lapsed (lapse_awaited). The lease's row says so to the agent's next process. Acknowledgements need a valid row, as renewals do. An end that the lease outlives is then separated from its acknowledgement by a lapse, whichever call has made the lease longer.

In five unit tests the worker listed ends of runs that were never started, which now count as lost; they start these runs first, and check the same.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -253,8 +253,9 @@
 gboolean exec_is_accepting(const struct lug_executor *exec, gint64 now_us)
 {
 	if (exec->shutting_down || exec->draining || exec->worker_exiting || exec->worker_down ||
-	    !exec->clock_at_us || !exec_is_id_known(exec) || !exec_is_settled(exec) ||
-	    !exec_may_grant(exec) || exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
+	    exec_awaits_lapse(exec, now_us) || !exec->clock_at_us || !exec_is_id_known(exec) ||
+	    !exec_is_settled(exec) || !exec_may_grant(exec) ||
+	    exec->confirmed_epoch != lug_writer_epoch(exec->writer) ||
 	    !lug_writer_is_held(exec->writer) ||
 	    !lug_writer_is_valid(exec->writer, now_us + START_LEASE_MARGIN_US) ||
 	    now_us - exec->last_answer_us > WORKER_SILENT_US || !is_capacity_recent(exec, now_us))
--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -28,6 +28,9 @@
 	g_snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, lug_writer_epoch(exec->writer));
 	lug_info(exec->ctx, event == LUG_WRITER_TAKEN ? "worker_lease_taken" : "worker_lease_lost",
 		 "lease_epoch", epoch);
+	/* Owners count the runs under a fenced lease as lost. */
+	if (event == LUG_WRITER_NOT_HELD)
+		exec_await_lapse(exec, "its row was fenced", lug_now_us());
 	if (event != LUG_WRITER_TAKEN)
 		return;
 	/*
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -41,6 +41,8 @@
 	gboolean is_expected = run && !run->crashed;
 
 	if (!run) {
+		if (exec->runs_known)
+			exec_await_lapse(exec, "it runs what counts as lost", now_us);
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
 		run->resumed = TRUE;
@@ -80,6 +82,8 @@
 		exec_reserve_learn(exec, run, now_us);
 	if (run)
 		exec_remove_run(exec, run);
+	else if (exec->runs_known && item->outcome == LUG_RUN_DONE)
+		exec_await_lapse(exec, "a run that counts as lost is done", now_us);
 	end = exec_add_end(exec, &item->id, item->outcome, item->checkpoint);
 	end->number = item->number;
 	end->listed_us = now_us;
@@ -161,8 +165,10 @@
 	for (guint i = 0; i < reply->finished->len; i++)
 		apply_finished(exec, &g_array_index(reply->finished, struct lug_worker_finished, i),
 			       now_us);
-	if (complete)
+	if (complete) {
+		exec->runs_known = TRUE;
 		drop_unlisted(exec, now_us);
+	}
 	exec_measure_speed(exec, now_us);
 	exec_throttle(exec, now_us);
 	exec_reserve_step(exec, now_us);
@@ -334,10 +340,20 @@
 	       now_us - exec->clock_requested_us <= POLL_WAIT_MS * 1000 + EXEC_RESTART_MIN_US;
 }
 
+/*
+ * Whether no run under the present lease counts as lost: without a valid row, owners may have
+ * fenced it and started the tasks again.
+ */
+static gboolean is_lease_certain(const struct lug_executor *exec, gint64 now_us)
+{
+	return lug_writer_is_valid(exec->writer, now_us) && !exec_awaits_lapse(exec, now_us);
+}
+
 static gboolean may_renew(const struct lug_executor *exec, gboolean known_up, gint64 now_us)
 {
 	/* The row has not been renewed since the latest poll that sent its end. */
-	if (!exec_is_settled(exec) || !exec_may_grant(exec) || !*exec_target_id(exec) ||
+	if (!exec_is_settled(exec) || !exec_may_grant(exec) || exec_awaits_lapse(exec, now_us) ||
+	    !*exec_target_id(exec) ||
 	    lug_writer_valid_until_us(exec->writer) <= exec->renewed_until_us)
 		return FALSE;
 	if (known_up)
@@ -376,7 +392,8 @@
 	    exec->worker_exited)
 		return;
 	acked = prune_acked_ends(exec, now_us);
-	if (known_up && *poll.worker && acked > exec->acknowledged_number)
+	if (known_up && *poll.worker && acked > exec->acknowledged_number &&
+	    is_lease_certain(exec, now_us))
 		poll.acked_end_number = acked;
 	if (poll.acked_end_number)
 		exec_log_acknowledgement(exec, now_us);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -296,6 +296,9 @@
  *                       as acknowledgements allow for that; 0 for none
  * @fenced_incarnation: incarnation that has answered a poll under the present fencing token, 0 for
  *                      none
+ * @runs_known: runs on the worker that this process does not hold count as lost
+ * @lapse_until_us: time by which the worker's lease has lapsed; until then it is not renewed, and
+ * no end is acknowledged, see exec_await_lapse(); 0 for none
  * @settled_id: id of the worker when it was last settled, see exec_settle(); "" for never
  * @settled_incarnation: incarnation that was settled last, by this process or a former one
  * @settled_txn: number of the transaction by which this process states that, see
@@ -393,6 +396,8 @@
 	gint64 outstanding_until_us;
 	gint64 late_start_until_us;
 	guint64 fenced_incarnation;
+	gboolean runs_known;
+	gint64 lapse_until_us;
 	char *settled_id;
 	guint64 settled_incarnation;
 	guint64 settled_txn;
@@ -469,6 +474,8 @@
 void exec_note_late_start(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
 gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
 			      gint64 now_us);
+void exec_await_lapse(struct lug_executor *exec, const char *reason, gint64 now_us);
+gboolean exec_awaits_lapse(const struct lug_executor *exec, gint64 now_us);
 void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
 void exec_settle(struct lug_executor *exec, gint64 now_us);
 gboolean exec_is_settled(const struct lug_executor *exec);
--- a/tests/unit/executor_fixture.h
+++ b/tests/unit/executor_fixture.h
@@ -301,6 +301,13 @@
 		lug_executor_on_start(exec, &message, lug_now_us() + later_us);
 	}
 
+	/* Starts a run that ends before a poll lists it. */
+	void start_short(const char *job)
+	{
+		start(job);
+		worker.answer(LUG_ORDER_OK);
+	}
+
 	/* Requests the stop of a job's first run as its owner. */
 	void stop(const char *job)
 	{
--- /dev/null
+++ b/tests/unit/executor_lapse_test.cc
@@ -0,0 +1,130 @@
+#include "executor_fixture.h"
+
+/* Incident run-outlasted-the-end-of-its-lease: ends of runs that count as lost. */
+namespace
+{
+/* The lease of the fixture's context, with the clock drift allowed for. */
+constexpr gint64 LEASE_US = 6120 * 1000;
+/* Longer than EXPIRED_ANSWER_TIMEOUT_US. */
+constexpr gint64 ANSWER_TIMEOUT_US = 1600 * 1000;
+
+struct ExecutorLapseTest : public ExecutorFixture {
+	/* The next incarnation answers polls as soon as the agent hears of it. */
+	void restart_worker()
+	{
+		incarnation += 100;
+		heartbeat_seq = 0;
+		clock_ms = 1000;
+		send_heartbeat();
+		for (int i = 0; i < 3; i++) {
+			if (worker.polls.empty())
+				tick_later();
+			answer_poll();
+		}
+	}
+
+	/* Starts run "a" by the second attempt; the first one has no answer. */
+	void start_at_second_attempt()
+	{
+		start("a");
+		worker.answer(LUG_ORDER_UNKNOWN);
+		worker.answer(LUG_ORDER_OK);
+		running = {{id("a"), 10}};
+		answer_poll();
+	}
+
+	void replace_process()
+	{
+		lug_executor_free(exec);
+		worker.polls.clear();
+		store.calls.clear();
+		exec = lug_executor_new(ctx, &store.base, &worker.base, 1, send, this);
+		send_heartbeat();
+		tick();
+		for (int i = 0; i < 2; i++) {
+			if (worker.polls.empty())
+				tick_later();
+			answer_poll();
+		}
+	}
+
+	void expect_no_grant_and_no_acknowledgement()
+	{
+		ack("a");
+		tick_later();
+		expect_next_poll_to_acknowledge(0);
+		EXPECT_EQ(worker.polls.front().request.expires_ms, 0);
+		start("b", 1000, lug_writer_epoch(exec->writer));
+		EXPECT_EQ(answers.back(), std::make_pair(std::string("b#1"), LUG_NOT_RUN));
+	}
+};
+
+TEST_F(ExecutorLapseTest, AnEndOfARunThatCountsAsLostIsAcknowledgedAfterTheLeaseHasLapsed)
+{
+	gint64 now_us = lug_now_us();
+
+	start_at_second_attempt();
+	lug_executor_tick(exec, now_us + LEASE_US + 1000);
+	lug_executor_tick(exec, now_us + LEASE_US + ANSWER_TIMEOUT_US);
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"})) << "reported as crashed";
+	running.clear();
+	finished = {{1, id("a")}};
+	restart_worker();
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "a#1"})) << "reported as done";
+	expect_no_grant_and_no_acknowledgement();
+	/* The lease has lapsed, and no start is carried out late any more. */
+	exec->lapse_until_us = lug_now_us();
+	exec->late_start_until_us = 0;
+	answer_poll();
+	tick_later();
+	expect_next_poll_to_acknowledge(1);
+}
+
+TEST_F(ExecutorLapseTest, AnEndUnderAFencedLeaseIsAcknowledgedAfterTheLeaseHasLapsed)
+{
+	start_at_second_attempt();
+	running.clear();
+	finished = {{1, id("a")}};
+	restart_worker();
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"}));
+	/* An owner fences the row. */
+	store.put("w1|worker/w1", "{\"owner\":\"\",\"ttl_ms\":6000,\"epoch\":2}");
+	lug_writer_rewrite(exec->writer, lug_now_us());
+	store.settle();
+	ASSERT_FALSE(lug_writer_is_held(exec->writer));
+	exec->next_acquire_us = 0;
+	tick();
+	store.settle();
+	ASSERT_TRUE(lug_writer_is_held(exec->writer));
+	answer_poll();
+	expect_no_grant_and_no_acknowledgement();
+}
+
+TEST_F(ExecutorLapseTest, TheNextProcessOfTheAgentAcknowledgesEndsAtOnce)
+{
+	finished = {{1, id("a")}};
+	replace_process();
+	ack("a");
+	tick_later();
+	expect_next_poll_to_acknowledge(1);
+}
+
+TEST_F(ExecutorLapseTest, TheNextProcessOfTheAgentAwaitsALapseThatTheRowStates)
+{
+	finished = {{1, id("a")}};
+	store.put("w1|worker/w1", "{\"owner\":\"w1\",\"ttl_ms\":6000,\"epoch\":1,"
+				  "\"lapse_left_ms\":9000}");
+	replace_process();
+	expect_no_grant_and_no_acknowledgement();
+	EXPECT_GT(lease_row_int("lapse_left_ms"), 8000);
+}
+
+TEST_F(ExecutorLapseTest, TheNextProcessOfTheAgentAwaitsTheLapseOfALeaseAfterARestart)
+{
+	finished = {{1, id("a")}};
+	store.put("w1|worker/w1", "{\"owner\":\"w1\",\"ttl_ms\":6000,\"epoch\":1,"
+				  "\"worker_id\":\"i\",\"worker_incarnation\":7}");
+	replace_process();
+	expect_no_grant_and_no_acknowledgement();
+}
+} // namespace
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -376,6 +376,7 @@
 {
 	guint64 token = exec_token(exec);
 
+	start_short("a");
 	finished = {{1, id("a")}};
 	answer_poll();
 	ack("a");
@@ -395,6 +396,7 @@
 {
 	guint64 token = exec_token(exec);
 
+	start_short("a");
 	finished = {{1, id("a")}};
 	answer_poll();
 	ack("a");
--- a/tests/unit/executor_restart_test.cc
+++ b/tests/unit/executor_restart_test.cc
@@ -57,6 +57,7 @@
  */
 TEST_F(ExecutorRestartTest, APollAfterAFailedOneAcknowledgesNothing)
 {
+	start_short("a");
 	finished = {{1, id("a")}};
 	answer_poll();
 	ack("a");
@@ -74,6 +75,7 @@
 /* Seed 5002 of the soak: the agent was suspended between two polls while its worker restarted. */
 TEST_F(ExecutorRestartTest, APollLongAfterTheLatestAnswerAcknowledgesNothing)
 {
+	start_short("a");
 	finished = {{1, id("a")}};
 	answer_poll();
 	/* Longer than RESTART_MIN_US. */
--- a/tests/unit/executor_test.cc
+++ b/tests/unit/executor_test.cc
@@ -129,6 +129,8 @@
 
 TEST_F(ExecutorTest, AcknowledgesEndsInOrderOnceStored)
 {
+	start_short("a");
+	start_short("b");
 	finished = {{1, id("a")}, {2, id("b")}};
 	answer_poll();
 	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "b#1"}));
