--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -21,6 +21,7 @@
 void exec_on_lease_event(void *data, enum lug_writer_event event)
 {
 	struct lug_executor *exec = data;
+	gboolean was_held = exec->lease_held;
 	char epoch[24];
 
 	exec->acquiring_lease = FALSE;
@@ -29,7 +30,7 @@
 	lug_info(exec->ctx, event == LUG_WRITER_TAKEN ? "worker_lease_taken" : "worker_lease_lost",
 		 "lease_epoch", epoch);
 	/* Owners count the runs under a fenced lease as lost. */
-	if (event == LUG_WRITER_NOT_HELD)
+	if (event == LUG_WRITER_NOT_HELD && was_held)
 		exec_await_lapse(exec, "its row was fenced", lug_now_us());
 	if (event != LUG_WRITER_TAKEN)
 		return;
--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -100,6 +100,23 @@
 	expect_no_grant_and_no_acknowledgement();
 }
 
+/* An owner fences the row of a former process at the moment at which the next one takes it. */
+TEST_F(ExecutorLapseTest, AFailedAcquisitionOfTheLeaseAwaitsNoLapse)
+{
+	lug_executor_free(exec);
+	worker.polls.clear();
+	store.calls.clear();
+	exec = lug_executor_new(ctx, &store.base, &worker.base, 1, send, this);
+	send_heartbeat();
+	lug_executor_tick(exec, lug_now_us());
+	/* The read of the row. */
+	store.answer_next();
+	store.put("w1|worker/w1", "{\"owner\":\"\",\"ttl_ms\":6000,\"epoch\":2}");
+	store.settle();
+	ASSERT_FALSE(lug_writer_is_held(exec->writer));
+	EXPECT_FALSE(exec_awaits_lapse(exec, lug_now_us()));
+}
+
 TEST_F(ExecutorLapseTest, TheNextProcessOfTheAgentAcknowledgesEndsAtOnce)
 {
 	finished = {{1, id("a")}};
