A start and an acknowledgement in flight at the same time don't carry the same token

Cause: a start and an acknowledgement that are in flight together when the worker goes down may both be carried out by its next incarnation: the run is done there, and then its end is forgotten before the agent has seen it. The agent finds the run in neither list, and the task starts again.

Change: an acknowledgement waits while a start is in flight, for however short a time, and a start that is sent during an acknowledgement carries a higher fencing token, so that the next incarnation refuses the acknowledgement once it has carried out the start. The token rises once an acknowledgement, not with each start.

A start without an answer and an acknowledgement that waited its 3 s can still meet.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -21,8 +21,6 @@
  * answer. It is shorter than LATE_CALL_US: calls are carried out 2 to 12 s late as a rule.
  */
 #define LATE_START_US (12 * G_USEC_PER_SEC)
-/* A start that takes longer may get no answer. */
-#define SLOW_START_US (200 * 1000)
 /* Ends have to be acknowledged within 4 s of being listed. */
 #define ACK_DELAY_MAX_US (3 * G_USEC_PER_SEC)
 
@@ -52,6 +50,17 @@
 	exec->token_raises++;
 }
 
+/**
+ * exec_outrank_acknowledgement - have a start that is about to be sent carry a higher fencing token
+ * than an acknowledgement in flight, as the next incarnation may carry out both, see
+ * exec_raise_token()
+ */
+void exec_outrank_acknowledgement(struct lug_executor *exec)
+{
+	if (exec->poll_in_flight && exec->poll_acked && exec->poll_token == exec_token(exec))
+		exec_raise_token(exec);
+}
+
 /**
  * exec_is_id_known - whether a heartbeat has told the id of the present incarnation
  */
@@ -137,8 +146,7 @@
 	for (guint i = 0; i < exec->runs->len; i++) {
 		const struct exec_run *run = g_ptr_array_index(exec->runs, i);
 
-		if (run->state == EXEC_STARTING && run->call_in_flight &&
-		    now_us - run->start_sent_us > SLOW_START_US)
+		if (run->state == EXEC_STARTING && run->call_in_flight)
 			return TRUE;
 	}
 	return FALSE;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -464,6 +464,7 @@
 gint64 exec_lease_expires_ms(const struct lug_executor *exec);
 guint64 exec_token(const struct lug_executor *exec);
 void exec_raise_token(struct lug_executor *exec);
+void exec_outrank_acknowledgement(struct lug_executor *exec);
 const char *exec_target_id(const struct lug_executor *exec);
 gboolean exec_is_id_known(const struct lug_executor *exec);
 void exec_note_grant(struct lug_executor *exec, gint64 expires_ms);
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -162,9 +162,11 @@
 
 static void send_start(struct lug_executor *exec, struct exec_run *run)
 {
-	struct order_call *call = order_call_new(exec, run);
+	struct order_call *call;
 	struct lug_worker_order order;
 
+	exec_outrank_acknowledgement(exec);
+	call = order_call_new(exec, run);
 	init_order(exec, run, &order);
 	order.expires_ms = exec_lease_expires_ms(exec);
 	call->expires_ms = order.expires_ms;
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -352,13 +352,29 @@
 	EXPECT_FALSE(lug_executor_can_exit(exec)) << "before the time for its shutdown is over";
 }
 
+/* The next incarnation may carry out both, the acknowledgement after the end of that run. */
+TEST_F(ExecutorOutstandingTest, AStartDuringAnAcknowledgementHasAHigherFencingToken)
+{
+	guint64 token = exec_token(exec);
+
+	start_short("a");
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	expect_next_poll_to_acknowledge(1);
+	EXPECT_EQ(worker.polls.front().request.token, token);
+	start("b");
+	EXPECT_GT(worker.orders.back().token, token);
+	token = worker.orders.back().token;
+	start("c");
+	EXPECT_EQ(worker.orders.back().token, token) << "raised once";
+}
+
 /* The end of a run that the next incarnation starts late has the same number. */
-TEST_F(ExecutorOutstandingTest, AnEndIsNotAcknowledgedWhileTheStartOfAnotherRunIsSlow)
+TEST_F(ExecutorOutstandingTest, AnEndIsNotAcknowledgedDuringTheStartOfAnotherRun)
 {
 	start_confirmed("a");
 	start("b");
-	/* Longer than SLOW_START_US. */
-	g_usleep(210 * 1000);
 	running.clear();
 	finished = {{1, id("a")}};
 	answer_poll();
