An agent's next process allows for starts that its predecessor has left without an answer

Cause: an agent acknowledges no end while a start of its own without an answer may be carried out late, but its next process does not know of its predecessor's starts, and acknowledged the end at once.

Change: for the 12 s in which such a start may be carried out, a process that follows one that has not released the lease lets acknowledgements wait as if it had left a start without an answer: 3 s at most, within the 4 s in which ends have to be acknowledged. A wait by the process's own clock needs nothing of the predecessor and no further write of the row.

Not covered: a start that is carried out more than 3 s after the end was listed, and a predecessor whose lease was fenced.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -310,4 +310,7 @@
 	exec->settled_incarnation =
 		(guint64)MAX(lug_json_int(row->data, "worker_incarnation", 0), 0);
 	exec_note_outstanding(exec, G_MAXINT64, now_us);
+	/* A process that releases the lease leaves no such start. */
+	if (*lug_json_str(row->data, "owner", ""))
+		exec->late_start_until_us = now_us + LATE_START_US;
 }
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -102,6 +102,9 @@
 		send_heartbeat();
 		tick();
 		answer_poll();
+		/* The next poll waits for the acknowledgement of ends, if there are any. */
+		if (worker.polls.empty())
+			tick_later();
 		answer_poll();
 	}
 };
@@ -352,6 +355,19 @@
 	EXPECT_FALSE(lug_executor_can_exit(exec)) << "before the time for its shutdown is over";
 }
 
+TEST_F(ExecutorOutstandingTest, TheNextProcessAllowsForAStartWithoutAnAnswer)
+{
+	finished = {{1, id("a")}};
+	replace_process("{\"owner\":\"w1\",\"ttl_ms\":6000,\"epoch\":1}");
+	ack("a");
+	tick_later();
+	expect_next_poll_to_acknowledge(0);
+	exec->late_start_until_us = 0;
+	answer_poll();
+	tick_later();
+	expect_next_poll_to_acknowledge(1);
+}
+
 /* The next incarnation may carry out both, the acknowledgement after the end of that run. */
 TEST_F(ExecutorOutstandingTest, AStartDuringAnAcknowledgementHasAHigherFencingToken)
 {
