The answer of a start is followed by the poll that waited for it

An acknowledgement waits while a start is in flight. An owner sends the next start together with the acknowledgement of the end that made room for it, so the poll, and with it the next end, came up to 80 ms later (UNACKED_POLL_US). The poll is sent once the start is answered now.

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -301,6 +301,16 @@
 	return FALSE;
 }
 
+/**
+ * exec_poll_if_acknowledgeable - send the poll that waits for acknowledgements, if all ends may be
+ * acknowledged now
+ */
+void exec_poll_if_acknowledgeable(struct lug_executor *exec, gint64 now_us)
+{
+	if (exec->ends->len && !exec->poll_in_flight && !exec_has_unacked_ends(exec, now_us))
+		exec_schedule_poll(exec, 0, now_us);
+}
+
 /*
  * Removes stored ends, those of the worker's current incarnation once they may be acknowledged.
  * Returns the highest number up to which all of these are. Numbers of earlier incarnations are not
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -451,6 +451,7 @@
 void exec_release_idle_lease(struct lug_executor *exec, gint64 now_us);
 void exec_poll(struct lug_executor *exec, gint64 now_us);
 void exec_schedule_poll(struct lug_executor *exec, gint64 after_us, gint64 now_us);
+void exec_poll_if_acknowledgeable(struct lug_executor *exec, gint64 now_us);
 gboolean exec_has_unacked_ends(const struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_runs(struct lug_executor *exec, gint64 now_us);
 void exec_end_crashed_run(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
--- a/liblug/workflow/executor_report.c
+++ b/liblug/workflow/executor_report.c
@@ -113,8 +113,7 @@
 		end->stored_epoch = ack->epoch;
 		end->is_obsolete = ack->obsolete;
 	}
-	if (!exec->poll_in_flight && !exec_has_unacked_ends(exec, lug_now_us()))
-		exec_schedule_poll(exec, 0, lug_now_us());
+	exec_poll_if_acknowledgeable(exec, lug_now_us());
 }
 
 /* Wire form of the bounds of a list that was cut. */
--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -136,6 +136,7 @@
 	if (!run)
 		return;
 	run->call_in_flight = FALSE;
+	exec_poll_if_acknowledgeable(exec, lug_now_us());
 	if (result == LUG_ORDER_OK) {
 		confirm_start(exec, run, incarnation);
 		return;
