A lapse is awaited also when the incarnation is heard before its id, and by the next process

Cause: how long the worker may hold its lease is known once its incarnation is settled, which needs its id. A run that counts as lost, listed before that, set no wait: the agent took the lease that it knew for over, and the next process, which holds nothing, took the ends in its first list for known.

Change: such a list is noted, and the wait begins when the incarnation is settled. If a restart shows when the first incarnation of a process is settled, whatever it has listed was started late. An owner that fences a row keeps the wait that the row states. catkinlug trace prints lapse_awaited.

--- a/liblug/client/trace.c
+++ b/liblug/client/trace.c
@@ -40,9 +40,9 @@
  */
 static gboolean is_context_event(const char *text)
 {
-	static const char *const events[] = {"event=store_",  "event=shard_",  "event=worker_",
-					     "event=lease_",  "event=config_", "event=owner_",
-					     "event=started", "event=stopping"};
+	static const char *const events[] = {"event=store_", "event=shard_",  "event=worker_",
+					     "event=lease_", "event=lapse_",  "event=config_",
+					     "event=owner_", "event=started", "event=stopping"};
 
 	for (gsize i = 0; i < G_N_ELEMENTS(events); i++)
 		if (strstr(text, events[i]))
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -178,13 +178,26 @@
 	lug_writer_rewrite(exec->writer, now_us);
 }
 
+/**
+ * exec_note_lost_run - note that the worker lists a run that counts as lost
+ *
+ * How long the worker may hold its lease is not known before its incarnation is settled.
+ */
+void exec_note_lost_run(struct lug_executor *exec, gint64 now_us)
+{
+	if (exec->settled_incarnation == exec->worker_incarnation)
+		exec_await_lapse(exec, "it lists a run that counts as lost", now_us);
+	else
+		exec->lost_run_listed = TRUE;
+}
+
 /**
  * exec_awaits_lapse - whether the worker's lease has to lapse before calls may contain its end or
  * acknowledge ends
  */
 gboolean exec_awaits_lapse(const struct lug_executor *exec, gint64 now_us)
 {
-	return now_us < exec->lapse_until_us;
+	return exec->lost_run_listed || now_us < exec->lapse_until_us;
 }
 
 /**
@@ -244,9 +257,14 @@
 	    exec->settled_incarnation == exec->worker_incarnation)
 		return;
 	exec_extend_lease(exec, exec->clock_ms, now_us);
-	/* No process has started runs on it: what it runs was started late. */
-	if (is_restart_under_same_id(exec))
+	/* No process has started runs on it: what it runs or has run was started late. */
+	if (is_restart_under_same_id(exec) && !exec->settled_txn) {
+		exec->lost_run_listed = exec->runs->len || exec->ends->len;
 		exec->runs_known = TRUE;
+	}
+	if (exec->lost_run_listed)
+		exec_await_lapse(exec, "it lists a run that counts as lost", now_us);
+	exec->lost_run_listed = FALSE;
 	g_free(exec->settled_id);
 	exec->settled_id = g_strdup(exec->worker_id);
 	exec->settled_incarnation = exec->worker_incarnation;
@@ -276,7 +294,7 @@
 	json_object_set_int_member(row, "worker_incarnation", (gint64)exec->settled_incarnation);
 	if (exec->grants_paused)
 		json_object_set_int_member(row, "lease_left_ms", MAX(left_us, 0) / 1000 + 1);
-	if (exec_awaits_lapse(exec, now_us))
+	if (now_us < exec->lapse_until_us)
 		json_object_set_int_member(row, "lapse_left_ms",
 					   (exec->lapse_until_us - now_us) / 1000 + 1);
 }
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -42,7 +42,7 @@
 
 	if (!run) {
 		if (exec->runs_known)
-			exec_await_lapse(exec, "it runs what counts as lost", now_us);
+			exec_note_lost_run(exec, now_us);
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
 		run->resumed = TRUE;
@@ -83,7 +83,7 @@
 	if (run)
 		exec_remove_run(exec, run);
 	else if (exec->runs_known && item->outcome == LUG_RUN_DONE)
-		exec_await_lapse(exec, "a run that counts as lost is done", now_us);
+		exec_note_lost_run(exec, now_us);
 	end = exec_add_end(exec, &item->id, item->outcome, item->checkpoint);
 	end->number = item->number;
 	end->listed_us = now_us;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -297,6 +297,7 @@
  * @fenced_incarnation: incarnation that has answered a poll under the present fencing token, 0 for
  *                      none
  * @runs_known: runs on the worker that this process does not hold count as lost
+ * @lost_run_listed: the present incarnation lists one, and is not settled yet
  * @lapse_until_us: time by which the worker's lease has lapsed; until then it is not renewed, and
  * no end is acknowledged, see exec_await_lapse(); 0 for none
  * @settled_id: id of the worker when it was last settled, see exec_settle(); "" for never
@@ -397,6 +398,7 @@
 	gint64 late_start_until_us;
 	guint64 fenced_incarnation;
 	gboolean runs_known;
+	gboolean lost_run_listed;
 	gint64 lapse_until_us;
 	char *settled_id;
 	guint64 settled_incarnation;
@@ -477,6 +479,7 @@
 gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
 			      gint64 now_us);
 void exec_await_lapse(struct lug_executor *exec, const char *reason, gint64 now_us);
+void exec_note_lost_run(struct lug_executor *exec, gint64 now_us);
 gboolean exec_awaits_lapse(const struct lug_executor *exec, gint64 now_us);
 void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
 void exec_settle(struct lug_executor *exec, gint64 now_us);
--- a/liblug/workflow/fleet_lease.c
+++ b/liblug/workflow/fleet_lease.c
@@ -101,6 +101,9 @@
 	json_object_set_string_member(next, "worker_id", lug_json_str(row->data, "worker_id", ""));
 	json_object_set_int_member(next, "worker_incarnation",
 				   lug_json_int(row->data, "worker_incarnation", 0));
+	if (lug_json_int(row->data, "lapse_left_ms", 0) > 0)
+		json_object_set_int_member(next, "lapse_left_ms",
+					   lug_json_int(row->data, "lapse_left_ms", 0));
 	lug_txn_check(&txn, LEASE_TABLE, worker->name, row->version);
 	lug_txn_put(&txn, LEASE_TABLE, worker->name, next);
 	worker->lease_call_in_flight = TRUE;
--- a/tests/integration/test_unheard_ends.py
+++ b/tests/integration/test_unheard_ends.py
@@ -67,10 +67,12 @@
     assert deployment.violations() == []
 
 
-def test_end_under_a_lease_that_owners_have_fenced_is_not_noted(start_queue_deployment):
+@pytest.mark.parametrize("killed", ["", "before-the-fence", "after-the-fence"],
+                         ids=lambda moment: moment or "cut-off")
+def test_end_under_a_lease_that_owners_have_fenced_is_not_noted(start_queue_deployment, killed):
     """The agent is cut off, and its worker restarts behind the cut and carries out the first attempt
     of a start, whose repetition the former incarnation has answered. It may hold the lease in that
-    start for longer than the lease's row states."""
+    start for longer than the lease's row states. In two cases the agent's next process comes back."""
     deployment = start_queue_deployment(workers=3, shards=1)
     name = next(name for name in deployment.workers if name != deployment.owner_name())
     worker = deployment.workers[name]
@@ -90,10 +92,17 @@
     worker.on_start = lambda: None
     assert worker.running, "the late start is not carried out"
     set_draining(deployment, worker, False)
+    if killed == "before-the-fence":
+        assert deployment.wait_until(lambda: ends_as_done(worker, job), 5)
+        deployment.signal_process(name)
     assert deployment.wait_until(lambda: starts_elsewhere(deployment, worker, job), 12)
     assert ends_as_done(worker, job)
     assert worker.lease_expires_ms - worker.clock_ms() > 500, "the lease has lapsed"
+    if killed == "after-the-fence":
+        deployment.signal_process(name)
     undo()
+    if killed:
+        deployment.start(name)
     assert deployment.wait_until(lambda: deployment.state(job) == "completed", 10)
     assert deployment.wait_until(lambda: not worker.finished, 15), "the end is not acknowledged"
     assert deployment.violations() == []
--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -10,13 +10,21 @@
 
 struct ExecutorLapseTest : public ExecutorFixture {
 	/* The next incarnation answers polls as soon as the agent hears of it. */
-	void restart_worker()
+	void restart_worker(bool id_first = true)
 	{
 		incarnation += 100;
 		heartbeat_seq = 0;
 		clock_ms = 1000;
-		send_heartbeat();
-		for (int i = 0; i < 3; i++) {
+		if (id_first)
+			send_heartbeat();
+		answer_polls(3);
+		if (!id_first)
+			send_heartbeat();
+	}
+
+	void answer_polls(int count)
+	{
+		for (int i = 0; i < count; i++) {
 			if (worker.polls.empty())
 				tick_later();
 			answer_poll();
@@ -33,19 +41,20 @@
 		answer_poll();
 	}
 
-	void replace_process()
+	/* @id_first: the worker's id is known before its first list */
+	void replace_process(bool id_first = true)
 	{
 		lug_executor_free(exec);
 		worker.polls.clear();
 		store.calls.clear();
 		exec = lug_executor_new(ctx, &store.base, &worker.base, 1, send, this);
-		send_heartbeat();
+		if (id_first)
+			send_heartbeat();
 		tick();
-		for (int i = 0; i < 2; i++) {
-			if (worker.polls.empty())
-				tick_later();
-			answer_poll();
-		}
+		answer_polls(2);
+		send_heartbeat();
+		tick_later();
+		answer_poll();
 	}
 
 	void expect_no_grant_and_no_acknowledgement()
@@ -80,6 +89,21 @@
 	expect_next_poll_to_acknowledge(1);
 }
 
+TEST_F(ExecutorLapseTest, AnEndThatIsListedBeforeTheIdIsKnownIsAcknowledgedAfterTheLeaseHasLapsed)
+{
+	gint64 now_us = lug_now_us();
+
+	start_at_second_attempt();
+	lug_executor_tick(exec, now_us + LEASE_US + 1000);
+	lug_executor_tick(exec, now_us + LEASE_US + ANSWER_TIMEOUT_US);
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"})) << "reported as crashed";
+	running.clear();
+	finished = {{1, id("a")}};
+	restart_worker(false);
+	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "a#1"})) << "reported as done";
+	expect_no_grant_and_no_acknowledgement();
+}
+
 TEST_F(ExecutorLapseTest, AnEndUnderAFencedLeaseIsAcknowledgedAfterTheLeaseHasLapsed)
 {
 	start_at_second_attempt();
@@ -139,10 +163,12 @@
 
 TEST_F(ExecutorLapseTest, TheNextProcessOfTheAgentAwaitsTheLapseOfALeaseAfterARestart)
 {
-	finished = {{1, id("a")}};
-	store.put("w1|worker/w1", "{\"owner\":\"w1\",\"ttl_ms\":6000,\"epoch\":1,"
-				  "\"worker_id\":\"i\",\"worker_incarnation\":7}");
-	replace_process();
-	expect_no_grant_and_no_acknowledgement();
+	for (bool id_first : {true, false}) {
+		finished = {{1, id("a")}};
+		store.put("w1|worker/w1", "{\"owner\":\"\",\"ttl_ms\":6000,\"epoch\":1,"
+					  "\"worker_id\":\"i\",\"worker_incarnation\":7}");
+		replace_process(id_first);
+		expect_no_grant_and_no_acknowledgement();
+	}
 }
 } // namespace
