Overlapping cuts between queue daemons don't undo each other

Cause: the proxy of internal connections and the table service's stand-in keep their cuts in plain sets, so that the end of one cut restores what another one still holds back. Besides, the proxy forwarded what was sent within 10 ms after the beginning of a cut, and the table service answered a call that waited when its caller was cut off.

Change: cuts are counted; a cut holds once cut() has returned; a call that waits has no answer during a cut.

--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -68,18 +68,28 @@
         role, number = name.rsplit("-", 1)
         return int(number) + (100 if role == "entry" else 0)
 
-    def cut_off(self, name):
-        """Cuts a daemon off from all other daemons and the table service; returns an undo."""
+    def cut_links(self, name, others=None, sent=True, received=True):
+        """Cuts what a daemon sends to others, all by default, and receives; returns an undo."""
         own = self.host(name)
-        others = [self.host(other) for other in self.processes if other != name]
-        pairs = [pair for other in others for pair in ((own, other), (other, own))]
-        caller = self.address(own, 0)[:-2]
+        hosts = [self.host(other) for other in others or self.processes if other != name]
+        pairs = [(own, host) for host in hosts if sent]
+        pairs += [(host, own) for host in hosts if received]
         self.links.cut(pairs)
-        self.store.silent_callers = self.store.silent_callers | {caller}
+        return lambda: self.links.restore(pairs)
+
+    def cut_store(self, name):
+        """Leaves a daemon's calls to the table service without an answer; returns an undo."""
+        callers = [self.address(self.host(name), 0)[:-2]]
+        self.store.cut_callers.add(callers)
+        return lambda: self.store.cut_callers.remove(callers)
+
+    def cut_off(self, name):
+        """Cuts a daemon off from all other daemons and the table service; returns an undo."""
+        undos = [self.cut_links(name), self.cut_store(name)]
 
         def undo():
-            self.links.restore(pairs)
-            self.store.silent_callers = self.store.silent_callers - {caller}
+            for function in undos:
+                function()
         return undo
 
     def zone(self, number):
--- a/tests/rig/links.py
+++ b/tests/rig/links.py
@@ -1,5 +1,6 @@
 """Connections between queue daemons, through a proxy that can cut them in either direction."""
 
+import collections
 import select
 import socket
 import threading
@@ -9,6 +10,25 @@
 STEP_S = 0.01
 
 
+class CountedSet:
+    """Set whose members stay until they were removed as often as they were added."""
+
+    def __init__(self):
+        self.counts, self.lock = collections.Counter(), threading.Lock()
+
+    def add(self, members):
+        with self.lock:
+            self.counts.update(set(members))
+
+    def remove(self, members):
+        with self.lock:
+            self.counts.subtract(set(members))
+            self.counts = +self.counts
+
+    def __contains__(self, member):
+        return self.counts[member] > 0
+
+
 class _Flow:
     """One direction of a connection: what is read from one socket is written to the other."""
 
@@ -31,11 +51,11 @@
     """Proxy in front of daemons that advertise its addresses.
 
     A cut (FROM, TO) of host numbers holds back what FROM sends to TO, on open and on new
-    connections, the end of a connection too. It arrives when the cut ends.
+    connections, the end of a connection too. It arrives when the last cut of the pair ends.
     """
 
     def __init__(self):
-        self.cuts = set()
+        self.cuts = CountedSet()
         self.lock = threading.Lock()
         self.listeners, self.flows = {}, []
         self.closed = threading.Event()
@@ -50,12 +70,10 @@
             self.listeners[listener] = _split(target)
 
     def cut(self, pairs):
-        with self.lock:
-            self.cuts |= set(pairs)
+        self.cuts.add(pairs)
 
     def restore(self, pairs):
-        with self.lock:
-            self.cuts -= set(pairs)
+        self.cuts.remove(pairs)
 
     def _accept(self, listener):
         target = self.listeners[listener]
@@ -96,8 +114,8 @@
     def _run(self):
         while not self.closed.is_set():
             with self.lock:
-                listeners, cuts = list(self.listeners), set(self.cuts)
-            active = [flow for flow in self.flows if flow.hosts not in cuts]
+                listeners = list(self.listeners)
+            active = [flow for flow in self.flows if flow.hosts not in self.cuts]
             readable, writable, _ = select.select(
                 listeners + [flow.source for flow in active if not flow.unsent],
                 [flow.sink for flow in active if flow.unsent], [], STEP_S)
@@ -105,7 +123,8 @@
                 if listener in readable:
                     self._accept(listener)
             for flow in active:
-                if flow.source.fileno() >= 0:
+                # A cut may have begun during select().
+                if flow.source.fileno() >= 0 and flow.hosts not in self.cuts:
                     self._forward(flow, readable, writable)
 
     def close(self):
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -16,6 +16,8 @@
 import urllib.request
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from links import CountedSet
+
 CHANGE_RETENTION_S = 20
 # The longest max_hold_ms of the users' sites; it exceeds the lease of the agents (6 s).
 LEASE_MAX_MS = 10000
@@ -99,6 +101,8 @@
 
 ROW_MAX_BYTES = 65536
 TXN_MAX_BYTES = 1000 * 1000
+# Time after which the connection of a call without an answer is closed, above the daemons' timeout.
+SILENCE_S = 1.5
 
 
 def clock_ms():
@@ -125,6 +129,8 @@
         # IP addresses of callers whose calls are refused, and of those whose calls have no answer.
         self.refused_callers = set()
         self.silent_callers = set()
+        # As silent_callers, for cuts that may overlap.
+        self.cut_callers = CountedSet()
         # Called with the path, the query and the caller: seconds for which the call waits.
         self.choose_delay_s = lambda path, query, caller: 0
         self.lost_answer_share = 0.0
@@ -188,9 +194,17 @@
         mode = self.mode
         if mode == "busy" or caller in self.refused_callers:
             return 503, {}
-        if mode == "silent" or caller in self.silent_callers:
-            time.sleep(1.5)
+        if mode == "silent" or caller in self.silent_callers or caller in self.cut_callers:
+            time.sleep(SILENCE_S)
+            return None
+        answer = self._perform(path, raw, caller)
+        # The cut may have begun while the call waited.
+        if caller in self.cut_callers:
+            time.sleep(SILENCE_S)
             return None
+        return answer
+
+    def _perform(self, path, raw, caller):
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         time.sleep(self.delay_s + self.choose_delay_s(url.path, query, caller))
