The stand-in table service can lose its answers to one caller

Cause: lost answers concerned a share of all callers' transactions, so that no daemon alone could be heard by the table service without hearing it.

Change: QueueDeployment.cut_store(name, sent=False) carries out the calls of one daemon, and leaves them without an answer.

--- a/tests/integration/test_links.py
+++ b/tests/integration/test_links.py
@@ -1,5 +1,6 @@
-"""Cuts between queue daemons hold back what is sent, until the last of them ends."""
+"""Cuts between queue daemons, and between them and the table service."""
 
+import json
 import socket
 
 import pytest
@@ -101,3 +102,18 @@
     assert "a" in members and "b" not in members
     members.remove(["a"])
     assert "a" not in members
+
+
+def test_a_call_whose_answer_is_cut_is_carried_out(start_queue_deployment):
+    deployment = start_queue_deployment(workers=1, shards=1)
+    undo = deployment.cut_store("entry-1", sent=False)
+    commits = deployment.store.commits
+    item = {"table": "t", "part": "", "key": "k", "value": "MQ=="}
+    body = {"expected_rev": [], "set_keys": [item], "remove": []}
+    callers = {"entry": deployment.address(101, 0)[:-2], "other": deployment.address(9, 0)[:-2]}
+    answers = {name: deployment.store.serve("POST", "/rows-tx", json.dumps(body), ip, {})
+               for name, ip in callers.items()}
+    assert answers["entry"] is None and answers["other"][0] == 200
+    assert deployment.store.commits >= commits + 2
+    undo()
+    assert deployment.store.serve("GET", "/rows-get?table=t", b"", callers["entry"], {})[0] == 200
--- a/tests/rig/hub.py
+++ b/tests/rig/hub.py
@@ -77,11 +77,15 @@
         self.links.cut(pairs)
         return lambda: self.links.restore(pairs)
 
-    def cut_store(self, name):
-        """Leaves a daemon's calls to the table service without an answer; returns an undo."""
-        callers = [self.address(self.host(name), 0)[:-2]]
-        self.store.cut_callers.add(callers)
-        return lambda: self.store.cut_callers.remove(callers)
+    def cut_store(self, name, sent=True):
+        """Cuts a daemon off from the table service; returns an undo.
+
+        With sent=False its calls are carried out, and only their answers are lost.
+        """
+        callers = self.store.cut_callers if sent else self.store.unheard_callers
+        addresses = [self.address(self.host(name), 0)[:-2]]
+        callers.add(addresses)
+        return lambda: callers.remove(addresses)
 
     def cut_off(self, name):
         """Cuts a daemon off from all other daemons and the table service; returns an undo."""
--- a/tests/rig/standins.py
+++ b/tests/rig/standins.py
@@ -131,6 +131,8 @@
         self.silent_callers = set()
         # As silent_callers, for cuts that may overlap.
         self.cut_callers = CountedSet()
+        # Callers whose calls are carried out, but have no answer.
+        self.unheard_callers = CountedSet()
         # Called with the path, the query and the caller: seconds for which the call waits.
         self.choose_delay_s = lambda path, query, caller: 0
         self.lost_answer_share = 0.0
@@ -199,7 +201,7 @@
             return None
         answer = self._perform(path, raw, caller)
         # The cut may have begun while the call waited.
-        if caller in self.cut_callers:
+        if caller in self.cut_callers or caller in self.unheard_callers:
             time.sleep(SILENCE_S)
             return None
         return answer
