The soak cuts queue daemons off from each other and from the table service

Cause: the soak cut no link between daemons.

Change: eight faults. A daemon is cut off from all; from all other daemons, both ways or one way; from one other daemon; from the table service, both ways or in its answers alone. In the eighth, an agent is cut off from all with late calls, and its worker restarts behind the cut under its id. Cuts last 2 to 12 s and end with the faults. A cut daemon is reserved as a stopped one is, so that two daemons stay up and are not cut, and the time of a cut counts as a disturbance for the checks of cancellations and configurations. The workers' log shows the cuts.

A seed draws other faults than before, as there are more of them.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -21,9 +21,13 @@
 
 # Calls that the next incarnation of a worker carries out late.
 LATE = ("worker_late", "worker_restart_and_cut")
+# Cuts between daemons, and between daemons and the table service.
+CUTS = ("cut_off", "cut_daemons", "cut_sent", "cut_received", "cut_pair", "cut_store",
+        "cut_store_answers", "cut_worker_restart")
 
 
-@pytest.mark.parametrize("seed, often", [(1, ()), (23, ()), (325, ()), (1006, ()), (43002, LATE)])
+@pytest.mark.parametrize("seed, often", [(1, ()), (23, ()), (325, ()), (1006, ()), (43002, LATE),
+                                         (58000, CUTS)])
 def test_the_queue_daemons_under_faults_of_a_seed(seed, often):
     soak = Soak(seed, FAULTS_DURATION_S, next(FREE_NETS), often)
     assert soak.run() == []
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -3,10 +3,12 @@
 Meanwhile clients submit and cancel jobs. They submit some jobs twice, also through different
 entries. Faults affect daemons (kill, stop, freeze), the table service (busy, silent, slow, refusing
 callers, losing answers, dropping the history of its change feed) and workers (crash, ignored calls,
-lost answers, calls carried out seconds late, cuts after a restart). Agents are removed for good;
-their workers stay. Then all other faults are undone, and each accepted job must reach the expected
-state. The runs of cancelled and ended jobs must end; those of cancelled jobs in time at any moment
-of the run, when nothing but removals, planned stops and cancellations disturbed them.
+lost answers, calls carried out seconds late, cuts after a restart). Daemons are cut off from others
+and from the table service, in one direction too, also while a worker restarts behind the cut.
+Agents are removed for good; their workers stay. Then all other faults are undone, and each accepted
+job must reach the expected state. The runs of cancelled and ended jobs must end; those of cancelled
+jobs in time at any moment of the run, when nothing but removals, planned stops and cancellations
+disturbed them.
 
 Each seed leaves the events of its workers in run/soak-SEED/workers.log, beside the daemons' logs.
 """
@@ -45,6 +47,8 @@
 RESTART_DELAY_S = (0.3, 3.0)
 DOWN_S = (standins.RESTART_MIN_S, 2.5)
 CUT_DELAY_S, CUT_HOLD_S = (0.2, 2.0), (1.0, 9.0)
+# Cuts of daemons, longer than other faults and than the lease of a worker.
+DAEMON_CUT_S = (2.0, 12.0)
 STOP_DELAYS_S = (0.05, 0.2, 0.5, 0.9)
 # The bounds that the rules name cancel_ms, contact_ms and stop_grace_ms, the latter above the
 # longest of STOP_DELAYS_S and the steps of the stand-in; the rig's stop takes up to 0.9 s.
@@ -54,8 +58,10 @@
 class Faults:
     """Methods fault_NAME inject a fault and return a function that undoes it."""
 
-    def __init__(self, deployment, rng):
+    def __init__(self, deployment, rng, disturb):
         self.deployment, self.rng = deployment, rng
+        # Notes that all is disturbed from now on; returns the function that notes the end.
+        self.disturb = disturb
         self.reserved = set()
         # Held while a daemon is chosen and reserved.
         self.lock = threading.Lock()
@@ -63,17 +69,20 @@
         self.removed = []
         # Workers some of whose calls are late.
         self.late_workers = set()
-        # Threads that cut workers off or restart them, and what ends them early.
+        # (time, text) of the beginnings and ends of cuts of daemons.
+        self.cut_notes = []
+        # Threads that cut daemons or workers off or restart workers, and what ends them early.
         self.threads = []
         self.ended = threading.Event()
         self.injectors = {name[6:]: getattr(self, name) for name in dir(self)
                           if name.startswith("fault_")}
 
-    def _reserve_daemon(self):
+    def _reserve_daemon(self, candidates=None):
         """Chooses and reserves a daemon; None if two or fewer are free, so that two stay up."""
         with self.lock:
             free = [name for name in self.deployment.processes if name not in self.reserved]
-            name = self.rng.choice(free) if len(free) > 2 else None
+            eligible = [name for name in free if name in (candidates or free)]
+            name = self.rng.choice(eligible) if len(free) > 2 and eligible else None
             if name:
                 self.reserved.add(name)
         return name
@@ -188,14 +197,18 @@
         """Some of a worker's calls are carried out late; in half of the cases it also restarts."""
         worker = self._random_worker()
         rng = random.Random(self.rng.random())
+        undo = self._make_late(worker, rng)
+        if rng.random() < 0.5:
+            self._start_thread(self._restart_later, worker, rng.uniform(*RESTART_DELAY_S),
+                               rng.uniform(*DOWN_S))
+        return undo
+
+    def _make_late(self, worker, rng):
         worker.choose_late_delay_s = lambda: rng.uniform(*LATE_DELAY_S)
         share = rng.uniform(*LATE_SHARES)
         worker.is_late = lambda path, body: rng.random() < share
         worker.note(f"{share:.2f} of the calls are late")
         self.late_workers.add(worker)
-        if rng.random() < 0.5:
-            self._start_thread(self._restart_later, worker, rng.uniform(*RESTART_DELAY_S),
-                               rng.uniform(*DOWN_S))
 
         def undo():
             worker.is_late = lambda path, body: False
@@ -214,6 +227,73 @@
                            crash_after_s)
         return lambda: None
 
+    def fault_cut_off(self):
+        return self._cut_daemon("from all", self.deployment.cut_off)
+
+    def fault_cut_daemons(self):
+        return self._cut_daemon("from all daemons", self.deployment.cut_links)
+
+    def fault_cut_sent(self):
+        return self._cut_daemon("from all daemons, in what it sends",
+                                lambda name: self.deployment.cut_links(name, received=False))
+
+    def fault_cut_received(self):
+        return self._cut_daemon("from all daemons, in what it receives",
+                                lambda name: self.deployment.cut_links(name, sent=False))
+
+    def fault_cut_pair(self):
+        name, other = self._reserve_daemon(), self._reserve_daemon()
+        if name and not other:
+            self.reserved.discard(name)
+        if other:
+            self._start_cut([name, other], f"from {other}",
+                            lambda name: self.deployment.cut_links(name, [other]))
+        return lambda: None
+
+    def fault_cut_store(self):
+        return self._cut_daemon("from the store", self.deployment.cut_store)
+
+    def fault_cut_store_answers(self):
+        return self._cut_daemon("from the store's answers",
+                                lambda name: self.deployment.cut_store(name, sent=False))
+
+    def fault_cut_worker_restart(self):
+        """An agent is cut off, with late calls, and its worker restarts behind the cut."""
+        name = self._reserve_daemon(self.deployment.workers)
+        if name:
+            rng = random.Random(self.rng.random())
+            self._start_cut([name], "from all, with its worker", self.deployment.cut_off,
+                            (self.deployment.workers[name], rng))
+        return lambda: None
+
+    def _cut_daemon(self, text, cut):
+        name = self._reserve_daemon()
+        if name:
+            self._start_cut([name], text, cut)
+        return lambda: None
+
+    def _start_cut(self, names, *args):
+        """Cuts the first of names, all reserved. The cut ends by itself, or with the faults."""
+        self._start_thread(self._hold_cut, names, self.rng.uniform(*DAEMON_CUT_S), *args)
+
+    def _hold_cut(self, names, hold_s, text, cut, restarted=None):
+        """restarted: a worker that has late calls and restarts behind the cut, and its generator."""
+        undos = [self.disturb()]
+        if restarted:
+            worker, rng = restarted
+            undos.append(self._make_late(worker, rng))
+            self.ended.wait(rng.uniform(*CUT_DELAY_S))
+        undos.append(cut(names[0]))
+        self.cut_notes.append((time.monotonic(), f"{names[0]} is cut off {text}"))
+        until_s = time.monotonic() + hold_s
+        if restarted:
+            self._restart_later(worker, rng.uniform(0, hold_s), rng.uniform(*DOWN_S))
+        self.ended.wait(max(until_s - time.monotonic(), 0))
+        for undo in reversed(undos):
+            undo()
+        self.cut_notes.append((time.monotonic(), f"{names[0]} is no longer cut off {text}"))
+        self.reserved.difference_update(names)
+
     def _start_thread(self, function, *args):
         self.threads.append(threading.Thread(target=function, args=args, daemon=True))
         self.threads[-1].start()
@@ -275,7 +355,7 @@
         self.job_ids = (f"{seed & 0xffffffff:08x}{n:08x}" for n in itertools.count(1))
         self.load_ended = threading.Event()
         self.tally = {}
-        self.removed = []
+        self.removed, self.cut_notes = [], []
         self.config_check = ConfigCheck(self.deployment, ENTRIES, seed)
 
     def _submit(self, rng):
@@ -347,7 +427,8 @@
             time.sleep(SUBMIT_GAP_S)
 
     def _inject_faults(self):
-        faults = Faults(self.deployment, self.rng)
+        faults = Faults(self.deployment, self.rng, self.cancel_check.disturb)
+        self.cut_notes = faults.cut_notes
         self.config_check.reserved = faults.reserved
         self.cancel_check.late_workers = faults.late_workers
         removals = Removals(self, faults, self.seed, self.removals_likely)
@@ -378,9 +459,9 @@
     def _inject(self, faults, name):
         """Injects a fault, and notes its time unless the check of cancellations sees it itself.
 
-        Planned stops are no disturbance to that check.
+        Planned stops are no disturbance to that check. Cuts of daemons note their own times.
         """
-        if name == "stop" or name.startswith("worker_"):
+        if name == "stop" or name.startswith(("worker_", "cut_")):
             return faults.injectors[name]()
         end = self.cancel_check.disturb()
         undo = faults.injectors[name]()
@@ -506,6 +587,7 @@
         lines += [(at, f"cancelling: {job}") for job, at in self.canceller.sent.items()]
         lines += [(at, f"cancelled: {job}") for job, at in self.cancel_acks.items()]
         lines += [(at, f"{name} is removed by {how.name}") for at, name, how in self.removed]
+        lines += self.cut_notes
         lines.append((self.calm_since, "faults are undone"))
         with open(os.path.join(self.deployment.directory, "workers.log"), "w",
                   encoding="utf-8") as file:
