Polls don't loop while ends can't be acknowledged

Cause: withholds acknowledgements without a valid row, but the ends counted as ready to be acknowledged. The next poll followed at once, and a worker answers at once while it has ends to list.

Change: without a valid row, as while a lapse is awaited, ends wait like those that are not stored, and the next poll comes after UNACKED_POLL_US.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -200,6 +200,16 @@
 	return exec->lost_run_listed || now_us < exec->lapse_until_us;
 }
 
+/**
+ * exec_is_lease_certain - whether no run under the present lease counts as lost
+ *
+ * Without a valid row, owners may have fenced it and started the tasks again.
+ */
+gboolean exec_is_lease_certain(const struct lug_executor *exec, gint64 now_us)
+{
+	return lug_writer_is_valid(exec->writer, now_us) && !exec_awaits_lapse(exec, now_us);
+}
+
 /**
  * exec_may_acknowledge - whether an end may be acknowledged to the worker
  *
@@ -211,7 +221,7 @@
 gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
 			      gint64 now_us)
 {
-	if (!end->is_stored || exec_awaits_lapse(exec, now_us))
+	if (!end->is_stored || !exec_is_lease_certain(exec, now_us))
 		return FALSE;
 	return now_us - end->listed_us >= ACK_DELAY_MAX_US || !may_start_late(exec, now_us);
 }
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -218,6 +218,14 @@
 	       reply->incarnation < exec->worker_incarnation;
 }
 
+/* Whether the worker goes on to list ends, and so answers the next poll at once. */
+static gboolean has_ends_to_keep(const struct lug_executor *exec, gint64 now_us)
+{
+	return exec_has_unacked_ends(exec, now_us) ||
+	       (exec->acked_end_number > exec->acknowledged_number &&
+		!exec_is_lease_certain(exec, now_us));
+}
+
 static void on_poll_reply(void *data, const struct lug_worker_poll_reply *reply)
 {
 	struct lug_executor *exec = data;
@@ -256,7 +264,7 @@
 	exec->silent_since_us = 0;
 	exec->worker_down = FALSE;
 	exec_resume_grants(exec, now_us);
-	exec_schedule_poll(exec, exec_has_unacked_ends(exec, now_us) ? UNACKED_POLL_US : 0, now_us);
+	exec_schedule_poll(exec, has_ends_to_keep(exec, now_us) ? UNACKED_POLL_US : 0, now_us);
 }
 
 static gboolean on_poll_due(gpointer data)
@@ -350,15 +358,6 @@
 	       now_us - exec->clock_requested_us <= POLL_WAIT_MS * 1000 + EXEC_RESTART_MIN_US;
 }
 
-/*
- * Whether no run under the present lease counts as lost: without a valid row, owners may have
- * fenced it and started the tasks again.
- */
-static gboolean is_lease_certain(const struct lug_executor *exec, gint64 now_us)
-{
-	return lug_writer_is_valid(exec->writer, now_us) && !exec_awaits_lapse(exec, now_us);
-}
-
 static gboolean may_renew(const struct lug_executor *exec, gboolean known_up, gint64 now_us)
 {
 	/* The row has not been renewed since the latest poll that sent its end. */
@@ -403,7 +402,7 @@
 		return;
 	acked = prune_acked_ends(exec, now_us);
 	if (known_up && *poll.worker && acked > exec->acknowledged_number &&
-	    is_lease_certain(exec, now_us))
+	    exec_is_lease_certain(exec, now_us))
 		poll.acked_end_number = acked;
 	if (poll.acked_end_number)
 		exec_log_acknowledgement(exec, now_us);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -480,6 +480,7 @@
 			      gint64 now_us);
 void exec_await_lapse(struct lug_executor *exec, const char *reason, gint64 now_us);
 void exec_note_lost_run(struct lug_executor *exec, gint64 now_us);
+gboolean exec_is_lease_certain(const struct lug_executor *exec, gint64 now_us);
 gboolean exec_awaits_lapse(const struct lug_executor *exec, gint64 now_us);
 void exec_extend_lease(struct lug_executor *exec, gint64 clock_ms, gint64 now_us);
 void exec_settle(struct lug_executor *exec, gint64 now_us);
--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -1,5 +1,9 @@
 #include "executor_fixture.h"
 
+extern "C" {
+#include "store/writer_priv.h"
+}
+
 /* Incident run-outlasted-the-end-of-its-lease: ends of runs that count as lost. */
 namespace
 {
@@ -171,4 +175,27 @@
 		expect_no_grant_and_no_acknowledgement();
 	}
 }
+
+TEST_F(ExecutorLapseTest, PollsDoNotLoopWhileTheRowIsNotValid)
+{
+	gint64 until_us = lug_now_us() + 500 * 1000;
+	int count = 0;
+
+	start_short("a");
+	finished = {{1, id("a")}};
+	answer_poll();
+	exec->writer->valid_until_us = lug_now_us();
+	ack("a");
+	while (lug_now_us() < until_us) {
+		if (!worker.polls.empty()) {
+			expect_next_poll_to_acknowledge(0);
+			/* A worker answers at once while an end is not acknowledged. */
+			answer_poll();
+			count++;
+		}
+		g_usleep(500);
+		g_main_context_iteration(nullptr, FALSE);
+	}
+	EXPECT_LE(count, 10) << "polls in 0.5 s";
+}
 } // namespace
