--- a/liblug/workflow/executor_run.c
+++ b/liblug/workflow/executor_run.c
@@ -153,6 +153,7 @@
 	}
 	if (++run->unanswered_starts < MAX_START_ATTEMPTS && !run->stopping &&
 	    incarnation == exec->worker_incarnation && exec_may_grant(exec) &&
+	    !exec_awaits_lapse(exec, lug_now_us()) &&
 	    exec_check_zone(exec, lug_now_us()) == LUG_EVACUATION_OPEN) {
 		send_start(exec, run);
 		return;
--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -198,4 +198,15 @@
 	}
 	EXPECT_LE(count, 10) << "polls in 0.5 s";
 }
+
+TEST_F(ExecutorLapseTest, NoStartIsRepeatedWhileALapseIsAwaited)
+{
+	start("a");
+	exec_await_lapse(exec, "test", lug_now_us());
+	ASSERT_TRUE(exec_awaits_lapse(exec, lug_now_us()));
+	worker.answer(LUG_ORDER_UNKNOWN);
+	ASSERT_FALSE(worker.orders.empty());
+	EXPECT_EQ(worker.orders.back().kind, "stop");
+	EXPECT_EQ(worker.orders.back().expires_ms, 0);
+}
 } // namespace
