Runs of a fenced lease count as lost after a restart that is heard of later

Found by review of: where the agent learned of the fence first and of the worker's restart after that, it still held the run, took its late start on the next incarnation for expected, and acknowledged its end under a lease that went on. Such runs are marked at the fence. An agent that states without an answer that no earlier run is left knows all runs, too, and a lapse that the row states does not shorten one that is awaited.

--- a/liblug/workflow/executor_lease.c
+++ b/liblug/workflow/executor_lease.c
@@ -30,8 +30,11 @@
 	lug_info(exec->ctx, event == LUG_WRITER_TAKEN ? "worker_lease_taken" : "worker_lease_lost",
 		 "lease_epoch", epoch);
 	/* Owners count the runs under a fenced lease as lost. */
-	if (event == LUG_WRITER_NOT_HELD && was_held)
+	if (event == LUG_WRITER_NOT_HELD && was_held) {
 		exec_await_lapse(exec, "its row was fenced", lug_now_us());
+		for (guint i = 0; i < exec->runs->len; i++)
+			((struct exec_run *)g_ptr_array_index(exec->runs, i))->lease_fenced = TRUE;
+	}
 	if (event != LUG_WRITER_TAKEN)
 		return;
 	/*
@@ -239,6 +242,7 @@
 {
 	char epoch[24];
 
+	exec->runs_known = TRUE;
 	exec->confirmed_epoch = lug_writer_epoch(exec->writer);
 	g_snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, exec->confirmed_epoch);
 	lug_warn(exec->ctx, "worker_unheard", "lease_epoch", epoch, "reason",
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -331,8 +331,8 @@
 	lug_writer_hold(exec->writer, now_us + ttl_ms * 1000);
 	if (exec->settled_incarnation || !row->version)
 		return;
-	exec->lapse_until_us =
-		now_us + CLAMP(lapse_ms, 0, max_ms + max_ms / EXEC_CLOCK_DRIFT_DIVISOR) * 1000;
+	lapse_ms = CLAMP(lapse_ms, 0, max_ms + max_ms / EXEC_CLOCK_DRIFT_DIVISOR);
+	exec->lapse_until_us = MAX(exec->lapse_until_us, now_us + lapse_ms * 1000);
 	g_free(exec->settled_id);
 	exec->settled_id = g_strdup(lug_json_str(row->data, "worker_id", ""));
 	exec->settled_incarnation =
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -33,6 +33,15 @@
 	exec_stop_run(exec, run);
 }
 
+/*
+ * Whether a run that the worker lists counts as lost. @run is NULL for one that the agent does not
+ * hold. One under a fenced lease may have been started late by the next incarnation.
+ */
+static gboolean counts_as_lost(const struct lug_executor *exec, const struct exec_run *run)
+{
+	return run ? run->lease_fenced && run->crashed : exec->runs_known;
+}
+
 /* @unexpected: list of the runs that the agent did not know to be on the present incarnation */
 static void apply_running(struct lug_executor *exec, const struct lug_worker_running *item,
 			  GString *unexpected, gint64 now_us)
@@ -40,9 +49,9 @@
 	struct exec_run *run = exec_find_run(exec, &item->id);
 	gboolean is_expected = run && !run->crashed;
 
+	if (counts_as_lost(exec, run))
+		exec_note_lost_run(exec, now_us);
 	if (!run) {
-		if (exec->runs_known)
-			exec_note_lost_run(exec, now_us);
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
 		run->attributes_missing = TRUE;
 		run->resumed = TRUE;
@@ -80,10 +89,10 @@
 	exec->last_end_number = item->number;
 	if (run && item->outcome == LUG_RUN_DONE)
 		exec_reserve_learn(exec, run, now_us);
+	if (item->outcome == LUG_RUN_DONE && counts_as_lost(exec, run))
+		exec_note_lost_run(exec, now_us);
 	if (run)
 		exec_remove_run(exec, run);
-	else if (exec->runs_known && item->outcome == LUG_RUN_DONE)
-		exec_note_lost_run(exec, now_us);
 	end = exec_add_end(exec, &item->id, item->outcome, item->checkpoint);
 	end->number = item->number;
 	end->listed_us = now_us;
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -65,6 +65,7 @@
  * @isolated: its task is suspected to crash its workers
  * @crashed: the worker has crashed, and the run may have been on it; it is kept until a poll of the
  *           next incarnation shows whether it runs there
+ * @lease_fenced: owners have fenced the lease under which it was started
  * @suspected_jobs: of a crashed run, see struct exec_end
  * @spec: passed to the task
  * @checkpoint: latest checkpoint
@@ -117,6 +118,7 @@
 	gint64 late_start_until_us;
 	gboolean isolated;
 	gboolean crashed;
+	gboolean lease_fenced;
 	guint suspected_jobs;
 	char *spec;
 	char *checkpoint;
--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -26,6 +26,19 @@
 			send_heartbeat();
 	}
 
+	/* An owner fences the row, and the agent takes the lease anew. */
+	void fence_and_take()
+	{
+		store.put("w1|worker/w1", "{\"owner\":\"\",\"ttl_ms\":6000,\"epoch\":2}");
+		lug_writer_rewrite(exec->writer, lug_now_us());
+		store.settle();
+		ASSERT_FALSE(lug_writer_is_held(exec->writer));
+		exec->next_acquire_us = 0;
+		tick();
+		store.settle();
+		ASSERT_TRUE(lug_writer_is_held(exec->writer));
+	}
+
 	void answer_polls(int count)
 	{
 		for (int i = 0; i < count; i++) {
@@ -115,15 +128,7 @@
 	finished = {{1, id("a")}};
 	restart_worker();
 	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"}));
-	/* An owner fences the row. */
-	store.put("w1|worker/w1", "{\"owner\":\"\",\"ttl_ms\":6000,\"epoch\":2}");
-	lug_writer_rewrite(exec->writer, lug_now_us());
-	store.settle();
-	ASSERT_FALSE(lug_writer_is_held(exec->writer));
-	exec->next_acquire_us = 0;
-	tick();
-	store.settle();
-	ASSERT_TRUE(lug_writer_is_held(exec->writer));
+	fence_and_take();
 	answer_poll();
 	expect_no_grant_and_no_acknowledgement();
 }
@@ -209,4 +214,16 @@
 	EXPECT_EQ(worker.orders.back().kind, "stop");
 	EXPECT_EQ(worker.orders.back().expires_ms, 0);
 }
+
+TEST_F(ExecutorLapseTest, AnEndAfterARestartThatIsHeardOfAfterTheFenceIsAcknowledgedAfterTheLapse)
+{
+	start_at_second_attempt();
+	/* The lease as the agent knows it is over. */
+	exec->granted_until_us = lug_now_us();
+	fence_and_take();
+	running.clear();
+	finished = {{1, id("a")}};
+	restart_worker();
+	expect_no_grant_and_no_acknowledgement();
+}
 } // namespace
