An acknowledgement that a start overtakes does not count as a failed poll

Found by review: a start sent during an acknowledgement has a higher token; where it reaches the worker first, the poll is refused with "fence", the worker counted as down and refused starts for some 150 ms. Such a poll is sent again at once under the present token. The unit test failed before (review).

--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -243,6 +243,12 @@
 	exec->poll_in_flight = FALSE;
 	note_poll_result(exec, reply, now_us);
 	exec->broken_polls = is_poll_broken(exec, reply, now_us) ? exec->broken_polls + 1 : 0;
+	/* A start sent after the poll has reached the worker first, see
+	 * exec_outrank_acknowledgement(). */
+	if (reply->result == LUG_ORDER_FENCED && exec->poll_token < exec_token(exec)) {
+		exec_schedule_poll(exec, 0, now_us);
+		return;
+	}
 	if (reply->result != LUG_ORDER_OK) {
 		if (reply->result == LUG_ORDER_UNKNOWN &&
 		    (exec->poll_expires_ms || exec->poll_acked))
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -355,6 +355,21 @@
 	EXPECT_FALSE(lug_executor_can_exit(exec)) << "before the time for its shutdown is over";
 }
 
+TEST_F(ExecutorOutstandingTest, AnAcknowledgementThatAStartOvertakesIsSentAgain)
+{
+	start_short("a");
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	expect_next_poll_to_acknowledge(1);
+	start("b");
+	answer_poll(LUG_ORDER_FENCED);
+	EXPECT_TRUE(exec_is_accepting(exec, lug_now_us()));
+	worker.answer(LUG_ORDER_OK);
+	tick_later();
+	expect_next_poll_to_acknowledge(1);
+}
+
 TEST_F(ExecutorOutstandingTest, TheNextProcessAllowsForAStartWithoutAnAnswer)
 {
 	finished = {{1, id("a")}};
