Acknowledgements leave half of a lease's fencing tokens to restarts

Once they are used up, a restart raises nothing, and late calls to the former incarnation are accepted (rule TWICE). After 2^19 raises a start goes out under the token of the acknowledgement, as before. The unit test failed before.

--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -12,6 +12,8 @@
 
 /* Bits of a fencing token that tell apart those under one lease epoch. */
 #define RAISE_BITS 20
+/* Under one lease epoch; the others are left to restarts of the worker. */
+#define ACK_RAISES_MAX (1u << (RAISE_BITS - 1))
 /* Only an odd row of the lease has a higher epoch, whose token is not raised. */
 #define EPOCH_MAX (1ULL << 33)
 /* A call without an answer is carried out within this time or never. */
@@ -57,7 +59,8 @@
  */
 void exec_outrank_acknowledgement(struct lug_executor *exec)
 {
-	if (exec->poll_in_flight && exec->poll_acked && exec->poll_token == exec_token(exec))
+	if (exec->poll_in_flight && exec->poll_acked && exec->poll_token == exec_token(exec) &&
+	    exec->token_raises < ACK_RAISES_MAX)
 		exec_raise_token(exec);
 }
 
--- a/tests/unit/executor_outstanding_test.cc
+++ b/tests/unit/executor_outstanding_test.cc
@@ -370,6 +370,23 @@
 	expect_next_poll_to_acknowledge(1);
 }
 
+TEST_F(ExecutorOutstandingTest, AcknowledgementsDoNotUseUpTheFencingTokensOfALease)
+{
+	guint64 token;
+
+	exec->token_raises = (1u << 20) - 2;
+	start_short("a");
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	expect_next_poll_to_acknowledge(1);
+	start("b");
+	start("c");
+	token = exec_token(exec);
+	restart_worker();
+	EXPECT_GT(exec_token(exec), token);
+}
+
 TEST_F(ExecutorOutstandingTest, TheNextProcessAllowsForAStartWithoutAnAnswer)
 {
 	finished = {{1, id("a")}};
