Tests of awaited lapses share the loss of a run, after which its lease is over

The test of an end that is listed before the id is known left the agent a lease that had not ended by its real clock, so that the wait began without the change that it guards (e.g. exec_note_lost_run() doing nothing before the incarnation is settled); now it fails without it.

--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -13,7 +13,7 @@
 constexpr gint64 ANSWER_TIMEOUT_US = 1600 * 1000;
 
 struct ExecutorLapseTest : public ExecutorFixture {
-	/* The next incarnation answers polls as soon as the agent hears of it. */
+	/* @id_first: the agent hears of the next incarnation by a heartbeat, else by a poll */
 	void restart_worker(bool id_first = true)
 	{
 		incarnation += 100;
@@ -58,6 +58,20 @@
 		answer_poll();
 	}
 
+	/* The lease of run "a" ends as the agent knows it; the next incarnation ends the run as
+	 * done. */
+	void count_run_as_lost()
+	{
+		gint64 now_us = lug_now_us();
+
+		lug_executor_tick(exec, now_us + LEASE_US + 1000);
+		lug_executor_tick(exec, now_us + LEASE_US + ANSWER_TIMEOUT_US);
+		EXPECT_EQ(ends, (std::vector<std::string>{"a#1"})) << "reported as crashed";
+		exec->granted_until_us = lug_now_us();
+		running.clear();
+		finished = {{1, id("a")}};
+	}
+
 	/* @id_first: the worker's id is known before its first list */
 	void replace_process(bool id_first = true)
 	{
@@ -87,14 +101,8 @@
 
 TEST_F(ExecutorLapseTest, AnEndOfARunThatCountsAsLostIsAcknowledgedAfterTheLeaseHasLapsed)
 {
-	gint64 now_us = lug_now_us();
-
 	start_at_second_attempt();
-	lug_executor_tick(exec, now_us + LEASE_US + 1000);
-	lug_executor_tick(exec, now_us + LEASE_US + ANSWER_TIMEOUT_US);
-	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"})) << "reported as crashed";
-	running.clear();
-	finished = {{1, id("a")}};
+	count_run_as_lost();
 	restart_worker();
 	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "a#1"})) << "reported as done";
 	expect_no_grant_and_no_acknowledgement();
@@ -108,14 +116,8 @@
 
 TEST_F(ExecutorLapseTest, AnEndThatIsListedBeforeTheIdIsKnownIsAcknowledgedAfterTheLeaseHasLapsed)
 {
-	gint64 now_us = lug_now_us();
-
 	start_at_second_attempt();
-	lug_executor_tick(exec, now_us + LEASE_US + 1000);
-	lug_executor_tick(exec, now_us + LEASE_US + ANSWER_TIMEOUT_US);
-	EXPECT_EQ(ends, (std::vector<std::string>{"a#1"})) << "reported as crashed";
-	running.clear();
-	finished = {{1, id("a")}};
+	count_run_as_lost();
 	restart_worker(false);
 	EXPECT_EQ(ends, (std::vector<std::string>{"a#1", "a#1"})) << "reported as done";
 	expect_no_grant_and_no_acknowledgement();
