A run that is known to be done does not count as lost when it is started late once more

Cause: takes each run that the agent does not hold for lost. Here the run was done on the former incarnation, its owner had stored that, and the next one started it late once more: nobody starts its task elsewhere, yet the agent waited for the lapse of the lease, 10.2 s.

Change: the agent remembers the runs that their owners have stored as done, for the 30 s in which a start may be carried out late.

--- a/liblug/workflow/executor.c
+++ b/liblug/workflow/executor.c
@@ -72,6 +72,7 @@
 	exec->data = data;
 	exec->runs = g_ptr_array_new_with_free_func(run_free);
 	exec->ends = g_ptr_array_new_with_free_func(end_free);
+	exec->done_runs = g_array_new(FALSE, FALSE, sizeof(struct exec_done_run));
 	exec->acked_ends = g_string_new(NULL);
 	return exec;
 }
@@ -101,6 +102,7 @@
 	lug_store_free(exec->store);
 	g_ptr_array_unref(exec->runs);
 	g_ptr_array_unref(exec->ends);
+	g_array_unref(exec->done_runs);
 	g_string_free(exec->acked_ends, TRUE);
 	g_strfreev(exec->labels);
 	g_free(exec->worker_id);
--- a/liblug/workflow/executor_outstanding.c
+++ b/liblug/workflow/executor_outstanding.c
@@ -155,6 +155,45 @@
 	return FALSE;
 }
 
+static gboolean is_stored_as_done(const struct exec_end *end)
+{
+	return end->is_stored && !end->is_obsolete && end->outcome == LUG_RUN_DONE;
+}
+
+/**
+ * exec_note_done - note that the owner of a run has stored it as done, before its end is removed
+ *
+ * The run does not count as lost if the next incarnation starts it late once more.
+ */
+void exec_note_done(struct lug_executor *exec, const struct exec_end *end, gint64 now_us)
+{
+	struct exec_done_run done = {end->id, now_us + LATE_CALL_US};
+
+	if (!is_stored_as_done(end))
+		return;
+	while (exec->done_runs->len &&
+	       g_array_index(exec->done_runs, struct exec_done_run, 0).until_us < now_us)
+		g_array_remove_index(exec->done_runs, 0);
+	g_array_append_val(exec->done_runs, done);
+}
+
+/**
+ * exec_is_done - whether a run was done before, as far as this process remembers
+ */
+gboolean exec_is_done(const struct lug_executor *exec, const struct lug_run_id *id)
+{
+	for (guint i = 0; i < exec->ends->len; i++) {
+		const struct exec_end *end = g_ptr_array_index(exec->ends, i);
+
+		if (is_stored_as_done(end) && lug_run_equal(&end->id, id))
+			return TRUE;
+	}
+	for (guint i = 0; i < exec->done_runs->len; i++)
+		if (lug_run_equal(&g_array_index(exec->done_runs, struct exec_done_run, i).id, id))
+			return TRUE;
+	return FALSE;
+}
+
 /**
  * exec_await_lapse - let the worker's lease lapse, as tasks of its runs may have been started again
  * @exec: executor
--- a/liblug/workflow/executor_poll.c
+++ b/liblug/workflow/executor_poll.c
@@ -37,9 +37,12 @@
  * Whether a run that the worker lists counts as lost. @run is NULL for one that the agent does not
  * hold. One under a fenced lease may have been started late by the next incarnation.
  */
-static gboolean counts_as_lost(const struct lug_executor *exec, const struct exec_run *run)
+static gboolean counts_as_lost(const struct lug_executor *exec, const struct lug_run_id *id,
+			       const struct exec_run *run)
 {
-	return run ? run->lease_fenced && run->crashed : exec->runs_known;
+	if (run)
+		return run->lease_fenced && run->crashed;
+	return exec->runs_known && !exec_is_done(exec, id);
 }
 
 /* @unexpected: list of the runs that the agent did not know to be on the present incarnation */
@@ -49,7 +52,7 @@
 	struct exec_run *run = exec_find_run(exec, &item->id);
 	gboolean is_expected = run && !run->crashed;
 
-	if (counts_as_lost(exec, run))
+	if (counts_as_lost(exec, &item->id, run))
 		exec_note_lost_run(exec, now_us);
 	if (!run) {
 		run = exec_add_run(exec, &item->id, EXEC_RUNNING);
@@ -89,7 +92,7 @@
 	exec->last_end_number = item->number;
 	if (run && item->outcome == LUG_RUN_DONE)
 		exec_reserve_learn(exec, run, now_us);
-	if (item->outcome == LUG_RUN_DONE && counts_as_lost(exec, run))
+	if (item->outcome == LUG_RUN_DONE && counts_as_lost(exec, &item->id, run))
 		exec_note_lost_run(exec, now_us);
 	if (run)
 		exec_remove_run(exec, run);
@@ -353,6 +356,7 @@
 			i++;
 			continue;
 		}
+		exec_note_done(exec, end, now_us);
 		if (is_current) {
 			exec->acked_end_number = end->number;
 			exec_list_end(exec->acked_ends, end);
--- a/liblug/workflow/executor_priv.h
+++ b/liblug/workflow/executor_priv.h
@@ -207,6 +207,16 @@
 	gint64 sent_us;
 };
 
+/**
+ * struct exec_done_run - a run that its owner has stored as done
+ * @id: run
+ * @until_us: time after which no start of it is carried out any more
+ */
+struct exec_done_run {
+	struct lug_run_id id;
+	gint64 until_us;
+};
+
 /**
  * struct exec_owner - owner of a shard
  * @epoch: highest epoch seen
@@ -234,6 +244,7 @@
  * @data: passed to @send
  * @runs: array of struct exec_run *
  * @ends: array of struct exec_end *, in the order of the worker's numbers
+ * @done_runs: array of struct exec_done_run, of those that may be started late once more
  * @last_local_id: local id of the latest run
  * @acquiring_lease: an attempt to acquire the lease is in flight
  * @lease_held: the latest lease event was LUG_WRITER_TAKEN; unlike lug_writer_is_held(), still TRUE
@@ -344,6 +355,7 @@
 	void *data;
 	GPtrArray *runs;
 	GPtrArray *ends;
+	GArray *done_runs;
 	guint64 last_local_id;
 	gboolean acquiring_lease;
 	gboolean lease_held;
@@ -480,6 +492,8 @@
 void exec_note_late_start(struct lug_executor *exec, struct exec_run *run, gint64 now_us);
 gboolean exec_may_acknowledge(const struct lug_executor *exec, const struct exec_end *end,
 			      gint64 now_us);
+void exec_note_done(struct lug_executor *exec, const struct exec_end *end, gint64 now_us);
+gboolean exec_is_done(const struct lug_executor *exec, const struct lug_run_id *id);
 void exec_await_lapse(struct lug_executor *exec, const char *reason, gint64 now_us);
 void exec_note_lost_run(struct lug_executor *exec, gint64 now_us);
 gboolean exec_is_lease_certain(const struct lug_executor *exec, gint64 now_us);
--- a/tests/unit/executor_lapse_test.cc
+++ b/tests/unit/executor_lapse_test.cc
@@ -123,6 +123,20 @@
 	expect_no_grant_and_no_acknowledgement();
 }
 
+TEST_F(ExecutorLapseTest, ARunThatWasDoneBeforeDoesNotCountAsLost)
+{
+	start_at_second_attempt();
+	running.clear();
+	finished = {{1, id("a")}};
+	answer_poll();
+	ack("a");
+	finished.clear();
+	running = {{id("a"), 10}};
+	restart_worker();
+	EXPECT_EQ(exec->runs->len, 1u) << "started late once more";
+	EXPECT_FALSE(exec_awaits_lapse(exec, lug_now_us()));
+}
+
 TEST_F(ExecutorLapseTest, AnEndUnderAFencedLeaseIsAcknowledgedAfterTheLeaseHasLapsed)
 {
 	start_at_second_attempt();
